feat: add routes, groups and a directory to the document; let flights serve any caller

Cause: the platform's requests are opaque and its upstreams list themselves, so the document needs routes and groups, and the kernel a directory that changes by itself. The flight of package entry becomes a package of its own, so that routed requests use the same policy.Run. Routed runs take repeats from a budget for each group. loomctl check refuses a document that is just null (it was accepted before). Ruled out: a second engine with its own retries.

--- a/tier/config/check.go
+++ b/tier/config/check.go
@@ -26,7 +26,7 @@
 	c := checker{doc: d, upstreams: map[string]bool{}}
 	steps := []func() error{
 		func() error { return c.based(revision) },
-		c.classes, c.hosts, c.backEnds, c.services,
+		c.classes, c.hosts, c.backEnds, c.services, c.routes,
 	}
 	for _, step := range steps {
 		if err := step(); err != nil {
@@ -36,6 +36,11 @@
 	return nil
 }
 
+// place is the path of a field of an element of a list.
+func place(list string, i int, field string) string {
+	return fmt.Sprintf("%s/%d/%s", list, i, field)
+}
+
 type checker struct {
 	doc       *Document
 	upstreams map[string]bool
@@ -186,16 +191,16 @@
 	}
 	next := uint32(0)
 	for i, h := range s.Shards {
-		place := fmt.Sprintf("%s/Shards/%d", at, i)
+		shard := fmt.Sprintf("%s/Shards/%d", at, i)
 		switch {
 		case h.To <= h.From:
-			return fault(KindRange, place+"/To", "empty range", "make To larger than From")
+			return fault(KindRange, shard+"/To", "empty range", "make To larger than From")
 		case h.From < next:
-			return fault(KindRange, place+"/From", "overlaps the shard before", fmt.Sprintf("start at %d", next))
+			return fault(KindRange, shard+"/From", "overlaps the shard before", fmt.Sprintf("start at %d", next))
 		case h.From > next:
-			return fault(KindRange, place+"/From", fmt.Sprintf("keys %d to %d belong to no shard", next, h.From), "declare a shard for them")
+			return fault(KindRange, shard+"/From", fmt.Sprintf("keys %d to %d belong to no shard", next, h.From), "declare a shard for them")
 		}
-		if err := c.replicas(h.Replicas, place+"/Replicas"); err != nil {
+		if err := c.replicas(h.Replicas, shard+"/Replicas"); err != nil {
 			return err
 		}
 		next = h.To
--- a/tier/config/decode.go
+++ b/tier/config/decode.go
@@ -65,6 +65,9 @@
 	if len(bytes.TrimSpace(text)) == 0 {
 		return nil, &Error{Kind: KindSyntax, Field: "/", Problem: "empty document", Remedy: "write a JSON object with the fields of docs/CONFIG.md"}
 	}
+	if !bytes.HasPrefix(bytes.TrimSpace(text), []byte("{")) {
+		return nil, &Error{Kind: KindSyntax, Field: "/", Line: 1, Problem: "the document is no JSON object", Remedy: "write a JSON object with the fields of docs/CONFIG.md"}
+	}
 	var doc Document
 	err := json.Unmarshal(text, &doc, json.RejectUnknownMembers(true), json.WithUnmarshalers(classDefaults))
 	if err != nil {
--- /dev/null
+++ b/tier/config/directory.go
@@ -0,0 +1,208 @@
+package config
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+)
+
+// Listing is one upstream as it listed itself with the platform.
+type Listing struct {
+	// Name is new for each start of the upstream.
+	Name string
+	// Group is the group that it belongs to.
+	Group string
+	// Hall is its data hall; empty if it did not say.
+	Hall    string `json:",omitempty"`
+	Address netip.AddrPort
+	// Slots is how many calls it works on at once.
+	Slots int
+	// Leaving tells that it gets no new work.
+	Leaving bool `json:",omitempty"`
+	// Revision is the platform's revision of this entry; above 0.
+	Revision uint64
+}
+
+// Directory is the set of listed upstreams at one revision. It does not change;
+// With makes the next one.
+type Directory struct {
+	// Revision is the platform's revision up to which the directory is whole.
+	Revision uint64
+	// removed gives for names that were removed the revision of the removal, so
+	// that an older listing of the same name does not bring it back.
+	removed map[string]uint64
+	listed  map[string]Listing
+	groups  map[string][]Listing
+}
+
+// Removal tells that a name is no longer listed.
+type Removal struct {
+	Name     string
+	Revision uint64
+}
+
+// DirectoryChange is what changed in the directory up to a revision.
+type DirectoryChange struct {
+	// Revision is the platform's revision after the change.
+	Revision uint64
+	// Whole is true if Listed is the whole directory and not a change.
+	Whole   bool `json:",omitempty"`
+	Listed  []Listing
+	Removed []Removal `json:",omitempty"`
+}
+
+// maxRemoved bounds how many removed names are remembered; the oldest are
+// forgotten first.
+const maxRemoved = 2000
+
+// Group lists the upstreams of a group, in order of name. The slice is not to
+// be changed.
+func (d *Directory) Group(name string) []Listing {
+	if d == nil {
+		return nil
+	}
+	return d.groups[name]
+}
+
+// Find gives the listing of a name.
+func (d *Directory) Find(name string) (Listing, bool) {
+	if d == nil {
+		return Listing{}, false
+	}
+	l, ok := d.listed[name]
+	return l, ok
+}
+
+// Size is how many upstreams are listed.
+func (d *Directory) Size() int {
+	if d == nil {
+		return 0
+	}
+	return len(d.listed)
+}
+
+// All lists all upstreams, in order of name.
+func (d *Directory) All() []Listing {
+	if d == nil {
+		return nil
+	}
+	out := make([]Listing, 0, len(d.listed))
+	for _, l := range d.listed {
+		out = append(out, l)
+	}
+	slices.SortFunc(out, func(a, b Listing) int { return cmp.Compare(a.Name, b.Name) })
+	return out
+}
+
+// Whole gives the directory as a change that brings another host to it.
+func (d *Directory) Whole() DirectoryChange {
+	if d == nil {
+		return DirectoryChange{}
+	}
+	out := DirectoryChange{Revision: d.Revision, Whole: true, Listed: d.All()}
+	for n, r := range d.removed {
+		out.Removed = append(out.Removed, Removal{Name: n, Revision: r})
+	}
+	return out
+}
+
+// With gives the directory after a change. What is older than what is known
+// has no effect, so changes may arrive twice or out of order. A whole listing
+// older than the directory takes nothing away. The second result is false if
+// nothing changed but the revision.
+func (d *Directory) With(c *DirectoryChange) (*Directory, bool) {
+	next := &Directory{listed: map[string]Listing{}, removed: map[string]uint64{}}
+	if d != nil {
+		next.Revision = d.Revision
+		for n, l := range d.listed {
+			next.listed[n] = l
+		}
+		for n, r := range d.removed {
+			next.removed[n] = r
+		}
+	}
+	changed := d == nil
+	if c.Whole && c.Revision >= next.Revision {
+		changed = next.retain(c) || changed
+	}
+	for _, l := range c.Listed {
+		changed = next.list(l) || changed
+	}
+	for _, r := range c.Removed {
+		changed = next.remove(r) || changed
+	}
+	next.Revision = max(next.Revision, c.Revision)
+	next.forget()
+	if !changed {
+		next.groups = d.groups
+		return next, false
+	}
+	next.index()
+	return next, true
+}
+
+// retain removes what a whole listing does not have.
+func (d *Directory) retain(c *DirectoryChange) bool {
+	names := make(map[string]bool, len(c.Listed))
+	for _, l := range c.Listed {
+		names[l.Name] = true
+	}
+	changed := false
+	for n, l := range d.listed {
+		if !names[n] && l.Revision <= c.Revision {
+			delete(d.listed, n)
+			d.removed[n] = c.Revision
+			changed = true
+		}
+	}
+	return changed
+}
+
+func (d *Directory) list(l Listing) bool {
+	old, known := d.listed[l.Name]
+	if known && old.Revision >= l.Revision || d.removed[l.Name] >= l.Revision {
+		return false
+	}
+	d.listed[l.Name] = l
+	delete(d.removed, l.Name)
+	old.Revision = l.Revision
+	return old != l
+}
+
+func (d *Directory) remove(r Removal) bool {
+	if d.removed[r.Name] >= r.Revision {
+		return false
+	}
+	l, known := d.listed[r.Name]
+	if known && l.Revision > r.Revision {
+		return false
+	}
+	d.removed[r.Name] = r.Revision
+	delete(d.listed, r.Name)
+	return known
+}
+
+// forget drops the oldest removals beyond the bound.
+func (d *Directory) forget() {
+	if len(d.removed) <= maxRemoved {
+		return
+	}
+	revisions := make([]uint64, 0, len(d.removed))
+	for _, r := range d.removed {
+		revisions = append(revisions, r)
+	}
+	slices.Sort(revisions)
+	oldest := revisions[len(revisions)-maxRemoved/2]
+	for n, r := range d.removed {
+		if r < oldest {
+			delete(d.removed, n)
+		}
+	}
+}
+
+func (d *Directory) index() {
+	d.groups = map[string][]Listing{}
+	for _, l := range d.All() {
+		d.groups[l.Group] = append(d.groups[l.Group], l)
+	}
+}
--- a/tier/config/document.go
+++ b/tier/config/document.go
@@ -26,6 +26,12 @@
 	Upstreams []Upstream
 	// Services are what callers ask, each with a unique name.
 	Services []Service
+	// Groups are sets of upstreams that list themselves with the platform.
+	Groups []Group `json:",omitempty"`
+	// Routes map requests that the tier passes on to groups.
+	Routes []Route `json:",omitempty"`
+	// Limits bound what callers of routes may send.
+	Limits Limits `json:",omitzero"`
 }
 
 // HedgeMode says when a second replica is asked while the first is at work.
--- a/tier/config/encode.go
+++ b/tier/config/encode.go
@@ -22,7 +22,9 @@
 		w.separate(i, "\n")
 		w.service(&d.Services[i])
 	}
-	w.text("]\n}\n")
+	w.text("]")
+	w.routes(d)
+	w.text("\n}\n")
 	if w.err != nil {
 		return nil, fmt.Errorf("encode document: %w", w.err)
 	}
@@ -68,6 +70,23 @@
 	w.text("    }")
 }
 
+// routes writes what routed requests need; a document without them has none of
+// these fields.
+func (w *writer) routes(d *Document) {
+	if len(d.Groups) > 0 {
+		w.text(",\n")
+		lines(w, "  ", "Groups", d.Groups, "")
+	}
+	if len(d.Routes) > 0 {
+		w.text(",\n")
+		lines(w, "  ", "Routes", d.Routes, "")
+	}
+	if d.Limits != (Limits{}) {
+		w.text(",\n  \"Limits\": ")
+		w.value(&d.Limits)
+	}
+}
+
 // lines writes a list with one element a line.
 func lines[T any](w *writer, indent, name string, list []T, end string) {
 	w.text(indent + `"` + name + `": [`)
--- a/tier/config/index.go
+++ b/tier/config/index.go
@@ -19,6 +19,8 @@
 	upstreams map[string]*Upstream
 	services  map[string]*Service
 	hosts     map[string]*Host
+	groups    map[string]*Group
+	routes    routeTable
 }
 
 // Accept decodes and checks a published document.
@@ -40,6 +42,8 @@
 		upstreams: map[string]*Upstream{},
 		services:  map[string]*Service{},
 		hosts:     map[string]*Host{},
+		groups:    map[string]*Group{},
+		routes:    newRouteTable(d),
 	}
 	for i := range d.Classes {
 		x.classes[d.Classes[i].Name] = &d.Classes[i]
@@ -53,6 +57,9 @@
 	for i := range d.Hosts {
 		x.hosts[d.Hosts[i].Name] = &d.Hosts[i]
 	}
+	for i := range d.Groups {
+		x.groups[d.Groups[i].Name] = &d.Groups[i]
+	}
 	return x
 }
 
--- a/tier/entry/engine.go
+++ b/tier/entry/engine.go
@@ -15,6 +15,7 @@
 	"go.opentelemetry.io/otel/attribute"
 
 	"loomgap/tier/config"
+	"loomgap/tier/flight"
 	entrygen "loomgap/tier/gen/entry"
 	"loomgap/tier/kernel"
 	"loomgap/tier/peers"
@@ -283,9 +284,8 @@
 	}
 	question := ask.Question()
 	merger := query.NewMerger(question)
-	f := &flight{
-		engine: e, ctx: ctx, service: h.service.Name, path: wire.PathPart, snapshot: snapshot,
-		deadline: h.deadline, calls: map[int]*call{}, done: make(chan struct{}),
+	c := &partCaller{
+		engine: e, service: h.service.Name, path: wire.PathPart, snapshot: snapshot, deadline: h.deadline,
 		message: func(part, attempt int) (wire.Identity, []byte, error) {
 			s := &shards[part]
 			m := wire.PartRequest{
@@ -297,8 +297,8 @@
 			return m.Identity, body, err
 		},
 	}
-	f.take = func(_ int, p *wire.PartReply) { merger.Add(p.Count, p.Rows) }
-	result, err := e.run(f, h, replicas, true, ctx.Done())
+	c.take = func(p *wire.PartReply) { merger.Add(p.Count, p.Rows) }
+	result, err := e.run(ctx, c, h, replicas, true)
 	var refusal *policy.Refusal
 	if errors.As(err, &refusal) {
 		return e.refuse(id, h.class.Name, refusal.Reason, refusal.RetryAfter), nil
@@ -313,20 +313,24 @@
 	return answer, nil
 }
 
-// run makes a policy run of a flight and flies it.
-func (e *Engine) run(f *flight, h *held, replicas [][]*policy.Upstream, repeatable bool, giveUp <-chan struct{}) (policy.Result, error) {
-	r, err := policy.NewRun(policy.RunConfig{
-		Fleet: e.kernel.Fleet, Pool: e.pool(h.service.Name), Class: h.class, Deadline: h.deadline,
-		Replicas: replicas, Snapshot: f.snapshot, Repeatable: repeatable, Granted: f.granted,
+// run carries out a request. One that may be repeated is given up when the
+// context of its caller ends.
+func (e *Engine) run(ctx context.Context, c *partCaller, h *held, replicas [][]*policy.Upstream, repeatable bool) (policy.Result, error) {
+	f, err := flight.New(flight.Config[*wire.PartReply]{
+		Kernel: e.kernel, Caller: c,
+		Run: policy.RunConfig{
+			Fleet: e.kernel.Fleet, Pool: e.pool(h.service.Name), Class: h.class, Deadline: h.deadline,
+			Replicas: replicas, Snapshot: c.snapshot, Repeatable: repeatable,
+		},
 	})
 	if err != nil {
 		return policy.Result{}, err
 	}
-	f.run = r
-	// Calls are cancelled by the run alone, so that a caller who goes away
-	// leaves no call without its account.
-	f.ctx = context.WithoutCancel(f.ctx)
-	return f.fly(giveUp)
+	var giveUp <-chan struct{}
+	if repeatable {
+		giveUp = ctx.Done()
+	}
+	return f.Fly(ctx, giveUp)
 }
 
 func (e *Engine) describe(id string, h *held, shards []config.Shard, r *policy.Result) *entrygen.Answer {
--- a/tier/entry/order.go
+++ b/tier/entry/order.go
@@ -157,10 +157,9 @@
 	}
 	replicas, _ := e.kernel.Fleet.Plan([][]string{shard.Replicas})
 	var placed wire.PartReply
-	f := &flight{
-		engine: e, ctx: ctx, service: h.service.Name, path: wire.PathPlace,
-		deadline: h.deadline, calls: map[int]*call{}, done: make(chan struct{}),
-		take: func(_ int, p *wire.PartReply) { placed = *p },
+	c := &partCaller{
+		engine: e, service: h.service.Name, path: wire.PathPlace, deadline: h.deadline,
+		take: func(p *wire.PartReply) { placed = *p },
 		message: func(_, attempt int) (wire.Identity, []byte, error) {
 			m := wire.PlaceRequest{
 				Identity: wire.Identity{RequestID: in.Ticket, Attempt: attempt, Shard: shard.Name, MapRevision: h.service.MapRevision},
@@ -171,7 +170,7 @@
 			return m.Identity, body, err
 		},
 	}
-	result, err := e.run(f, h, replicas, false, nil)
+	result, err := e.run(ctx, c, h, replicas, false)
 	var refusal *policy.Refusal
 	switch {
 	case errors.As(err, &refusal):
--- /dev/null
+++ b/tier/flight/flight.go
@@ -0,0 +1,239 @@
+// Package flight carries out the decisions of one policy run: it makes the
+// calls that the run asks for, in goroutines of their own, and feeds what
+// became of them back, one event at a time.
+package flight
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"loomgap/tier/kernel"
+	"loomgap/tier/policy"
+)
+
+// Reply is what came of one upstream call.
+type Reply[R any] struct {
+	Outcome policy.CallOutcome
+	// Load is what the upstream said of its work; zero if it said nothing.
+	Load policy.Load
+	// Part is what was answered; its zero value if nothing was.
+	Part R
+}
+
+// Caller makes the calls of a flight.
+type Caller[R any] interface {
+	// Call makes one call; it runs in a goroutine of its own, and ends soon
+	// after its context does.
+	Call(ctx context.Context, a policy.Action) Reply[R]
+	// Take puts an answer into the result. Calls of it never overlap.
+	Take(part int, answer R)
+}
+
+// Observer is told of each call that ended. A Caller may implement it; calls
+// of it never overlap.
+type Observer interface {
+	Ended(a policy.Action, outcome policy.CallOutcome, took time.Duration)
+}
+
+// Config describes a flight.
+type Config[R any] struct {
+	Kernel *kernel.Kernel
+	Caller Caller[R]
+	// Run describes the request; its field Granted is set by New.
+	Run policy.RunConfig
+}
+
+// Flight is one run being carried out.
+type Flight[R any] struct {
+	kernel *kernel.Kernel
+	caller Caller[R]
+	// observer is nil if the caller wants no news.
+	observer Observer
+	pool     *policy.Pool
+	deadline time.Duration
+	ctx      context.Context
+
+	mu  sync.Mutex
+	run *policy.Run
+	// reply is what the event being handled brought.
+	reply R
+	// calls holds how to cancel each sent attempt.
+	calls map[int]*call
+	timer *time.Timer
+	// wakeAt is when the timer fires.
+	wakeAt time.Duration
+	// done is closed when the answer is to be given.
+	done chan struct{}
+}
+
+// never is a time that no timer is set to.
+const never = time.Duration(1<<63 - 1)
+
+type call struct {
+	cancel context.CancelFunc
+	// outcome is what a cancelled call counts as; empty if not cancelled.
+	outcome policy.CallOutcome
+}
+
+// New prepares a flight.
+func New[R any](c Config[R]) (*Flight[R], error) {
+	f := &Flight[R]{
+		kernel: c.Kernel, caller: c.Caller, pool: c.Run.Pool, deadline: c.Run.Deadline,
+		calls: map[int]*call{}, done: make(chan struct{}),
+	}
+	f.observer, _ = c.Caller.(Observer)
+	c.Run.Granted = f.granted
+	r, err := policy.NewRun(c.Run)
+	if err != nil {
+		return nil, err
+	}
+	f.run = r
+	return f, nil
+}
+
+// Fly starts the run and waits for its end. A refused request gives a
+// *policy.Refusal. The context carries values only: calls are cancelled by the
+// run alone, so that a caller who goes away, told by giveUp, leaves no call
+// without its account.
+func (f *Flight[R]) Fly(ctx context.Context, giveUp <-chan struct{}) (policy.Result, error) {
+	f.ctx = context.WithoutCancel(ctx)
+	now := f.kernel.Now()
+	f.mu.Lock()
+	actions, err := f.run.Begin(now)
+	if err != nil {
+		f.mu.Unlock()
+		return policy.Result{}, err
+	}
+	f.wakeAt = f.run.Next()
+	f.timer = time.AfterFunc(f.wakeAt-now, f.wake)
+	granted := f.perform(actions)
+	f.mu.Unlock()
+	policy.Deliver(granted)
+	select {
+	case <-f.done:
+	case <-giveUp:
+		f.handle(func(time.Duration) []policy.Action { return f.run.GiveUp() })
+		<-f.done
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.timer.Stop()
+	return f.run.Result(), nil
+}
+
+// handle passes one event to the run and carries out what it asks for.
+func (f *Flight[R]) handle(event func(now time.Duration) []policy.Action) {
+	f.mu.Lock()
+	now := f.kernel.Now()
+	granted := f.perform(event(now))
+	f.schedule(now)
+	f.mu.Unlock()
+	policy.Deliver(granted)
+}
+
+// schedule brings the timer forward if the run wants to be woken earlier.
+func (f *Flight[R]) schedule(now time.Duration) {
+	next := f.run.Next()
+	if f.timer != nil && next < f.wakeAt {
+		f.wakeAt = next
+		f.timer.Reset(max(next-now, 0))
+	}
+}
+
+func (f *Flight[R]) granted(n int) {
+	f.handle(func(now time.Duration) []policy.Action { return f.run.Granted(now, n) })
+}
+
+func (f *Flight[R]) wake() {
+	f.handle(func(now time.Duration) []policy.Action {
+		f.wakeAt = never
+		return f.run.Wake(now)
+	})
+}
+
+// perform carries actions out; the flight is locked. Waiters that got a slot
+// are to be told after unlocking.
+func (f *Flight[R]) perform(actions []policy.Action) []*policy.Waiter {
+	var granted []*policy.Waiter
+	for _, a := range actions {
+		switch a.Kind {
+		case policy.ActionSend:
+			f.send(a)
+		case policy.ActionCancel:
+			if c := f.calls[a.Attempt]; c != nil {
+				c.outcome = a.Outcome
+				c.cancel()
+			}
+		case policy.ActionTake:
+			f.caller.Take(a.Part, f.reply)
+		case policy.ActionFree:
+			granted = append(granted, f.kernel.Fleet.Free(f.kernel.Now(), a.Upstream)...)
+		case policy.ActionFinish:
+			close(f.done)
+		}
+	}
+	return granted
+}
+
+func (f *Flight[R]) send(a policy.Action) {
+	ctx, cancel := context.WithCancel(f.ctx)
+	c := &call{cancel: cancel}
+	f.calls[a.Attempt] = c
+	go f.call(ctx, a, c)
+}
+
+// call makes one upstream call and reports it.
+func (f *Flight[R]) call(ctx context.Context, a policy.Action, c *call) {
+	k := f.kernel
+	started := k.Now()
+	reply := Reply[R]{Outcome: policy.CallNotSent}
+	if k.Awake() && started < f.deadline {
+		reply = f.caller.Call(ctx, a)
+	}
+	c.cancel()
+	now := k.Now()
+	f.mu.Lock()
+	reply.Outcome = f.settled(now, c, reply.Outcome)
+	if f.observer != nil {
+		f.observer.Ended(a, reply.Outcome, now-started)
+	}
+	f.mu.Unlock()
+	countCall(reply.Outcome)
+	granted := k.Fleet.Finish(now, policy.Call{
+		Upstream: a.Upstream, Pool: f.pool, Outcome: reply.Outcome, Took: now - started, Load: reply.Load,
+	})
+	f.handle(func(now time.Duration) []policy.Action {
+		f.reply = reply.Part
+		return f.run.Reply(now, a.Attempt, reply.Outcome)
+	})
+	policy.Deliver(granted)
+}
+
+// settled tells a call that was broken from here from one that broke; the
+// flight is locked.
+func (f *Flight[R]) settled(now time.Duration, c *call, o policy.CallOutcome) policy.CallOutcome {
+	switch {
+	case o != policy.CallBroken:
+		return o
+	case c.outcome != "":
+		return c.outcome
+	case now >= f.deadline:
+		return policy.CallLate
+	}
+	return o
+}
+
+var callCounters sync.Map
+
+// countCall counts calls by outcome; the counters are kept, since building
+// their names costs more than counting.
+func countCall(o policy.CallOutcome) {
+	c, ok := callCounters.Load(o)
+	if !ok {
+		c, _ = callCounters.LoadOrStore(o, metrics.GetOrCreateCounter(`loomgap_upstream_calls_total{Outcome="`+string(o)+`"}`))
+	}
+	c.(*metrics.Counter).Inc()
+}
--- /dev/null
+++ b/tier/kernel/adapter.go
@@ -0,0 +1,82 @@
+package kernel
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/netip"
+	"time"
+
+	"loomgap/tier/config"
+)
+
+// Errors of sources.
+var (
+	// ErrHistoryGone is wrapped when a source no longer knows what changed
+	// after a revision: read everything again.
+	ErrHistoryGone = errors.New("history of changes is gone")
+	// ErrNoAdapter is wrapped when an adapter is named that nobody registered.
+	ErrNoAdapter = errors.New("no such adapter")
+)
+
+// Published is what a platform publishes, or what of it has changed.
+type Published struct {
+	// Revision is the platform's revision up to which this is whole.
+	Revision uint64
+	// Document is the newest document, nil if it did not change or there is
+	// none yet; DocumentRevision is its revision.
+	Document         *config.Document
+	DocumentRevision uint64
+	// Directory is what changed in the directory.
+	Directory config.DirectoryChange
+}
+
+// Source reads what a platform publishes. It is used by one goroutine.
+type Source interface {
+	// Read gives everything. What it gives may be seconds old.
+	Read(ctx context.Context) (*Published, error)
+	// Watch gives what changed after a revision, and waits for it. An error
+	// wraps ErrHistoryGone if only Read can tell.
+	Watch(ctx context.Context, after uint64, wait time.Duration) (*Published, error)
+}
+
+// Headers names the HTTP headers that callers, hosts and upstreams exchange.
+type Headers struct {
+	// RequestID identifies a request; upstreams echo it.
+	RequestID string
+	// DeadlineMillis is how many milliseconds the sender will still wait.
+	DeadlineMillis string
+	// Upstream names the one upstream that may run the request.
+	Upstream string
+	// Stamp is an upstream's proof that an answer is its own.
+	Stamp string
+	// NotRun is an upstream's word that it did not run the request.
+	NotRun string
+	// Load tells the calls running and waiting at an upstream and its slots.
+	Load string
+	// Parts lists the stamps of the parts of a gathered answer, and Missing
+	// tells how many shards it lacks.
+	Parts   string
+	Missing string
+}
+
+// Adapter is what the tier knows of the platform that it runs on.
+type Adapter struct {
+	Headers Headers
+	// Open makes a source that reads the platform's service at an address.
+	Open func(at netip.AddrPort) (Source, func())
+}
+
+var adapters = map[string]Adapter{}
+
+// RegisterAdapter makes an adapter known; it is called from init functions.
+func RegisterAdapter(name string, a Adapter) { adapters[name] = a }
+
+// AdapterNamed finds a registered adapter.
+func AdapterNamed(name string) (Adapter, error) {
+	a, ok := adapters[name]
+	if !ok {
+		return Adapter{}, fmt.Errorf("adapter %q: %w", name, ErrNoAdapter)
+	}
+	return a, nil
+}
--- a/tier/kernel/state.go
+++ b/tier/kernel/state.go
@@ -52,6 +52,24 @@
 	LeavingHold time.Duration
 	// TraceRatio is the share of requests whose spans are logged.
 	TraceRatio float64
+	// Adapter names the adapter of the platform; empty for loomgap's own
+	// platform protocol and callers.
+	Adapter string
+	// Repeats bound the calls beyond the first of each routed request.
+	Repeats Repeats
+	// LogRate is the most log lines a second about single requests.
+	LogRate int
+}
+
+// Repeats bound the calls beyond the first that a group of upstreams gets from
+// all hosts together, within any span of Window.
+type Repeats struct {
+	// Ratio is the part of the requests that may be repeated.
+	Ratio float64
+	// Slack is how many repeats are allowed besides.
+	Slack float64
+	// Window is the span that is looked at.
+	Window time.Duration
 }
 
 // Member is another entry host, as believed.
@@ -78,6 +96,9 @@
 	// Published is the highest revision seen or told of by a peer; not below
 	// Newest. It takes no part in accepting a document.
 	Published uint64
+	// Directory holds the upstreams that listed themselves; nil before it was
+	// read. Its revision only rises.
+	Directory *config.Directory
 	// Members are the other entry hosts by name.
 	Members map[string]Member
 	// Leaving gives for each upstream when it last gave a sign that it leaves.
@@ -118,6 +139,13 @@
 	}
 }
 
+// List takes a change of the directory in.
+func (s *State) List(c *config.DirectoryChange) {
+	next, changed := s.Directory.With(c)
+	s.Directory = next
+	s.changed = s.changed || changed
+}
+
 // MarkLeaving notes a sign, given at a time, that an upstream leaves.
 func (s *State) MarkLeaving(upstream string, at time.Duration) {
 	if at <= s.Returned[upstream] && s.Returned[upstream] > 0 {
@@ -155,6 +183,7 @@
 	Published     uint64
 	Newest        uint64
 	Refused       string
+	Directory     *config.Directory
 	Members       map[string]Member
 	Leaving       map[string]bool
 	Watching      bool
@@ -165,12 +194,23 @@
 
 func (s *State) view() *View {
 	return &View{
-		Index: s.Index, Published: s.Published, Newest: s.Newest, Refused: s.Refused,
+		Index: s.Index, Published: s.Published, Newest: s.Newest, Refused: s.Refused, Directory: s.Directory,
 		Members: maps.Clone(s.Members), Leaving: s.leaving(),
 		Watching: s.Watching, PlatformHeard: s.PlatformHeard, Pauses: s.Pauses, Confirmed: s.Confirmed,
 	}
 }
 
+// Staying counts the live entry hosts that stay, this one included.
+func (v *View) Staying() int {
+	n := 1
+	for _, m := range v.Members {
+		if m.Live && !m.Leaving {
+			n++
+		}
+	}
+	return n
+}
+
 // Hall lists the live entry hosts of a hall that stay, this one included.
 func (v *View) Hall(s *Settings) []string {
 	out := []string{s.Host}
--- a/tier/policy/admit.go
+++ b/tier/policy/admit.go
@@ -22,10 +22,12 @@
 }
 
 func (b *budget) earn(calls int, ratio float64) {
-	depth := max(budgetDepth, 2*ratio*float64(calls))
-	b.tokens = min(b.tokens+ratio*float64(calls), depth)
+	b.fill(ratio*float64(calls), max(budgetDepth, 2*ratio*float64(calls)))
 }
 
+// fill adds tokens up to a depth.
+func (b *budget) fill(tokens, depth float64) { b.tokens = min(b.tokens+tokens, depth) }
+
 func (b *budget) take() bool {
 	if b.tokens < 1 {
 		return false
--- a/tier/policy/attempt.go
+++ b/tier/policy/attempt.go
@@ -53,7 +53,7 @@
 	if u == nil {
 		u = r.pick(now, i, false)
 	}
-	if u == nil || !u.free() || !r.fleet.class(r.class).hedges.take() {
+	if u == nil || !u.free() || !r.takeHedge(i) {
 		return out
 	}
 	r.parts[i].hedged = true
@@ -63,7 +63,7 @@
 // again gives the upstream of the shard's one live attempt, if it is fit.
 func (r *Run) again(now time.Duration, i int) *Upstream {
 	u := r.attempts[r.parts[i].live[0]].upstream
-	if !u.free() || !u.fit(now) {
+	if r.routed != nil || !u.free() || !u.fit(now) {
 		return nil
 	}
 	return u
@@ -72,7 +72,7 @@
 // probe asks a slow replica besides the chosen one, so that its recovery is
 // seen without anybody waiting for it.
 func (r *Run) probe(now time.Duration, i int, out []Action) []Action {
-	if !r.repeatable || r.config.Hedge == config.HedgeNone || len(r.parts[i].live) == 0 {
+	if !r.repeatable || r.config.Hedge == config.HedgeNone || len(r.parts[i].live) == 0 || r.routed != nil {
 		return out
 	}
 	for _, u := range r.parts[i].replicas {
@@ -159,6 +159,10 @@
 	a := &r.attempts[n]
 	a.phase = phaseSent
 	a.sentAt = now
+	a.upstream.sent(now)
+	r.parts[a.part].ran++
+	r.parts[a.part].sends++
+	r.parts[a.part].arrivals++
 	r.calls++
 	r.wakeBy(r.hedgeTime(now, a))
 	return append(out, Action{Kind: ActionSend, Attempt: n, Part: a.part, Upstream: a.upstream})
@@ -207,7 +211,7 @@
 	if len(p.live) > 0 {
 		return nil
 	}
-	if p.tries >= maxTries || !r.mayRetry(o) {
+	if !r.mayAsk(i) || !r.mayRetry(i, o) {
 		r.miss(i, reasonOf(o))
 		return nil
 	}
@@ -225,15 +229,9 @@
 	return nil
 }
 
-// mayRetry takes a retry from the class's budget. A call that was shed costs
-// the upstream next to nothing, so only its tries are bounded.
-func (r *Run) mayRetry(o CallOutcome) bool {
-	return o == CallShed || r.fleet.class(r.class).retries.take()
-}
-
 func reasonOf(o CallOutcome) query.Reason {
 	switch o {
-	case CallUnreachable, CallBroken:
+	case CallUnreachable, CallBroken, CallFailed:
 		return query.ReasonUnreachable
 	case CallSnapshotGone:
 		return query.ReasonSnapshotGone
--- a/tier/policy/fleet.go
+++ b/tier/policy/fleet.go
@@ -35,6 +35,8 @@
 	upstreams map[string]*Upstream
 	pools     map[string]*Pool
 	classes   map[string]*classState
+	groups    map[string]*group
+	repeats   Repeats
 }
 
 // FleetConfig configures a fleet.
@@ -50,6 +52,7 @@
 		upstreams: map[string]*Upstream{},
 		pools:     map[string]*Pool{},
 		classes:   map[string]*classState{},
+		groups:    map[string]*group{},
 	}
 }
 
@@ -62,6 +65,11 @@
 	// more, 0 for Slots.
 	Most    int
 	Leaving bool
+	// Listed is true for an upstream of a routed group: it is judged by its
+	// silence, not by how its latency compares, and needs no slow start.
+	Listed bool
+	// Near is true for a listed upstream in the data hall of this host.
+	Near bool
 }
 
 // Apply sets the shares of all upstreams; one that is not named is forgotten.
@@ -76,7 +84,8 @@
 		if u == nil {
 			u = &Upstream{Name: s.Name, heardAt: never, askedAt: never}
 		}
-		u.share, u.most, u.leaving = s.Slots, max(s.Most, s.Slots), s.Leaving
+		u.share, u.most, u.leaving = s.Slots, max(s.Most, s.Slots), s.Leaving || u.gone
+		u.listed, u.near = s.Listed, s.Near
 		u.borrowed = min(u.borrowed, u.most-u.share)
 		next[s.Name] = u
 		granted = append(granted, u.grant(now)...)
@@ -177,6 +186,13 @@
 	Outcome  CallOutcome
 	// Took is the time from dispatch to the outcome.
 	Took time.Duration
+	// Load is what the upstream said of itself; zero if it said nothing.
+	Load Load
+}
+
+// Load is an upstream's own word on its work.
+type Load struct {
+	Running, Waiting, Slots int
 }
 
 // Finish gives the slot of a call back and learns from its outcome. The
--- a/tier/policy/policy.go
+++ b/tier/policy/policy.go
@@ -33,6 +33,8 @@
 	CallSnapshotGone CallOutcome = "SnapshotGone"
 	// CallMoved is the upstream's word that it has another shard map.
 	CallMoved CallOutcome = "Moved"
+	// CallFailed is the upstream's own failure; the call may have run.
+	CallFailed CallOutcome = "Failed"
 	// CallGarbage is a reply that does not belong to the call or cannot be read.
 	CallGarbage CallOutcome = "Garbage"
 	// CallBroken is a connection lost after the request may have left.
@@ -56,7 +58,17 @@
 // broken tells whether the outcome speaks against the upstream's health.
 func (o CallOutcome) broken() bool {
 	switch o {
-	case CallUnreachable, CallGarbage, CallBroken, CallLate:
+	case CallUnreachable, CallFailed, CallGarbage, CallBroken, CallLate:
+		return true
+	default:
+		return false
+	}
+}
+
+// answered tells whether the upstream gave an answer of its own.
+func (o CallOutcome) answered() bool {
+	switch o {
+	case CallOK, CallFailed, CallShed, CallLeaving, CallSnapshotGone, CallMoved:
 		return true
 	default:
 		return false
--- /dev/null
+++ b/tier/policy/route.go
@@ -0,0 +1,175 @@
+package policy
+
+import "time"
+
+// Bounds of routed requests.
+const (
+	// routedSends bounds the sends of one part, those that were turned away
+	// included, so that a group that sheds is not asked for ever.
+	routedSends = 4
+	// repeatShare is the part of the allowed repeats that is ever used, since
+	// hosts count in windows of their own.
+	repeatShare = 0.85
+	// hedgeLatest is the part of the objective after which a part is hedged
+	// at the latest, so that the second answer can still be in time.
+	hedgeLatest = 0.4
+	// hedgeUnknown is the same while the latencies are not known.
+	hedgeUnknown = 0.25
+)
+
+// Repeats bound the calls beyond the first that this host makes at a group.
+type Repeats struct {
+	// Ratio is how many repeats one request earns.
+	Ratio float64
+	// Depth is how many earned repeats may be saved up.
+	Depth float64
+}
+
+// Routed is what a routed request adds to a run.
+type Routed struct {
+	// Groups holds for each part the group whose budget its repeats use.
+	Groups []string
+	// MaxAttempts is the most upstreams that may run one part; 1 or more.
+	MaxAttempts int
+	// Objective is the time within which an answer has its full worth.
+	Objective time.Duration
+}
+
+// group is what the requests to one group of upstreams share in one host.
+type group struct {
+	repeats budget
+}
+
+// SetRepeats sets the bounds of repeats at each group. What is saved up beyond
+// a new depth is lost.
+func (f *Fleet) SetRepeats(r Repeats) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.repeats = Repeats{Ratio: r.Ratio * repeatShare, Depth: r.Depth * repeatShare}
+	for _, g := range f.groups {
+		g.repeats.tokens = min(g.repeats.tokens, f.repeats.Depth)
+	}
+}
+
+// group finds what is shared about a group; the fleet is locked. A group
+// begins with half of the depth, since a host may be started again at once.
+func (f *Fleet) group(name string) *group {
+	g := f.groups[name]
+	if g == nil {
+		g = &group{repeats: budget{f.repeats.Depth / 2}}
+		f.groups[name] = g
+	}
+	return g
+}
+
+// earnRepeats lets a request earn its part of the repeats.
+func (r *Run) earnRepeats() {
+	for _, n := range r.routed.Groups {
+		r.fleet.group(n).repeats.fill(r.fleet.repeats.Ratio, r.fleet.repeats.Depth)
+	}
+}
+
+// takeHedge takes a hedge of a part from its budget.
+func (r *Run) takeHedge(i int) bool {
+	if r.routed != nil {
+		return r.mayAsk(i) && r.fleet.group(r.routed.Groups[i]).repeats.take()
+	}
+	return r.fleet.class(r.class).hedges.take()
+}
+
+// mayAsk tells whether a part may go to one more upstream.
+func (r *Run) mayAsk(i int) bool {
+	p := &r.parts[i]
+	if r.routed == nil {
+		return p.tries < maxTries
+	}
+	return p.ran < r.routed.MaxAttempts && p.sends < routedSends
+}
+
+// mayRetry takes a retry from the budget. For a request of a class, a call
+// that was shed costs the upstream next to nothing, so only its tries are
+// bounded. A routed request pays for each call that arrived.
+func (r *Run) mayRetry(i int, o CallOutcome) bool {
+	if r.routed == nil {
+		return o == CallShed || r.fleet.class(r.class).retries.take()
+	}
+	if p := &r.parts[i]; p.arrivals == 0 {
+		return true
+	}
+	return r.fleet.group(r.routed.Groups[i]).repeats.take()
+}
+
+// hopeless tells whether the least coverage of a routed request is out of
+// reach, so that waiting for the rest is of no use.
+func (r *Run) hopeless() bool {
+	if r.routed == nil || r.included+r.open == len(r.parts) {
+		return false
+	}
+	return float64(r.included+r.open) < r.config.Coverage*float64(len(r.parts))
+}
+
+// routedHedgeDelay is when to hedge the parts of a routed request.
+func (r *Run) routedHedgeDelay() time.Duration {
+	if !r.pool.Known() {
+		return time.Duration(hedgeUnknown * float64(r.routed.Objective))
+	}
+	latest := time.Duration(hedgeLatest * float64(r.routed.Objective))
+	return max(min(r.pool.Quantile(r.config.HedgeQuantile), latest), hedgeLeast)
+}
+
+func init() { RegisterChooser("Soonest", soonest{}) }
+
+// soonest takes the listed upstream whose answer is expected first.
+type soonest struct{}
+
+var _ Chooser = soonest{}
+
+// Constants of soonest.
+const (
+	// farFactor counts an upstream of another data hall for slower than it is:
+	// bytes between halls are dear, and distance does not pass.
+	farFactor = 1.25
+	// staleAfter is how long a latency is believed; from then on it counts for
+	// less, down to staleLeast after staleFull, so that an upstream which was
+	// slow is asked again.
+	staleAfter = time.Second
+	staleFull  = 5 * time.Second
+	staleLeast = 0.5
+	// loadLife is how long an upstream's word on its queue is believed.
+	loadLife = 300 * time.Millisecond
+	// silentFactor is how many latencies may pass without any answer before
+	// an upstream is taken to stand still.
+	silentFactor = 2
+)
+
+// Score implements Chooser.
+func (soonest) Score(now time.Duration, u *Upstream, p *Pool, r Random) float64 {
+	latency := u.latencyOr(p.Median()).Seconds() * staleness(now-u.sampledAt)
+	ahead := float64(u.inUse+u.queue.Len()) / float64(max(u.share, 1))
+	if age := now - u.waitingAt; age < loadLife {
+		ahead += u.waiting * (1 - age.Seconds()/loadLife.Seconds())
+	}
+	score := latency * (1 + ahead) * (1 + 0.05*r.Float64())
+	if s := u.silence(now); s.Seconds() > silentFactor*latency {
+		score += s.Seconds()
+	}
+	if !u.near {
+		score *= farFactor
+	}
+	if now < u.restUntil {
+		score += slowPenalty
+	}
+	if now < u.ejectedUntil {
+		score += ejectedPenalty
+	}
+	return score
+}
+
+// staleness is how much of a latency counts that was learnt some time ago.
+func staleness(age time.Duration) float64 {
+	if age <= staleAfter {
+		return 1
+	}
+	passed := min(float64(age-staleAfter)/float64(staleFull-staleAfter), 1)
+	return 1 - (1-staleLeast)*passed
+}
--- a/tier/policy/run.go
+++ b/tier/policy/run.go
@@ -59,6 +59,8 @@
 	Snapshot uint64
 	// Repeatable is false for a request that must run at most once.
 	Repeatable bool
+	// Routed is what a routed request adds; nil for a request of a class.
+	Routed *Routed
 	// Granted is called, with no lock held, when a queued attempt has its slot.
 	Granted func(attempt int)
 }
@@ -70,6 +72,9 @@
 	included bool
 	closed   bool
 	tries    int
+	// sends counts the attempts sent, arrivals those of them that may have
+	// reached an upstream, and ran those that may have run there.
+	sends, arrivals, ran int
 	// hedged is true once a second replica was asked; there is no third.
 	hedged bool
 	live   []int
@@ -106,6 +111,7 @@
 	deadline   time.Duration
 	snapshot   uint64
 	repeatable bool
+	routed     *Routed
 	granted    func(int)
 	parts      []part
 	attempts   []attempt
@@ -137,7 +143,7 @@
 	r := &Run{
 		config: c.Class, class: c.Class.Name, fleet: c.Fleet, pool: c.Pool,
 		chooser: chooser, admission: admission, deadline: c.Deadline,
-		snapshot: c.Snapshot, repeatable: c.Repeatable, granted: c.Granted,
+		snapshot: c.Snapshot, repeatable: c.Repeatable, routed: c.Routed, granted: c.Granted,
 		parts:    make([]part, len(c.Replicas)),
 		attempts: make([]attempt, 0, len(c.Replicas)+4),
 		open:     len(c.Replicas),
@@ -164,6 +170,9 @@
 	c := r.fleet.class(r.class)
 	c.hedges.earn(len(r.parts), r.config.HedgeBudget)
 	c.retries.earn(len(r.parts), retryRatio)
+	if r.routed != nil {
+		r.earnRepeats()
+	}
 	var out []Action
 	for i := range r.parts {
 		out = r.start(now, i, out)
@@ -174,6 +183,9 @@
 }
 
 func (r *Run) hedgeDelay(now time.Duration) time.Duration {
+	if r.routed != nil {
+		return r.routedHedgeDelay()
+	}
 	if !r.pool.Known() {
 		return (r.deadline - now) / 3
 	}
@@ -210,6 +222,7 @@
 	a.phase = phaseDone
 	p := &r.parts[a.part]
 	p.remove(n)
+	p.account(o)
 	if r.finished || p.closed {
 		return nil
 	}
@@ -222,6 +235,16 @@
 	return r.settle(now, r.failed(now, a.part, o))
 }
 
+// account takes an outcome out of what may have run and arrived.
+func (p *part) account(o CallOutcome) {
+	if o.NotRun() {
+		p.ran--
+	}
+	if o == CallUnreachable || o == CallNotSent {
+		p.arrivals--
+	}
+}
+
 // Wake is to be called at the time that Next gives.
 func (r *Run) Wake(now time.Duration) []Action {
 	if r.finished {
@@ -263,7 +286,7 @@
 	}
 	enough := now >= r.patience && r.included < len(r.parts) &&
 		float64(r.included) >= r.config.Coverage*float64(len(r.parts)) && r.repeatable
-	if r.open == 0 || now >= r.deadline || enough {
+	if r.open == 0 || now >= r.deadline || enough || r.hopeless() {
 		return r.finish(out)
 	}
 	return out
--- a/tier/policy/upstream.go
+++ b/tier/policy/upstream.go
@@ -45,6 +45,20 @@
 	slow      bool
 	nextProbe time.Duration
 	window    Window
+	// listed, near: see Share.
+	listed, near bool
+	// gone is true once another upstream answered at its address; its name
+	// never comes back.
+	gone bool
+	// silentFrom is when the first call was sent that had no answer since the
+	// last answer came; 0 if none is waited for.
+	silentFrom time.Duration
+	// sampledAt is when the latency was last learnt of.
+	sampledAt time.Duration
+	// waiting is the calls in the upstream's own queue for each of its slots,
+	// as it said at waitingAt.
+	waiting   float64
+	waitingAt time.Duration
 	// heardAt is when it last said what it holds, askedAt when its status was
 	// last read.
 	heardAt, askedAt time.Duration
@@ -65,7 +79,7 @@
 // free tells whether a call may start. A cold upstream gets one at a time.
 func (u *Upstream) free() bool {
 	limit := u.share + u.borrowed
-	if u.samples < warmSamples {
+	if u.samples < warmSamples && !u.listed {
 		limit = min(limit, 1)
 	}
 	return u.inUse < limit
@@ -89,6 +103,16 @@
 
 // learn updates latency and health from a call.
 func (u *Upstream) learn(now time.Duration, c Call) {
+	u.sampledAt = now
+	if c.Outcome.answered() {
+		u.silentFrom = 0
+		if u.inUse > 1 {
+			u.silentFrom = now
+		}
+	}
+	if c.Load.Slots > 0 {
+		u.waiting, u.waitingAt = float64(c.Load.Waiting)/float64(c.Load.Slots), now
+	}
 	switch {
 	case c.Outcome == CallOK:
 		c.Pool.Record(c.Took)
@@ -108,6 +132,8 @@
 		u.sheds++
 	case c.Outcome == CallLeaving:
 		u.leaving = true
+	case c.Outcome == CallMoved && u.listed:
+		u.leaving, u.gone = true, true
 	case c.Outcome.broken():
 		u.fail(now)
 	}
@@ -168,6 +194,21 @@
 	return u.latency
 }
 
+// sent notes that a call leaves.
+func (u *Upstream) sent(now time.Duration) {
+	if u.silentFrom == 0 {
+		u.silentFrom = now
+	}
+}
+
+// silence is for how long calls have waited without any answer.
+func (u *Upstream) silence(now time.Duration) time.Duration {
+	if u.silentFrom == 0 {
+		return 0
+	}
+	return now - u.silentFrom
+}
+
 // fit tells whether nothing speaks against a call now.
 func (u *Upstream) fit(now time.Duration) bool {
 	return !u.leaving && !u.slow && now >= u.ejectedUntil && now >= u.restUntil
@@ -178,7 +219,7 @@
 // show a slow upstream less slow than it is, and without the gap it would be
 // trusted again and again.
 func (u *Upstream) judge(p *Pool) {
-	if u.samples == 0 || !p.Known() {
+	if u.samples == 0 || !p.Known() || u.listed {
 		return
 	}
 	m := p.Median()
