--- a/loomd/pipeline.go
+++ b/loomd/pipeline.go
@@ -7,14 +7,17 @@
 
 	"loomgap/tier/kernel"
 
-	// The plug-ins register themselves.
+	// The plug-ins and adapters register themselves.
+	_ "loomgap/platform"
 	_ "loomgap/tier/entry"
+	_ "loomgap/tier/pass"
 	_ "loomgap/tier/peers"
 )
 
 // pipeline lists the stages of the daemon, in order of start; they are
-// cleaned up in the opposite order.
-var pipeline = []string{"Peers", "Platform", "Operators", "Entry"}
+// cleaned up in the opposite order. With an adapter, Feed and Routes take the
+// places of Platform and Entry.
+var pipeline = []string{"Peers", "Platform", "Feed", "Operators", "Entry", "Routes"}
 
 // runPipeline starts all stages and returns the clean-up of all.
 func runPipeline(ctx context.Context, k *kernel.Kernel) (func(), error) {
--- a/loomd/serve.go
+++ b/loomd/serve.go
@@ -45,7 +45,7 @@
 
 // Execute implements subcommands.Command.
 func (c *serveCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	log := zerolog.New(os.Stderr).With().Timestamp().Logger()
+	log := zerolog.New(os.Stdout).With().Timestamp().Logger()
 	if err := c.run(ctx, f, log); err != nil {
 		log.Error().Err(err).Msg("daemon not run")
 		return subcommands.ExitFailure
--- a/loomd/settings.go
+++ b/loomd/settings.go
@@ -65,6 +65,7 @@
 	f.StringVar(&s.Hall, "Hall", "", "`name` of the data hall of this host")
 	f.TextVar(&s.Listen, "Listen", netip.AddrPort{}, "`IP:port` for callers")
 	f.TextVar(&s.Operate, "Operate", netip.AddrPort{}, "`IP:port` for operators: status, metrics, readiness, drain")
+	f.TextVar(&s.Metrics, "Metrics", netip.AddrPort{}, "`IP:port` for metrics alone; they are at -Operate too")
 	f.TextVar(&s.Peer, "Peer", netip.AddrPort{}, "`IP:port` for other entry hosts")
 	f.TextVar(&s.Platform, "Platform", netip.AddrPort{}, "`IP:port` of the platform's service")
 	f.Var((*seeds)(&s.Seeds), "Seeds", "`IP:port,...` of other entry hosts, asked at start")
@@ -74,6 +75,11 @@
 	f.DurationVar(&s.Settle, "Settle", 2*time.Second, "how long a stopping host still takes requests")
 	f.DurationVar(&s.StopBound, "StopBound", 15*time.Second, "longest time for requests in flight at a planned stop")
 	f.DurationVar(&s.LeavingHold, "LeavingHold", 2*time.Minute, "how long an upstream counts as leaving after its last sign")
+	f.StringVar(&s.Adapter, "Adapter", "", "`name` of the platform's adapter; empty for loomgap's own protocols")
+	f.Float64Var(&s.Repeats.Ratio, "RepeatRatio", 0.2, "share of routed requests that may be repeated")
+	f.Float64Var(&s.Repeats.Slack, "RepeatSlack", 50, "`calls` that may be repeated besides, by all hosts in one -RepeatWindow")
+	f.DurationVar(&s.Repeats.Window, "RepeatWindow", 10*time.Second, "span in which repeats are counted")
+	f.IntVar(&s.LogRate, "LogRate", 200, "most log lines a second about single requests")
 	f.Float64Var(&s.TraceRatio, "TraceRatio", 0, "share of requests whose spans are logged, 0 to 1")
 }
 
@@ -106,6 +112,10 @@
 		{s.Settle >= 0 && s.Settle <= time.Minute, "Settle", "out of range", "use 0 to 1m"},
 		{s.StopBound >= time.Second && s.StopBound <= 10*time.Minute, "StopBound", "out of range", "use 1s to 10m"},
 		{s.LeavingHold >= time.Second && s.LeavingHold <= time.Hour, "LeavingHold", "out of range", "use 1s to 1h"},
+		{s.Repeats.Ratio >= 0 && s.Repeats.Ratio <= 1, "RepeatRatio", "out of range", "use 0 to 1"},
+		{s.Repeats.Slack >= 0, "RepeatSlack", "out of range", "use 0 or more"},
+		{s.Repeats.Window >= time.Second, "RepeatWindow", "out of range", "use 1s or more"},
+		{s.LogRate >= 1, "LogRate", "out of range", "use 1 or more"},
 		{s.TraceRatio >= 0 && s.TraceRatio <= 1, "TraceRatio", "out of range", "use 0 to 1"},
 	}
 	for _, r := range rules {
--- a/loomfake/loadrun.go
+++ b/loomfake/loadrun.go
@@ -135,7 +135,7 @@
 		return false
 	}
 	defer reply.Body.Close()
-	return reply.StatusCode == http.StatusNoContent
+	return reply.StatusCode == http.StatusOK
 }
 
 func (l *load) host() netip.AddrPort {
--- a/tier/config/check.go
+++ b/tier/config/check.go
@@ -118,7 +118,7 @@
 // Choices and Admissions name what package policy registers; they stand here
 // because a document must be checked alike everywhere.
 var (
-	Choices    = []string{"LeastTime", "Random", "First"}
+	Choices    = []string{"LeastTime", "Random", "First", "Soonest"}
 	Admissions = []string{"None", "Deadline", "Worth"}
 )
 
--- a/tier/config/directory.go
+++ b/tier/config/directory.go
@@ -2,8 +2,11 @@
 
 import (
 	"cmp"
+	"encoding/binary"
 	"net/netip"
 	"slices"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Listing is one upstream as it listed itself with the platform.
@@ -33,6 +36,7 @@
 	removed map[string]uint64
 	listed  map[string]Listing
 	groups  map[string][]Listing
+	digest  uint64
 }
 
 // Removal tells that a name is no longer listed.
@@ -106,6 +110,34 @@
 	return out
 }
 
+// Digest names what is listed, at which revisions of the entries. Hosts that
+// know the same upstreams have the same digest.
+func (d *Directory) Digest() uint64 {
+	if d == nil {
+		return 0
+	}
+	return d.digest
+}
+
+// Lacking gives the removals that would make the directory equal to a whole
+// listing, without those that are newer than it.
+func (d *Directory) Lacking(c *DirectoryChange) []Removal {
+	if d == nil {
+		return nil
+	}
+	names := make(map[string]bool, len(c.Listed))
+	for _, l := range c.Listed {
+		names[l.Name] = true
+	}
+	var out []Removal
+	for n, l := range d.listed {
+		if !names[n] && l.Revision <= c.Revision {
+			out = append(out, Removal{Name: n, Revision: c.Revision})
+		}
+	}
+	return out
+}
+
 // With gives the directory after a change. What is older than what is known
 // has no effect, so changes may arrive twice or out of order. A whole listing
 // older than the directory takes nothing away. The second result is false if
@@ -122,42 +154,27 @@
 		}
 	}
 	changed := d == nil
-	if c.Whole && c.Revision >= next.Revision {
-		changed = next.retain(c) || changed
-	}
 	for _, l := range c.Listed {
 		changed = next.list(l) || changed
 	}
+	if c.Whole && c.Revision >= next.Revision {
+		for _, r := range next.Lacking(c) {
+			changed = next.remove(r) || changed
+		}
+	}
 	for _, r := range c.Removed {
 		changed = next.remove(r) || changed
 	}
 	next.Revision = max(next.Revision, c.Revision)
 	next.forget()
 	if !changed {
-		next.groups = d.groups
+		next.groups, next.digest = d.groups, d.digest
 		return next, false
 	}
 	next.index()
 	return next, true
 }
 
-// retain removes what a whole listing does not have.
-func (d *Directory) retain(c *DirectoryChange) bool {
-	names := make(map[string]bool, len(c.Listed))
-	for _, l := range c.Listed {
-		names[l.Name] = true
-	}
-	changed := false
-	for n, l := range d.listed {
-		if !names[n] && l.Revision <= c.Revision {
-			delete(d.listed, n)
-			d.removed[n] = c.Revision
-			changed = true
-		}
-	}
-	return changed
-}
-
 func (d *Directory) list(l Listing) bool {
 	old, known := d.listed[l.Name]
 	if known && old.Revision >= l.Revision || d.removed[l.Name] >= l.Revision {
@@ -202,7 +219,11 @@
 
 func (d *Directory) index() {
 	d.groups = map[string][]Listing{}
+	h := xxhash.New()
 	for _, l := range d.All() {
+		_, _ = h.WriteString(l.Name) // a digest takes all
+		_, _ = h.Write(binary.BigEndian.AppendUint64(nil, l.Revision))
 		d.groups[l.Group] = append(d.groups[l.Group], l)
 	}
+	d.digest = h.Sum64()
 }
--- a/tier/design/design.go
+++ b/tier/design/design.go
@@ -194,7 +194,7 @@
 		Description("Tells the balancer whether to send work.")
 		HTTP(func() {
 			GET("/ready")
-			Response(StatusNoContent)
+			Response(StatusOK)
 			Response("Busy", StatusServiceUnavailable)
 		})
 	})
--- a/tier/entry/ops.go
+++ b/tier/entry/ops.go
@@ -36,16 +36,32 @@
 	mux := goahttp.NewMuxer()
 	endpoints := opsgen.NewEndpoints(&opsService{kernel: k})
 	server.New(endpoints, mux, goahttp.RequestDecoder, goahttp.ResponseEncoder, nil, fault).Mount(mux)
-	mux.Handle(http.MethodGet, "/metrics", func(w http.ResponseWriter, _ *http.Request) {
-		metrics.WritePrometheus(w, true)
-	})
+	mux.Handle(http.MethodGet, pathMetrics, writeMetrics)
 	stop, err := listen(k.Settings.Operate, "-Operate", limited(mux))
 	if err != nil {
 		return nil, err
 	}
-	return func() { stop(time.Second) }, nil
+	if !k.Settings.Metrics.IsValid() {
+		return func() { stop(time.Second) }, nil
+	}
+	only := http.NewServeMux()
+	only.HandleFunc(pathMetrics, writeMetrics)
+	stopMetrics, err := listen(k.Settings.Metrics, "-Metrics", only)
+	if err != nil {
+		stop(0)
+		return nil, err
+	}
+	return func() {
+		stopMetrics(time.Second)
+		stop(time.Second)
+	}, nil
 }
 
+// pathMetrics is where metrics are served.
+const pathMetrics = "/metrics"
+
+func writeMetrics(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) }
+
 // opsService implements the generated interface.
 type opsService struct {
 	kernel *kernel.Kernel
--- a/tier/entry/serve.go
+++ b/tier/entry/serve.go
@@ -54,7 +54,7 @@
 }
 
 // Skip implements kernel.Plugin.
-func (plugin) Skip(*kernel.Settings) bool { return false }
+func (plugin) Skip(s *kernel.Settings) bool { return s.Adapter != "" }
 
 // Run implements kernel.Plugin.
 func (plugin) Run(ctx context.Context, k *kernel.Kernel) (func(), error) {
--- a/tier/flight/flight.go
+++ b/tier/flight/flight.go
@@ -34,8 +34,10 @@
 
 // Observer is told of each call that ended. A Caller may implement it; calls
 // of it never overlap.
-type Observer interface {
-	Ended(a policy.Action, outcome policy.CallOutcome, took time.Duration)
+type Observer[R any] interface {
+	// Ended tells what became of a call. With over the run had its end before,
+	// and the result must not be touched any more.
+	Ended(a policy.Action, reply Reply[R], took time.Duration, over bool)
 }
 
 // Config describes a flight.
@@ -51,7 +53,7 @@
 	kernel *kernel.Kernel
 	caller Caller[R]
 	// observer is nil if the caller wants no news.
-	observer Observer
+	observer Observer[R]
 	pool     *policy.Pool
 	deadline time.Duration
 	ctx      context.Context
@@ -60,6 +62,8 @@
 	run *policy.Run
 	// reply is what the event being handled brought.
 	reply R
+	// over is true once the run has its end.
+	over bool
 	// calls holds how to cancel each sent attempt.
 	calls map[int]*call
 	timer *time.Timer
@@ -84,7 +88,7 @@
 		kernel: c.Kernel, caller: c.Caller, pool: c.Run.Pool, deadline: c.Run.Deadline,
 		calls: map[int]*call{}, done: make(chan struct{}),
 	}
-	f.observer, _ = c.Caller.(Observer)
+	f.observer, _ = c.Caller.(Observer[R])
 	c.Run.Granted = f.granted
 	r, err := policy.NewRun(c.Run)
 	if err != nil {
@@ -172,6 +176,7 @@
 		case policy.ActionFree:
 			granted = append(granted, f.kernel.Fleet.Free(f.kernel.Now(), a.Upstream)...)
 		case policy.ActionFinish:
+			f.over = true
 			close(f.done)
 		}
 	}
@@ -198,7 +203,7 @@
 	f.mu.Lock()
 	reply.Outcome = f.settled(now, c, reply.Outcome)
 	if f.observer != nil {
-		f.observer.Ended(a, reply.Outcome, now-started)
+		f.observer.Ended(a, reply, now-started, f.over)
 	}
 	f.mu.Unlock()
 	countCall(reply.Outcome)
--- a/tier/gen/http/ops/client/encode_decode.go
+++ b/tier/gen/http/ops/client/encode_decode.go
@@ -164,7 +164,7 @@
 			defer resp.Body.Close()
 		}
 		switch resp.StatusCode {
-		case http.StatusNoContent:
+		case http.StatusOK:
 			return nil, nil
 		case http.StatusServiceUnavailable:
 			var (
--- a/tier/gen/http/ops/server/encode_decode.go
+++ b/tier/gen/http/ops/server/encode_decode.go
@@ -45,7 +45,7 @@
 // ready endpoint.
 func EncodeReadyResponse(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder) func(context.Context, http.ResponseWriter, any) error {
 	return func(ctx context.Context, w http.ResponseWriter, v any) error {
-		w.WriteHeader(http.StatusNoContent)
+		w.WriteHeader(http.StatusOK)
 		return nil
 	}
 }
--- a/tier/kernel/adapter.go
+++ b/tier/kernel/adapter.go
@@ -33,8 +33,8 @@
 
 // Source reads what a platform publishes. It is used by one goroutine.
 type Source interface {
-	// Read gives everything. What it gives may be seconds old.
-	Read(ctx context.Context) (*Published, error)
+	// Read gives everything; unless it is to be exact, it may be seconds old.
+	Read(ctx context.Context, exact bool) (*Published, error)
 	// Watch gives what changed after a revision, and waits for it. An error
 	// wraps ErrHistoryGone if only Read can tell.
 	Watch(ctx context.Context, after uint64, wait time.Duration) (*Published, error)
--- a/tier/kernel/kernel.go
+++ b/tier/kernel/kernel.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -74,9 +75,14 @@
 	// Settings do not change after construction.
 	Settings Settings
 	Log      zerolog.Logger
-	Tracer   trace.Tracer
+	// Decisions takes lines about single requests. Beyond a rate they are
+	// dropped and counted, so that load cannot flood the log.
+	Decisions zerolog.Logger
+	Tracer    trace.Tracer
 	// Fleet is shared by all traffic.
 	Fleet *policy.Fleet
+	// seeds replace those of the settings when they change.
+	seeds atomic.Pointer[[]netip.AddrPort]
 	// Peers is set by the plug-in that serves the peer protocol.
 	Peers PeerCaller
 	// InFlight counts the requests in flight, those of other hosts included.
@@ -108,9 +114,10 @@
 func New(c Config) (*Kernel, func()) {
 	k := &Kernel{
 		Settings: c.Settings, Log: c.Log, Tracer: c.Tracer, Fleet: c.Fleet,
-		started:  c.Started,
-		jobs:     make(chan func(*State), jobBacklog),
-		stopping: make(chan struct{}),
+		Decisions: c.Log.Sample(newRateSampler(c.Settings.LogRate)),
+		started:   c.Started,
+		jobs:      make(chan func(*State), jobBacklog),
+		stopping:  make(chan struct{}),
 	}
 	k.phase.Store(PhaseStarting)
 	state := newState()
@@ -131,6 +138,17 @@
 // Now is the time since the process started, on the monotonic clock.
 func (k *Kernel) Now() time.Duration { return time.Since(k.started) }
 
+// Seeds are the addresses of entry hosts to join at.
+func (k *Kernel) Seeds() []netip.AddrPort {
+	if s := k.seeds.Load(); s != nil {
+		return *s
+	}
+	return k.Settings.Seeds
+}
+
+// SetSeeds replaces the seeds.
+func (k *Kernel) SetSeeds(s []netip.AddrPort) { k.seeds.Store(&s) }
+
 // View is the newest published state. It does not change.
 func (k *Kernel) View() *View { return k.view.Load() }
 
@@ -237,5 +255,21 @@
 		return
 	}
 	s.Index = x
-	k.Log.Info().Uint64("Revision", revision).Str("Digest", x.Digest).Msg("document in force")
+	k.Log.Info().Uint64("Revision", revision).Str("Digest", x.Digest).Int("Routes", len(x.Document.Routes)).Msg("document in force")
+}
+
+// AcceptDocument takes in a document that an adapter has translated. The
+// platform orders its documents by revision alone, so the document is taken
+// for composed from the revision before.
+func (k *Kernel) AcceptDocument(s *State, d *config.Document, revision uint64) {
+	if revision <= s.Newest {
+		return
+	}
+	d.Based = revision - 1
+	text, err := config.Encode(d)
+	if err != nil {
+		k.Log.Error().Err(err).Uint64("Revision", revision).Msg("document not encoded")
+		return
+	}
+	k.Accept(s, string(text), revision)
 }
--- a/tier/kernel/state.go
+++ b/tier/kernel/state.go
@@ -30,6 +30,9 @@
 	Listen netip.AddrPort
 	// Operate is where operators come in.
 	Operate netip.AddrPort
+	// Metrics is where metrics are served besides at Operate; the zero value
+	// for nowhere.
+	Metrics netip.AddrPort
 	// Peer is where other entry hosts come in.
 	Peer netip.AddrPort
 	// Platform is where the platform's service is read.
@@ -110,6 +113,9 @@
 	Watching bool
 	// PlatformHeard is when the hall last heard the platform.
 	PlatformHeard time.Duration
+	// FeedDown is true while this host cannot read what the platform publishes
+	// and has to learn it from peers.
+	FeedDown bool
 	// Pauses counts the pauses of this process.
 	Pauses int
 	// Confirmed is true once a peer told that it has no newer document than
--- /dev/null
+++ b/tier/pass/call.go
@@ -0,0 +1,245 @@
+package pass
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"loomgap/tier/flight"
+	"loomgap/tier/kernel"
+	"loomgap/tier/policy"
+)
+
+// Bounds of upstream answers.
+const (
+	// maxAnswer bounds an answer's body, so that a few of them fit into the
+	// memory of a small host.
+	maxAnswer = 8 << 20
+	// surplusAnswers is how many answers to the request before may come before
+	// the one that is due.
+	surplusAnswers = 2
+	// eagerBody is the largest body that is written before the answer is read.
+	// A longer one is written besides, since an upstream may answer early.
+	eagerBody = 8 << 10
+)
+
+// Errors of upstream answers.
+var (
+	errCrossed  = errors.New("answer belongs to another request")
+	errTooLarge = errors.New("answer is too large")
+)
+
+// answer is an upstream's whole answer.
+type answer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// call is one request as it goes to one upstream.
+type call struct {
+	headers *kernel.Headers
+	method  string
+	// head is the request up to the headers that differ between upstreams.
+	head []byte
+	body []byte
+	id   string
+	// upstream is the name that the upstream must have to run the request.
+	upstream string
+	left     time.Duration
+	// unrepeatable requests go on new connections only.
+	unrepeatable bool
+}
+
+// result is what became of a call.
+type result struct {
+	answer *answer
+	// sent is false if it is certain that no byte left.
+	sent bool
+	err  error
+}
+
+// do makes a call on a connection of the link.
+func (l *link) do(ctx context.Context, c *call) result {
+	k, err := l.get(ctx, c.unrepeatable)
+	if err != nil {
+		return result{err: err}
+	}
+	// A cancelled call ends its connection: that is what tells the upstream.
+	stop := context.AfterFunc(ctx, func() { _ = k.Close() })
+	a, keep, err := k.exchange(c)
+	if !stop() && err == nil && keep {
+		keep = false
+	}
+	if !keep {
+		_ = k.Close()
+		return result{answer: a, sent: true, err: err}
+	}
+	l.put(k)
+	return result{answer: a, sent: true, err: err}
+}
+
+// exchange writes the request and reads its answer. The connection may be used
+// again only if keep is true.
+func (k *conn) exchange(c *call) (a *answer, keep bool, err error) {
+	if err := k.SetDeadline(time.Now().Add(c.left)); err != nil {
+		return nil, false, err
+	}
+	written := make(chan error, 1)
+	if len(c.body) <= eagerBody {
+		written <- k.write(c)
+	} else {
+		go func() { written <- k.write(c) }()
+	}
+	a, keep, err = k.read(c)
+	if err != nil {
+		return nil, false, err
+	}
+	select {
+	case err := <-written:
+		return a, keep && err == nil, nil
+	default:
+		// The upstream answered before it had the whole body. What is not
+		// written yet must not be followed by another request.
+		return a, false, nil
+	}
+}
+
+func (k *conn) write(c *call) error {
+	var b bytes.Buffer
+	b.Grow(len(c.head) + len(c.body) + 128)
+	b.Write(c.head)
+	fmt.Fprintf(&b, "%s: %d\r\n%s: %s\r\n\r\n", c.headers.DeadlineMillis, max(c.left.Milliseconds(), 1), c.headers.Upstream, c.upstream)
+	b.Write(c.body)
+	_, err := k.Write(b.Bytes())
+	return err
+}
+
+// read reads the answer to a request; a surplus answer to the request before
+// is passed over.
+func (k *conn) read(c *call) (a *answer, keep bool, err error) {
+	for range surplusAnswers {
+		a, keep, err = k.readOne(c.method)
+		if err != nil {
+			return nil, false, err
+		}
+		echoed := a.header.Get(c.headers.RequestID)
+		if echoed == c.id {
+			k.lastID = c.id
+			return a, keep, nil
+		}
+		if echoed == "" || echoed != k.lastID || !keep {
+			return nil, false, errCrossed
+		}
+	}
+	return nil, false, errCrossed
+}
+
+func (k *conn) readOne(method string) (*answer, bool, error) {
+	r, err := http.ReadResponse(k.reader, &http.Request{Method: method})
+	for err == nil && r.StatusCode < http.StatusOK {
+		r, err = http.ReadResponse(k.reader, &http.Request{Method: method})
+	}
+	if err != nil {
+		return nil, false, err
+	}
+	defer r.Body.Close()
+	body, err := readBody(r)
+	if err != nil {
+		return nil, false, err
+	}
+	k.heed(r.Header)
+	keep := !r.Close && k.reader.Buffered() == 0 && k.idleFor > 0
+	return &answer{status: r.StatusCode, header: r.Header, body: body}, keep, nil
+}
+
+func readBody(r *http.Response) ([]byte, error) {
+	if r.ContentLength > maxAnswer {
+		return nil, errTooLarge
+	}
+	if r.ContentLength >= 0 {
+		body := make([]byte, r.ContentLength)
+		if r.Body == http.NoBody {
+			return body[:0], nil
+		}
+		_, err := io.ReadFull(r.Body, body)
+		return body, err
+	}
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxAnswer+1))
+	if err == nil && len(body) > maxAnswer {
+		err = errTooLarge
+	}
+	return body, err
+}
+
+// heed takes in how long the upstream keeps the connection.
+func (k *conn) heed(h http.Header) {
+	_, after, found := strings.Cut(h.Get("Keep-Alive"), "timeout=")
+	if !found {
+		return
+	}
+	digits, _, _ := strings.Cut(after, ",")
+	seconds, err := strconv.Atoi(strings.TrimSpace(digits))
+	if err != nil || seconds < 0 {
+		return
+	}
+	k.idleFor = time.Duration(seconds)*time.Second - idleReserve
+}
+
+// judge tells what a call's result means. A reply carries the answer only if
+// it may be given to the caller or merged.
+func judge(h *kernel.Headers, r result, gathered bool) flight.Reply[*answer] {
+	switch {
+	case r.err != nil && !r.sent:
+		return flight.Reply[*answer]{Outcome: policy.CallUnreachable}
+	case errors.Is(r.err, errCrossed) || errors.Is(r.err, errTooLarge):
+		return flight.Reply[*answer]{Outcome: policy.CallGarbage}
+	case r.err != nil:
+		return flight.Reply[*answer]{Outcome: policy.CallBroken}
+	}
+	a := r.answer
+	out := flight.Reply[*answer]{Load: loadOf(a.header.Get(h.Load)), Part: a}
+	switch {
+	case a.status == http.StatusMisdirectedRequest:
+		out.Outcome = policy.CallMoved
+	case a.header.Get(h.NotRun) != "":
+		out.Outcome = policy.CallShed
+	case a.status < 300 && a.header.Get(h.Stamp) == "":
+		out.Outcome, out.Part = policy.CallGarbage, nil
+	case a.status < 300 || a.status < 500 && !gathered && !promises(a.status):
+		out.Outcome = policy.CallOK
+	default:
+		out.Outcome = policy.CallFailed
+	}
+	return out
+}
+
+// promises tells whether a status says that the request did not run.
+func promises(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
+// loadOf reads running, waiting and slots; zero if it is not that.
+func loadOf(text string) policy.Load {
+	var n [3]int
+	rest := text
+	for i := range n {
+		field, more, _ := strings.Cut(rest, ",")
+		v, err := strconv.Atoi(strings.TrimSpace(field))
+		if err != nil || v < 0 {
+			return policy.Load{}
+		}
+		n[i], rest = v, more
+	}
+	return policy.Load{Running: n[0], Waiting: n[1], Slots: n[2]}
+}
--- /dev/null
+++ b/tier/pass/engine.go
@@ -0,0 +1,195 @@
+// Package pass serves routed requests: it finds the route of an opaque HTTP
+// request, passes the request on to one upstream or to one of each shard, and
+// gives the upstream's answer, or the greatest records of all, to the caller.
+package pass
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"loomgap/tier/config"
+	"loomgap/tier/kernel"
+	"loomgap/tier/policy"
+)
+
+// Shares of what upstreams and groups allow, for one host.
+const (
+	// leastHosts is how many hosts are reckoned with while fewer are known: a
+	// host that has just started knows of none.
+	leastHosts = 8
+	// connectionShare is the part of an upstream's connections that all hosts
+	// together use; the rest is for those that are being replaced.
+	connectionShare = 0.9
+	// slackShare is the part of the slack of repeats that hosts share out. A
+	// host may not know of all others.
+	slackShare = 0.6
+	sweepEvery = time.Second
+)
+
+// Engine passes requests on.
+type Engine struct {
+	kernel  *kernel.Kernel
+	headers kernel.Headers
+	links   atomic.Pointer[map[string]*link]
+	// splitters holds a *splitter for each name of a route with a split.
+	splitters sync.Map
+	// basis is what shares and links were made from; used on the control
+	// thread.
+	basis basis
+}
+
+// basis is what the shares of upstreams depend on.
+type basis struct {
+	index     *config.Index
+	directory *config.Directory
+	hosts     int
+}
+
+// NewEngine makes an engine that follows the kernel's views.
+func NewEngine(k *kernel.Kernel, h kernel.Headers) (*Engine, func()) {
+	e := &Engine{kernel: k, headers: h}
+	e.links.Store(&map[string]*link{})
+	k.OnView(e.follow)
+	done := make(chan struct{})
+	go e.sweep(done)
+	return e, func() {
+		close(done)
+		for _, l := range *e.links.Load() {
+			l.close()
+		}
+	}
+}
+
+// sweep closes connections that have rested too long, until done.
+func (e *Engine) sweep(done <-chan struct{}) {
+	tick := time.NewTicker(sweepEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-done:
+			return
+		case <-tick.C:
+			for _, l := range *e.links.Load() {
+				l.sweep()
+			}
+		}
+	}
+}
+
+// follow sets shares, links and budgets by a new view; it runs on the control
+// thread.
+func (e *Engine) follow(v *kernel.View) {
+	if v.Index == nil || v.Directory == nil {
+		return
+	}
+	next := basis{index: v.Index, directory: v.Directory, hosts: max(v.Staying(), leastHosts)}
+	if next == e.basis {
+		return
+	}
+	e.basis = next
+	settings := &e.kernel.Settings
+	e.kernel.Fleet.SetRepeats(policy.Repeats{
+		Ratio: settings.Repeats.Ratio,
+		Depth: settings.Repeats.Slack * slackShare / float64(next.hosts),
+	})
+	old, links := *e.links.Load(), map[string]*link{}
+	var shares []policy.Share
+	for _, l := range v.Directory.All() {
+		shares = append(shares, e.share(v.Index, &l, next.hosts))
+		n := old[l.Name]
+		if n == nil || n.address != l.Address {
+			n = &link{name: l.Name, address: l.Address, now: e.kernel.Now}
+		}
+		links[l.Name] = n
+	}
+	granted := e.kernel.Fleet.Apply(e.kernel.Now(), shares)
+	e.links.Store(&links)
+	for name, l := range old {
+		if links[name] != l {
+			l.close()
+		}
+	}
+	// The control thread carries no traffic.
+	go policy.Deliver(granted)
+}
+
+// share is this host's part of an upstream: as many calls as it may have
+// connections there.
+func (e *Engine) share(x *config.Index, l *config.Listing, hosts int) policy.Share {
+	connections := l.Slots
+	if g := x.Group(l.Group); g != nil {
+		connections = g.Connections
+	}
+	return policy.Share{
+		Name: l.Name, Slots: max(int(connectionShare*float64(connections))/hosts, 1), Leaving: l.Leaving,
+		Listed: true, Near: l.Hall == e.kernel.Settings.Hall,
+	}
+}
+
+// order gives the groups that a route's request may go to, in the order in
+// which to try them.
+func (e *Engine) order(r *config.Route) []string {
+	if len(r.Split) == 0 {
+		return []string{r.Group}
+	}
+	old, ok := e.splitters.Load(r.Name)
+	if ok && old.(*splitter).same(r.Split) {
+		return old.(*splitter).next()
+	}
+	s := newSplitter(r.Split)
+	if ok {
+		e.splitters.CompareAndSwap(r.Name, old, s)
+	} else if winner, loaded := e.splitters.LoadOrStore(r.Name, s); loaded {
+		s = winner.(*splitter)
+	}
+	return s.next()
+}
+
+// usable names the upstreams of a group that may get new work.
+func usable(d *config.Directory, group string) []string {
+	listed := d.Group(group)
+	out := make([]string, 0, len(listed))
+	for i := range listed {
+		if !listed[i].Leaving {
+			out = append(out, listed[i].Name)
+		}
+	}
+	return out
+}
+
+// plan is where the parts of a request may go.
+type plan struct {
+	groups   []string
+	replicas [][]*policy.Upstream
+	// reachable counts the parts that have an upstream at all.
+	reachable int
+}
+
+// plan fixes the targets of a request for its whole life.
+func (e *Engine) plan(v *kernel.View, r *config.Route) plan {
+	if r.Gather != nil {
+		return e.planOf(v, r.Gather.Groups)
+	}
+	order := e.order(r)
+	for _, g := range order {
+		if p := e.planOf(v, []string{g}); p.reachable > 0 {
+			return p
+		}
+	}
+	return e.planOf(v, order[:1])
+}
+
+func (e *Engine) planOf(v *kernel.View, groups []string) plan {
+	names := make([][]string, len(groups))
+	for i, g := range groups {
+		names[i] = usable(v.Directory, g)
+	}
+	p := plan{groups: groups, replicas: e.kernel.Fleet.Resolve(names)}
+	for _, us := range p.replicas {
+		if len(us) > 0 {
+			p.reachable++
+		}
+	}
+	return p
+}
--- /dev/null
+++ b/tier/peers/feed.go
@@ -0,0 +1,209 @@
+package peers
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"loomgap/tier/config"
+	"loomgap/tier/kernel"
+)
+
+// Times of the reader of an adapter's source.
+const (
+	// feedGather is the pause after a change, so that a burst of changes costs
+	// one read.
+	feedGather = 300 * time.Millisecond
+	// feedRetry and feedRetryMost bound the pause after a read that failed. A
+	// source that is back must be read well within the seconds in which a
+	// document has to be in force.
+	feedRetry     = 100 * time.Millisecond
+	feedRetryMost = time.Second
+	// awayAfter is how long reads must fail until the platform counts as away.
+	awayAfter = 500 * time.Millisecond
+	// lapseHold is how long an upstream stays listed that was not there any
+	// more when the platform came back: its entry may have lapsed meanwhile,
+	// and it lists itself again within about two seconds.
+	lapseHold = 2500 * time.Millisecond
+)
+
+// feedPlugin reads what an adapter's platform publishes.
+type feedPlugin struct{}
+
+var _ kernel.Plugin = feedPlugin{}
+
+func init() { kernel.Register(feedPlugin{}) }
+
+// Name implements kernel.Plugin.
+func (feedPlugin) Name() string { return "Feed" }
+
+// Default implements kernel.Plugin.
+func (feedPlugin) Default(s *kernel.Settings) { watch{}.Default(s) }
+
+// Skip implements kernel.Plugin.
+func (feedPlugin) Skip(s *kernel.Settings) bool { return s.Adapter == "" || !s.Platform.IsValid() }
+
+// Run implements kernel.Plugin.
+func (feedPlugin) Run(ctx context.Context, k *kernel.Kernel) (func(), error) {
+	a, err := kernel.AdapterNamed(k.Settings.Adapter)
+	if err != nil {
+		return nil, err
+	}
+	source, closeSource := a.Open(k.Settings.Platform)
+	ctx, cancel := context.WithCancel(ctx)
+	f := &feed{kernel: k, source: source}
+	k.Do(func(s *kernel.State) { s.FeedDown = true })
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		f.loop(ctx)
+	}()
+	return func() {
+		cancel()
+		<-done
+		closeSource()
+	}, nil
+}
+
+// feed reads a source and tells the control thread. Its fields are used by one
+// goroutine.
+type feed struct {
+	kernel *kernel.Kernel
+	source kernel.Source
+	// revision is up to where everything was read; 0 for nothing yet.
+	revision uint64
+	// exact is true if the next whole read must not be an old one.
+	exact bool
+	// watched is true once a watch has told that nothing newer was missed.
+	watched bool
+	// failingSince is when the first of the reads in a row failed; 0 if the
+	// last one did not.
+	failingSince time.Duration
+	pause        time.Duration
+	// lapsed are removals that are held back until lapsedDue.
+	lapsed    []config.Removal
+	lapsedDue time.Duration
+}
+
+func (f *feed) loop(ctx context.Context) {
+	for ctx.Err() == nil {
+		metrics.GetOrCreateCounter("loomgap_platform_reads_total").Inc()
+		published, err := f.next(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			f.failed(ctx, err)
+			continue
+		}
+		f.take(published)
+		if len(published.Directory.Listed)+len(published.Directory.Removed) > 0 || published.Document != nil {
+			sleep(ctx, feedGather)
+		}
+	}
+}
+
+// next reads everything, or waits for what changes.
+func (f *feed) next(ctx context.Context) (*kernel.Published, error) {
+	if f.revision == 0 {
+		return f.source.Read(ctx, f.exact)
+	}
+	wait := f.kernel.Settings.WatchWait
+	switch {
+	case !f.watched:
+		// The first read may have been an old one.
+		wait = 0
+	case len(f.lapsed) > 0:
+		wait = min(wait, max(f.lapsedDue-f.kernel.Now(), 0))
+	}
+	return f.source.Watch(ctx, f.revision, wait)
+}
+
+// failed notes a read that failed and waits before the next.
+func (f *feed) failed(ctx context.Context, err error) {
+	if errors.Is(err, kernel.ErrHistoryGone) {
+		f.kernel.Log.Info().Uint64("DirectoryRevision", f.revision).Msg("history is gone, reading everything")
+		f.revision, f.exact = 0, true
+		return
+	}
+	now := f.kernel.Now()
+	if f.failingSince == 0 {
+		f.failingSince = now
+	}
+	if now-f.failingSince >= awayAfter {
+		f.down(err)
+	}
+	f.pause = min(max(2*f.pause, feedRetry), feedRetryMost)
+	sleep(ctx, f.pause/2+rand.N(f.pause/2+1))
+}
+
+// down tells that this host has to learn from peers.
+func (f *feed) down(err error) {
+	f.kernel.Do(func(s *kernel.State) {
+		if s.FeedDown {
+			return
+		}
+		s.FeedDown = true
+		f.kernel.Log.Warn().Err(err).Int64("PlatformAgeMillis", (f.kernel.Now() - s.PlatformHeard).Milliseconds()).
+			Msg("platform lost")
+	})
+}
+
+// take tells the control thread what was read.
+func (f *feed) take(p *kernel.Published) {
+	now := f.kernel.Now()
+	away := f.failingSince > 0 && now-f.failingSince >= awayAfter
+	f.failingSince, f.pause, f.exact = 0, 0, false
+	confirmed := f.revision > 0
+	f.watched = confirmed
+	f.revision = max(f.revision, p.Revision)
+	done := make(chan struct{})
+	f.kernel.Do(func(s *kernel.State) {
+		defer close(done)
+		f.install(s, p, now, away)
+		if confirmed && !s.Confirmed {
+			s.Confirmed = true
+			s.Changed()
+		}
+	})
+	<-done
+}
+
+// install runs on the control thread while the feed waits.
+func (f *feed) install(s *kernel.State, p *kernel.Published, now time.Duration, away bool) {
+	s.PlatformHeard = now
+	if s.FeedDown {
+		s.FeedDown = false
+		f.kernel.Log.Info().Uint64("DirectoryRevision", p.Revision).Msg("platform regained")
+	}
+	if p.Document != nil {
+		f.kernel.AcceptDocument(s, p.Document, p.DocumentRevision)
+	}
+	change := p.Directory
+	if away {
+		f.hold(s, &change, now)
+	}
+	before := s.Directory.Digest()
+	s.List(&change)
+	if len(f.lapsed) > 0 && now >= f.lapsedDue {
+		s.List(&config.DirectoryChange{Removed: f.lapsed})
+		f.lapsed = nil
+	}
+	if s.Directory.Digest() != before {
+		f.kernel.Log.Info().Uint64("DirectoryRevision", p.Revision).Int("Listed", len(change.Listed)).
+			Int("Removed", len(change.Removed)).Int("Upstreams", s.Directory.Size()).Msg("directory changed")
+	}
+}
+
+// hold keeps removals back that the platform's absence may have caused.
+func (f *feed) hold(s *kernel.State, c *config.DirectoryChange, now time.Duration) {
+	f.lapsed = append(f.lapsed, c.Removed...)
+	if c.Whole {
+		f.lapsed = append(f.lapsed, s.Directory.Lacking(c)...)
+	}
+	c.Removed, c.Whole = nil, false
+	f.lapsedDue = now + lapseHold
+}
--- a/tier/peers/gossip.go
+++ b/tier/peers/gossip.go
@@ -1,6 +1,7 @@
 package peers
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -19,8 +20,9 @@
 
 // Methods of the peer protocol.
 const (
-	MethodBeat     = "Beat"
-	MethodDocument = "Document"
+	MethodBeat      = "Beat"
+	MethodDocument  = "Document"
+	MethodDirectory = "Directory"
 )
 
 // Partners of one beat.
@@ -30,6 +32,11 @@
 	otherHallEvery = 3
 	// silentEvery is how many beats pass between beats to a silent host.
 	silentEvery = 2
+	// seedEvery is how many beats pass between beats to a seed that is not
+	// known as a member: a host that was cut off finds the others again.
+	seedEvery = 5
+	// maxMembers bounds the members that are believed without a document.
+	maxMembers = 4096
 )
 
 // Beat is the message of a heartbeat and of its reply.
@@ -45,6 +52,10 @@
 	// PlatformAge is how long ago the hall of the sender heard the platform.
 	PlatformAge time.Duration
 	Hall        string
+	// Directory is the digest of the listed upstreams, DirectoryRevision the
+	// platform's revision up to which the list is whole.
+	Directory         uint64 `json:",omitempty"`
+	DirectoryRevision uint64 `json:",omitempty"`
 	// Leaving are upstreams of the hall that are known to leave.
 	Leaving []LeavingSign `json:",omitempty"`
 }
@@ -84,16 +95,17 @@
 	}
 	k.Peers = n
 	seed := rand.NewPCG(uint64(time.Now().UnixNano()), 0)
-	g := &gossip{
-		kernel: k, node: n,
-		random: rand.New(seed),
-		table: NewTable(TableConfig{
-			Host: k.Settings.Host, Incarnation: k.Settings.Incarnation,
-			Beat: k.Settings.Beat, Random: rand.New(seed),
-		}),
+	table := TableConfig{
+		Host: k.Settings.Host, Incarnation: k.Settings.Incarnation,
+		Beat: k.Settings.Beat, Random: rand.New(seed),
 	}
+	if k.Settings.Adapter != "" {
+		table.Hall, table.Peer = k.Settings.Hall, k.Settings.Peer
+	}
+	g := &gossip{kernel: k, node: n, random: rand.New(seed), table: NewTable(table)}
 	k.Handle(MethodBeat, g.onBeat)
 	k.Handle(MethodDocument, g.onDocument)
+	k.Handle(MethodDirectory, g.onDirectory)
 	g.measure()
 	ctx, cancel := context.WithCancel(ctx)
 	done := make(chan struct{})
@@ -117,8 +129,9 @@
 	random *rand.Rand
 	beats  int
 	pauses int
-	// fetching is true while a document is being fetched from a peer.
-	fetching bool
+	// fetching is true while a document is being fetched from a peer, listing
+	// while a directory is.
+	fetching, listing bool
 
 	packing sync.Mutex
 	// packed is the document last handed to a peer; used with packing held.
@@ -176,6 +189,9 @@
 
 func (g *gossip) message(s *kernel.State, now time.Duration) Beat {
 	b := Beat{Members: g.table.Told(now), Revision: revision(s), Hall: g.kernel.Settings.Hall, PlatformAge: now - s.PlatformHeard, Published: s.Published, Refused: s.Refused}
+	if s.Directory != nil {
+		b.Directory, b.DirectoryRevision = s.Directory.Digest(), s.Directory.Revision
+	}
 	if s.Index != nil {
 		b.Digest = s.Index.Digest
 	}
@@ -188,9 +204,11 @@
 // partners picks whom to beat to: a fixed number, whatever the fleet's size.
 func (g *gossip) partners(s *kernel.State) []netip.AddrPort {
 	var hall, silent, other, out []netip.AddrPort
-	for _, h := range hostsOf(s.Index, g.kernel.Settings.Host) {
+	for _, h := range g.hosts(s) {
 		m, known := s.Members[h.Name]
 		switch {
+		case known && !m.Live && g.kernel.Settings.Adapter != "":
+			silent = append(silent, h.Peer)
 		case h.Hall != g.kernel.Settings.Hall:
 			other = append(other, h.Peer)
 		case known && !m.Live:
@@ -200,14 +218,45 @@
 		}
 	}
 	out = g.sample(out, hall, hallPartners)
-	if g.beats%otherHallEvery == 0 {
+	if g.beats%otherHallEvery == 0 || s.FeedDown {
 		out = g.sample(out, other, 1)
 	}
 	if g.beats%silentEvery == 0 {
 		out = g.sample(out, silent, 1)
 	}
-	if len(out) == 0 {
-		out = g.sample(out, g.kernel.Settings.Seeds, hallPartners)
+	if len(out) == 0 || g.beats%seedEvery == 0 {
+		out = g.sample(out, g.strangers(s), hallPartners)
+	}
+	return out
+}
+
+// hosts lists the other entry hosts: those of the document, or where the
+// platform lists none, the members.
+func (g *gossip) hosts(s *kernel.State) []config.Host {
+	if g.kernel.Settings.Adapter == "" {
+		return hostsOf(s.Index, g.kernel.Settings.Host)
+	}
+	var out []config.Host
+	for n, m := range s.Members {
+		if m.Peer.IsValid() && !m.Leaving {
+			out = append(out, config.Host{Name: n, Hall: m.Hall, Peer: m.Peer})
+		}
+	}
+	slices.SortFunc(out, func(a, b config.Host) int { return cmp.Compare(a.Name, b.Name) })
+	return out
+}
+
+// strangers lists the seeds that are no members as far as is known.
+func (g *gossip) strangers(s *kernel.State) []netip.AddrPort {
+	known := map[netip.AddrPort]bool{g.kernel.Settings.Peer: true}
+	for _, m := range s.Members {
+		known[m.Peer] = true
+	}
+	var out []netip.AddrPort
+	for _, a := range g.kernel.Seeds() {
+		if !known[a] {
+			out = append(out, a)
+		}
 	}
 	return out
 }
@@ -244,7 +293,7 @@
 	}
 	out := make(chan Beat, 1)
 	g.kernel.Do(func(s *kernel.State) {
-		from := netip.AddrPort{}
+		from := in.Members[0].Peer
 		if s.Index != nil && s.Index.Host(in.Members[0].Host) != nil {
 			from = s.Index.Host(in.Members[0].Host).Peer
 		}
@@ -262,7 +311,7 @@
 // take learns from a heartbeat or its reply.
 func (g *gossip) take(s *kernel.State, from netip.AddrPort, b *Beat) {
 	now := g.kernel.Now()
-	g.table.Merge(now, declared(s, b.Members))
+	g.table.Merge(now, g.declared(s, b.Members))
 	g.update(s, now)
 	if b.Hall == g.kernel.Settings.Hall {
 		s.PlatformHeard = max(s.PlatformHeard, now-max(b.PlatformAge, 0))
@@ -278,6 +327,10 @@
 		s.Confirmed = true
 		s.Changed()
 	}
+	if s.FeedDown && from.IsValid() && !g.listing && b.Directory != s.Directory.Digest() {
+		g.listing = true
+		go g.fetchDirectory(from)
+	}
 	if b.Revision > mine && from.IsValid() && !g.fetching {
 		g.fetching = true
 		go g.fetch(from)
@@ -294,8 +347,15 @@
 }
 
 // declared gives the entries of hosts of the document, so that what a peer
-// makes up does not fill the memory. Before there is a document all count.
-func declared(s *kernel.State, entries []Entry) []Entry {
+// makes up does not fill the memory. Before there is a document all count, and
+// where the platform lists no hosts, all up to a bound.
+func (g *gossip) declared(s *kernel.State, entries []Entry) []Entry {
+	if g.kernel.Settings.Adapter != "" {
+		return slices.DeleteFunc(entries, func(e Entry) bool {
+			_, known := s.Members[e.Host]
+			return !e.Peer.IsValid() || !known && len(s.Members) >= maxMembers
+		})
+	}
 	if s.Index == nil {
 		return entries
 	}
@@ -350,7 +410,7 @@
 	for _, m := range g.table.Members(now) {
 		k := kernel.Member{
 			Host: m.Host, Incarnation: m.Incarnation, Live: m.Live,
-			Leaving: m.Leaving, Revision: m.Revision,
+			Leaving: m.Leaving, Revision: m.Revision, Hall: m.Hall, Peer: m.Peer,
 		}
 		if s.Index != nil {
 			if h := s.Index.Host(m.Host); h != nil {
--- a/tier/peers/node.go
+++ b/tier/peers/node.go
@@ -108,11 +108,14 @@
 
 // Call implements kernel.PeerCaller.
 func (n *node) Call(ctx context.Context, host, method string, params, result any) error {
-	v := n.kernel.View()
-	if v.Index == nil || v.Index.Host(host) == nil {
-		return fmt.Errorf("host %q is in no document: %w", host, ErrNoPeer)
+	at := n.kernel.View().Members[host].Peer
+	if x := n.kernel.View().Index; x != nil && x.Host(host) != nil {
+		at = x.Host(host).Peer
 	}
-	return n.callAddress(ctx, v.Index.Host(host).Peer, method, params, result)
+	if !at.IsValid() {
+		return fmt.Errorf("host %q is not known: %w", host, ErrNoPeer)
+	}
+	return n.callAddress(ctx, at, method, params, result)
 }
 
 func (n *node) callAddress(ctx context.Context, to netip.AddrPort, method string, params, result any) error {
--- a/tier/peers/peers_test.go
+++ b/tier/peers/peers_test.go
@@ -6,10 +6,12 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"net/netip"
 	"os"
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp/cmpopts"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
@@ -30,6 +32,9 @@
 	return NewTable(TableConfig{Host: host, Incarnation: "1", Beat: time.Second, Random: rand.New(rand.NewPCG(1, 0))})
 }
 
+// addresses has addresses compared by their value.
+var addresses = cmpopts.EquateComparable(netip.AddrPort{})
+
 func TestTableBelievesTheNewest(t *testing.T) {
 	b := table("A")
 	b.Merge(0, []Entry{{Host: "B", Incarnation: "2", Counter: 5}})
@@ -37,7 +42,7 @@
 	b.Merge(time.Second, []Entry{{Host: "B", Incarnation: "2", Counter: 5, Leaving: true}})
 	m := b.Members(time.Second)
 	assert.Equal(t, len(m), 1)
-	assert.DeepEqual(t, m[0], Seen{Entry: Entry{Host: "B", Incarnation: "2", Counter: 5}, Live: true})
+	assert.DeepEqual(t, m[0], Seen{Entry: Entry{Host: "B", Incarnation: "2", Counter: 5}, Live: true}, addresses)
 	assert.Assert(t, !b.Members((silentBeats + 1) * time.Second)[0].Live)
 	b.Refresh((silentBeats + 1) * time.Second)
 	assert.Assert(t, b.Members((silentBeats + 1) * time.Second)[0].Live)
@@ -60,7 +65,7 @@
 		for _, e := range rapid.Permutation(append(news, news...)).Draw(t, "order") {
 			other.Merge(0, []Entry{e})
 		}
-		assert.DeepEqual(t, one.Members(0), other.Members(0))
+		assert.DeepEqual(t, one.Members(0), other.Members(0), addresses)
 	})
 }
 
--- a/tier/peers/table.go
+++ b/tier/peers/table.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -34,6 +35,9 @@
 	Leaving bool `json:",omitempty"`
 	// Revision is the configuration in force there.
 	Revision uint64
+	// Hall and Peer tell where the host is, if no document says it.
+	Hall string         `json:",omitempty"`
+	Peer netip.AddrPort `json:",omitzero"`
 }
 
 type record struct {
@@ -54,14 +58,17 @@
 // TableConfig configures a table.
 type TableConfig struct {
 	Host, Incarnation string
-	Beat              time.Duration
-	Random            policy.Random
+	// Hall and Peer are told to others, if no document says them.
+	Hall   string
+	Peer   netip.AddrPort
+	Beat   time.Duration
+	Random policy.Random
 }
 
 // NewTable makes a table that knows only its own host.
 func NewTable(c TableConfig) *Table {
 	return &Table{
-		self:    Entry{Host: c.Host, Incarnation: c.Incarnation},
+		self:    Entry{Host: c.Host, Incarnation: c.Incarnation, Hall: c.Hall, Peer: c.Peer},
 		beat:    c.Beat,
 		random:  c.Random,
 		records: map[string]*record{},
--- a/tier/peers/watch.go
+++ b/tier/peers/watch.go
@@ -40,7 +40,7 @@
 }
 
 // Skip implements kernel.Plugin.
-func (watch) Skip(s *kernel.Settings) bool { return !s.Platform.IsValid() }
+func (watch) Skip(s *kernel.Settings) bool { return !s.Platform.IsValid() || s.Adapter != "" }
 
 // Run implements kernel.Plugin.
 func (watch) Run(ctx context.Context, k *kernel.Kernel) (func(), error) {
--- a/tier/policy/fleet.go
+++ b/tier/policy/fleet.go
@@ -113,14 +113,38 @@
 	return out
 }
 
+// Resolve gives the upstreams of each list of names; unknown ones are left out.
+func (f *Fleet) Resolve(names [][]string) [][]*Upstream {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := make([][]*Upstream, len(names))
+	for i := range names {
+		out[i] = f.resolve(names[i])
+	}
+	return out
+}
+
 // Pool gives the latency pool of a service, made at first use.
 func (f *Fleet) Pool(service string) *Pool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	p := f.pools[service]
+	return f.pool(service, NewPool)
+}
+
+// RoutedPool gives the latency pool of a route, made at first use.
+func (f *Fleet) RoutedPool(route string) *Pool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	// A route may have the name of a service.
+	return f.pool("route "+route, newRoutedPool)
+}
+
+// pool finds or makes a pool; the fleet is locked.
+func (f *Fleet) pool(name string, make func() *Pool) *Pool {
+	p := f.pools[name]
 	if p == nil {
-		p = NewPool()
-		f.pools[service] = p
+		p = make()
+		f.pools[name] = p
 	}
 	return p
 }
--- a/tier/policy/pool.go
+++ b/tier/policy/pool.go
@@ -13,6 +13,7 @@
 	poolDigits   = 2
 	poolRefresh  = 64
 	poolWindow   = 20_000
+	routedWindow = 2_000
 	poolEnough   = 50
 	poolFallback = 10 * time.Millisecond
 )
@@ -22,6 +23,8 @@
 type Pool struct {
 	current  *hdrhistogram.Histogram
 	previous *hdrhistogram.Histogram
+	// window is how many samples are looked at before older ones are dropped.
+	window int64
 	// fresh counts samples since the cached quantiles were made.
 	fresh     int
 	median    time.Duration
@@ -34,14 +37,23 @@
 		current:   hdrhistogram.New(poolLowest, poolHighest, poolDigits),
 		previous:  hdrhistogram.New(poolLowest, poolHighest, poolDigits),
 		quantiles: map[float64]time.Duration{},
+		window:    poolWindow,
 	}
 }
 
+// newRoutedPool makes an empty pool that follows changes sooner: a route's
+// requests go to other upstreams from one moment to the next.
+func newRoutedPool() *Pool {
+	p := NewPool()
+	p.window = routedWindow
+	return p
+}
+
 // Record takes a latency in.
 func (p *Pool) Record(d time.Duration) {
 	_ = p.current.RecordValue(min(max(d.Microseconds(), poolLowest), poolHighest))
 	p.fresh++
-	if p.current.TotalCount() >= poolWindow {
+	if p.current.TotalCount() >= p.window {
 		p.previous, p.current = p.current, p.previous
 		p.current.Reset()
 	}
@@ -79,7 +91,7 @@
 		return d
 	}
 	h := p.current
-	if h.TotalCount() < poolWindow/4 && p.previous.TotalCount() > 0 {
+	if h.TotalCount() < p.window/4 && p.previous.TotalCount() > 0 {
 		h = p.previous
 	}
 	d := time.Duration(h.ValueAtQuantile(q*100)) * time.Microsecond
--- a/tier/policy/run.go
+++ b/tier/policy/run.go
@@ -351,6 +351,8 @@
 	Included int
 	// Attempts counts the upstream calls that were sent, cancelled ones included.
 	Attempts int
+	// Ran counts the upstream calls that may have run.
+	Ran int
 	// Unknown is true if a not-repeatable request may have run unseen.
 	Unknown bool
 }
@@ -360,6 +362,7 @@
 	out := Result{Included: r.included, Attempts: r.calls, Unknown: r.unknown}
 	for i := range r.parts {
 		out.Reasons = append(out.Reasons, r.parts[i].reason)
+		out.Ran += r.parts[i].ran
 	}
 	return out
 }
--- a/tier/policy/upstream.go
+++ b/tier/policy/upstream.go
@@ -124,6 +124,11 @@
 		if c.Took > u.latencyOr(c.Pool.Median()) {
 			u.observe(c.Took)
 		}
+		if u.listed {
+			// Left out, the slow calls that hedges end would make the pool's
+			// quantiles sink, and hedges come ever earlier.
+			c.Pool.Record(c.Took)
+		}
 	case c.Outcome == CallLate:
 		u.observe(c.Took)
 		u.fail(now)
