feat: read settings from a file, again at SIGHUP and when it changes

The daemon reads -Settings, a file in the form of the environment, and puts changed seeds and bounds of repeats in force without a restart; a wrong file changes nothing. Ruled out: ignoring SIGHUP, since seeds do change while hosts run.

--- a/loomctl/client.go
+++ b/loomctl/client.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net/http"
 	"net/netip"
+	"os"
 	"time"
 
 	goahttp "goa.design/goa/v3/http"
@@ -40,7 +41,7 @@
 // check fills in the environment and finds wrong values.
 func (c *connection) check(f *flag.FlagSet) error {
 	var bad *config.VariableError
-	if err := config.FromEnvironment(f, envPrefix); errors.As(err, &bad) {
+	if err := config.FromEnvironment(f, envPrefix, os.LookupEnv); errors.As(err, &bad) {
 		return fmt.Errorf("environment: %w: correct the %s variable", bad.Err, envPrefix)
 	}
 	if c.format != "Text" && c.format != "JSON" {
--- a/loomd/serve.go
+++ b/loomd/serve.go
@@ -21,6 +21,8 @@
 type serveCommand struct {
 	settings kernel.Settings
 	level    string
+	// file is the file of settings; empty for none.
+	file string
 }
 
 var _ subcommands.Command = (*serveCommand)(nil)
@@ -40,6 +42,7 @@
 // SetFlags implements subcommands.Command.
 func (c *serveCommand) SetFlags(f *flag.FlagSet) {
 	bind(f, &c.settings)
+	f.StringVar(&c.file, "Settings", "", "`file` of settings, read again when it changes or at SIGHUP")
 	f.StringVar(&c.level, "Level", "info", "least `level` of log lines: debug, info, warn, error")
 }
 
@@ -54,7 +57,8 @@
 }
 
 func (c *serveCommand) run(ctx context.Context, f *flag.FlagSet, log zerolog.Logger) error {
-	if err := fromEnvironment(f); err != nil {
+	o := originOf(f, c.file)
+	if err := fromEnvironment(f, c.file); err != nil {
 		return err
 	}
 	if err := checkSettings(&c.settings); err != nil {
@@ -66,7 +70,7 @@
 	}
 	log = log.Level(level).With().Str("Host", c.settings.Host).Logger()
 	c.settings.Incarnation = incarnation(time.Now())
-	return serve(ctx, c.settings, log)
+	return serve(ctx, c.settings, o, log)
 }
 
 // incarnation names this process. A later process of the host has a larger
@@ -76,7 +80,7 @@
 }
 
 // serve runs the pipeline and waits for a planned stop.
-func serve(ctx context.Context, s kernel.Settings, log zerolog.Logger) error {
+func serve(ctx context.Context, s kernel.Settings, o origin, log zerolog.Logger) error {
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	tracer, closeTracer := newTracer(s.TraceRatio, log)
@@ -91,6 +95,10 @@
 		return err
 	}
 	defer cleanUp()
+	defer watchFile(k, o)()
+	log.Info().Str("Version", version).Str("Incarnation", s.Incarnation).Str("Adapter", s.Adapter).
+		Int("Seeds", len(s.Seeds)).Msg("daemon started")
+	defer log.Info().Msg("daemon stops")
 	select {
 	case <-signals:
 		k.SetPhase(kernel.PhaseDraining)
--- a/loomd/settings.go
+++ b/loomd/settings.go
@@ -5,9 +5,12 @@
 	"flag"
 	"fmt"
 	"net/netip"
+	"os"
 	"strings"
 	"time"
 
+	"github.com/joho/godotenv"
+
 	"loomgap/tier/config"
 	"loomgap/tier/kernel"
 )
@@ -49,6 +52,9 @@
 // Set implements flag.Value.
 func (s *seeds) Set(v string) error {
 	*s = nil
+	if v == "" {
+		return nil
+	}
 	for _, p := range strings.Split(v, ",") {
 		a, err := netip.ParseAddrPort(strings.TrimSpace(p))
 		if err != nil {
@@ -83,9 +89,14 @@
 	f.Float64Var(&s.TraceRatio, "TraceRatio", 0, "share of requests whose spans are logged, 0 to 1")
 }
 
-// fromEnvironment sets the flags that the command line left out.
-func fromEnvironment(f *flag.FlagSet) error {
-	err := config.FromEnvironment(f, envPrefix)
+// fromEnvironment sets the flags that the command line left out: from the
+// environment, or else from the file of settings, if one is named.
+func fromEnvironment(f *flag.FlagSet, file string) error {
+	inFile, err := readFile(file)
+	if err != nil {
+		return err
+	}
+	err = config.FromEnvironment(f, envPrefix, config.FirstOf(os.LookupEnv, inFile))
 	var bad *config.VariableError
 	if errors.As(err, &bad) {
 		return &settingError{Flag: bad.Flag, Problem: bad.Err.Error(), Remedy: "correct " + bad.Variable}
@@ -93,6 +104,22 @@
 	return err
 }
 
+// readFile reads a file of settings: a line NAME=value for each, with the
+// names of the environment. No file has no settings.
+func readFile(path string) (config.Lookup, error) {
+	if path == "" {
+		return func(string) (string, bool) { return "", false }, nil
+	}
+	values, err := godotenv.Read(path)
+	if err != nil {
+		return nil, &settingError{Flag: "Settings", Problem: err.Error(), Remedy: "write a line NAME=value for each setting"}
+	}
+	return func(name string) (string, bool) {
+		v, ok := values[name]
+		return v, ok
+	}, nil
+}
+
 // checkSettings finds what is missing or wrong.
 func checkSettings(s *kernel.Settings) error {
 	rules := []struct {
--- a/loomd/settings_test.go
+++ b/loomd/settings_test.go
@@ -25,7 +25,7 @@
 	if err := f.Parse(args); err != nil {
 		return s, err
 	}
-	if err := fromEnvironment(f); err != nil {
+	if err := fromEnvironment(f, ""); err != nil {
 		return s, err
 	}
 	return s, checkSettings(&s)
--- a/tier/config/env.go
+++ b/tier/config/env.go
@@ -3,7 +3,6 @@
 import (
 	"flag"
 	"fmt"
-	"os"
 	"strings"
 )
 
@@ -20,15 +19,30 @@
 // Unwrap gives what the flag said.
 func (e *VariableError) Unwrap() error { return e.Err }
 
+// Lookup finds the value of a variable.
+type Lookup func(variable string) (string, bool)
+
+// FirstOf looks a variable up in several places, the first of them first.
+func FirstOf(places ...Lookup) Lookup {
+	return func(variable string) (string, bool) {
+		for _, p := range places {
+			if v, ok := p(variable); ok {
+				return v, true
+			}
+		}
+		return "", false
+	}
+}
+
 // FromEnvironment sets the flags that the command line left out: -Host from the
 // prefix and HOST. Its error is the first one, a *VariableError.
-func FromEnvironment(f *flag.FlagSet, prefix string) error {
+func FromEnvironment(f *flag.FlagSet, prefix string, lookup Lookup) error {
 	given := map[string]bool{}
 	f.Visit(func(x *flag.Flag) { given[x.Name] = true })
 	var first error
 	f.VisitAll(func(x *flag.Flag) {
 		variable := prefix + strings.ToUpper(x.Name)
-		v, ok := os.LookupEnv(variable)
+		v, ok := lookup(variable)
 		if !ok || given[x.Name] || first != nil {
 			return
 		}
--- a/tier/kernel/kernel.go
+++ b/tier/kernel/kernel.go
@@ -8,7 +8,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -81,8 +80,8 @@
 	Tracer    trace.Tracer
 	// Fleet is shared by all traffic.
 	Fleet *policy.Fleet
-	// seeds replace those of the settings when they change.
-	seeds atomic.Pointer[[]netip.AddrPort]
+	// live holds the settings that may change.
+	live atomic.Pointer[Live]
 	// Peers is set by the plug-in that serves the peer protocol.
 	Peers PeerCaller
 	// InFlight counts the requests in flight, those of other hosts included.
@@ -120,6 +119,7 @@
 		stopping:  make(chan struct{}),
 	}
 	k.phase.Store(PhaseStarting)
+	k.live.Store(&Live{Seeds: c.Settings.Seeds, Repeats: c.Settings.Repeats})
 	state := newState()
 	k.view.Store(state.view())
 	k.pulse.Store(int64(k.Now()))
@@ -138,16 +138,14 @@
 // Now is the time since the process started, on the monotonic clock.
 func (k *Kernel) Now() time.Duration { return time.Since(k.started) }
 
-// Seeds are the addresses of entry hosts to join at.
-func (k *Kernel) Seeds() []netip.AddrPort {
-	if s := k.seeds.Load(); s != nil {
-		return *s
-	}
-	return k.Settings.Seeds
-}
+// Live gives the settings that may change while the process runs.
+func (k *Kernel) Live() Live { return *k.live.Load() }
 
-// SetSeeds replaces the seeds.
-func (k *Kernel) SetSeeds(s []netip.AddrPort) { k.seeds.Store(&s) }
+// Reload puts changed settings in force; the control thread publishes a view.
+func (k *Kernel) Reload(l Live) {
+	k.live.Store(&l)
+	k.Do(func(s *State) { s.changed = true })
+}
 
 // View is the newest published state. It does not change.
 func (k *Kernel) View() *View { return k.view.Load() }
--- a/tier/kernel/state.go
+++ b/tier/kernel/state.go
@@ -64,6 +64,15 @@
 	LogRate int
 }
 
+// Live are the settings that may change while the process runs.
+// Live are the settings that may change while the process runs.
+type Live struct {
+	// Seeds are other entry hosts to join at.
+	Seeds []netip.AddrPort
+	// Repeats bound the calls beyond the first.
+	Repeats Repeats
+}
+
 // Repeats bound the calls beyond the first that a group of upstreams gets from
 // all hosts together, within any span of Window.
 type Repeats struct {
--- a/tier/pass/engine.go
+++ b/tier/pass/engine.go
@@ -44,6 +44,7 @@
 	index     *config.Index
 	directory *config.Directory
 	hosts     int
+	repeats   kernel.Repeats
 }
 
 // NewEngine makes an engine that follows the kernel's views.
@@ -83,15 +84,14 @@
 	if v.Index == nil || v.Directory == nil {
 		return
 	}
-	next := basis{index: v.Index, directory: v.Directory, hosts: max(v.Staying(), leastHosts)}
+	next := basis{index: v.Index, directory: v.Directory, hosts: max(v.Staying(), leastHosts), repeats: e.kernel.Live().Repeats}
 	if next == e.basis {
 		return
 	}
 	e.basis = next
-	settings := &e.kernel.Settings
 	e.kernel.Fleet.SetRepeats(policy.Repeats{
-		Ratio: settings.Repeats.Ratio,
-		Depth: settings.Repeats.Slack * slackShare / float64(next.hosts),
+		Ratio: next.repeats.Ratio,
+		Depth: next.repeats.Slack * slackShare / float64(next.hosts),
 	})
 	old, links := *e.links.Load(), map[string]*link{}
 	var shares []policy.Share
--- a/tier/peers/gossip.go
+++ b/tier/peers/gossip.go
@@ -253,7 +253,7 @@
 		known[m.Peer] = true
 	}
 	var out []netip.AddrPort
-	for _, a := range g.kernel.Seeds() {
+	for _, a := range g.kernel.Live().Seeds {
 		if !known[a] {
 			out = append(out, a)
 		}
