--- a/tier/entry/relay.go
+++ b/tier/entry/relay.go
@@ -79,7 +79,7 @@
 		// The hosts' views differ for now; the other tries again elsewhere.
 		return policy.CallShed, nil
 	}
-	if !e.acquire(u, x.deadline) {
+	if !e.kernel.Fleet.Acquire(ctx, u, x.deadline, e.kernel.Now) {
 		return policy.CallShed, nil
 	}
 	started := e.kernel.Now()
@@ -94,24 +94,6 @@
 	return outcome, part
 }
 
-// acquire waits for a slot until a deadline.
-func (e *Engine) acquire(u *policy.Upstream, deadline time.Duration) bool {
-	got := make(chan struct{})
-	w := &policy.Waiter{Upstream: u, Deadline: deadline, Granted: func() { close(got) }}
-	granted, queued := e.kernel.Fleet.Enter(w)
-	if !queued {
-		return granted
-	}
-	timer := time.NewTimer(deadline - e.kernel.Now())
-	defer timer.Stop()
-	select {
-	case <-got:
-		return true
-	case <-timer.C:
-	}
-	return e.kernel.Fleet.Abandon(w)
-}
-
 func traceOf(ctx context.Context) string {
 	carrier := propagation.MapCarrier{}
 	propagator.Inject(ctx, carrier)
--- a/tier/flight/flight.go
+++ b/tier/flight/flight.go
@@ -21,6 +21,9 @@
 	Load policy.Load
 	// Part is what was answered; its zero value if nothing was.
 	Part R
+	// Took is how long the call alone took, where that is known better than by
+	// the time until the reply; 0 if it is not.
+	Took time.Duration
 }
 
 // Caller makes the calls of a flight.
@@ -40,6 +43,17 @@
 	Ended(a policy.Action, reply Reply[R], took time.Duration, over bool)
 }
 
+// Batcher makes several calls in one. A Caller may implement it.
+type Batcher[R any] interface {
+	// Batches divides calls that begin together into those that are made
+	// together. A batch of one is made by Call.
+	Batches(sends []policy.Action) [][]policy.Action
+	// CallBatch makes the calls of a batch and reports what became of each, as
+	// soon as it is known. What it has not reported when it returns counts as
+	// broken. It ends soon after its context does.
+	CallBatch(ctx context.Context, batch []policy.Action, report func(i int, r Reply[R]))
+}
+
 // Config describes a flight.
 type Config[R any] struct {
 	Kernel *kernel.Kernel
@@ -54,6 +68,8 @@
 	caller Caller[R]
 	// observer is nil if the caller wants no news.
 	observer Observer[R]
+	// batcher is nil if the caller makes each call by itself.
+	batcher  Batcher[R]
 	pool     *policy.Pool
 	deadline time.Duration
 	ctx      context.Context
@@ -88,6 +104,7 @@
 		kernel: c.Kernel, caller: c.Caller, pool: c.Run.Pool, deadline: c.Run.Deadline,
 		calls: map[int]*call{}, done: make(chan struct{}),
 	}
+	f.batcher, _ = c.Caller.(Batcher[R])
 	f.observer, _ = c.Caller.(Observer[R])
 	c.Run.Granted = f.granted
 	r, err := policy.NewRun(c.Run)
@@ -161,11 +178,14 @@
 // perform carries actions out; the flight is locked. Waiters that got a slot
 // are to be told after unlocking.
 func (f *Flight[R]) perform(actions []policy.Action) []*policy.Waiter {
-	var granted []*policy.Waiter
+	var (
+		granted []*policy.Waiter
+		sends   []policy.Action
+	)
 	for _, a := range actions {
 		switch a.Kind {
 		case policy.ActionSend:
-			f.send(a)
+			sends = append(sends, a)
 		case policy.ActionCancel:
 			if c := f.calls[a.Attempt]; c != nil {
 				c.outcome = a.Outcome
@@ -180,9 +200,27 @@
 			close(f.done)
 		}
 	}
+	f.launch(sends)
 	return granted
 }
 
+// launch starts calls; the flight is locked.
+func (f *Flight[R]) launch(sends []policy.Action) {
+	if f.batcher == nil || len(sends) < 2 {
+		for _, a := range sends {
+			f.send(a)
+		}
+		return
+	}
+	for _, b := range f.batcher.Batches(sends) {
+		if len(b) == 1 {
+			f.send(b[0])
+			continue
+		}
+		f.sendBatch(b)
+	}
+}
+
 func (f *Flight[R]) send(a policy.Action) {
 	ctx, cancel := context.WithCancel(f.ctx)
 	c := &call{cancel: cancel}
@@ -190,6 +228,52 @@
 	go f.call(ctx, a, c)
 }
 
+// sendBatch starts the calls of a batch. The batch is cancelled once each of
+// its calls was cancelled or has its reply.
+func (f *Flight[R]) sendBatch(batch []policy.Action) {
+	ctx, cancel := context.WithCancel(f.ctx)
+	left := len(batch)
+	calls := make([]*call, len(batch))
+	for i, a := range batch {
+		// Calls are cancelled with the flight locked.
+		once := false
+		calls[i] = &call{cancel: func() {
+			if once {
+				return
+			}
+			once = true
+			if left--; left == 0 {
+				cancel()
+			}
+		}}
+		f.calls[a.Attempt] = calls[i]
+	}
+	go func() {
+		defer cancel()
+		f.callBatch(ctx, batch, calls)
+	}()
+}
+
+// callBatch makes the calls of a batch and reports them.
+func (f *Flight[R]) callBatch(ctx context.Context, batch []policy.Action, calls []*call) {
+	started := f.kernel.Now()
+	reported := make([]bool, len(batch))
+	report := func(i int, r Reply[R]) {
+		if !reported[i] {
+			reported[i] = true
+			f.ended(batch[i], calls[i], started, r)
+		}
+	}
+	rest := Reply[R]{Outcome: policy.CallNotSent}
+	if f.kernel.Awake() && started < f.deadline {
+		f.batcher.CallBatch(ctx, batch, report)
+		rest.Outcome = policy.CallBroken
+	}
+	for i := range batch {
+		report(i, rest)
+	}
+}
+
 // call makes one upstream call and reports it.
 func (f *Flight[R]) call(ctx context.Context, a policy.Action, c *call) {
 	k := f.kernel
@@ -198,9 +282,18 @@
 	if k.Awake() && started < f.deadline {
 		reply = f.caller.Call(ctx, a)
 	}
-	c.cancel()
+	f.ended(a, c, started, reply)
+}
+
+// ended accounts for a call and passes what became of it to the run.
+func (f *Flight[R]) ended(a policy.Action, c *call, started time.Duration, reply Reply[R]) {
+	k := f.kernel
 	now := k.Now()
+	if reply.Took == 0 {
+		reply.Took = now - started
+	}
 	f.mu.Lock()
+	c.cancel()
 	reply.Outcome = f.settled(now, c, reply.Outcome)
 	if f.observer != nil {
 		f.observer.Ended(a, reply, now-started, f.over)
@@ -208,7 +301,7 @@
 	f.mu.Unlock()
 	countCall(reply.Outcome)
 	granted := k.Fleet.Finish(now, policy.Call{
-		Upstream: a.Upstream, Pool: f.pool, Outcome: reply.Outcome, Took: now - started, Load: reply.Load,
+		Upstream: a.Upstream, Pool: f.pool, Outcome: reply.Outcome, Took: reply.Took, Load: reply.Load,
 	})
 	f.handle(func(now time.Duration) []policy.Action {
 		f.reply = reply.Part
--- a/tier/kernel/kernel.go
+++ b/tier/kernel/kernel.go
@@ -67,6 +67,8 @@
 // PeerCaller calls a method of another entry host.
 type PeerCaller interface {
 	Call(ctx context.Context, host, method string, params, result any) error
+	// Notify tells another entry host something, and wants no answer.
+	Notify(ctx context.Context, host, method string, params any) error
 }
 
 // Kernel owns the control state of one entry host.
--- /dev/null
+++ b/tier/pass/batch.go
@@ -0,0 +1,250 @@
+package pass
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"loomgap/tier/flight"
+	"loomgap/tier/kernel"
+	"loomgap/tier/policy"
+)
+
+// Bounds of batches that go to another host.
+const (
+	// batchLeast is the fewest calls that go through another host: fewer cost
+	// less when they are made directly.
+	batchLeast = 3
+	// relaySilent is how long a host may owe an answer until others are asked
+	// first, and relayRest how long it is left alone then.
+	relaySilent = 150 * time.Millisecond
+	relayRest   = 2 * time.Second
+	// stopBound is how long telling a host to stop may take.
+	stopBound = time.Second
+)
+
+var _ flight.Batcher[*answer] = (*request)(nil)
+
+// relays knows which hosts answer for the upstreams of other halls.
+type relays struct {
+	mu sync.Mutex
+	// states are by name of host.
+	states map[string]*relayState
+}
+
+// relayState is what is known of one host from its answers.
+type relayState struct {
+	// open counts the batches that it owes.
+	open int
+	// since is when the oldest unanswered batch was sent; 0 if none is.
+	since time.Duration
+	// restUntil is until when others are asked first.
+	restUntil time.Duration
+	// way is the least time that a message took there and back.
+	way time.Duration
+}
+
+func (r *relays) state(host string) *relayState {
+	s := r.states[host]
+	if s == nil {
+		s = &relayState{}
+		r.states[host] = s
+	}
+	return s
+}
+
+// choose gives the live host of a hall that owes the fewest answers; empty if
+// there is none that answers.
+func (r *relays) choose(v *kernel.View, hall string, now time.Duration) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var names []string
+	for n, m := range v.Members {
+		if m.Live && !m.Leaving && m.Hall == hall && m.Peer.IsValid() && r.answers(n, now) {
+			names = append(names, n)
+		}
+	}
+	if len(names) == 0 {
+		return ""
+	}
+	return slices.MinFunc(names, func(a, b string) int {
+		return cmp.Or(cmp.Compare(r.state(a).open, r.state(b).open), cmp.Compare(a, b))
+	})
+}
+
+func (r *relays) answers(host string, now time.Duration) bool {
+	s := r.state(host)
+	return now >= s.restUntil && (s.since == 0 || now-s.since < relaySilent)
+}
+
+func (r *relays) sent(host string, now time.Duration) (way time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.state(host)
+	s.open++
+	if s.since == 0 {
+		s.since = now
+	}
+	return s.way
+}
+
+// answered notes an answer, or with way 0 that none came.
+func (r *relays) answered(host string, now, way time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.state(host)
+	s.open--
+	s.since = 0
+	if s.open > 0 {
+		s.since = now
+	}
+	if way == 0 {
+		s.restUntil = now + relayRest
+		return
+	}
+	if s.way == 0 || way < s.way {
+		s.way = way
+	}
+}
+
+// Batches implements flight.Batcher: calls to upstreams of one other hall go
+// together through a host there.
+func (q *request) Batches(sends []policy.Action) [][]policy.Action {
+	if q.route.Gather == nil {
+		return apart(sends)
+	}
+	byHall := map[string][]policy.Action{}
+	var halls []string
+	own := q.engine.kernel.Settings.Hall
+	for _, a := range sends {
+		h := q.engine.kernel.Fleet.HallOf(a.Upstream)
+		if byHall[h] == nil {
+			halls = append(halls, h)
+		}
+		byHall[h] = append(byHall[h], a)
+	}
+	var out [][]policy.Action
+	for _, h := range halls {
+		if h == own || len(byHall[h]) < batchLeast || q.engine.relays.choose(q.view, h, q.engine.kernel.Now()) == "" {
+			out = append(out, apart(byHall[h])...)
+			continue
+		}
+		out = append(out, byHall[h])
+	}
+	return out
+}
+
+func apart(sends []policy.Action) [][]policy.Action {
+	out := make([][]policy.Action, len(sends))
+	for i := range sends {
+		out[i] = sends[i : i+1]
+	}
+	return out
+}
+
+// CallBatch implements flight.Batcher.
+func (q *request) CallBatch(ctx context.Context, batch []policy.Action, report func(int, flight.Reply[*answer])) {
+	e := q.engine
+	k := e.kernel
+	host := e.relays.choose(q.view, k.Fleet.HallOf(batch[0].Upstream), k.Now())
+	if host == "" {
+		for i := range batch {
+			report(i, flight.Reply[*answer]{Outcome: policy.CallNotSent})
+		}
+		return
+	}
+	started := k.Now()
+	way := e.relays.sent(host, started)
+	in := q.gatherRequest(batch, way)
+	var first GatherReply
+	err := e.callRelay(ctx, host, MethodGather, in, &first, q.deadline)
+	took := k.Now() - started
+	if err != nil {
+		e.relays.answered(host, k.Now(), 0)
+		q.batchFailed(ctx, batch, host, err, report)
+		return
+	}
+	held := time.Duration(first.HeldMicros) * time.Microsecond
+	e.relays.answered(host, k.Now(), max(took-held, time.Microsecond))
+	q.reportBatch(batch, &first, took-held, report)
+	if first.Open == 0 {
+		return
+	}
+	var rest GatherReply
+	if err := e.callRelay(ctx, host, MethodRest, BatchName{ID: in.ID}, &rest, q.deadline); err != nil {
+		q.stopBatch(host, in.ID)
+		return
+	}
+	q.reportBatch(batch, &rest, took-held, report)
+}
+
+// gatherRequest describes a batch for the host that makes its calls. The first
+// answer is to be here before the calls that it lacks are hedged.
+func (q *request) gatherRequest(batch []policy.Action, way time.Duration) *GatherRequest {
+	now := q.engine.kernel.Now()
+	in := &GatherRequest{
+		ID:    q.engine.kernel.Settings.Host + "-" + strconv.FormatUint(q.engine.batches.Add(1), 36) + "-" + q.engine.kernel.Settings.Incarnation,
+		Route: q.route.Name, RequestID: q.id, Method: q.method, Head: q.head, Body: q.body, Top: q.route.Gather.Top,
+		FirstMillis:    max(batch[0].HedgeIn-way-gatherReserve, gatherLeast).Milliseconds(),
+		DeadlineMillis: (q.deadline - now).Milliseconds(),
+	}
+	for _, a := range batch {
+		in.Upstreams = append(in.Upstreams, a.Upstream.Name)
+	}
+	return in
+}
+
+// callRelay calls another host and gives up with the context or the deadline.
+func (e *Engine) callRelay(ctx context.Context, host, method string, in, out any, deadline time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, deadline-e.kernel.Now())
+	defer cancel()
+	return e.kernel.Peers.Call(ctx, host, method, in, out)
+}
+
+// reportBatch reports the calls that a reply tells of. Their records are kept
+// as one block that stands for all of them.
+func (q *request) reportBatch(batch []policy.Action, g *GatherReply, way time.Duration, report func(int, flight.Reply[*answer])) {
+	block := &block{records: g.Records, stamps: map[int]string{}}
+	for _, c := range g.Ended {
+		if c.Index >= 0 && c.Index < len(batch) && c.Stamp != "" {
+			block.stamps[batch[c.Index].Part] = c.Stamp
+		}
+	}
+	for _, c := range g.Ended {
+		if c.Index < 0 || c.Index >= len(batch) {
+			continue
+		}
+		r := flight.Reply[*answer]{Outcome: policy.CallOutcome(c.Outcome), Took: time.Duration(c.TookMicros)*time.Microsecond + way}
+		if c.Stamp != "" {
+			r.Outcome, r.Part = policy.CallOK, &answer{block: block}
+		}
+		report(c.Index, r)
+	}
+}
+
+// batchFailed reports a batch whose host gave no answer.
+func (q *request) batchFailed(ctx context.Context, batch []policy.Action, host string, err error, report func(int, flight.Reply[*answer])) {
+	outcome := policy.CallBroken
+	if unreached(err) {
+		outcome = policy.CallUnreachable
+	}
+	if ctx.Err() == nil {
+		q.engine.kernel.Decisions.Info().Str("RequestID", q.id).Str("Relay", host).Int("Calls", len(batch)).
+			Str("Outcome", string(outcome)).Err(err).Msg("batch not answered")
+	}
+	for i := range batch {
+		report(i, flight.Reply[*answer]{Outcome: outcome})
+	}
+}
+
+// stopBatch tells a host that its calls are not wanted any more.
+func (q *request) stopBatch(host, id string) {
+	ctx, cancel := context.WithTimeout(context.Background(), stopBound)
+	defer cancel()
+	if err := q.engine.kernel.Peers.Notify(ctx, host, MethodStop, BatchName{ID: id}); err != nil {
+		q.engine.kernel.Decisions.Info().Str("RequestID", q.id).Str("Relay", host).Err(err).Msg("batch not stopped")
+	}
+}
--- a/tier/pass/call.go
+++ b/tier/pass/call.go
@@ -35,11 +35,13 @@
 	errTooLarge = errors.New("answer is too large")
 )
 
-// answer is an upstream's whole answer.
+// answer is an upstream's whole answer, or one part of a block.
 type answer struct {
 	status int
 	header http.Header
 	body   []byte
+	// block is nil unless the part came merged with others.
+	block *block
 }
 
 // call is one request as it goes to one upstream.
--- a/tier/pass/engine.go
+++ b/tier/pass/engine.go
@@ -4,6 +4,7 @@
 package pass
 
 import (
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -34,6 +35,12 @@
 	links   atomic.Pointer[map[string]*link]
 	// splitters holds a *splitter for each name of a route with a split.
 	splitters sync.Map
+	// relays are the hosts that make calls for this one, relayed the calls that
+	// this host makes for others.
+	relays  relays
+	relayed relayed
+	// batches counts the batches sent to relays.
+	batches atomic.Uint64
 	// basis is what shares and links were made from; used on the control
 	// thread.
 	basis basis
@@ -49,7 +56,11 @@
 
 // NewEngine makes an engine that follows the kernel's views.
 func NewEngine(k *kernel.Kernel, h kernel.Headers) (*Engine, func()) {
-	e := &Engine{kernel: k, headers: h}
+	e := &Engine{
+		kernel: k, headers: h,
+		relays: relays{states: map[string]*relayState{}}, relayed: relayed{batches: map[string]*batch{}},
+	}
+	e.serveRelay()
 	e.links.Store(&map[string]*link{})
 	k.OnView(e.follow)
 	done := make(chan struct{})
@@ -123,7 +134,7 @@
 	}
 	return policy.Share{
 		Name: l.Name, Slots: max(int(connectionShare*float64(connections))/hosts, 1), Leaving: l.Leaving,
-		Listed: true, Near: l.Hall == e.kernel.Settings.Hall,
+		Listed: true, Hall: l.Hall, Near: l.Hall == e.kernel.Settings.Hall,
 	}
 }
 
@@ -164,6 +175,9 @@
 	replicas [][]*policy.Upstream
 	// reachable counts the parts that have an upstream at all.
 	reachable int
+	// hall is the other hall to which calls go that cannot be made in this
+	// host's own; empty if any does.
+	hall string
 }
 
 // plan fixes the targets of a request for its whole life.
@@ -191,5 +205,18 @@
 			p.reachable++
 		}
 	}
+	if len(groups) > 1 {
+		p.hall = e.hallOf(v.Directory.Group(groups[rand.IntN(len(groups))]))
+	}
 	return p
 }
+
+// hallOf gives the hall of any upstream that is not in this host's own hall.
+func (e *Engine) hallOf(listed []config.Listing) string {
+	for _, i := range rand.Perm(len(listed)) {
+		if h := listed[i].Hall; h != e.kernel.Settings.Hall {
+			return h
+		}
+	}
+	return ""
+}
--- a/tier/pass/merge.go
+++ b/tier/pass/merge.go
@@ -37,3 +37,79 @@
 		m.records = m.records[:m.top]
 	}
 }
+
+// block is the merged records of several parts. They cannot be told apart any
+// more, so a block is in an answer with all its parts or not at all.
+type block struct {
+	records []byte
+	// stamps are the proofs of the parts, by number of the part.
+	stamps map[int]string
+}
+
+// gathered collects the parts of one answer.
+type gathered struct {
+	// single are the parts that came by themselves, by number of the part.
+	single map[int]*answer
+	blocks []*block
+}
+
+func (g *gathered) take(part int, a *answer) {
+	switch {
+	case a.block == nil:
+		if g.single == nil {
+			g.single = map[int]*answer{}
+		}
+		g.single[part] = a
+	case !slices.Contains(g.blocks, a.block):
+		g.blocks = append(g.blocks, a.block)
+	}
+}
+
+// choose gives what makes the answer: blocks with no part in common, the
+// largest first, and the single parts that no block has.
+func (g *gathered) choose() (blocks []*block, single map[int]*answer) {
+	slices.SortStableFunc(g.blocks, func(a, b *block) int { return len(b.stamps) - len(a.stamps) })
+	in := map[int]bool{}
+	for _, b := range g.blocks {
+		if overlaps(b, in) {
+			continue
+		}
+		blocks = append(blocks, b)
+		for part := range b.stamps {
+			in[part] = true
+		}
+	}
+	single = map[int]*answer{}
+	for part, a := range g.single {
+		if !in[part] {
+			single[part] = a
+		}
+	}
+	return blocks, single
+}
+
+func overlaps(b *block, in map[int]bool) bool {
+	for part := range b.stamps {
+		if in[part] {
+			return true
+		}
+	}
+	return false
+}
+
+// merge gives the greatest records and the stamps of the parts they are from.
+func (g *gathered) merge(top int, stampHeader string) (records []byte, stamps []string) {
+	m := merger{top: top}
+	blocks, single := g.choose()
+	for _, b := range blocks {
+		m.add(b.records)
+		for _, s := range b.stamps {
+			stamps = append(stamps, s)
+		}
+	}
+	for _, a := range single {
+		m.add(a.body)
+		stamps = append(stamps, a.header.Get(stampHeader))
+	}
+	return m.result(), stamps
+}
--- /dev/null
+++ b/tier/pass/relay.go
@@ -0,0 +1,277 @@
+package pass
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"loomgap/tier/flight"
+	"loomgap/tier/kernel"
+	"loomgap/tier/peers"
+	"loomgap/tier/policy"
+)
+
+// Methods of the peer protocol.
+const (
+	// MethodGather has a host near some upstreams make calls and merge what
+	// they answer.
+	MethodGather = "Gather"
+	// MethodRest waits for the calls that the answer to Gather lacked.
+	MethodRest = "GatherRest"
+	// MethodStop tells that what is still lacking is not wanted any more.
+	MethodStop = "GatherStop"
+)
+
+// Bounds of calls made for another host.
+const (
+	// gatherReserve is how much earlier than a hedge the first answer comes.
+	gatherReserve = 4 * time.Millisecond
+	// gatherLeast is the least time that the calls have for the first answer.
+	gatherLeast = 5 * time.Millisecond
+	// maxGathered bounds the calls of one message.
+	maxGathered = 4096
+	// maxGatherTime bounds how long another host may keep calls going.
+	maxGatherTime = 10 * time.Minute
+)
+
+// GatherRequest asks for calls to upstreams in the hall of the host it goes to.
+type GatherRequest struct {
+	// ID names the batch among those of the sender.
+	ID string
+	// Route names the route whose latencies the calls belong to.
+	Route     string
+	RequestID string
+	Method    string
+	// Head is the request as it goes to every upstream.
+	Head []byte
+	Body []byte `json:",omitempty"`
+	// Upstreams are called once each.
+	Upstreams []string
+	Top       int
+	// FirstMillis is when the first answer is due, DeadlineMillis when the calls
+	// end; both from now.
+	FirstMillis, DeadlineMillis int64
+	Trace                       string `json:",omitempty"`
+}
+
+// GatherReply tells what became of the calls.
+type GatherReply struct {
+	// Ended are the calls that ended, by index of Upstreams.
+	Ended []GatheredCall
+	// Records are the greatest records of all calls in Ended that went well.
+	Records []byte
+	// Open counts the calls still under way; GatherRest asks for them.
+	Open int `json:",omitempty"`
+	// HeldMicros is how long the answer was waited for here.
+	HeldMicros int64
+}
+
+// GatheredCall tells what became of one call.
+type GatheredCall struct {
+	Index int
+	// Stamp is the upstream's proof; only if the call went well.
+	Stamp string `json:",omitempty"`
+	// Outcome is empty if the call went well.
+	Outcome    string `json:",omitempty"`
+	TookMicros int64
+}
+
+// BatchName names a batch that was asked for before.
+type BatchName struct {
+	ID string
+}
+
+var errNoBatch = errors.New("no such batch")
+
+// relayed holds the batches of other hosts that have calls under way.
+type relayed struct {
+	mu      sync.Mutex
+	batches map[string]*batch
+}
+
+// batch is a set of calls made for another host.
+type batch struct {
+	engine   *Engine
+	in       *GatherRequest
+	deadline time.Duration
+	cancel   context.CancelFunc
+
+	mu sync.Mutex
+	// ended are calls that were not told of yet, with their records.
+	ended  []GatheredCall
+	merger merger
+	// open counts the calls under way.
+	open int
+	// finished is closed when no call is under way any more.
+	finished chan struct{}
+}
+
+func (e *Engine) serveRelay() {
+	e.kernel.Handle(MethodGather, e.onGather)
+	e.kernel.Handle(MethodRest, e.onRest)
+	e.kernel.Handle(MethodStop, e.onStop)
+}
+
+// onGather makes the calls and answers when all have ended or the first answer
+// is due.
+func (e *Engine) onGather(_ context.Context, params json.RawMessage) (any, error) {
+	var in GatherRequest
+	if err := json.Unmarshal(params, &in); err != nil {
+		return nil, fmt.Errorf("bad gather: %w", err)
+	}
+	if len(in.Upstreams) == 0 || len(in.Upstreams) > maxGathered || in.Top < 1 {
+		return nil, fmt.Errorf("bad gather: %d upstreams, top %d: send 1 to %d, and a top of 1 or more", len(in.Upstreams), in.Top, maxGathered)
+	}
+	e.kernel.InFlight.Add(1)
+	defer e.kernel.InFlight.Add(-1)
+	metrics.GetOrCreateCounter("loomgap_relayed_calls_total").Add(len(in.Upstreams))
+	b := e.startBatch(&in)
+	return b.wait(time.Duration(in.FirstMillis) * time.Millisecond), nil
+}
+
+func (e *Engine) startBatch(in *GatherRequest) *batch {
+	left := min(time.Duration(in.DeadlineMillis)*time.Millisecond, maxGatherTime)
+	ctx, cancel := context.WithTimeout(context.Background(), left)
+	b := &batch{
+		engine: e, in: in, deadline: e.kernel.Now() + left, cancel: cancel,
+		merger: merger{top: in.Top}, open: len(in.Upstreams), finished: make(chan struct{}),
+	}
+	e.relayed.mu.Lock()
+	e.relayed.batches[in.ID] = b
+	e.relayed.mu.Unlock()
+	for i, name := range in.Upstreams {
+		go b.call(ctx, i, name)
+	}
+	return b
+}
+
+// call makes one call within this host's slots.
+func (b *batch) call(ctx context.Context, i int, name string) {
+	k := b.engine.kernel
+	reply := flight.Reply[*answer]{Outcome: policy.CallUnreachable}
+	started := k.Now()
+	u, l := k.Fleet.Find(name), (*b.engine.links.Load())[name]
+	if u != nil && l != nil {
+		reply.Outcome = policy.CallNotSent
+		if k.Fleet.Acquire(ctx, u, b.deadline, k.Now) {
+			started = k.Now()
+			reply = b.exchange(ctx, l, name)
+			now := k.Now()
+			policy.Deliver(k.Fleet.Finish(now, policy.Call{
+				Upstream: u, Pool: k.Fleet.RoutedPool(b.in.Route), Outcome: reply.Outcome, Took: now - started, Load: reply.Load,
+			}))
+		}
+	}
+	b.end(i, reply, k.Now()-started)
+}
+
+func (b *batch) exchange(ctx context.Context, l *link, name string) flight.Reply[*answer] {
+	k := b.engine.kernel
+	left := b.deadline - k.Now()
+	if left <= 0 || !k.Awake() || ctx.Err() != nil {
+		return flight.Reply[*answer]{Outcome: policy.CallNotSent}
+	}
+	r := l.do(ctx, &call{
+		headers: &b.engine.headers, method: b.in.Method, head: b.in.Head, body: b.in.Body,
+		id: b.in.RequestID, upstream: name, left: left,
+	})
+	out := judge(&b.engine.headers, r, true)
+	if out.Outcome == policy.CallBroken && ctx.Err() != nil {
+		out.Outcome = policy.CallCancelled
+	}
+	return out
+}
+
+func (b *batch) end(i int, r flight.Reply[*answer], took time.Duration) {
+	c := GatheredCall{Index: i, TookMicros: took.Microseconds()}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if r.Outcome == policy.CallOK {
+		c.Stamp = r.Part.header.Get(b.engine.headers.Stamp)
+		b.merger.add(r.Part.body)
+	} else {
+		c.Outcome = string(r.Outcome)
+	}
+	b.ended = append(b.ended, c)
+	if b.open--; b.open == 0 {
+		close(b.finished)
+		b.cancel()
+	}
+}
+
+// wait gives what ended until all did or a time has passed. What is given is
+// not given again.
+func (b *batch) wait(most time.Duration) *GatherReply {
+	started := b.engine.kernel.Now()
+	timer := time.NewTimer(most)
+	defer timer.Stop()
+	select {
+	case <-b.finished:
+	case <-timer.C:
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := &GatherReply{Ended: b.ended, Records: b.merger.result(), Open: b.open}
+	b.ended, b.merger.records = nil, nil
+	if b.open == 0 {
+		b.engine.relayed.drop(b.in.ID)
+	}
+	out.HeldMicros = (b.engine.kernel.Now() - started).Microseconds()
+	return out
+}
+
+func (r *relayed) find(id string) *batch {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.batches[id]
+}
+
+func (r *relayed) drop(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.batches, id)
+}
+
+// onRest answers when all calls of a batch have ended, at its deadline at the
+// latest.
+func (e *Engine) onRest(_ context.Context, params json.RawMessage) (any, error) {
+	b, err := e.batchOf(params)
+	if err != nil {
+		return nil, err
+	}
+	out := b.wait(b.deadline - e.kernel.Now())
+	e.relayed.drop(b.in.ID)
+	return out, nil
+}
+
+// onStop ends the calls of a batch.
+func (e *Engine) onStop(_ context.Context, params json.RawMessage) (any, error) {
+	b, err := e.batchOf(params)
+	if err != nil {
+		return nil, err
+	}
+	b.cancel()
+	e.relayed.drop(b.in.ID)
+	return struct{}{}, nil
+}
+
+func (e *Engine) batchOf(params json.RawMessage) (*batch, error) {
+	var in BatchName
+	if err := json.Unmarshal(params, &in); err != nil {
+		return nil, fmt.Errorf("bad batch name: %w", err)
+	}
+	if b := e.relayed.find(in.ID); b != nil {
+		return b, nil
+	}
+	return nil, fmt.Errorf("%w: %q ended or was never begun", errNoBatch, in.ID)
+}
+
+var _ kernel.Handler = (*Engine)(nil).onGather
+
+// unreached tells whether an error proves that no call of a batch was begun.
+func unreached(err error) bool { return errors.Is(err, peers.ErrNoPeer) }
--- a/tier/pass/serve.go
+++ b/tier/pass/serve.go
@@ -68,8 +68,7 @@
 	// single is the answer that was taken, failure the last failure that an
 	// upstream answered with; both for a request to one group.
 	single, failure *answer
-	merger          merger
-	stamps          []string
+	parts           gathered
 	// sends counts the calls sent for each part.
 	sends []int
 }
@@ -196,9 +195,6 @@
 		q.refuse(w, "too few groups have an upstream", retryNoUpstream)
 		return
 	}
-	if q.route.Gather != nil {
-		q.merger.top = q.route.Gather.Top
-	}
 	q.sends = make([]int, len(q.plan.groups))
 	ctx, span := q.engine.kernel.Tracer.Start(r.Context(), "route")
 	defer span.End()
@@ -232,7 +228,7 @@
 			Replicas: q.plan.replicas, Repeatable: q.route.Repeatable,
 			Routed: &policy.Routed{
 				Groups: q.plan.groups, MaxAttempts: q.route.MaxAttempts,
-				Objective: time.Duration(q.route.Objective),
+				Objective: time.Duration(q.route.Objective), Hall: q.plan.hall,
 			},
 		},
 	})
@@ -263,13 +259,12 @@
 }
 
 // Take implements flight.Caller.
-func (q *request) Take(_ int, a *answer) {
+func (q *request) Take(part int, a *answer) {
 	if q.route.Gather == nil {
 		q.single = a
 		return
 	}
-	q.stamps = append(q.stamps, a.header.Get(q.engine.headers.Stamp))
-	q.merger.add(a.body)
+	q.parts.take(part, a)
 }
 
 // Ended implements flight.Observer: it keeps an upstream's own failure, and
@@ -313,9 +308,10 @@
 // answerGathered gives the merged answer, if it covers enough.
 func (q *request) answerGathered(w http.ResponseWriter, r *policy.Result) {
 	total := len(q.plan.groups)
-	missing := total - r.Included
+	records, stamps := q.parts.merge(q.route.Gather.Top, q.engine.headers.Stamp)
+	missing := total - len(stamps)
 	switch {
-	case r.Included > 0 && float64(r.Included) >= q.class.Coverage*float64(total):
+	case len(stamps) > 0 && float64(len(stamps)) >= q.class.Coverage*float64(total):
 		outcome := outcomeServed
 		if missing > 0 {
 			outcome = outcomePartial
@@ -323,10 +319,10 @@
 		h := http.Header{}
 		h.Set("Content-Type", "application/octet-stream")
 		h.Set(q.engine.headers.RequestID, q.id)
-		h.Set(q.engine.headers.Parts, strings.Join(q.stamps, ", "))
+		h.Set(q.engine.headers.Parts, strings.Join(stamps, ", "))
 		h.Set(q.engine.headers.Missing, strconv.Itoa(missing))
 		q.log(outcome, http.StatusOK).Int("Calls", r.Attempts).Int("Missing", missing).Msg("request answered")
-		q.write(w, http.StatusOK, h, q.merger.result())
+		q.write(w, http.StatusOK, h, records)
 	case r.Ran == 0:
 		q.refuse(w, "no upstream took it", retryNoUpstream)
 	case q.engine.kernel.Now() >= q.deadline:
--- a/tier/peers/node.go
+++ b/tier/peers/node.go
@@ -108,16 +108,40 @@
 
 // Call implements kernel.PeerCaller.
 func (n *node) Call(ctx context.Context, host, method string, params, result any) error {
-	at := n.kernel.View().Members[host].Peer
-	if x := n.kernel.View().Index; x != nil && x.Host(host) != nil {
-		at = x.Host(host).Peer
-	}
-	if !at.IsValid() {
-		return fmt.Errorf("host %q is not known: %w", host, ErrNoPeer)
+	at, err := n.addressOf(host)
+	if err != nil {
+		return err
 	}
 	return n.callAddress(ctx, at, method, params, result)
 }
 
+// Notify implements kernel.PeerCaller.
+func (n *node) Notify(ctx context.Context, host, method string, params any) error {
+	at, err := n.addressOf(host)
+	if err != nil {
+		return err
+	}
+	c, err := n.dial(ctx, at)
+	if err != nil {
+		return err
+	}
+	if err := c.Notify(ctx, method, params); err != nil {
+		return fmt.Errorf("%s at %s: %w", method, at, err)
+	}
+	return nil
+}
+
+func (n *node) addressOf(host string) (netip.AddrPort, error) {
+	v := n.kernel.View()
+	if v.Index != nil && v.Index.Host(host) != nil {
+		return v.Index.Host(host).Peer, nil
+	}
+	if at := v.Members[host].Peer; at.IsValid() {
+		return at, nil
+	}
+	return netip.AddrPort{}, fmt.Errorf("host %q is not known: %w", host, ErrNoPeer)
+}
+
 func (n *node) callAddress(ctx context.Context, to netip.AddrPort, method string, params, result any) error {
 	c, err := n.dial(ctx, to)
 	if err != nil {
--- a/tier/policy/attempt.go
+++ b/tier/policy/attempt.go
@@ -125,7 +125,7 @@
 		if fit && !u.fit(now) {
 			continue
 		}
-		if s := r.chooser.Score(now, u, r.pool, r.fleet.random); s < low {
+		if s := r.chooser.Score(now, u, r.pool, r.fleet.random) * r.hallFactor(u); s < low {
 			best, low = u, s
 		}
 	}
@@ -165,7 +165,7 @@
 	r.parts[a.part].arrivals++
 	r.calls++
 	r.wakeBy(r.hedgeTime(now, a))
-	return append(out, Action{Kind: ActionSend, Attempt: n, Part: a.part, Upstream: a.upstream})
+	return append(out, Action{Kind: ActionSend, Attempt: n, Part: a.part, Upstream: a.upstream, HedgeIn: r.hedgeAge})
 }
 
 func (r *Run) include(i int, out []Action) []Action {
--- a/tier/policy/fleet.go
+++ b/tier/policy/fleet.go
@@ -68,7 +68,9 @@
 	// Listed is true for an upstream of a routed group: it is judged by its
 	// silence, not by how its latency compares, and needs no slow start.
 	Listed bool
-	// Near is true for a listed upstream in the data hall of this host.
+	// Hall is the data hall of a listed upstream; Near is true if it is the
+	// hall of this host.
+	Hall string
 	Near bool
 }
 
@@ -85,7 +87,7 @@
 			u = &Upstream{Name: s.Name, heardAt: never, askedAt: never}
 		}
 		u.share, u.most, u.leaving = s.Slots, max(s.Most, s.Slots), s.Leaving || u.gone
-		u.listed, u.near = s.Listed, s.Near
+		u.listed, u.near, u.hall = s.Listed, s.Near, s.Hall
 		u.borrowed = min(u.borrowed, u.most-u.share)
 		next[s.Name] = u
 		granted = append(granted, u.grant(now)...)
@@ -113,6 +115,13 @@
 	return out
 }
 
+// HallOf gives the data hall of a listed upstream.
+func (f *Fleet) HallOf(u *Upstream) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return u.hall
+}
+
 // Resolve gives the upstreams of each list of names; unknown ones are left out.
 func (f *Fleet) Resolve(names [][]string) [][]*Upstream {
 	f.mu.Lock()
--- a/tier/policy/queue.go
+++ b/tier/policy/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"context"
 	"time"
 )
 
@@ -43,6 +44,26 @@
 	return w.place == placeGranted
 }
 
+// Acquire waits for a slot outside a run until a deadline or the end of the
+// context, and tells whether the slot was granted.
+func (f *Fleet) Acquire(ctx context.Context, u *Upstream, deadline time.Duration, now func() time.Duration) bool {
+	got := make(chan struct{})
+	w := &Waiter{Upstream: u, Deadline: deadline, Granted: func() { close(got) }}
+	granted, queued := f.Enter(w)
+	if !queued {
+		return granted
+	}
+	timer := time.NewTimer(deadline - now())
+	defer timer.Stop()
+	select {
+	case <-got:
+		return true
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return f.Abandon(w)
+}
+
 // enter asks for a slot; the fleet is locked. It reports whether the slot was
 // granted at once; if not, the waiter is queued unless the queue is full.
 func (f *Fleet) enter(w *Waiter) (granted, queued bool) {
--- a/tier/policy/route.go
+++ b/tier/policy/route.go
@@ -31,10 +31,24 @@
 	Groups []string
 	// MaxAttempts is the most upstreams that may run one part; 1 or more.
 	MaxAttempts int
+	// Hall is the data hall that is preferred among those other than this
+	// host's own, so that calls may go there together; empty for none.
+	Hall string
 	// Objective is the time within which an answer has its full worth.
 	Objective time.Duration
 }
 
+// otherHallFactor counts an upstream for slower that is neither near nor in
+// the preferred hall, by more than latencies of like upstreams differ.
+const otherHallFactor = 1.2
+
+func (r *Run) hallFactor(u *Upstream) float64 {
+	if r.routed == nil || u.near || r.routed.Hall == "" || u.hall == r.routed.Hall {
+		return 1
+	}
+	return otherHallFactor
+}
+
 // group is what the requests to one group of upstreams share in one host.
 type group struct {
 	repeats budget
--- a/tier/policy/run.go
+++ b/tier/policy/run.go
@@ -40,6 +40,8 @@
 	// Part is the index of the shard within the run.
 	Part     int
 	Upstream *Upstream
+	// HedgeIn is after what time a sent attempt is hedged.
+	HedgeIn time.Duration
 	// Outcome is what a cancelled attempt is to be reported as.
 	Outcome CallOutcome
 }
--- a/tier/policy/upstream.go
+++ b/tier/policy/upstream.go
@@ -45,8 +45,9 @@
 	slow      bool
 	nextProbe time.Duration
 	window    Window
-	// listed, near: see Share.
+	// listed, near, hall: see Share.
 	listed, near bool
+	hall         string
 	// gone is true once another upstream answered at its address; its name
 	// never comes back.
 	gone bool
