--- a/tier/flight/flight.go
+++ b/tier/flight/flight.go
@@ -94,6 +94,9 @@
 
 type call struct {
 	cancel context.CancelFunc
+	// batched is true for a call that another host makes within its own slots;
+	// it holds none of this host's.
+	batched bool
 	// outcome is what a cancelled call counts as; empty if not cancelled.
 	outcome policy.CallOutcome
 }
@@ -200,25 +203,26 @@
 			close(f.done)
 		}
 	}
-	f.launch(sends)
-	return granted
+	return append(granted, f.launch(sends)...)
 }
 
-// launch starts calls; the flight is locked.
-func (f *Flight[R]) launch(sends []policy.Action) {
+// launch starts calls; the flight is locked. Waiters that got a slot are to be
+// told after unlocking.
+func (f *Flight[R]) launch(sends []policy.Action) (granted []*policy.Waiter) {
 	if f.batcher == nil || len(sends) < 2 {
 		for _, a := range sends {
 			f.send(a)
 		}
-		return
+		return nil
 	}
 	for _, b := range f.batcher.Batches(sends) {
 		if len(b) == 1 {
 			f.send(b[0])
 			continue
 		}
-		f.sendBatch(b)
+		granted = append(granted, f.sendBatch(b)...)
 	}
+	return granted
 }
 
 func (f *Flight[R]) send(a policy.Action) {
@@ -230,14 +234,14 @@
 
 // sendBatch starts the calls of a batch. The batch is cancelled once each of
 // its calls was cancelled or has its reply.
-func (f *Flight[R]) sendBatch(batch []policy.Action) {
+func (f *Flight[R]) sendBatch(batch []policy.Action) (granted []*policy.Waiter) {
 	ctx, cancel := context.WithCancel(f.ctx)
 	left := len(batch)
 	calls := make([]*call, len(batch))
 	for i, a := range batch {
 		// Calls are cancelled with the flight locked.
 		once := false
-		calls[i] = &call{cancel: func() {
+		calls[i] = &call{batched: true, cancel: func() {
 			if once {
 				return
 			}
@@ -247,11 +251,13 @@
 			}
 		}}
 		f.calls[a.Attempt] = calls[i]
+		granted = append(granted, f.kernel.Fleet.Free(f.kernel.Now(), a.Upstream)...)
 	}
 	go func() {
 		defer cancel()
 		f.callBatch(ctx, batch, calls)
 	}()
+	return granted
 }
 
 // callBatch makes the calls of a batch and reports them.
@@ -302,6 +308,7 @@
 	countCall(reply.Outcome)
 	granted := k.Fleet.Finish(now, policy.Call{
 		Upstream: a.Upstream, Pool: f.pool, Outcome: reply.Outcome, Took: reply.Took, Load: reply.Load,
+		Elsewhere: c.batched,
 	})
 	f.handle(func(now time.Duration) []policy.Action {
 		f.reply = reply.Part
--- a/tier/pass/engine.go
+++ b/tier/pass/engine.go
@@ -22,6 +22,9 @@
 	// connectionShare is the part of an upstream's connections that all hosts
 	// together use; the rest is for those that are being replaced.
 	connectionShare = 0.9
+	// burstShare is how many times its even part of the connections a host may
+	// use: hosts are not all busy with one upstream at the same moment.
+	burstShare = 2
 	// slackShare is the part of the slack of repeats that hosts share out. A
 	// host may not know of all others.
 	slackShare = 0.6
@@ -133,7 +136,7 @@
 		connections = g.Connections
 	}
 	return policy.Share{
-		Name: l.Name, Slots: max(int(connectionShare*float64(connections))/hosts, 1), Leaving: l.Leaving,
+		Name: l.Name, Slots: max(int(burstShare*connectionShare*float64(connections))/hosts, 1), Leaving: l.Leaving,
 		Listed: true, Hall: l.Hall, Near: l.Hall == e.kernel.Settings.Hall,
 	}
 }
--- a/tier/policy/fleet.go
+++ b/tier/policy/fleet.go
@@ -221,6 +221,8 @@
 	Took time.Duration
 	// Load is what the upstream said of itself; zero if it said nothing.
 	Load Load
+	// Elsewhere is true for a call that another host made: it held no slot.
+	Elsewhere bool
 }
 
 // Load is an upstream's own word on its work.
@@ -234,6 +236,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	c.Upstream.learn(now, c)
+	if c.Elsewhere {
+		return nil
+	}
 	c.Upstream.inUse--
 	return c.Upstream.grant(now)
 }
