--- a/tier/policy/fleet.go
+++ b/tier/policy/fleet.go
@@ -22,7 +22,11 @@
 	latencyWeight = 0.1
 	// latencyLeap bounds how far one sample counts above the smoothed latency,
 	// so that one straggler does not make an upstream slow, but four do.
-	latencyLeap  = 4
+	latencyLeap = 4
+	// listedWeight and listedLeap are the same for listed upstreams, of which
+	// this host sees few calls.
+	listedWeight = 0.25
+	listedLeap   = 8
 	borrowFirst  = 16
 	borrowLatest = 1 << 16
 )
--- a/tier/policy/upstream.go
+++ b/tier/policy/upstream.go
@@ -179,8 +179,12 @@
 		u.latency = d
 		return
 	}
-	d = min(d, latencyLeap*u.latency)
-	weight := max(latencyWeight, 1/float64(u.samples))
+	leap, least := latencyLeap, latencyWeight
+	if u.listed {
+		leap, least = listedLeap, listedWeight
+	}
+	d = min(d, time.Duration(leap)*u.latency)
+	weight := max(least, 1/float64(u.samples))
 	u.latency += time.Duration(weight * float64(d-u.latency))
 }
 
