--- a/tier/pass/batch.go
+++ b/tier/pass/batch.go
@@ -187,7 +187,7 @@
 	now := q.engine.kernel.Now()
 	in := &GatherRequest{
 		ID:    q.engine.kernel.Settings.Host + "-" + strconv.FormatUint(q.engine.batches.Add(1), 36) + "-" + q.engine.kernel.Settings.Incarnation,
-		Route: q.route.Name, RequestID: q.id, Method: q.method, Head: q.head, Body: q.body, Top: q.route.Gather.Top,
+		Route: q.route.Name, RequestID: q.id, Method: q.method, Head: string(q.head), Body: q.body, Top: q.route.Gather.Top,
 		FirstMillis:    max(batch[0].HedgeIn-way-gatherReserve, gatherLeast).Milliseconds(),
 		DeadlineMillis: (q.deadline - now).Milliseconds(),
 	}
--- a/tier/pass/engine.go
+++ b/tier/pass/engine.go
@@ -27,7 +27,7 @@
 	burstShare = 2
 	// slackShare is the part of the slack of repeats that hosts share out. A
 	// host may not know of all others.
-	slackShare = 0.6
+	slackShare = 0.9
 	sweepEvery = time.Second
 )
 
--- a/tier/pass/relay.go
+++ b/tier/pass/relay.go
@@ -48,7 +48,7 @@
 	RequestID string
 	Method    string
 	// Head is the request as it goes to every upstream.
-	Head []byte
+	Head string
 	Body []byte `json:",omitempty"`
 	// Upstreams are called once each.
 	Upstreams []string
@@ -177,7 +177,7 @@
 		return flight.Reply[*answer]{Outcome: policy.CallNotSent}
 	}
 	r := l.do(ctx, &call{
-		headers: &b.engine.headers, method: b.in.Method, head: b.in.Head, body: b.in.Body,
+		headers: &b.engine.headers, method: b.in.Method, head: []byte(b.in.Head), body: b.in.Body,
 		id: b.in.RequestID, upstream: name, left: left,
 	})
 	out := judge(&b.engine.headers, r, true)
--- a/tier/peers/codec.go
+++ b/tier/peers/codec.go
@@ -2,25 +2,51 @@
 
 import (
 	"bufio"
+	"bytes"
+	"compress/flate"
 	"encoding/binary"
 	"encoding/json"
 	"fmt"
 	"io"
+	"sync"
 
 	"github.com/sourcegraph/jsonrpc2"
 
 	"loomgap/tier/wire"
 )
 
-// frameCodec writes each JSON-RPC object behind its length in 4 bytes, most
-// significant first. A frame over wire.MaxReply ends the connection, so a peer
-// that sends garbage cannot fill the memory.
+// frameCodec writes each JSON-RPC object, compressed, behind its length in 4
+// bytes, most significant first. A frame over wire.MaxReply ends the
+// connection, so a peer that sends garbage cannot fill the memory.
 type frameCodec struct{}
 
 var _ jsonrpc2.ObjectCodec = frameCodec{}
 
 const lengthBytes = 4
 
+// dictionary is text that messages have in common. Both ends need the same
+// one, so a change of it is a change of the protocol.
+var dictionary = []byte(`"Host":"","Incarnation":"","Counter":,"Revision":,"Hall":"","Peer":"0.0.0.0:0","Digest":"","Published":,` +
+	`"PlatformAge":,"Directory":,"DirectoryRevision":,"Leaving":true,{"Members":[{"Host":"front-hall-","Incarnation":"18` +
+	`HTTP/1.1\r\nHost: .example\r\nUser-Agent: \r\nAccept: */*\r\nAccept-Encoding: \r\nContent-Length: \r\n` +
+	`"Outcome":"Cancelled","Outcome":"Broken","Outcome":"Shed","HeldMicros":,"Records":"","Open":,` +
+	`{"jsonrpc":"2.0","id":,"result":{"Ended":[{"Index":0,"Stamp":"","TookMicros":},{"Index":1,"Stamp":"` +
+	`{"method":"Gather","params":{"ID":"","Route":"r-","RequestID":"","Method":"GET","Head":"GET /` +
+	`"Upstreams":["i-","i-"],"Top":50,"FirstMillis":,"DeadlineMillis":,{"method":"GatherRest","params":{"ID":"` +
+	`{"method":"Beat","params":{"jsonrpc":"2.0"}`)
+
+// Writers and readers are kept, since making one costs more than a message.
+var (
+	deflaters = sync.Pool{New: func() any {
+		w, err := flate.NewWriterDict(io.Discard, flate.BestSpeed, dictionary)
+		if err != nil {
+			panic(err) // the level is a constant that is known to be valid
+		}
+		return w
+	}}
+	inflaters = sync.Pool{New: func() any { return flate.NewReaderDict(bytes.NewReader(nil), dictionary) }}
+)
+
 // WriteObject implements jsonrpc2.ObjectCodec.
 func (frameCodec) WriteObject(stream io.Writer, v any) error {
 	text, err := json.Marshal(v)
@@ -30,8 +56,19 @@
 	if len(text) > wire.MaxReply {
 		return fmt.Errorf("frame of %d bytes: %w", len(text), wire.ErrTooLarge)
 	}
-	frame := binary.BigEndian.AppendUint32(make([]byte, 0, lengthBytes+len(text)), uint32(len(text)))
-	_, err = stream.Write(append(frame, text...))
+	var frame bytes.Buffer
+	frame.Write(make([]byte, lengthBytes))
+	w := deflaters.Get().(*flate.Writer)
+	defer deflaters.Put(w)
+	w.Reset(&frame)
+	if _, err := w.Write(text); err != nil {
+		return fmt.Errorf("compress frame: %w", err)
+	}
+	if err := w.Close(); err != nil {
+		return fmt.Errorf("compress frame: %w", err)
+	}
+	binary.BigEndian.PutUint32(frame.Bytes(), uint32(frame.Len()-lengthBytes))
+	_, err = stream.Write(frame.Bytes())
 	return err
 }
 
@@ -45,5 +82,21 @@
 	if n > wire.MaxReply {
 		return fmt.Errorf("frame of %d bytes: %w", n, wire.ErrTooLarge)
 	}
-	return json.NewDecoder(io.LimitReader(stream, int64(n))).Decode(v)
+	packed := make([]byte, n)
+	if _, err := io.ReadFull(stream, packed); err != nil {
+		return err
+	}
+	r := inflaters.Get().(io.ReadCloser)
+	defer inflaters.Put(r)
+	if err := r.(flate.Resetter).Reset(bytes.NewReader(packed), dictionary); err != nil {
+		return fmt.Errorf("expand frame: %w", err)
+	}
+	text, err := io.ReadAll(io.LimitReader(r, wire.MaxReply+1))
+	if err != nil {
+		return fmt.Errorf("expand frame: %w", err)
+	}
+	if len(text) > wire.MaxReply {
+		return fmt.Errorf("frame expands: %w", wire.ErrTooLarge)
+	}
+	return json.Unmarshal(text, v)
 }
--- a/tier/policy/route.go
+++ b/tier/policy/route.go
@@ -9,10 +9,12 @@
 	routedSends = 4
 	// repeatShare is the part of the allowed repeats that is ever used, since
 	// hosts count in windows of their own.
-	repeatShare = 0.85
+	repeatShare = 0.95
+	// repeatsAtStart is the part of the depth that a host begins with.
+	repeatsAtStart = 0.25
 	// hedgeLatest is the part of the objective after which a part is hedged
 	// at the latest, so that the second answer can still be in time.
-	hedgeLatest = 0.4
+	hedgeLatest = 0.35
 	// hedgeUnknown is the same while the latencies are not known.
 	hedgeUnknown = 0.25
 )
@@ -66,11 +68,12 @@
 }
 
 // group finds what is shared about a group; the fleet is locked. A group
-// begins with half of the depth, since a host may be started again at once.
+// begins with a part of the depth: all hosts may be started again at once, and
+// what they spent before still counts.
 func (f *Fleet) group(name string) *group {
 	g := f.groups[name]
 	if g == nil {
-		g = &group{repeats: budget{f.repeats.Depth / 2}}
+		g = &group{repeats: budget{f.repeats.Depth * repeatsAtStart}}
 		f.groups[name] = g
 	}
 	return g
