--- a/tier/config/route.go
+++ b/tier/config/route.go
@@ -107,7 +107,7 @@
 const (
 	// routeHedgeQuantile is lower than a class's own: the budget of repeats is
 	// the bound, and a pause of an upstream is cheapest left early.
-	routeHedgeQuantile = 0.9
+	routeHedgeQuantile = 0.95
 	// homeReserve is kept back from an objective for the way of the answer to
 	// its caller: connection, links, merge. From days on the bench.
 	homeReserve = Duration(18 * time.Millisecond)
--- a/tier/policy/route.go
+++ b/tier/policy/route.go
@@ -14,7 +14,7 @@
 	repeatsAtStart = 0.25
 	// hedgeLatest is the part of the objective after which a part is hedged
 	// at the latest, so that the second answer can still be in time.
-	hedgeLatest = 0.35
+	hedgeLatest = 0.4
 	// hedgeUnknown is the same while the latencies are not known.
 	hedgeUnknown = 0.25
 )
