--- a/tier/flight/flight.go
+++ b/tier/flight/flight.go
@@ -45,9 +45,9 @@
 
 // Batcher makes several calls in one. A Caller may implement it.
 type Batcher[R any] interface {
-	// Batches divides calls that begin together into those that are made
-	// together. A batch of one is made by Call.
-	Batches(sends []policy.Action) [][]policy.Action
+	// Batches divides calls that begin together into batches and those that
+	// Call is to make.
+	Batches(sends []policy.Action) (batches [][]policy.Action, apart []policy.Action)
 	// CallBatch makes the calls of a batch and reports what became of each, as
 	// soon as it is known. What it has not reported when it returns counts as
 	// broken. It ends soon after its context does.
@@ -209,17 +209,14 @@
 // launch starts calls; the flight is locked. Waiters that got a slot are to be
 // told after unlocking.
 func (f *Flight[R]) launch(sends []policy.Action) (granted []*policy.Waiter) {
-	if f.batcher == nil || len(sends) < 2 {
-		for _, a := range sends {
-			f.send(a)
-		}
-		return nil
+	var batches [][]policy.Action
+	if f.batcher != nil && len(sends) > 0 {
+		batches, sends = f.batcher.Batches(sends)
 	}
-	for _, b := range f.batcher.Batches(sends) {
-		if len(b) == 1 {
-			f.send(b[0])
-			continue
-		}
+	for _, a := range sends {
+		f.send(a)
+	}
+	for _, b := range batches {
 		granted = append(granted, f.sendBatch(b)...)
 	}
 	return granted
--- a/tier/pass/batch.go
+++ b/tier/pass/batch.go
@@ -15,9 +15,6 @@
 
 // Bounds of batches that go to another host.
 const (
-	// batchLeast is the fewest calls that go through another host: fewer cost
-	// less when they are made directly.
-	batchLeast = 3
 	// relaySilent is how long a host may owe an answer until others are asked
 	// first, and relayRest how long it is left alone then.
 	relaySilent = 150 * time.Millisecond
@@ -111,38 +108,27 @@
 }
 
 // Batches implements flight.Batcher: calls to upstreams of one other hall go
-// together through a host there.
-func (q *request) Batches(sends []policy.Action) [][]policy.Action {
+// together through a host there. Even a single call does: that host has
+// connections to the upstream, and making one from afar takes longer than the
+// call.
+func (q *request) Batches(sends []policy.Action) (batches [][]policy.Action, apart []policy.Action) {
 	if q.route.Gather == nil {
-		return apart(sends)
+		return nil, sends
 	}
+	k := q.engine.kernel
 	byHall := map[string][]policy.Action{}
-	var halls []string
-	own := q.engine.kernel.Settings.Hall
 	for _, a := range sends {
-		h := q.engine.kernel.Fleet.HallOf(a.Upstream)
-		if byHall[h] == nil {
-			halls = append(halls, h)
-		}
+		h := k.Fleet.HallOf(a.Upstream)
 		byHall[h] = append(byHall[h], a)
 	}
-	var out [][]policy.Action
-	for _, h := range halls {
-		if h == own || len(byHall[h]) < batchLeast || q.engine.relays.choose(q.view, h, q.engine.kernel.Now()) == "" {
-			out = append(out, apart(byHall[h])...)
+	for h, calls := range byHall {
+		if h == k.Settings.Hall || q.engine.relays.choose(q.view, h, k.Now()) == "" {
+			apart = append(apart, calls...)
 			continue
 		}
-		out = append(out, byHall[h])
-	}
-	return out
-}
-
-func apart(sends []policy.Action) [][]policy.Action {
-	out := make([][]policy.Action, len(sends))
-	for i := range sends {
-		out[i] = sends[i : i+1]
+		batches = append(batches, calls)
 	}
-	return out
+	return batches, apart
 }
 
 // CallBatch implements flight.Batcher.
