--- a/tier/flight/flight.go
+++ b/tier/flight/flight.go
@@ -70,7 +70,6 @@
 	observer Observer[R]
 	// batcher is nil if the caller makes each call by itself.
 	batcher  Batcher[R]
-	pool     *policy.Pool
 	deadline time.Duration
 	ctx      context.Context
 
@@ -104,7 +103,7 @@
 // New prepares a flight.
 func New[R any](c Config[R]) (*Flight[R], error) {
 	f := &Flight[R]{
-		kernel: c.Kernel, caller: c.Caller, pool: c.Run.Pool, deadline: c.Run.Deadline,
+		kernel: c.Kernel, caller: c.Caller, deadline: c.Run.Deadline,
 		calls: map[int]*call{}, done: make(chan struct{}),
 	}
 	f.batcher, _ = c.Caller.(Batcher[R])
@@ -304,7 +303,7 @@
 	f.mu.Unlock()
 	countCall(reply.Outcome)
 	granted := k.Fleet.Finish(now, policy.Call{
-		Upstream: a.Upstream, Pool: f.pool, Outcome: reply.Outcome, Took: reply.Took, Load: reply.Load,
+		Upstream: a.Upstream, Pool: a.Pool, Outcome: reply.Outcome, Took: reply.Took, Load: reply.Load,
 		Elsewhere: c.batched,
 	})
 	f.handle(func(now time.Duration) []policy.Action {
--- a/tier/pass/batch.go
+++ b/tier/pass/batch.go
@@ -174,7 +174,7 @@
 	in := &GatherRequest{
 		ID:    q.engine.kernel.Settings.Host + "-" + strconv.FormatUint(q.engine.batches.Add(1), 36) + "-" + q.engine.kernel.Settings.Incarnation,
 		Route: q.route.Name, RequestID: q.id, Method: q.method, Head: string(q.head), Body: q.body, Top: q.route.Gather.Top,
-		FirstMillis:    max(batch[0].HedgeIn-way-gatherReserve, gatherLeast).Milliseconds(),
+		FirstMillis:    max(q.firstDue(batch)-way-gatherReserve, gatherLeast).Milliseconds(),
 		DeadlineMillis: (q.deadline - now).Milliseconds(),
 	}
 	for _, a := range batch {
@@ -183,6 +183,18 @@
 	return in
 }
 
+// firstDue is in what time the first answer for a batch is wanted: before its
+// calls are hedged, or if they will not be, when the answer is put together.
+func (q *request) firstDue(batch []policy.Action) time.Duration {
+	due := q.begun + time.Duration(q.class.Patience) - q.engine.kernel.Now()
+	for _, a := range batch {
+		if a.HedgeIn > 0 {
+			due = min(due, a.HedgeIn)
+		}
+	}
+	return due
+}
+
 // callRelay calls another host and gives up with the context or the deadline.
 func (e *Engine) callRelay(ctx context.Context, host, method string, in, out any, deadline time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, deadline-e.kernel.Now())
--- a/tier/pass/relay.go
+++ b/tier/pass/relay.go
@@ -162,8 +162,9 @@
 			started = k.Now()
 			reply = b.exchange(ctx, l, name)
 			now := k.Now()
+			near, _ := k.Fleet.RoutedPools(b.in.Route)
 			policy.Deliver(k.Fleet.Finish(now, policy.Call{
-				Upstream: u, Pool: k.Fleet.RoutedPool(b.in.Route), Outcome: reply.Outcome, Took: now - started, Load: reply.Load,
+				Upstream: u, Pool: near, Outcome: reply.Outcome, Took: now - started, Load: reply.Load,
 			}))
 		}
 	}
--- a/tier/pass/serve.go
+++ b/tier/pass/serve.go
@@ -221,13 +221,14 @@
 
 func (q *request) fly(ctx context.Context) (policy.Result, error) {
 	k := q.engine.kernel
+	near, far := k.Fleet.RoutedPools(q.route.Name)
 	f, err := flight.New(flight.Config[*answer]{
 		Kernel: k, Caller: q,
 		Run: policy.RunConfig{
-			Fleet: k.Fleet, Pool: k.Fleet.RoutedPool(q.route.Name), Class: q.class, Deadline: q.deadline,
+			Fleet: k.Fleet, Pool: near, Class: q.class, Deadline: q.deadline,
 			Replicas: q.plan.replicas, Repeatable: q.route.Repeatable,
 			Routed: &policy.Routed{
-				Groups: q.plan.groups, MaxAttempts: q.route.MaxAttempts,
+				Groups: q.plan.groups, FarPool: far, MaxAttempts: q.route.MaxAttempts,
 				Objective: time.Duration(q.route.Objective), Hall: q.plan.hall,
 			},
 		},
--- a/tier/policy/attempt.go
+++ b/tier/policy/attempt.go
@@ -36,7 +36,7 @@
 		return out
 	}
 	a := &r.attempts[p.live[0]]
-	if a.phase == phaseQueued || now-a.sentAt < r.hedgeAge {
+	if a.phase == phaseQueued || now-a.sentAt < a.hedgeAge {
 		return out
 	}
 	return r.hedge(now, i, out)
@@ -125,7 +125,7 @@
 		if fit && !u.fit(now) {
 			continue
 		}
-		if s := r.chooser.Score(now, u, r.pool, r.fleet.random) * r.hallFactor(u); s < low {
+		if s := r.chooser.Score(now, u, r.poolOf(u), r.fleet.random) * r.hallFactor(u); s < low {
 			best, low = u, s
 		}
 	}
@@ -159,13 +159,18 @@
 	a := &r.attempts[n]
 	a.phase = phaseSent
 	a.sentAt = now
+	a.hedgeAge = r.hedgeDelay(a.upstream)
 	a.upstream.sent(now)
 	r.parts[a.part].ran++
 	r.parts[a.part].sends++
 	r.parts[a.part].arrivals++
 	r.calls++
 	r.wakeBy(r.hedgeTime(now, a))
-	return append(out, Action{Kind: ActionSend, Attempt: n, Part: a.part, Upstream: a.upstream, HedgeIn: r.hedgeAge})
+	send := Action{Kind: ActionSend, Attempt: n, Part: a.part, Upstream: a.upstream, Pool: r.poolOf(a.upstream)}
+	if !r.parts[a.part].hedged {
+		send.HedgeIn = a.hedgeAge
+	}
+	return append(out, send)
 }
 
 func (r *Run) include(i int, out []Action) []Action {
@@ -250,11 +255,11 @@
 	if r.config.Hedge == config.HedgeNone || !r.repeatable {
 		return r.deadline
 	}
-	first := a.sentAt + r.hedgeAge
+	first := a.sentAt + a.hedgeAge
 	if a.phase == phaseSent && first > now {
 		return first
 	}
-	return now + max(r.hedgeAge/4, hedgeLeast)
+	return now + max(a.hedgeAge/4, hedgeLeast)
 }
 
 func (p *part) remove(n int) {
--- a/tier/policy/fleet.go
+++ b/tier/policy/fleet.go
@@ -144,12 +144,13 @@
 	return f.pool(service, NewPool)
 }
 
-// RoutedPool gives the latency pool of a route, made at first use.
-func (f *Fleet) RoutedPool(route string) *Pool {
+// RoutedPools give the latencies of a route's calls within this host's hall and
+// to others, made at first use.
+func (f *Fleet) RoutedPools(route string) (near, far *Pool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	// A route may have the name of a service.
-	return f.pool("route "+route, newRoutedPool)
+	return f.pool("near "+route, newRoutedPool), f.pool("far "+route, newRoutedPool)
 }
 
 // pool finds or makes a pool; the fleet is locked.
--- a/tier/policy/route.go
+++ b/tier/policy/route.go
@@ -15,6 +15,12 @@
 	// hedgeLatest is the part of the objective after which a part is hedged
 	// at the latest, so that the second answer can still be in time.
 	hedgeLatest = 0.4
+	// hedgeDone is the part of the objective by which a hedge is to be done, if
+	// it takes no longer than hedgeFarQuantile of the far calls; hedgeEarliest
+	// is the part that a call has in any case.
+	hedgeDone        = 0.8
+	hedgeFarQuantile = 0.8
+	hedgeEarliest    = 0.1
 	// hedgeUnknown is the same while the latencies are not known.
 	hedgeUnknown = 0.25
 )
@@ -31,6 +37,8 @@
 type Routed struct {
 	// Groups holds for each part the group whose budget its repeats use.
 	Groups []string
+	// FarPool holds the latencies of calls to other halls than this host's.
+	FarPool *Pool
 	// MaxAttempts is the most upstreams that may run one part; 1 or more.
 	MaxAttempts int
 	// Hall is the data hall that is preferred among those other than this
@@ -125,13 +133,30 @@
 	return float64(r.included+r.open) < r.config.Coverage*float64(len(r.parts))
 }
 
-// routedHedgeDelay is when to hedge the parts of a routed request.
-func (r *Run) routedHedgeDelay() time.Duration {
-	if !r.pool.Known() {
-		return time.Duration(hedgeUnknown * float64(r.routed.Objective))
+// poolOf gives the pool that an upstream's latencies belong to. What is far
+// takes longer than what is near, whatever the upstream does.
+func (r *Run) poolOf(u *Upstream) *Pool {
+	if r.routed == nil || u.near {
+		return r.pool
 	}
-	latest := time.Duration(hedgeLatest * float64(r.routed.Objective))
-	return max(min(r.pool.Quantile(r.config.HedgeQuantile), latest), hedgeLeast)
+	return r.routed.FarPool
+}
+
+// routedHedgeDelay is when to hedge a call of a routed request: when it takes
+// longer than nearly all like calls, but for a near one not so late that the
+// answer from afar would come too late.
+func (r *Run) routedHedgeDelay(u *Upstream) time.Duration {
+	objective := float64(r.routed.Objective)
+	p := r.poolOf(u)
+	if !p.Known() {
+		return time.Duration(hedgeUnknown * objective)
+	}
+	latest := time.Duration(hedgeLatest * objective)
+	if far := r.routed.FarPool; u.near && far.Known() {
+		latest = min(latest, time.Duration(hedgeDone*objective)-far.Quantile(hedgeFarQuantile))
+	}
+	latest = max(latest, time.Duration(hedgeEarliest*objective))
+	return max(min(p.Quantile(r.config.HedgeQuantile), latest), hedgeLeast)
 }
 
 func init() { RegisterChooser("Soonest", soonest{}) }
--- a/tier/policy/run.go
+++ b/tier/policy/run.go
@@ -40,7 +40,9 @@
 	// Part is the index of the shard within the run.
 	Part     int
 	Upstream *Upstream
-	// HedgeIn is after what time a sent attempt is hedged.
+	// Pool is where the latency of a sent attempt belongs.
+	Pool *Pool
+	// HedgeIn is after what time a sent attempt is hedged; 0 if it will not be.
 	HedgeIn time.Duration
 	// Outcome is what a cancelled attempt is to be reported as.
 	Outcome CallOutcome
@@ -98,6 +100,8 @@
 	upstream *Upstream
 	phase    phase
 	sentAt   time.Duration
+	// hedgeAge is how long after sentAt it is hedged.
+	hedgeAge time.Duration
 	waiter   *Waiter
 }
 
@@ -122,7 +126,6 @@
 	included int
 	begun    time.Duration
 	patience time.Duration
-	hedgeAge time.Duration
 	admitted bool
 	finished bool
 	// unknown is true once a not-repeatable attempt may have run unseen.
@@ -168,7 +171,6 @@
 	r.admitted = true
 	r.begun = now
 	r.patience = now + time.Duration(r.config.Patience)
-	r.hedgeAge = r.hedgeDelay(now)
 	c := r.fleet.class(r.class)
 	c.hedges.earn(len(r.parts), r.config.HedgeBudget)
 	c.retries.earn(len(r.parts), retryRatio)
@@ -184,12 +186,13 @@
 	return r.settle(now, out), nil
 }
 
-func (r *Run) hedgeDelay(now time.Duration) time.Duration {
+// hedgeDelay is after what time a call to an upstream is hedged.
+func (r *Run) hedgeDelay(u *Upstream) time.Duration {
 	if r.routed != nil {
-		return r.routedHedgeDelay()
+		return r.routedHedgeDelay(u)
 	}
 	if !r.pool.Known() {
-		return (r.deadline - now) / 3
+		return (r.deadline - r.begun) / 3
 	}
 	return max(r.pool.Quantile(r.config.HedgeQuantile), hedgeLeast)
 }
