--- a/tier/flight/flight.go
+++ b/tier/flight/flight.go
@@ -98,6 +98,8 @@
 	batched bool
 	// outcome is what a cancelled call counts as; empty if not cancelled.
 	outcome policy.CallOutcome
+	// lingering is true once the call goes on though it is not wanted.
+	lingering bool
 }
 
 // New prepares a flight.
@@ -193,6 +195,11 @@
 				c.outcome = a.Outcome
 				c.cancel()
 			}
+		case policy.ActionLinger:
+			if c := f.calls[a.Attempt]; c != nil {
+				c.outcome, c.lingering = a.Outcome, true
+				time.AfterFunc(a.For, func() { f.giveUp(c) })
+			}
 		case policy.ActionTake:
 			f.caller.Take(a.Part, f.reply)
 		case policy.ActionFree:
@@ -221,6 +228,13 @@
 	return granted
 }
 
+// giveUp ends a call that lingered.
+func (f *Flight[R]) giveUp(c *call) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	c.cancel()
+}
+
 func (f *Flight[R]) send(a policy.Action) {
 	ctx, cancel := context.WithCancel(f.ctx)
 	c := &call{cancel: cancel}
@@ -282,6 +296,7 @@
 	started := k.Now()
 	reply := Reply[R]{Outcome: policy.CallNotSent}
 	if k.Awake() && started < f.deadline {
+		k.Fleet.Sent(started, a.Upstream)
 		reply = f.caller.Call(ctx, a)
 	}
 	f.ended(a, c, started, reply)
@@ -304,7 +319,7 @@
 	countCall(reply.Outcome)
 	granted := k.Fleet.Finish(now, policy.Call{
 		Upstream: a.Upstream, Pool: a.Pool, Outcome: reply.Outcome, Took: reply.Took, Load: reply.Load,
-		Elsewhere: c.batched,
+		Elsewhere: c.batched, Lingering: c.lingering,
 	})
 	f.handle(func(now time.Duration) []policy.Action {
 		f.reply = reply.Part
--- a/tier/pass/batch.go
+++ b/tier/pass/batch.go
@@ -242,7 +242,7 @@
 func (q *request) stopBatch(host, id string) {
 	ctx, cancel := context.WithTimeout(context.Background(), stopBound)
 	defer cancel()
-	if err := q.engine.kernel.Peers.Notify(ctx, host, MethodStop, BatchName{ID: id}); err != nil {
+	if err := q.engine.kernel.Peers.Notify(ctx, host, MethodStop, BatchName{ID: id, Left: q.left.Load()}); err != nil {
 		q.engine.kernel.Decisions.Info().Str("RequestID", q.id).Str("Relay", host).Err(err).Msg("batch not stopped")
 	}
 }
--- a/tier/pass/relay.go
+++ b/tier/pass/relay.go
@@ -84,6 +84,8 @@
 // BatchName names a batch that was asked for before.
 type BatchName struct {
 	ID string
+	// Left is true for GatherStop if the caller of the request is gone.
+	Left bool `json:",omitempty"`
 }
 
 var errNoBatch = errors.New("no such batch")
@@ -107,10 +109,21 @@
 	merger merger
 	// open counts the calls under way.
 	open int
+	// calls are the calls under way, by index.
+	calls map[int]*relayedCall
 	// finished is closed when no call is under way any more.
 	finished chan struct{}
 }
 
+// relayedCall is one call under way for another host.
+type relayedCall struct {
+	cancel context.CancelFunc
+	// upstream is nil until its slot is held.
+	upstream *policy.Upstream
+	// lingering is true once the call goes on though it is not wanted.
+	lingering bool
+}
+
 func (e *Engine) serveRelay() {
 	e.kernel.Handle(MethodGather, e.onGather)
 	e.kernel.Handle(MethodRest, e.onRest)
@@ -139,38 +152,76 @@
 	ctx, cancel := context.WithTimeout(context.Background(), left)
 	b := &batch{
 		engine: e, in: in, deadline: e.kernel.Now() + left, cancel: cancel,
-		merger: merger{top: in.Top}, open: len(in.Upstreams), finished: make(chan struct{}),
+		merger: merger{top: in.Top}, open: len(in.Upstreams), calls: map[int]*relayedCall{}, finished: make(chan struct{}),
 	}
 	e.relayed.mu.Lock()
 	e.relayed.batches[in.ID] = b
 	e.relayed.mu.Unlock()
 	for i, name := range in.Upstreams {
-		go b.call(ctx, i, name)
+		ctx, cancel := context.WithCancel(ctx)
+		c := &relayedCall{cancel: cancel}
+		b.calls[i] = c
+		go b.call(ctx, i, name, c)
 	}
 	return b
 }
 
 // call makes one call within this host's slots.
-func (b *batch) call(ctx context.Context, i int, name string) {
+func (b *batch) call(ctx context.Context, i int, name string, c *relayedCall) {
+	defer c.cancel()
 	k := b.engine.kernel
 	reply := flight.Reply[*answer]{Outcome: policy.CallUnreachable}
 	started := k.Now()
 	u, l := k.Fleet.Find(name), (*b.engine.links.Load())[name]
 	if u != nil && l != nil {
-		reply.Outcome = policy.CallNotSent
-		if k.Fleet.Acquire(ctx, u, b.deadline, k.Now) {
+		switch {
+		case k.Fleet.Stalled(started, u):
+			reply.Outcome = policy.CallStalled
+		case k.Fleet.Acquire(ctx, u, b.deadline, k.Now):
 			started = k.Now()
+			b.hold(c, u)
+			k.Fleet.Sent(started, u)
 			reply = b.exchange(ctx, l, name)
 			now := k.Now()
 			near, _ := k.Fleet.RoutedPools(b.in.Route)
 			policy.Deliver(k.Fleet.Finish(now, policy.Call{
 				Upstream: u, Pool: near, Outcome: reply.Outcome, Took: now - started, Load: reply.Load,
+				Lingering: b.lingers(c),
 			}))
+		default:
+			reply.Outcome = policy.CallNotSent
 		}
 	}
 	b.end(i, reply, k.Now()-started)
 }
 
+func (b *batch) hold(c *relayedCall, u *policy.Upstream) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	c.upstream = u
+}
+
+func (b *batch) lingers(c *relayedCall) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return c.lingering
+}
+
+// stop ends the calls that nobody wants any more. Those that may linger go on
+// for a while, since their answers show when an upstream answers again.
+func (b *batch) stop(linger time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, c := range b.calls {
+		if linger > 0 && c.upstream != nil && b.engine.kernel.Fleet.Linger(c.upstream) {
+			c.lingering = true
+			time.AfterFunc(linger, c.cancel)
+			continue
+		}
+		c.cancel()
+	}
+}
+
 func (b *batch) exchange(ctx context.Context, l *link, name string) flight.Reply[*answer] {
 	k := b.engine.kernel
 	left := b.deadline - k.Now()
@@ -199,6 +250,7 @@
 		c.Outcome = string(r.Outcome)
 	}
 	b.ended = append(b.ended, c)
+	delete(b.calls, i)
 	if b.open--; b.open == 0 {
 		close(b.finished)
 		b.cancel()
@@ -241,7 +293,7 @@
 // onRest answers when all calls of a batch have ended, at its deadline at the
 // latest.
 func (e *Engine) onRest(_ context.Context, params json.RawMessage) (any, error) {
-	b, err := e.batchOf(params)
+	b, _, err := e.batchOf(params)
 	if err != nil {
 		return nil, err
 	}
@@ -252,24 +304,27 @@
 
 // onStop ends the calls of a batch.
 func (e *Engine) onStop(_ context.Context, params json.RawMessage) (any, error) {
-	b, err := e.batchOf(params)
+	b, in, err := e.batchOf(params)
 	if err != nil {
 		return nil, err
 	}
-	b.cancel()
+	linger := policy.LingerFor
+	if in.Left {
+		linger = 0
+	}
+	b.stop(linger)
 	e.relayed.drop(b.in.ID)
 	return struct{}{}, nil
 }
 
-func (e *Engine) batchOf(params json.RawMessage) (*batch, error) {
-	var in BatchName
+func (e *Engine) batchOf(params json.RawMessage) (b *batch, in BatchName, err error) {
 	if err := json.Unmarshal(params, &in); err != nil {
-		return nil, fmt.Errorf("bad batch name: %w", err)
+		return nil, in, fmt.Errorf("bad batch name: %w", err)
 	}
 	if b := e.relayed.find(in.ID); b != nil {
-		return b, nil
+		return b, in, nil
 	}
-	return nil, fmt.Errorf("%w: %q ended or was never begun", errNoBatch, in.ID)
+	return nil, in, fmt.Errorf("%w: %q ended or was never begun", errNoBatch, in.ID)
 }
 
 var _ kernel.Handler = (*Engine)(nil).onGather
--- a/tier/pass/serve.go
+++ b/tier/pass/serve.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -69,6 +70,8 @@
 	// upstream answered with; both for a request to one group.
 	single, failure *answer
 	parts           gathered
+	// left is true once the caller is gone.
+	left atomic.Bool
 	// sends counts the calls sent for each part.
 	sends []int
 }
@@ -236,6 +239,8 @@
 	if err != nil {
 		return policy.Result{}, err
 	}
+	stop := context.AfterFunc(ctx, func() { q.left.Store(true) })
+	defer stop()
 	return f.Fly(ctx, ctx.Done())
 }
 
--- a/tier/policy/attempt.go
+++ b/tier/policy/attempt.go
@@ -160,7 +160,6 @@
 	a.phase = phaseSent
 	a.sentAt = now
 	a.hedgeAge = r.hedgeDelay(a.upstream)
-	a.upstream.sent(now)
 	r.parts[a.part].ran++
 	r.parts[a.part].sends++
 	r.parts[a.part].arrivals++
@@ -197,6 +196,10 @@
 			r.fleet.abandon(a.waiter)
 			a.phase = phaseDone
 		case phaseSent:
+			if r.linger(a) {
+				out = append(out, Action{Kind: ActionLinger, Attempt: n, Part: i, Upstream: a.upstream, Outcome: o, For: LingerFor})
+				continue
+			}
 			out = append(out, Action{Kind: ActionCancel, Attempt: n, Part: i, Upstream: a.upstream, Outcome: o})
 		default:
 		}
@@ -244,7 +247,7 @@
 		return query.ReasonMoved
 	case CallGarbage:
 		return query.ReasonGarbage
-	case CallLate, CallCancelled, CallNotSent:
+	case CallLate, CallCancelled, CallNotSent, CallStalled:
 		return query.ReasonLate
 	default:
 		return query.ReasonRefused
--- a/tier/policy/fleet.go
+++ b/tier/policy/fleet.go
@@ -228,6 +228,8 @@
 	Load Load
 	// Elsewhere is true for a call that another host made: it held no slot.
 	Elsewhere bool
+	// Lingering is true for a call that went on though it was not wanted.
+	Lingering bool
 }
 
 // Load is an upstream's own word on its work.
@@ -256,6 +258,29 @@
 	return u.grant(now)
 }
 
+// Sent notes that a call leaves for an upstream.
+func (f *Fleet) Sent(now time.Duration, u *Upstream) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	u.sent(now)
+}
+
+// Stalled tells whether an upstream answers nobody for the moment, as far as
+// this host knows from its own calls.
+func (f *Fleet) Stalled(now time.Duration, u *Upstream) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return u.stalled(now)
+}
+
+// Linger tells whether a call that is not wanted any more may go on for a
+// while; it is then told to Finish as lingering.
+func (f *Fleet) Linger(u *Upstream) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return u.linger()
+}
+
 // UpstreamState is a copy of what is known of an upstream, for operators.
 type UpstreamState struct {
 	Name                 string
--- a/tier/policy/policy.go
+++ b/tier/policy/policy.go
@@ -29,6 +29,9 @@
 	CallLeaving CallOutcome = "Leaving"
 	// CallNotSent is a call that this host held back; it did not run.
 	CallNotSent CallOutcome = "NotSent"
+	// CallStalled is a call that was not made because its upstream, as the host
+	// near it knows, answers nobody for the moment.
+	CallStalled CallOutcome = "Stalled"
 	// CallSnapshotGone is the upstream's word that it lacks the snapshot.
 	CallSnapshotGone CallOutcome = "SnapshotGone"
 	// CallMoved is the upstream's word that it has another shard map.
@@ -48,13 +51,18 @@
 // NotRun tells whether the outcome proves that the call did not run.
 func (o CallOutcome) NotRun() bool {
 	switch o {
-	case CallUnreachable, CallShed, CallLeaving, CallNotSent, CallSnapshotGone, CallMoved:
+	case CallUnreachable, CallShed, CallLeaving, CallNotSent, CallStalled, CallSnapshotGone, CallMoved:
 		return true
 	default:
 		return false
 	}
 }
 
+// arrived tells whether the call may have reached the upstream.
+func (o CallOutcome) arrived() bool {
+	return o != CallUnreachable && o != CallNotSent && o != CallStalled
+}
+
 // broken tells whether the outcome speaks against the upstream's health.
 func (o CallOutcome) broken() bool {
 	switch o {
--- a/tier/policy/route.go
+++ b/tier/policy/route.go
@@ -13,7 +13,7 @@
 	// repeatsAtStart is the part of the depth that a host begins with.
 	repeatsAtStart = 0.25
 	// hedgeLatest is the part of the objective after which a part is hedged
-	// at the latest, so that the second answer can still be in time.
+	// at the latest, while it is not known how long calls to other halls take.
 	hedgeLatest = 0.4
 	// hedgeDone is the part of the objective by which a hedge is to be done, if
 	// it takes no longer than hedgeFarQuantile of the far calls; hedgeEarliest
@@ -133,6 +133,12 @@
 	return float64(r.included+r.open) < r.config.Coverage*float64(len(r.parts))
 }
 
+// linger tells whether an attempt that is not wanted any more may go on. One
+// whose caller is gone may not.
+func (r *Run) linger(a *attempt) bool {
+	return r.routed != nil && r.repeatable && !r.left && a.upstream.near && a.upstream.linger()
+}
+
 // poolOf gives the pool that an upstream's latencies belong to. What is far
 // takes longer than what is near, whatever the upstream does.
 func (r *Run) poolOf(u *Upstream) *Pool {
@@ -152,8 +158,8 @@
 		return time.Duration(hedgeUnknown * objective)
 	}
 	latest := time.Duration(hedgeLatest * objective)
-	if far := r.routed.FarPool; u.near && far.Known() {
-		latest = min(latest, time.Duration(hedgeDone*objective)-far.Quantile(hedgeFarQuantile))
+	if far := r.routed.FarPool; far.Known() {
+		latest = time.Duration(hedgeDone*objective) - far.Quantile(hedgeFarQuantile)
 	}
 	latest = max(latest, time.Duration(hedgeEarliest*objective))
 	return max(min(p.Quantile(r.config.HedgeQuantile), latest), hedgeLeast)
@@ -179,9 +185,18 @@
 	staleLeast = 0.5
 	// loadLife is how long an upstream's word on its queue is believed.
 	loadLife = 300 * time.Millisecond
-	// silentFactor is how many latencies may pass without any answer before
-	// an upstream is taken to stand still.
-	silentFactor = 2
+	// stalledFactor is how many latencies may pass without any answer before an
+	// upstream is taken to stand still, stalledLeast the least such time.
+	stalledFactor = 2
+	stalledLeast  = 10 * time.Millisecond
+	// stalledFor is how long that is believed without a call that could tell;
+	// pauses of upstreams take some 100 ms.
+	stalledFor = 100 * time.Millisecond
+	// stalledPenalty counts a stalled upstream for slower than any that answers.
+	stalledPenalty = 10.0
+	// LingerFor is how long a call goes on that is not wanted any more, longer
+	// than upstreams pause.
+	LingerFor = 300 * time.Millisecond
 )
 
 // Score implements Chooser.
@@ -192,8 +207,8 @@
 		ahead += u.waiting * (1 - age.Seconds()/loadLife.Seconds())
 	}
 	score := latency * (1 + ahead) * (1 + 0.05*r.Float64())
-	if s := u.silence(now); s.Seconds() > silentFactor*latency {
-		score += s.Seconds()
+	if u.stalled(now) {
+		score += stalledPenalty
 	}
 	if !u.near {
 		score *= farFactor
--- a/tier/policy/run.go
+++ b/tier/policy/run.go
@@ -24,6 +24,9 @@
 	ActionSend ActionKind = "Send"
 	// ActionCancel asks for a sent attempt to be given up.
 	ActionCancel ActionKind = "Cancel"
+	// ActionLinger asks for a sent attempt to be given up in a while: its answer
+	// is not wanted, but shows when the upstream answers again.
+	ActionLinger ActionKind = "Linger"
 	// ActionTake asks for the attempt's part to be merged into the answer.
 	ActionTake ActionKind = "Take"
 	// ActionFree asks for Fleet.Free: a slot was granted and is not wanted.
@@ -46,6 +49,8 @@
 	HedgeIn time.Duration
 	// Outcome is what a cancelled attempt is to be reported as.
 	Outcome CallOutcome
+	// For is how long an attempt lingers.
+	For time.Duration
 }
 
 // RunConfig describes one request.
@@ -128,6 +133,8 @@
 	patience time.Duration
 	admitted bool
 	finished bool
+	// left is true once the caller is gone.
+	left bool
 	// unknown is true once a not-repeatable attempt may have run unseen.
 	unknown bool
 	// calls counts the attempts that were sent.
@@ -245,7 +252,7 @@
 	if o.NotRun() {
 		p.ran--
 	}
-	if o == CallUnreachable || o == CallNotSent {
+	if !o.arrived() {
 		p.arrivals--
 	}
 }
@@ -281,6 +288,7 @@
 	}
 	r.fleet.mu.Lock()
 	defer r.fleet.mu.Unlock()
+	r.left = true
 	return r.finish(nil)
 }
 
--- a/tier/policy/run_test.go
+++ b/tier/policy/run_test.go
@@ -295,9 +295,9 @@
 	assert.Equal(t, len(sent), 2)
 	hedges := r.Wake(r.Next())
 	assert.Equal(t, len(hedges), 2)
-	first := r.Reply(r.hedgeAge, sent[0].Attempt, CallOK)
+	first := r.Reply(r.attempts[0].hedgeAge, sent[0].Attempt, CallOK)
 	assert.Equal(t, first[0].Kind, ActionTake)
 	assert.Equal(t, first[1].Kind, ActionCancel)
 	assert.Equal(t, first[1].Attempt, hedges[0].Attempt)
-	assert.Equal(t, len(r.Reply(r.hedgeAge, hedges[0].Attempt, CallOK)), 0, "the loser is not merged")
+	assert.Equal(t, len(r.Reply(r.attempts[0].hedgeAge, hedges[0].Attempt, CallOK)), 0, "the loser is not merged")
 }
--- a/tier/policy/upstream.go
+++ b/tier/policy/upstream.go
@@ -54,6 +54,10 @@
 	// silentFrom is when the first call was sent that had no answer since the
 	// last answer came; 0 if none is waited for.
 	silentFrom time.Duration
+	// stalledUntil is until when the host near it said that it stalls.
+	stalledUntil time.Duration
+	// lingering is true while a call goes on to show when it answers again.
+	lingering bool
 	// sampledAt is when the latency was last learnt of.
 	sampledAt time.Duration
 	// waiting is the calls in the upstream's own queue for each of its slots,
@@ -105,11 +109,19 @@
 // learn updates latency and health from a call.
 func (u *Upstream) learn(now time.Duration, c Call) {
 	u.sampledAt = now
-	if c.Outcome.answered() {
-		u.silentFrom = 0
+	u.lingering = u.lingering && !c.Lingering
+	switch {
+	case c.Outcome == CallStalled:
+		u.stalledUntil = now + stalledFor
+	case c.Outcome.answered():
+		u.silentFrom, u.stalledUntil = 0, 0
 		if u.inUse > 1 {
 			u.silentFrom = now
 		}
+	case u.inUse <= 1 && !c.Elsewhere:
+		// Nobody waits for an answer any more that could tell.
+		u.silentFrom = 0
+		u.stalledUntil = now + stalledFor
 	}
 	if c.Load.Slots > 0 {
 		u.waiting, u.waitingAt = float64(c.Load.Waiting)/float64(c.Load.Slots), now
@@ -211,12 +223,22 @@
 	}
 }
 
-// silence is for how long calls have waited without any answer.
-func (u *Upstream) silence(now time.Duration) time.Duration {
-	if u.silentFrom == 0 {
-		return 0
+// stalled tells whether calls have waited without any answer for much longer
+// than they take.
+func (u *Upstream) stalled(now time.Duration) bool {
+	if now < u.stalledUntil {
+		return true
+	}
+	return u.silentFrom > 0 && now-u.silentFrom > max(stalledFactor*u.latency, stalledLeast)
+}
+
+// linger tells whether a call may linger, and notes it; one does at a time.
+func (u *Upstream) linger() bool {
+	if !u.listed || u.lingering {
+		return false
 	}
-	return now - u.silentFrom
+	u.lingering = true
+	return true
 }
 
 // fit tells whether nothing speaks against a call now.
