--- a/tier/pass/batch.go
+++ b/tier/pass/batch.go
@@ -88,23 +88,41 @@
 	return s.way
 }
 
-// answered notes an answer, or with way 0 that none came.
+// answered notes an answer and how long the message took there and back.
 func (r *relays) answered(host string, now, way time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s := r.state(host)
+	s.settle(now)
+	if s.way == 0 || way < s.way {
+		s.way = way
+	}
+}
+
+// unanswered notes a batch without an answer; with late the answer was due
+// long before, and the host is left alone for a while.
+func (r *relays) unanswered(host string, now time.Duration, late bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.state(host)
+	if !late {
+		since := s.since
+		s.settle(now)
+		if s.open > 0 {
+			s.since = since
+		}
+		return
+	}
+	s.settle(now)
+	s.restUntil = now + relayRest
+}
+
+func (s *relayState) settle(now time.Duration) {
 	s.open--
 	s.since = 0
 	if s.open > 0 {
 		s.since = now
 	}
-	if way == 0 {
-		s.restUntil = now + relayRest
-		return
-	}
-	if s.way == 0 || way < s.way {
-		s.way = way
-	}
 }
 
 // Batches implements flight.Batcher: calls to upstreams of one other hall go
@@ -149,7 +167,11 @@
 	err := e.callRelay(ctx, host, MethodGather, in, &first, q.deadline)
 	took := k.Now() - started
 	if err != nil {
-		e.relays.answered(host, k.Now(), 0)
+		due := time.Duration(in.FirstMillis)*time.Millisecond + way
+		e.relays.unanswered(host, k.Now(), ctx.Err() == nil || took > due+relaySilent)
+		if ctx.Err() != nil {
+			q.stopBatch(host, in.ID)
+		}
 		q.batchFailed(ctx, batch, host, err, report)
 		return
 	}
