--- a/tier/policy/fleet.go
+++ b/tier/policy/fleet.go
@@ -23,6 +23,8 @@
 	// latencyLeap bounds how far one sample counts above the smoothed latency,
 	// so that one straggler does not make an upstream slow, but four do.
 	latencyLeap = 4
+	// faultWeight is how much one call counts in the share of faults.
+	faultWeight = 0.1
 	// listedWeight and listedLeap are the same for listed upstreams, of which
 	// this host sees few calls.
 	listedWeight = 0.25
--- a/tier/policy/route.go
+++ b/tier/policy/route.go
@@ -193,6 +193,9 @@
 	staleAfter = time.Second
 	staleFull  = 5 * time.Second
 	staleLeast = 0.5
+	// faultCost is what a call without an answer costs in time, so that an
+	// upstream which fails a part of its calls is left for one that is slower.
+	faultCost = 500 * time.Millisecond
 	// loadLife is how long an upstream's word on its queue is believed.
 	loadLife = 300 * time.Millisecond
 	// stalledFactor is how many latencies may pass without any answer before an
@@ -217,6 +220,7 @@
 		ahead += u.waiting * (1 - age.Seconds()/loadLife.Seconds())
 	}
 	score := latency * (1 + ahead) * (1 + 0.05*r.Float64())
+	score += u.faults * staleness(now-u.sampledAt) * faultCost.Seconds()
 	if u.stalled(now) {
 		score += stalledPenalty
 	}
--- a/tier/policy/route_test.go
+++ b/tier/policy/route_test.go
@@ -251,3 +251,29 @@
 	}
 	assert.Assert(t, lingers <= 1)
 }
+
+// TestUpstreamThatShedsAPartIsLeft has the near upstream turn away two calls of
+// five, with a good answer between: the far one gets nearly all of the rest.
+func TestUpstreamThatShedsAPartIsLeft(t *testing.T) {
+	f := routedFleet(1, Repeats{Ratio: 1, Depth: 100})
+	now, near := time.Duration(0), 0
+	for i := range 200 {
+		now += 20 * time.Millisecond
+		r, actions := routedRun(t, f, now, 1, 2, 1, true)
+		for a := sends(actions); len(a) > 0; a = sends(actions) {
+			outcome, took := CallOK, 10*time.Millisecond
+			if a[0].Upstream.Name == "N0" && i%5 < 2 {
+				outcome = CallShed
+			}
+			if a[0].Upstream.Name == "F0" {
+				took = 40 * time.Millisecond
+			}
+			if i >= 100 && a[0].Upstream.Name == "N0" {
+				near++
+			}
+			f.Finish(now, Call{Upstream: a[0].Upstream, Pool: a[0].Pool, Outcome: outcome, Took: took})
+			actions = r.Reply(now, a[0].Attempt, outcome)
+		}
+	}
+	assert.Assert(t, near < 15, "%d of 100 requests went to the upstream that sheds", near)
+}
--- a/tier/policy/upstream.go
+++ b/tier/policy/upstream.go
@@ -58,6 +58,8 @@
 	stalledUntil time.Duration
 	// lingering is true while a call goes on to show when it answers again.
 	lingering bool
+	// faults is the smoothed share of calls that brought no answer of use.
+	faults float64
 	// sampledAt is when the latency was last learnt of.
 	sampledAt time.Duration
 	// waiting is the calls in the upstream's own queue for each of its slots,
@@ -110,6 +112,7 @@
 func (u *Upstream) learn(now time.Duration, c Call) {
 	u.sampledAt = now
 	u.lingering = u.lingering && !c.Lingering
+	u.count(c.Outcome)
 	switch {
 	case c.Outcome == CallStalled:
 		u.stalledUntil = now + stalledFor
@@ -159,6 +162,17 @@
 	u.borrow(c.Outcome)
 }
 
+// count takes an outcome into the share of faults; those that say nothing of
+// the upstream leave it as it is.
+func (u *Upstream) count(o CallOutcome) {
+	switch {
+	case o == CallOK:
+		u.faults -= faultWeight * u.faults
+	case o == CallShed || o.broken() && o != CallLate:
+		u.faults += faultWeight * (1 - u.faults)
+	}
+}
+
 // borrow lets this host use slots beyond its own share for as long as the
 // upstream does not shed: either the other hosts leave them idle, or the
 // upstream queues. The calls that must go well before the next slot is borrowed
