perf: hedge to no upstream that says calls wait there

Cause: where both replicas of a shard are loaded, hedges add to the load that makes calls late. No call lingers at such an upstream either. Ruled out: overload of the hosts (0.1 of 0.4 cores).

--- a/tier/policy/attempt.go
+++ b/tier/policy/attempt.go
@@ -53,7 +53,7 @@
 	if u == nil {
 		u = r.pick(now, i, false)
 	}
-	if u == nil || !u.free() || !r.takeHedge(i) {
+	if u == nil || !u.free() || u.busy(now) || !r.takeHedge(i) {
 		return out
 	}
 	r.parts[i].hedged = true
--- a/tier/policy/upstream.go
+++ b/tier/policy/upstream.go
@@ -246,9 +246,15 @@
 	return u.silentFrom > 0 && now-u.silentFrom > max(stalledFactor*u.latency, stalledLeast)
 }
 
+// busy tells whether the upstream said a moment ago that calls wait for each of
+// its slots: a hedge there would wait too, and have others wait.
+func (u *Upstream) busy(now time.Duration) bool {
+	return u.waiting >= 1 && now-u.waitingAt < loadLife
+}
+
 // linger tells whether a call may linger, and notes it; one does at a time.
 func (u *Upstream) linger() bool {
-	if !u.listed || u.lingering {
+	if !u.listed || u.lingering || u.waiting > 0 {
 		return false
 	}
 	u.lingering = true
