--- a/tier/config/directory.go
+++ b/tier/config/directory.go
@@ -138,6 +138,25 @@
 	return out
 }
 
+// Since gives what changed from an earlier directory to this one.
+func (d *Directory) Since(old *Directory) DirectoryChange {
+	if old == nil || d == nil {
+		return d.Whole()
+	}
+	out := DirectoryChange{Revision: d.Revision}
+	for n, l := range d.listed {
+		if old.listed[n] != l {
+			out.Listed = append(out.Listed, l)
+		}
+	}
+	for n, r := range d.removed {
+		if old.removed[n] != r {
+			out.Removed = append(out.Removed, Removal{Name: n, Revision: r})
+		}
+	}
+	return out
+}
+
 // With gives the directory after a change. What is older than what is known
 // has no effect, so changes may arrive twice or out of order. A whole listing
 // older than the directory takes nothing away. The second result is false if
--- a/tier/kernel/state.go
+++ b/tier/kernel/state.go
@@ -125,6 +125,11 @@
 	// FeedDown is true while this host cannot read what the platform publishes
 	// and has to learn it from peers.
 	FeedDown bool
+	// ReadAt is when this host itself last read the platform; 0 for never.
+	ReadAt time.Duration
+	// News holds for each host of the hall when it last told that it reads the
+	// platform.
+	News map[string]time.Duration
 	// Pauses counts the pauses of this process.
 	Pauses int
 	// Confirmed is true once a peer told that it has no newer document than
@@ -136,7 +141,7 @@
 }
 
 func newState() *State {
-	return &State{Members: map[string]Member{}, Leaving: map[string]time.Duration{}, Returned: map[string]time.Duration{}}
+	return &State{Members: map[string]Member{}, Leaving: map[string]time.Duration{}, Returned: map[string]time.Duration{}, News: map[string]time.Duration{}}
 }
 
 // Changed has the state published after the job.
--- a/tier/peers/feed.go
+++ b/tier/peers/feed.go
@@ -22,6 +22,8 @@
 	// document has to be in force.
 	feedRetry     = 100 * time.Millisecond
 	feedRetryMost = time.Second
+	// feedTurn is how often a host that does not read looks whether it is to.
+	feedTurn = 200 * time.Millisecond
 	// awayAfter is how long reads must fail until the platform counts as away.
 	awayAfter = 500 * time.Millisecond
 	// lapseHold is how long an upstream stays listed that was not there any
@@ -54,16 +56,15 @@
 	}
 	source, closeSource := a.Open(k.Settings.Platform)
 	ctx, cancel := context.WithCancel(ctx)
-	f := &feed{kernel: k, source: source}
+	f := &feed{kernel: k, source: source, teller: &teller{kernel: k}}
 	k.Do(func(s *kernel.State) { s.FeedDown = true })
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		f.loop(ctx)
-	}()
+	done := make(chan struct{}, 2)
+	go func() { f.loop(ctx); done <- struct{}{} }()
+	go func() { f.teller.loop(ctx); done <- struct{}{} }()
 	return func() {
 		cancel()
 		<-done
+		<-done
 		closeSource()
 	}, nil
 }
@@ -73,6 +74,8 @@
 type feed struct {
 	kernel *kernel.Kernel
 	source kernel.Source
+	// teller tells the hall what was read; nil to tell nobody.
+	teller *teller
 	// revision is up to where everything was read; 0 for nothing yet.
 	revision uint64
 	// exact is true if the next whole read must not be an old one.
@@ -90,6 +93,10 @@
 
 func (f *feed) loop(ctx context.Context) {
 	for ctx.Err() == nil {
+		if !f.turn() {
+			sleep(ctx, feedTurn)
+			continue
+		}
 		metrics.GetOrCreateCounter("loomgap_platform_reads_total").Inc()
 		published, err := f.next(ctx)
 		if ctx.Err() != nil {
@@ -106,6 +113,27 @@
 	}
 }
 
+// turn tells whether it is this host's turn to read. A host that has read
+// before goes on from where it was.
+func (f *feed) turn() bool {
+	turn := make(chan bool, 1)
+	f.kernel.Do(func(s *kernel.State) {
+		mine := s.Directory == nil || reads(f.kernel, s)
+		if mine != s.Watching {
+			s.Watching = mine
+			s.Changed()
+			f.kernel.Log.Info().Bool("Reads", mine).Int64("PlatformAgeMillis", (f.kernel.Now() - s.PlatformHeard).Milliseconds()).
+				Msg("turn to read the platform")
+		}
+		if !mine {
+			// Others of the hall read for this host.
+			s.FeedDown = false
+		}
+		turn <- mine
+	})
+	return <-turn
+}
+
 // next reads everything, or waits for what changes.
 func (f *feed) next(ctx context.Context) (*kernel.Published, error) {
 	if f.revision == 0 {
@@ -157,6 +185,10 @@
 	now := f.kernel.Now()
 	away := f.failingSince > 0 && now-f.failingSince >= awayAfter
 	f.failingSince, f.pause, f.exact = 0, 0, false
+	if p.Directory.Whole {
+		// It may be an old one; the watch that follows tells.
+		f.revision = 0
+	}
 	confirmed := f.revision > 0
 	f.watched = confirmed
 	f.revision = max(f.revision, p.Revision)
@@ -174,7 +206,7 @@
 
 // install runs on the control thread while the feed waits.
 func (f *feed) install(s *kernel.State, p *kernel.Published, now time.Duration, away bool) {
-	s.PlatformHeard = now
+	s.PlatformHeard, s.ReadAt = now, now
 	if s.FeedDown {
 		s.FeedDown = false
 		f.kernel.Log.Info().Uint64("DirectoryRevision", p.Revision).Msg("platform regained")
@@ -196,6 +228,9 @@
 		f.kernel.Log.Info().Uint64("DirectoryRevision", p.Revision).Int("Listed", len(change.Listed)).
 			Int("Removed", len(change.Removed)).Int("Upstreams", s.Directory.Size()).Msg("directory changed")
 	}
+	if f.teller != nil {
+		f.teller.tell(s)
+	}
 }
 
 // hold keeps removals back that the platform's absence may have caused.
--- a/tier/peers/gossip.go
+++ b/tier/peers/gossip.go
@@ -106,6 +106,7 @@
 	k.Handle(MethodBeat, g.onBeat)
 	k.Handle(MethodDocument, g.onDocument)
 	k.Handle(MethodDirectory, g.onDirectory)
+	k.Handle(MethodNews, g.onNews)
 	ctx, cancel := context.WithCancel(ctx)
 	done := make(chan struct{})
 	go func() {
--- a/tier/peers/listed.go
+++ b/tier/peers/listed.go
@@ -38,8 +38,8 @@
 	}
 	g.kernel.Do(func(s *kernel.State) {
 		g.listing = false
-		// The platform, once it is heard again, knows better.
-		if err == nil && s.FeedDown {
+		// A host that reads the platform itself knows better.
+		if err == nil && (s.FeedDown || !s.Watching) {
 			s.List(change)
 			g.kernel.Log.Info().Stringer("Peer", from).Uint64("DirectoryRevision", change.Revision).
 				Int("Upstreams", s.Directory.Size()).Msg("directory learnt from a peer")
--- a/tier/peers/rank.go
+++ b/tier/peers/rank.go
@@ -77,10 +77,13 @@
 	moreWatchers    = 2
 )
 
+// watchKey is what hosts are ranked by for reading the platform.
+const watchKey = "watch"
+
 // Watches tells whether this host is among the hosts of its hall that watch.
 func Watches(hosts []string, host string, silentTurns int) bool {
 	n := watchersPerHall + min(silentTurns, moreWatchers)
-	ranked := Rank("watch", hosts)
+	ranked := Rank(watchKey, hosts)
 	return slices.Contains(ranked[:min(n, len(ranked))], host)
 }
 
