--- a/tier/policy/route.go
+++ b/tier/policy/route.go
@@ -10,6 +10,9 @@
 	// repeatShare is the part of the allowed repeats that is ever used, since
 	// hosts count in windows of their own.
 	repeatShare = 0.95
+	// drawBelow is the depth below which repeats are drawn by chance. There are
+	// many hosts then, and chance evens out.
+	drawBelow = 3.0
 	// repeatsAtStart is the part of the depth that a host begins with.
 	repeatsAtStart = 0.25
 	// hedgeLatest is the part of the objective after which a part is hedged
@@ -88,10 +91,10 @@
 }
 
 // takeRepeat takes a repeat at a group; the fleet is locked. Where there are so
-// many hosts that none may save up a whole repeat, chance decides.
+// many hosts that none may save up a few repeats, chance decides.
 func (f *Fleet) takeRepeat(name string) bool {
 	g := f.group(name)
-	if f.repeats.Depth < 1 {
+	if f.repeats.Depth < drawBelow {
 		return g.repeats.draw(f.random)
 	}
 	return g.repeats.take()
