--- a/tier/pass/batch.go
+++ b/tier/pass/batch.go
@@ -172,6 +172,11 @@
 		byHall[h] = append(byHall[h], a)
 	}
 	for h, calls := range byHall {
+		if h == k.Settings.Hall && len(calls) > spreadAbove {
+			shared, own := q.shareOut(calls)
+			batches, apart = append(batches, shared...), append(apart, own...)
+			continue
+		}
 		host := ""
 		if h != k.Settings.Hall {
 			host = q.engine.relays.choose(q.view, h, k.Now(), q.relaying.owing)
@@ -186,6 +191,28 @@
 	return batches, apart
 }
 
+// shareOut divides calls within this host's hall into those that other hosts of
+// the hall make and those of this host.
+func (q *request) shareOut(calls []policy.Action) (batches [][]policy.Action, own []policy.Action) {
+	var upstreams []string
+	for _, a := range calls {
+		upstreams = append(upstreams, a.Upstream.Name)
+	}
+	for host, indexes := range q.engine.owners(upstreams, q.relaying.owing) {
+		var share []policy.Action
+		for _, i := range indexes {
+			share = append(share, calls[i])
+		}
+		if host == q.engine.kernel.Settings.Host {
+			own = share
+			continue
+		}
+		q.relaying.begin(share[0].Attempt, host)
+		batches = append(batches, share)
+	}
+	return batches, own
+}
+
 // CallBatch implements flight.Batcher.
 func (q *request) CallBatch(ctx context.Context, batch []policy.Action, report func(int, flight.Reply[*answer])) {
 	e := q.engine
@@ -202,7 +229,7 @@
 		due := time.Duration(in.FirstMillis)*time.Millisecond + way
 		e.relays.unanswered(host, k.Now(), ctx.Err() == nil || took > due+relaySilent)
 		if ctx.Err() != nil {
-			q.stopBatch(host, in.ID)
+			e.stopRelay(host, BatchName{ID: in.ID, Left: q.left.Load()}, q.id)
 		}
 		q.batchFailed(ctx, batch, host, err, report)
 		return
@@ -215,7 +242,7 @@
 	}
 	var rest GatherReply
 	if err := e.callRelay(ctx, host, MethodRest, BatchName{ID: in.ID}, &rest, q.deadline); err != nil {
-		q.stopBatch(host, in.ID)
+		e.stopRelay(host, BatchName{ID: in.ID, Left: q.left.Load()}, q.id)
 		return
 	}
 	q.reportBatch(batch, &rest, took-held, report)
@@ -230,6 +257,7 @@
 		Route: q.route.Name, RequestID: q.id, Method: q.method, Head: string(q.head), Body: q.body, Top: q.route.Gather.Top,
 		FirstMillis:    max(q.firstDue(batch)-way-gatherReserve, gatherLeast).Milliseconds(),
 		DeadlineMillis: (q.deadline - now).Milliseconds(),
+		Spread:         q.engine.kernel.Fleet.HallOf(batch[0].Upstream) != q.engine.kernel.Settings.Hall,
 	}
 	for _, a := range batch {
 		in.Upstreams = append(in.Upstreams, a.Upstream.Name)
@@ -292,11 +320,11 @@
 	}
 }
 
-// stopBatch tells a host that its calls are not wanted any more.
-func (q *request) stopBatch(host, id string) {
+// stopRelay tells a host that the calls of a batch are not wanted any more.
+func (e *Engine) stopRelay(host string, name BatchName, request string) {
 	ctx, cancel := context.WithTimeout(context.Background(), stopBound)
 	defer cancel()
-	if err := q.engine.kernel.Peers.Notify(ctx, host, MethodStop, BatchName{ID: id, Left: q.left.Load()}); err != nil {
-		q.engine.kernel.Decisions.Info().Str("RequestID", q.id).Str("Relay", host).Err(err).Msg("batch not stopped")
+	if err := e.kernel.Peers.Notify(ctx, host, MethodStop, name); err != nil {
+		e.kernel.Decisions.Info().Str("RequestID", request).Str("Relay", host).Err(err).Msg("batch not stopped")
 	}
 }
--- a/tier/pass/relay.go
+++ b/tier/pass/relay.go
@@ -33,6 +33,8 @@
 	gatherReserve = 4 * time.Millisecond
 	// gatherLeast is the least time that the calls have for the first answer.
 	gatherLeast = 5 * time.Millisecond
+	// restGrace is how long what was not asked for is kept after its deadline.
+	restGrace = time.Second
 	// maxGathered bounds the calls of one message.
 	maxGathered = 4096
 	// maxGatherTime bounds how long another host may keep calls going.
@@ -53,6 +55,8 @@
 	// Upstreams are called once each.
 	Upstreams []string
 	Top       int
+	// Spread allows the host to share the calls out within its hall.
+	Spread bool `json:",omitempty"`
 	// FirstMillis is when the first answer is due, DeadlineMillis when the calls
 	// end; both from now.
 	FirstMillis, DeadlineMillis int64
@@ -113,6 +117,8 @@
 	calls map[int]*relayedCall
 	// finished is closed when no call is under way any more.
 	finished chan struct{}
+	// left is true once the caller of the request is known to be gone.
+	left bool
 }
 
 // relayedCall is one call under way for another host.
@@ -157,14 +163,11 @@
 	e.relayed.mu.Lock()
 	e.relayed.batches[in.ID] = b
 	e.relayed.mu.Unlock()
+	// Nobody may ask for the rest, if the sender is gone.
+	time.AfterFunc(left+restGrace, func() { e.relayed.drop(in.ID) })
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for i, name := range in.Upstreams {
-		ctx, cancel := context.WithCancel(ctx)
-		c := &relayedCall{cancel: cancel}
-		b.calls[i] = c
-		go b.call(ctx, i, name, c)
-	}
+	b.spread(ctx)
 	return b
 }
 
@@ -194,7 +197,14 @@
 			reply.Outcome = policy.CallNotSent
 		}
 	}
-	b.end(i, reply, k.Now()-started)
+	out := GatheredCall{Index: i, TookMicros: (k.Now() - started).Microseconds()}
+	if reply.Outcome != policy.CallOK {
+		out.Outcome = string(reply.Outcome)
+		b.end([]GatheredCall{out}, nil)
+		return
+	}
+	out.Stamp = reply.Part.header.Get(b.engine.headers.Stamp)
+	b.end([]GatheredCall{out}, reply.Part.body)
 }
 
 func (b *batch) hold(c *relayedCall, u *policy.Upstream) {
@@ -214,6 +224,12 @@
 func (b *batch) stop(linger time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.left = b.left || linger == 0
+	if len(b.calls) < b.open {
+		// Some calls are made by other hosts, which are told as the context ends.
+		defer b.cancel()
+		linger = 0
+	}
 	for _, c := range b.calls {
 		if linger > 0 && c.upstream != nil && b.engine.kernel.Fleet.Linger(c.upstream) {
 			c.lingering = true
@@ -241,19 +257,19 @@
 	return out
 }
 
-func (b *batch) end(i int, r flight.Reply[*answer], took time.Duration) {
-	c := GatheredCall{Index: i, TookMicros: took.Microseconds()}
+// end notes calls that ended, with the records of those that went well.
+func (b *batch) end(calls []GatheredCall, records []byte) {
+	if len(calls) == 0 {
+		return
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if r.Outcome == policy.CallOK {
-		c.Stamp = r.Part.header.Get(b.engine.headers.Stamp)
-		b.merger.add(r.Part.body)
-	} else {
-		c.Outcome = string(r.Outcome)
+	b.merger.add(records)
+	b.ended = append(b.ended, calls...)
+	for _, c := range calls {
+		delete(b.calls, c.Index)
 	}
-	b.ended = append(b.ended, c)
-	delete(b.calls, i)
-	if b.open--; b.open == 0 {
+	if b.open -= len(calls); b.open == 0 {
 		close(b.finished)
 		b.cancel()
 	}
