--- a/tier/flight/flight.go
+++ b/tier/flight/flight.go
@@ -51,7 +51,18 @@
 	// CallBatch makes the calls of a batch and reports what became of each, as
 	// soon as it is known. What it has not reported when it returns counts as
 	// broken. It ends soon after its context does.
-	CallBatch(ctx context.Context, batch []policy.Action, report func(i int, r Reply[R]))
+	CallBatch(ctx context.Context, batch []policy.Action, to Reporter[R])
+}
+
+// Reporter takes in what becomes of the calls of a batch. It is used by one
+// goroutine.
+type Reporter[R any] interface {
+	// Report tells what became of one call.
+	Report(i int, r Reply[R])
+	// Overdue tells that the calls which were not reported are known to be slow,
+	// so that they are hedged now. Before that they wait a while longer for the
+	// news of the batch.
+	Overdue()
 }
 
 // Config describes a flight.
@@ -261,6 +272,7 @@
 			}
 		}}
 		f.calls[a.Attempt] = calls[i]
+		f.run.Patient(a.Attempt)
 		granted = append(granted, f.kernel.Fleet.Free(f.kernel.Now(), a.Upstream)...)
 	}
 	go func() {
@@ -272,22 +284,46 @@
 
 // callBatch makes the calls of a batch and reports them.
 func (f *Flight[R]) callBatch(ctx context.Context, batch []policy.Action, calls []*call) {
-	started := f.kernel.Now()
-	reported := make([]bool, len(batch))
-	report := func(i int, r Reply[R]) {
-		if !reported[i] {
-			reported[i] = true
-			f.ended(batch[i], calls[i], started, r)
-		}
-	}
+	r := &reporter[R]{flight: f, batch: batch, calls: calls, reported: make([]bool, len(batch)), started: f.kernel.Now()}
 	rest := Reply[R]{Outcome: policy.CallNotSent}
-	if f.kernel.Awake() && started < f.deadline {
-		f.batcher.CallBatch(ctx, batch, report)
+	if f.kernel.Awake() && r.started < f.deadline {
+		f.batcher.CallBatch(ctx, batch, r)
 		rest.Outcome = policy.CallBroken
 	}
 	for i := range batch {
-		report(i, rest)
+		r.Report(i, rest)
+	}
+}
+
+// reporter reports the calls of one batch.
+type reporter[R any] struct {
+	flight   *Flight[R]
+	batch    []policy.Action
+	calls    []*call
+	reported []bool
+	started  time.Duration
+}
+
+// Report implements Reporter.
+func (r *reporter[R]) Report(i int, reply Reply[R]) {
+	if r.reported[i] {
+		return
 	}
+	r.reported[i] = true
+	r.flight.ended(r.batch[i], r.calls[i], r.started, reply)
+}
+
+// Overdue implements Reporter.
+func (r *reporter[R]) Overdue() {
+	r.flight.handle(func(now time.Duration) []policy.Action {
+		var late []int
+		for i, a := range r.batch {
+			if !r.reported[i] {
+				late = append(late, a.Attempt)
+			}
+		}
+		return r.flight.run.Overdue(now, late)
+	})
 }
 
 // call makes one upstream call and reports it.
--- a/tier/pass/batch.go
+++ b/tier/pass/batch.go
@@ -214,7 +214,7 @@
 }
 
 // CallBatch implements flight.Batcher.
-func (q *request) CallBatch(ctx context.Context, batch []policy.Action, report func(int, flight.Reply[*answer])) {
+func (q *request) CallBatch(ctx context.Context, batch []policy.Action, to flight.Reporter[*answer]) {
 	e := q.engine
 	k := e.kernel
 	host := q.relaying.hostOf(batch[0].Attempt)
@@ -231,21 +231,22 @@
 		if ctx.Err() != nil {
 			e.stopRelay(host, BatchName{ID: in.ID, Left: q.left.Load()}, q.id)
 		}
-		q.batchFailed(ctx, batch, host, err, report)
+		q.batchFailed(ctx, batch, host, err, to)
 		return
 	}
 	held := time.Duration(first.HeldMicros) * time.Microsecond
 	e.relays.answered(host, k.Now(), max(took-held, time.Microsecond))
-	q.reportBatch(batch, &first, took-held, report)
+	q.reportBatch(batch, &first, took-held, to)
 	if first.Open == 0 {
 		return
 	}
+	to.Overdue()
 	var rest GatherReply
 	if err := e.callRelay(ctx, host, MethodRest, BatchName{ID: in.ID}, &rest, q.deadline); err != nil {
 		e.stopRelay(host, BatchName{ID: in.ID, Left: q.left.Load()}, q.id)
 		return
 	}
-	q.reportBatch(batch, &rest, took-held, report)
+	q.reportBatch(batch, &rest, took-held, to)
 }
 
 // gatherRequest describes a batch for the host that makes its calls. The first
@@ -286,7 +287,7 @@
 
 // reportBatch reports the calls that a reply tells of. Their records are kept
 // as one block that stands for all of them.
-func (q *request) reportBatch(batch []policy.Action, g *GatherReply, way time.Duration, report func(int, flight.Reply[*answer])) {
+func (q *request) reportBatch(batch []policy.Action, g *GatherReply, way time.Duration, to flight.Reporter[*answer]) {
 	block := &block{records: g.Records, stamps: map[int]string{}}
 	for _, c := range g.Ended {
 		if c.Index >= 0 && c.Index < len(batch) && c.Stamp != "" {
@@ -301,12 +302,12 @@
 		if c.Stamp != "" {
 			r.Outcome, r.Part = policy.CallOK, &answer{block: block}
 		}
-		report(c.Index, r)
+		to.Report(c.Index, r)
 	}
 }
 
 // batchFailed reports a batch whose host gave no answer.
-func (q *request) batchFailed(ctx context.Context, batch []policy.Action, host string, err error, report func(int, flight.Reply[*answer])) {
+func (q *request) batchFailed(ctx context.Context, batch []policy.Action, host string, err error, to flight.Reporter[*answer]) {
 	outcome := policy.CallBroken
 	if unreached(err) {
 		outcome = policy.CallUnreachable
@@ -316,7 +317,7 @@
 			Str("Outcome", string(outcome)).Err(err).Msg("batch not answered")
 	}
 	for i := range batch {
-		report(i, flight.Reply[*answer]{Outcome: outcome})
+		to.Report(i, flight.Reply[*answer]{Outcome: outcome})
 	}
 }
 
--- a/tier/policy/route.go
+++ b/tier/policy/route.go
@@ -19,11 +19,15 @@
 	// at the latest, while it is not known how long calls to other halls take.
 	hedgeLatest = 0.4
 	// hedgeDone is the part of the objective by which a hedge is to be done, if
-	// it takes no longer than hedgeFarQuantile of the far calls; hedgeEarliest
-	// is the part that a call has in any case.
+	// it takes no longer than hedgeFarQuantile of the far calls. hedgeEarliest
+	// is the quantile of like calls before which none is hedged: where calls
+	// are slow because hosts or upstreams are busy, more of them make it worse.
 	hedgeDone        = 0.8
 	hedgeFarQuantile = 0.8
-	hedgeEarliest    = 0.1
+	hedgeEarliest    = 0.9
+	// patience is how much longer than usual the news of calls made together are
+	// waited for at least: a busy host answers late.
+	patience = 15 * time.Millisecond
 	// hedgeUnknown is the same while the latencies are not known.
 	hedgeUnknown = 0.25
 )
@@ -174,8 +178,27 @@
 	if far := r.routed.FarPool; far.Known() {
 		latest = time.Duration(hedgeDone*objective) - far.Quantile(hedgeFarQuantile)
 	}
-	latest = max(latest, time.Duration(hedgeEarliest*objective))
-	return max(min(p.Quantile(r.config.HedgeQuantile), latest), hedgeLeast)
+	earliest := p.Quantile(hedgeEarliest)
+	return max(min(p.Quantile(r.config.HedgeQuantile), latest), earliest, hedgeLeast)
+}
+
+// Patient has an attempt hedged later than it would be: it is made together
+// with others, and the news of all of them come at once.
+func (r *Run) Patient(n int) {
+	a := &r.attempts[n]
+	a.hedgeAge += a.hedgeAge/2 + patience
+}
+
+// Overdue tells that attempts are known to take long: they are hedged now.
+func (r *Run) Overdue(now time.Duration, attempts []int) []Action {
+	if r.finished {
+		return nil
+	}
+	for _, n := range attempts {
+		a := &r.attempts[n]
+		a.hedgeAge = min(a.hedgeAge, now-a.sentAt)
+	}
+	return r.Wake(now)
 }
 
 func init() { RegisterChooser("Soonest", soonest{}) }
