--- a/tier/pass/batch.go
+++ b/tier/pass/batch.go
@@ -172,11 +172,6 @@
 		byHall[h] = append(byHall[h], a)
 	}
 	for h, calls := range byHall {
-		if h == k.Settings.Hall && len(calls) > spreadAbove {
-			shared, own := q.shareOut(calls)
-			batches, apart = append(batches, shared...), append(apart, own...)
-			continue
-		}
 		host := ""
 		if h != k.Settings.Hall {
 			host = q.engine.relays.choose(q.view, h, k.Now(), q.relaying.owing)
@@ -191,28 +186,6 @@
 	return batches, apart
 }
 
-// shareOut divides calls within this host's hall into those that other hosts of
-// the hall make and those of this host.
-func (q *request) shareOut(calls []policy.Action) (batches [][]policy.Action, own []policy.Action) {
-	var upstreams []string
-	for _, a := range calls {
-		upstreams = append(upstreams, a.Upstream.Name)
-	}
-	for host, indexes := range q.engine.owners(upstreams, q.relaying.owing) {
-		var share []policy.Action
-		for _, i := range indexes {
-			share = append(share, calls[i])
-		}
-		if host == q.engine.kernel.Settings.Host {
-			own = share
-			continue
-		}
-		q.relaying.begin(share[0].Attempt, host)
-		batches = append(batches, share)
-	}
-	return batches, own
-}
-
 // CallBatch implements flight.Batcher.
 func (q *request) CallBatch(ctx context.Context, batch []policy.Action, to flight.Reporter[*answer]) {
 	e := q.engine
@@ -258,7 +231,6 @@
 		Route: q.route.Name, RequestID: q.id, Method: q.method, Head: string(q.head), Body: q.body, Top: q.route.Gather.Top,
 		FirstMillis:    max(q.firstDue(batch)-way-gatherReserve, gatherLeast).Milliseconds(),
 		DeadlineMillis: (q.deadline - now).Milliseconds(),
-		Spread:         q.engine.kernel.Fleet.HallOf(batch[0].Upstream) != q.engine.kernel.Settings.Hall,
 	}
 	for _, a := range batch {
 		in.Upstreams = append(in.Upstreams, a.Upstream.Name)
--- a/tier/pass/relay.go
+++ b/tier/pass/relay.go
@@ -55,8 +55,6 @@
 	// Upstreams are called once each.
 	Upstreams []string
 	Top       int
-	// Spread allows the host to share the calls out within its hall.
-	Spread bool `json:",omitempty"`
 	// FirstMillis is when the first answer is due, DeadlineMillis when the calls
 	// end; both from now.
 	FirstMillis, DeadlineMillis int64
@@ -117,8 +115,6 @@
 	calls map[int]*relayedCall
 	// finished is closed when no call is under way any more.
 	finished chan struct{}
-	// left is true once the caller of the request is known to be gone.
-	left bool
 }
 
 // relayedCall is one call under way for another host.
@@ -167,7 +163,12 @@
 	time.AfterFunc(left+restGrace, func() { e.relayed.drop(in.ID) })
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.spread(ctx)
+	for i, name := range in.Upstreams {
+		ctx, cancel := context.WithCancel(ctx)
+		c := &relayedCall{cancel: cancel}
+		b.calls[i] = c
+		go b.call(ctx, i, name, c)
+	}
 	return b
 }
 
@@ -200,11 +201,11 @@
 	out := GatheredCall{Index: i, TookMicros: (k.Now() - started).Microseconds()}
 	if reply.Outcome != policy.CallOK {
 		out.Outcome = string(reply.Outcome)
-		b.end([]GatheredCall{out}, nil)
+		b.end(out, nil)
 		return
 	}
 	out.Stamp = reply.Part.header.Get(b.engine.headers.Stamp)
-	b.end([]GatheredCall{out}, reply.Part.body)
+	b.end(out, reply.Part.body)
 }
 
 func (b *batch) hold(c *relayedCall, u *policy.Upstream) {
@@ -224,12 +225,6 @@
 func (b *batch) stop(linger time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.left = b.left || linger == 0
-	if len(b.calls) < b.open {
-		// Some calls are made by other hosts, which are told as the context ends.
-		defer b.cancel()
-		linger = 0
-	}
 	for _, c := range b.calls {
 		if linger > 0 && c.upstream != nil && b.engine.kernel.Fleet.Linger(c.upstream) {
 			c.lingering = true
@@ -257,19 +252,14 @@
 	return out
 }
 
-// end notes calls that ended, with the records of those that went well.
-func (b *batch) end(calls []GatheredCall, records []byte) {
-	if len(calls) == 0 {
-		return
-	}
+// end notes a call that ended, with its records if it went well.
+func (b *batch) end(c GatheredCall, records []byte) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.merger.add(records)
-	b.ended = append(b.ended, calls...)
-	for _, c := range calls {
-		delete(b.calls, c.Index)
-	}
-	if b.open -= len(calls); b.open == 0 {
+	b.ended = append(b.ended, c)
+	delete(b.calls, c.Index)
+	if b.open--; b.open == 0 {
 		close(b.finished)
 		b.cancel()
 	}
