feat: log without waiting for a reader; go on at once after a pause

A request now waits until the control thread has noticed the pause. Log lines went to standard output directly: a reader that stalls would have stalled requests; they go through a bounded buffer and are counted when lost.

--- a/loomctl/exit.go
+++ b/loomctl/exit.go
@@ -7,7 +7,7 @@
 	"github.com/google/subcommands"
 )
 
-// Exit statuses. docs/OPERATING.md lists them.
+// Exit statuses. docs/OPERATIONS.md lists them.
 const (
 	exitComplete = subcommands.ExitSuccess
 	exitFailure  = subcommands.ExitFailure
--- /dev/null
+++ b/loomd/log.go
@@ -0,0 +1,23 @@
+package main
+
+import (
+	"io"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/rs/zerolog"
+	"github.com/rs/zerolog/diode"
+)
+
+// logBuffer is how many lines wait for a slow reader before the oldest are
+// lost: some seconds of a busy host, about a megabyte.
+const logBuffer = 4096
+
+// newLog makes a log of JSON lines whose callers never wait for the writer:
+// lines that nobody takes in time are lost and counted. The function it returns
+// writes what is left.
+func newLog(w io.Writer) (zerolog.Logger, func()) {
+	lost := metrics.GetOrCreateCounter("loomgap_log_lines_lost_total")
+	// Without an interval the writer sleeps until there is a line.
+	d := diode.NewWriter(w, logBuffer, 0, func(missed int) { lost.Add(missed) })
+	return zerolog.New(d).With().Timestamp().Logger(), func() { _ = d.Close() }
+}
--- /dev/null
+++ b/loomd/log_test.go
@@ -0,0 +1,36 @@
+package main
+
+import (
+	"bufio"
+	"os"
+	"testing"
+
+	"github.com/VictoriaMetrics/metrics"
+	"gotest.tools/v3/assert"
+)
+
+// TestLogDoesNotWaitForItsReader writes far more than pipe and buffer hold
+// while nobody reads.
+func TestLogDoesNotWaitForItsReader(t *testing.T) {
+	r, w, err := os.Pipe()
+	assert.NilError(t, err)
+	log, flush := newLog(w)
+	const lines = 20 * logBuffer
+	for i := range lines {
+		log.Info().Int("Line", i).Msg("a line")
+	}
+	read := make(chan int)
+	go func() {
+		n := 0
+		for s := bufio.NewScanner(r); s.Scan(); {
+			n++
+		}
+		read <- n
+	}()
+	flush()
+	_ = w.Close()
+	n := <-read
+	assert.Assert(t, n > 0 && n < lines, "%d lines", n)
+	lost := metrics.GetOrCreateCounter("loomgap_log_lines_lost_total").Get()
+	assert.Equal(t, uint64(n)+lost, uint64(lines))
+}
--- a/loomd/serve.go
+++ b/loomd/serve.go
@@ -48,7 +48,8 @@
 
 // Execute implements subcommands.Command.
 func (c *serveCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	log := zerolog.New(os.Stdout).With().Timestamp().Logger()
+	log, flush := newLog(os.Stdout)
+	defer flush()
 	if err := c.run(ctx, f, log); err != nil {
 		log.Error().Err(err).Msg("daemon not run")
 		return subcommands.ExitFailure
--- a/tier/kernel/kernel.go
+++ b/tier/kernel/kernel.go
@@ -181,6 +181,17 @@
 	return k.Now()-time.Duration(k.pulse.Load()) < pauseBound
 }
 
+// Wake waits until the control thread has noticed a pause of the process, so
+// that what is believed is judged anew before it is acted on.
+func (k *Kernel) Wake() {
+	if k.Awake() {
+		return
+	}
+	done := make(chan struct{})
+	k.Do(func(*State) { close(done) })
+	<-done
+}
+
 // Phase is where the host is in its life.
 func (k *Kernel) Phase() Phase { return k.phase.Load().(Phase) }
 
@@ -206,6 +217,7 @@
 		case <-ctx.Done():
 			return
 		case job := <-k.jobs:
+			k.beat(s)
 			job(s)
 			k.publish(s)
 		case <-tick.C:
--- a/tier/kernel/kernel_test.go
+++ b/tier/kernel/kernel_test.go
@@ -123,3 +123,20 @@
 		assert.Equal(t, k.View().Pauses, 1)
 	})
 }
+
+// TestWakeWaitsUntilAPauseIsNoticed holds the control thread up, as a pause of
+// the process does.
+func TestWakeWaitsUntilAPauseIsNoticed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		k, stop := New(Config{Log: zerolog.Nop(), Started: time.Now()})
+		defer stop()
+		k.Do(func(*State) { time.Sleep(3 * time.Second) })
+		time.Sleep(2 * time.Second)
+		assert.Assert(t, !k.Awake())
+		begun := k.Now()
+		k.Wake()
+		assert.Equal(t, k.Now()-begun, time.Second)
+		assert.Assert(t, k.Awake())
+		assert.Equal(t, k.View().Pauses, 1, "the view tells of the pause")
+	})
+}
--- a/tier/pass/serve.go
+++ b/tier/pass/serve.go
@@ -87,6 +87,7 @@
 func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	e.kernel.InFlight.Add(1)
 	defer e.kernel.InFlight.Add(-1)
+	e.kernel.Wake()
 	q := &request{engine: e, id: r.Header.Get(e.headers.RequestID), view: e.kernel.View(), begun: e.kernel.Now(), method: r.Method}
 	if e.kernel.Phase() == kernel.PhaseDraining {
 		w.Header().Set("Connection", "close")
