--- a/tier/pass/host_test.go
+++ b/tier/pass/host_test.go
@@ -174,7 +174,6 @@
 	server *httptest.Server
 	// revision is that of the last change.
 	revision uint64
-	listed   []config.Listing
 }
 
 type hostConfig struct {
--- a/tier/pass/single_test.go
+++ b/tier/pass/single_test.go
@@ -117,7 +117,7 @@
 		{"success without stamp", func(_ *upstream, c net.Conn, r *http.Request) bool {
 			return answerWith(c, 200, map[string]string{names.RequestID: r.Header.Get(names.RequestID)}, "x")
 		}, http.StatusBadGateway, 1, http.StatusBadGateway, 2},
-		{"answer to another request", func(u *upstream, c net.Conn, _ *http.Request) bool {
+		{"answer to another request", func(_ *upstream, c net.Conn, _ *http.Request) bool {
 			return answerWith(c, 200, map[string]string{names.RequestID: "other", names.Stamp: "s"}, "x")
 		}, http.StatusBadGateway, 1, http.StatusBadGateway, 2},
 		{"no HTTP", func(_ *upstream, c net.Conn, _ *http.Request) bool {
@@ -230,7 +230,7 @@
 	h.accept(d)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	defer l.Close()
+	defer func() { _ = l.Close() }()
 	rest := make(chan string, 1)
 	go func() {
 		c, err := l.Accept()
