test: mend races of the feed's stand-in; keep both outputs of the scenes' processes

Cause: make test was run for the first time with the race detector over package peers since the feed's tests came: the stand-in's fields were used by two goroutines. The scenes kept only standard error, and logs go to standard output now; a start that fails tells it on standard error too, as bad_input expects.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # The two commands of the README are `make demo` and `make test`.
 GOBIN := $(CURDIR)/.bin
-MODULES := tier loomd loomctl loomfake
+MODULES := tier platform loomd loomctl loomfake
 LINT := $(GOBIN)/golangci-lint
 GOA := $(GOBIN)/goa
 
--- a/loomd/serve.go
+++ b/loomd/serve.go
@@ -52,6 +52,8 @@
 	defer flush()
 	if err := c.run(ctx, f, log); err != nil {
 		log.Error().Err(err).Msg("daemon not run")
+		// Whoever started it by hand looks here.
+		fmt.Fprintln(os.Stderr, "loomd: "+err.Error())
 		return subcommands.ExitFailure
 	}
 	return subcommands.ExitSuccess
--- a/loomfake/scene_test.go
+++ b/loomfake/scene_test.go
@@ -58,7 +58,7 @@
 		return err
 	}
 	c := exec.Command(filepath.Join(programs, args[0]), args[1:]...)
-	c.Stderr = f
+	c.Stdout, c.Stderr = f, f
 	c.Env = s.env
 	if err := c.Start(); err != nil {
 		return err
--- a/tier/peers/feed_test.go
+++ b/tier/peers/feed_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"net/netip"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -21,6 +22,7 @@
 
 // published is a platform in memory: a list of changes, each of its revision.
 type published struct {
+	mu       sync.Mutex
 	revision uint64
 	// from is the oldest revision after which changes are known.
 	from    uint64
@@ -38,6 +40,8 @@
 }
 
 func (p *published) change(c config.DirectoryChange) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	p.revision++
 	c.Revision = p.revision
 	for i := range c.Listed {
@@ -71,6 +75,8 @@
 
 // Read implements kernel.Source.
 func (p *published) Read(_ context.Context, exact bool) (*kernel.Published, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	if p.away {
 		return nil, errAway
 	}
@@ -92,25 +98,28 @@
 
 // Watch implements kernel.Source.
 func (p *published) Watch(ctx context.Context, after uint64, wait time.Duration) (*kernel.Published, error) {
+	out, moved, err := p.since(after)
+	if err != nil || out.Revision > after || wait == 0 {
+		return out, err
+	}
+	select {
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case <-time.After(wait):
+	case <-moved:
+	}
+	out, _, err = p.since(after)
+	return out, err
+}
+
+func (p *published) since(after uint64) (*kernel.Published, chan struct{}, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	if p.away {
-		return nil, errAway
+		return nil, nil, errAway
 	}
 	if after < p.from {
-		return nil, kernel.ErrHistoryGone
-	}
-	if after >= p.revision && wait > 0 {
-		select {
-		case <-ctx.Done():
-			return nil, ctx.Err()
-		case <-time.After(wait):
-		case <-p.moved:
-		}
-		if p.away {
-			return nil, errAway
-		}
-		if after < p.from {
-			return nil, kernel.ErrHistoryGone
-		}
+		return nil, nil, kernel.ErrHistoryGone
 	}
 	out := &kernel.Published{Revision: p.revision, Directory: config.DirectoryChange{Revision: p.revision}}
 	for _, c := range p.changes {
@@ -119,7 +128,14 @@
 			out.Directory.Removed = append(out.Directory.Removed, c.Removed...)
 		}
 	}
-	return out, nil
+	return out, p.moved, nil
+}
+
+// set changes how the platform does.
+func (p *published) set(change func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	change()
 }
 
 // fed runs a test of a feed in virtual time.
@@ -167,7 +183,7 @@
 		p.remove("U1")
 		settle(time.Second)
 		assert.DeepEqual(t, listedNames(k), []string{"U2", "U3"})
-		assert.DeepEqual(t, p.reads, []bool{false})
+		p.set(func() { assert.DeepEqual(t, p.reads, []bool{false}) })
 	})
 }
 
@@ -175,13 +191,12 @@
 // history it must be exact, or it would bring back what is gone.
 func TestFeedReadsWholeAfterLostHistory(t *testing.T) {
 	fed(t, func(p *published, k *kernel.Kernel) {
-		p.stale = 3
-		p.from = p.revision + 2
+		p.set(func() { p.stale, p.from = 3, p.revision+2 })
 		p.remove("U1")
 		p.list("U3")
 		settle(5 * time.Second)
 		assert.DeepEqual(t, listedNames(k), []string{"U2", "U3"})
-		assert.DeepEqual(t, p.reads, []bool{false, true})
+		p.set(func() { assert.DeepEqual(t, p.reads, []bool{false, true}) })
 	})
 }
 
@@ -189,11 +204,11 @@
 // of them lists itself again.
 func TestFeedKeepsWhatLapsedWhileThePlatformWasAway(t *testing.T) {
 	fed(t, func(p *published, k *kernel.Kernel) {
-		p.away = true
+		p.set(func() { p.away = true })
 		p.remove("U1", "U2")
 		settle(5 * time.Second)
 		assert.DeepEqual(t, listedNames(k), []string{"U1", "U2"})
-		p.away = false
+		p.set(func() { p.away = false })
 		settle(time.Second + feedRetryMost)
 		assert.DeepEqual(t, listedNames(k), []string{"U1", "U2"})
 		p.list("U2")
@@ -210,11 +225,11 @@
 			return <-out
 		}
 		assert.Assert(t, !down())
-		p.away = true
+		p.set(func() { p.away = true })
 		p.list("U3")
 		settle(5 * time.Second)
 		assert.Assert(t, down())
-		p.away = false
+		p.set(func() { p.away = false })
 		settle(3 * time.Second)
 		assert.Assert(t, !down())
 		assert.DeepEqual(t, listedNames(k), []string{"U1", "U2", "U3"})
