--- a/tier/pass/serve.go
+++ b/tier/pass/serve.go
@@ -180,6 +180,8 @@
 func headOf(r *http.Request, names *kernel.Headers, body int) []byte {
 	h := r.Header.Clone()
 	strip(h)
+	// A caller cannot take the ID away by naming it in Connection.
+	h[http.CanonicalHeaderKey(names.RequestID)] = r.Header[http.CanonicalHeaderKey(names.RequestID)]
 	h.Del(names.DeadlineMillis)
 	h.Del(names.Upstream)
 	h.Del("Expect")
--- a/tier/pass/single_test.go
+++ b/tier/pass/single_test.go
@@ -65,6 +65,26 @@
 	assert.Equal(t, seen.Header.Get("Connection"), "")
 }
 
+func TestConnectionHeadersStayHere(t *testing.T) {
+	h, us := single(t, good("x"))
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodGet, h.server.URL+"/read/", nil)
+	assert.NilError(t, err)
+	r.Host = "shop.example"
+	for name, value := range map[string]string{
+		names.RequestID: "one", names.Upstream: "forged", "Connection": "X-Mine, " + names.RequestID, "X-Mine": "1", "Te": "trailers", "X-Other": "kept",
+	} {
+		r.Header.Set(name, value)
+	}
+	answer, err := h.server.Client().Do(r)
+	assert.NilError(t, err)
+	assert.NilError(t, answer.Body.Close())
+	seen := us[0].requests["one"]
+	assert.Assert(t, seen != nil, "the ID is passed on")
+	assert.DeepEqual(t, seen.Header.Values(names.Upstream), []string{"U1"})
+	assert.Equal(t, seen.Header.Get("X-Mine")+seen.Header.Get("Te")+seen.Header.Get("Connection"), "")
+	assert.Equal(t, seen.Header.Get("X-Other"), "kept")
+}
+
 func TestRejections(t *testing.T) {
 	h, us := single(t, good("x"))
 	tests := []struct {
--- a/tier/policy/route_test.go
+++ b/tier/policy/route_test.go
@@ -289,3 +289,21 @@
 	assert.Equal(t, len(sends(r.Wake(hedgeIn))), 0)
 	assert.Equal(t, len(sends(r.Wake(hedgeIn+loadLife))), 1, "the word on its queue is old by then")
 }
+
+// TestOverdueCallsAreHedged has the news of a batch lack one call: that one is
+// hedged at once, and no call of a batch is hedged before it is overdue.
+func TestOverdueCallsAreHedged(t *testing.T) {
+	f := routedFleet(2, Repeats{Ratio: 1, Depth: 100})
+	r, actions := routedRun(t, f, 0, 2, 2, 1, true)
+	first := sends(actions)
+	assert.Equal(t, len(first), 2)
+	for _, a := range first {
+		r.Patient(a.Attempt)
+	}
+	now := first[0].HedgeIn
+	assert.Equal(t, len(sends(r.Wake(now))), 0, "its news may still come")
+	r.Reply(now, first[0].Attempt, CallOK)
+	hedges := sends(r.Overdue(now, []int{first[1].Attempt}))
+	assert.Equal(t, len(hedges), 1)
+	assert.Equal(t, hedges[0].Part, first[1].Part)
+}
