--- a/loomfake/link.go
+++ b/loomfake/link.go
@@ -68,6 +68,13 @@
 type linkFaults struct {
 	// Cut has every byte vanish.
 	Cut bool
+	// CutBack has the bytes of the way back vanish.
+	CutBack bool
+	// Refuse has new connections end at once, Reset those that are open too.
+	Refuse bool
+	Reset  bool
+	// Delay is how much later bytes arrive.
+	Delay time.Duration
 }
 
 // link passes bytes on, or has them vanish.
@@ -78,10 +85,10 @@
 	conns  map[net.Conn]bool
 }
 
-func (k *link) cut() bool {
+func (k *link) now() linkFaults {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.faults.Cut
+	return k.faults
 }
 
 func (k *link) accept(l net.Listener) {
@@ -96,7 +103,12 @@
 
 func (k *link) serve(a net.Conn) {
 	k.keep(a)
-	if k.cut() {
+	f := k.now()
+	if f.Refuse || f.Reset {
+		hardClose(a)
+		return
+	}
+	if f.Cut {
 		_, _ = io.Copy(io.Discard, a)
 		return
 	}
@@ -106,8 +118,16 @@
 		return
 	}
 	k.keep(b)
-	go k.pass(a, b)
-	k.pass(b, a)
+	go k.pass(a, b, false)
+	k.pass(b, a, true)
+}
+
+// hardClose ends a connection with a reset.
+func hardClose(c net.Conn) {
+	if t, ok := c.(*net.TCPConn); ok {
+		_ = t.SetLinger(0)
+	}
+	_ = c.Close()
 }
 
 func (k *link) keep(c net.Conn) {
@@ -117,11 +137,16 @@
 }
 
 // pass copies bytes until an end closes; while the link is cut it drops them.
-func (k *link) pass(from, to net.Conn) {
+func (k *link) pass(from, to net.Conn, back bool) {
+	defer k.forget(from)
 	buffer := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buffer)
-		if n > 0 && !k.cut() {
+		f := k.now()
+		if n > 0 && f.Delay > 0 {
+			time.Sleep(f.Delay)
+		}
+		if n > 0 && !f.Cut && !(back && f.CutBack) {
 			if _, err := to.Write(buffer[:n]); err != nil {
 				break
 			}
@@ -134,21 +159,33 @@
 	_ = to.Close()
 }
 
-// onFake sets the faults. Healing closes the connections that lost bytes.
+func (k *link) forget(c net.Conn) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	delete(k.conns, c)
+}
+
+// onFake sets the faults.
 func (k *link) onFake(w http.ResponseWriter, r *http.Request) {
 	var f linkFaults
 	if err := wire.Decode(r.Body, wire.MaxBody, &f); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	k.set(f)
+	write(w, http.StatusOK, f)
+}
+
+// set changes the faults. Healing closes the connections that lost bytes.
+func (k *link) set(f linkFaults) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.faults.Cut && !f.Cut {
+	healed := k.faults.Cut && !f.Cut || k.faults.CutBack && !f.CutBack
+	if healed || f.Reset {
 		for c := range k.conns {
-			_ = c.Close()
+			hardClose(c)
 		}
 		k.conns = map[net.Conn]bool{}
 	}
 	k.faults = f
-	write(w, http.StatusOK, f)
 }
--- a/loomfake/main.go
+++ b/loomfake/main.go
@@ -22,6 +22,6 @@
 func commands() []subcommands.Command {
 	return []subcommands.Command{
 		subcommands.HelpCommand(), subcommands.FlagsCommand(),
-		&documentCommand{}, &platformCommand{}, &upstreamCommand{}, &linkCommand{}, &loadCommand{}, &replayCommand{},
+		&documentCommand{}, &platformCommand{}, &upstreamCommand{}, &linkCommand{}, &loadCommand{}, &replayCommand{}, &soakCommand{},
 	}
 }
--- a/loomfake/platform.go
+++ b/loomfake/platform.go
@@ -53,7 +53,7 @@
 }
 
 func (c *platformCommand) run() error {
-	p := newPlatform()
+	p := newPublisher()
 	if c.file != "" {
 		text, err := os.ReadFile(c.file)
 		if err != nil {
@@ -79,7 +79,7 @@
 }
 
 // platform publishes documents and a live list.
-type platform struct {
+type publisher struct {
 	mu        sync.Mutex
 	documents []string
 	live      map[string]liveLine
@@ -94,11 +94,11 @@
 	at    time.Time
 }
 
-func newPlatform() *platform {
-	return &platform{live: map[string]liveLine{}, changed: make(chan struct{})}
+func newPublisher() *publisher {
+	return &publisher{live: map[string]liveLine{}, changed: make(chan struct{})}
 }
 
-func (p *platform) handler() http.Handler {
+func (p *publisher) handler() http.Handler {
 	m := http.NewServeMux()
 	m.HandleFunc("GET "+wire.PathDocument, p.read(p.document))
 	m.HandleFunc("GET "+wire.PathLive, p.read(p.list))
@@ -110,7 +110,7 @@
 }
 
 // publish adds a document; its revision is its number.
-func (p *platform) publish(text string) uint64 {
+func (p *publisher) publish(text string) uint64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.documents = append(p.documents, text)
@@ -118,14 +118,14 @@
 	return uint64(len(p.documents))
 }
 
-func (p *platform) wake() {
+func (p *publisher) wake() {
 	close(p.changed)
 	p.changed = make(chan struct{})
 }
 
 // read serves a long poll: it answers when the number rises above After, or
 // when WaitMillis have passed.
-func (p *platform) read(get func() (uint64, any)) http.HandlerFunc {
+func (p *publisher) read(get func() (uint64, any)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		after, _ := strconv.ParseUint(r.FormValue("After"), 10, 64)
 		wait, _ := strconv.ParseInt(r.FormValue("WaitMillis"), 10, 64)
@@ -156,7 +156,7 @@
 	}
 }
 
-func (p *platform) document() (uint64, any) {
+func (p *publisher) document() (uint64, any) {
 	n := uint64(len(p.documents))
 	if p.faults.Serve > 0 && p.faults.Serve < n {
 		n = p.faults.Serve
@@ -167,7 +167,7 @@
 	return n, wire.DocumentReply{Revision: n, Text: p.documents[n-1]}
 }
 
-func (p *platform) list() (uint64, any) {
+func (p *publisher) list() (uint64, any) {
 	out := wire.LiveReply{Version: p.version}
 	for n, l := range p.live {
 		state := l.state
@@ -179,7 +179,7 @@
 	return p.version, out
 }
 
-func (p *platform) onPublish(w http.ResponseWriter, r *http.Request) {
+func (p *publisher) onPublish(w http.ResponseWriter, r *http.Request) {
 	text, err := io.ReadAll(io.LimitReader(r.Body, 4*config.MaxBytes))
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
@@ -188,7 +188,7 @@
 	write(w, http.StatusOK, wire.DocumentReply{Revision: p.publish(string(text))})
 }
 
-func (p *platform) onFake(w http.ResponseWriter, r *http.Request) {
+func (p *publisher) onFake(w http.ResponseWriter, r *http.Request) {
 	var f platformFaults
 	if err := wire.Decode(r.Body, wire.MaxBody, &f); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
@@ -201,7 +201,7 @@
 	write(w, http.StatusOK, f)
 }
 
-func (p *platform) onSetLive(w http.ResponseWriter, r *http.Request) {
+func (p *publisher) onSetLive(w http.ResponseWriter, r *http.Request) {
 	var e wire.LiveEntry
 	if err := wire.Decode(r.Body, wire.MaxBody, &e); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
@@ -220,7 +220,7 @@
 	Reads int
 }
 
-func (p *platform) onReads(w http.ResponseWriter, _ *http.Request) {
+func (p *publisher) onReads(w http.ResponseWriter, _ *http.Request) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	write(w, http.StatusOK, readCount{Reads: p.reads})
--- /dev/null
+++ b/loomfake/soak.go
@@ -0,0 +1,100 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/google/subcommands"
+)
+
+// errPromise is wrapped by the error of a soak that saw a promise broken.
+var errPromise = errors.New("a promise was broken")
+
+// soakConfig says how a soak is run.
+type soakConfig struct {
+	// Seed draws the faults; the same seed draws the same ones at the same
+	// times.
+	Seed uint64
+	// For is how long faults come.
+	For time.Duration
+	// Daemon is the program of the entry hosts.
+	Daemon string
+	// Hosts is how many entry hosts run in each of two halls.
+	Hosts int
+	// Callers is how many callers ask at a time.
+	Callers int
+	// Shards is how many shards a gather has.
+	Shards int
+	// Dir is where the logs of the daemons are kept.
+	Dir string
+}
+
+// soakCommand runs daemons under random faults and checks their promises.
+type soakCommand struct {
+	soakConfig
+}
+
+var _ subcommands.Command = (*soakCommand)(nil)
+
+// Name implements subcommands.Command.
+func (*soakCommand) Name() string { return "soak" }
+
+// Synopsis implements subcommands.Command.
+func (*soakCommand) Synopsis() string {
+	return "run daemons under random faults and check their promises"
+}
+
+// Usage implements subcommands.Command.
+func (*soakCommand) Usage() string {
+	return "loomfake soak -Daemon FILE [-Seed N] [-For TIME]\n" +
+		"Prints a report; exits with 1 if a promise was broken. docs/SOAK.md has the promises.\n"
+}
+
+// SetFlags implements subcommands.Command.
+func (c *soakCommand) SetFlags(f *flag.FlagSet) {
+	f.Uint64Var(&c.Seed, "Seed", 1, "`number` that draws the faults")
+	f.DurationVar(&c.For, "For", 20*time.Second, "how long faults come")
+	f.StringVar(&c.Daemon, "Daemon", "bin/loomd", "`file` of the daemon")
+	f.IntVar(&c.Hosts, "Hosts", 2, "`number` of entry hosts in each hall")
+	f.IntVar(&c.Callers, "Callers", 12, "`number` of callers")
+	f.IntVar(&c.Shards, "Shards", 5, "`number` of shards")
+	f.StringVar(&c.Dir, "Dir", "", "`directory` for the daemons' logs; empty for a new one that is removed if all is well")
+}
+
+// Execute implements subcommands.Command.
+func (c *soakCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	return status(c.run(ctx))
+}
+
+func (c *soakCommand) run(ctx context.Context) error {
+	temporary := c.Dir == ""
+	if temporary {
+		dir, err := os.MkdirTemp("", "soak")
+		if err != nil {
+			return fmt.Errorf("directory for logs: %w", err)
+		}
+		c.Dir = dir
+	}
+	s, cleanUp, err := newSoak(c.soakConfig)
+	if err != nil {
+		return err
+	}
+	err = s.run(ctx)
+	cleanUp()
+	if err != nil {
+		return err
+	}
+	broken := s.check()
+	s.report(os.Stdout, broken)
+	if len(broken) > 0 {
+		return fmt.Errorf("%w: seed %d, logs in %s", errPromise, c.Seed, c.Dir)
+	}
+	if temporary {
+		return os.RemoveAll(c.Dir)
+	}
+	return nil
+}
--- /dev/null
+++ b/loomfake/soak_test.go
@@ -0,0 +1,182 @@
+package main
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"loomgap/platform"
+	"loomgap/platform/mock"
+)
+
+// failedSeeds are seeds that a soak once failed with, each with the cause.
+var failedSeeds = []struct {
+	seed  uint64
+	cause string
+}{}
+
+// TestSoak runs short soaks with fixed seeds, and all that ever failed.
+func TestSoak(t *testing.T) {
+	seeds := []uint64{20261202, 7}
+	for _, f := range failedSeeds {
+		seeds = append(seeds, f.seed)
+	}
+	for _, seed := range seeds {
+		s, cleanUp, err := newSoak(soakConfig{
+			Seed: seed, For: 4 * time.Second, Daemon: filepath.Join(programs, "loomd"), Hosts: 2, Callers: 6, Shards: 4, Dir: t.TempDir(),
+		})
+		assert.NilError(t, err)
+		err = s.run(t.Context())
+		cleanUp()
+		assert.NilError(t, err)
+		if broken := s.check(); len(broken) > 0 {
+			t.Fatalf("seed %d:\n%s", seed, strings.Join(broken, "\n"))
+		}
+		assert.Assert(t, len(s.asked) > 0)
+	}
+}
+
+// soaked is a soak as it is after its run, with one gather of two shards and
+// nothing wrong.
+func soaked() *soak {
+	s := &soak{soakConfig: soakConfig{Shards: 2}, checked: map[string]int{}, injected: map[string]int{}}
+	s.sets = [][]string{{"set0-a", "set0-b"}, {"set1-a", "set1-b"}}
+	s.versions = []version{{0, 1}, {0, 2}}
+	s.hosts = []*soakHost{{}}
+	for _, g := range []string{"set0-a", "set0-b", "set1-a", "set1-b", "single"} {
+		for _, n := range []string{"1", "2", "3"} {
+			s.upstreams = append(s.upstreams, &soakUpstream{Upstream: mock.Upstream{Name: g + n, Body: strings.Repeat(g+n, 16)[:32]}, group: g})
+		}
+	}
+	return s
+}
+
+func (s *soak) named(name string) *soakUpstream {
+	for _, u := range s.upstreams {
+		if u.Name == name {
+			return u
+		}
+	}
+	return nil
+}
+
+func (s *soak) arrive(name, id string, at time.Duration) {
+	u := s.named(name)
+	u.arrivals = append(u.arrivals, arrival{at: at, id: id, ran: true})
+}
+
+// answerOf is the right answer from parts.
+func (s *soak) answerOf(id string, missing string, names ...string) asked {
+	a := asked{id: id, kind: "gather", status: http.StatusOK, header: http.Header{}}
+	var stamps, records []string
+	for _, n := range names {
+		u := s.named(n)
+		stamps = append(stamps, u.Stamp(id))
+		records = append(records, u.Body[:16], u.Body[16:])
+	}
+	for i := range records {
+		for j := range records {
+			if records[i] > records[j] {
+				records[i], records[j] = records[j], records[i]
+			}
+		}
+	}
+	a.body = []byte(strings.Join(records, ""))
+	a.header.Set(platform.Headers.Parts, strings.Join(stamps, ", "))
+	a.header.Set(platform.Headers.Missing, missing)
+	return a
+}
+
+// TestEachCheckCanFail breaks one promise after the other.
+func TestEachCheckCanFail(t *testing.T) {
+	second := time.Second
+	tests := []struct {
+		promise string
+		spoil   func(s *soak)
+	}{
+		{"", func(*soak) {}},
+		{"at most once", func(s *soak) {
+			s.arrive("single1", "x", 0)
+			s.arrive("single2", "x", 0)
+			s.asked = append(s.asked, asked{id: "x", kind: "unsafe", status: 502})
+		}},
+		{"a refusal is true", func(s *soak) {
+			s.arrive("single1", "x", 0)
+			s.asked = append(s.asked, asked{id: "x", kind: "unsafe", status: 503})
+		}},
+		{"attempts", func(s *soak) {
+			for _, n := range []string{"single1", "single2", "single3"} {
+				s.arrive(n, "x", 0)
+			}
+			s.asked = append(s.asked, asked{id: "x", kind: "safe", status: 502})
+		}},
+		{"own whole answer", func(s *soak) { s.asked[0].body = s.asked[0].body[:16] }},
+		{"own whole answer", func(s *soak) { s.asked[0].id = "another" }},
+		{"own whole answer", func(s *soak) {
+			h := s.asked[0].header
+			h.Set(platform.Headers.Parts, h.Get(platform.Headers.Parts)+", "+s.named("set0-a1").Stamp("g"))
+		}},
+		{"one set of shards", func(s *soak) {
+			s.arrive("set1-b1", "m", 0)
+			s.arrive("set0-a1", "m", 0)
+			s.asked = append(s.asked, s.answerOf("m", "0", "set0-a1", "set1-b1"))
+		}},
+		{"true coverage", func(s *soak) { s.asked[0].header.Set(platform.Headers.Missing, "1") }},
+		{"least coverage", func(s *soak) {
+			s.arrive("set0-a1", "m", 0)
+			s.asked = append(s.asked, s.answerOf("m", "1", "set0-a1"))
+		}},
+		{"no way back", func(s *soak) {
+			s.arrive("single1", "x", 0)
+			a := asked{id: "x", kind: "safe", status: 200, route: 2, header: http.Header{}, body: []byte(s.named("single1").Body)}
+			a.header.Set(platform.Headers.Stamp, s.named("single1").Stamp("x"))
+			s.asked = append(s.asked, a, asked{id: "y", kind: "safe", status: 404, route: 2, at: second})
+		}},
+		{"in force everywhere", func(s *soak) {
+			s.asked = append(s.asked, asked{id: "y", kind: "safe", status: 404, route: 1, at: 20 * second})
+		}},
+		{"leaving upstreams", func(s *soak) {
+			s.named("single1").leftAt = second
+			s.arrive("single1", "x", 30*second)
+		}},
+		{"repeats", func(s *soak) {
+			for i := range 60 {
+				id := string(rune('A' + i))
+				s.arrive("single1", id, second)
+				s.arrive("single2", id, second)
+			}
+		}},
+		{"a planned stop cuts nothing", func(s *soak) {
+			s.hosts[0].stops = []time.Duration{9 * second}
+			s.arrive("single1", "x", 10*second)
+			s.asked = append(s.asked, asked{id: "x", kind: "safe", err: errors.New("cut"), at: 10 * second, ended: 11 * second})
+		}},
+		{"recovery", func(s *soak) {
+			s.asked = append(s.asked, asked{id: "z", kind: "safe", status: 502, at: 40 * second, ended: 41 * second})
+		}},
+	}
+	for _, tt := range tests {
+		s := soaked()
+		s.arrive("set0-a1", "g", 0)
+		s.arrive("set0-b1", "g", 0)
+		s.asked = append(s.asked, s.answerOf("g", "0", "set0-a1", "set0-b1"))
+		tt.spoil(s)
+		broken := s.check()
+		if tt.promise == "" {
+			assert.Equal(t, len(broken), 0, "%v", broken)
+			continue
+		}
+		found := false
+		for _, b := range broken {
+			found = found || strings.HasPrefix(b, tt.promise+":")
+		}
+		assert.Assert(t, found, "%s: %v", tt.promise, broken)
+		s.report(io.Discard, broken)
+	}
+}
--- /dev/null
+++ b/loomfake/soakcheck.go
@@ -0,0 +1,288 @@
+package main
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"loomgap/platform"
+)
+
+// Bounds that the checks judge by. Each is a promise's own, with time for a
+// busy machine; callers and daemons share it.
+const (
+	// soakApply is when a change must be in force at untouched hosts.
+	soakApply = 5 * time.Second
+	// soakUntouched is how long ago the last thing must have been done to a
+	// host, or to the store, for a promise with a time.
+	soakUntouched = 6 * time.Second
+	soakWindow    = 10 * time.Second
+	// soakStop is how long a planned stop takes at most, and how long ago
+	// anything else must have been done to a host for what is said of stops.
+	soakStop = 4 * time.Second
+	// soakServed is the part of requests that must be served once all is healed.
+	soakServed = 0.95
+)
+
+// check gives the broken promises, each with what showed it.
+func (s *soak) check() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := &checker{soak: s, runs: map[string][]*soakUpstream{}, byStamp: map[string]*soakUpstream{}}
+	for _, u := range s.upstreams {
+		for _, a := range u.seen() {
+			if a.ran {
+				c.runs[a.id] = append(c.runs[a.id], u)
+			}
+		}
+	}
+	for i := range s.asked {
+		c.request(&s.asked[i])
+	}
+	c.versions()
+	c.leaving()
+	c.repeats()
+	c.recovery()
+	return c.broken
+}
+
+type checker struct {
+	soak *soak
+	// runs are the upstreams that ran a request, by its ID.
+	runs    map[string][]*soakUpstream
+	byStamp map[string]*soakUpstream
+	broken  []string
+}
+
+// hold counts a check and notes a failure.
+func (c *checker) hold(promise string, ok bool, format string, args ...any) {
+	c.soak.checked[promise]++
+	if !ok && len(c.broken) < 50 {
+		c.broken = append(c.broken, promise+": "+fmt.Sprintf(format, args...))
+	}
+}
+
+func (c *checker) request(a *asked) {
+	runs := c.runs[a.id]
+	if a.kind == "unsafe" {
+		c.hold("at most once", len(runs) <= 1, "%s ran %d times", a.id, len(runs))
+		if a.status == http.StatusServiceUnavailable || a.status == http.StatusTooManyRequests {
+			c.hold("a refusal is true", len(runs) == 0, "%s was refused and ran", a.id)
+		}
+	}
+	if a.err != nil && len(runs) > 0 {
+		c.hold("a planned stop cuts nothing", !c.stopped(a), "%s was cut by host %d: %v", a.id, a.host, a.err)
+	}
+	ran := map[string]map[string]bool{}
+	for _, u := range runs {
+		if ran[u.group] == nil {
+			ran[u.group] = map[string]bool{}
+		}
+		ran[u.group][u.Name] = true
+	}
+	for g, us := range ran {
+		c.hold("attempts", len(us) <= 2, "%s ran on %d upstreams of %s", a.id, len(us), g)
+	}
+	switch {
+	case a.status != http.StatusOK || a.err != nil:
+	case a.kind == "gather":
+		c.gathered(a)
+	default:
+		c.single(a)
+	}
+}
+
+// stopped tells whether a request was under way during a planned stop of its
+// host with nothing else done to the host.
+func (c *checker) stopped(a *asked) bool {
+	h := c.soak.hosts[a.host]
+	during := func(at time.Duration) bool { return at > a.at-soakStop && at < a.ended }
+	return slices.ContainsFunc(h.stops, during) && !slices.ContainsFunc(h.hurts, during)
+}
+
+// stamped finds the upstream that gave a stamp to a request; nil if none did.
+func (c *checker) stamped(stamp, id string) *soakUpstream {
+	for _, u := range c.runs[id] {
+		if u.Stamp(id) == stamp {
+			return u
+		}
+	}
+	return nil
+}
+
+func (c *checker) single(a *asked) {
+	u := c.stamped(a.header.Get(platform.Headers.Stamp), a.id)
+	c.hold("own whole answer", u != nil && string(a.body) == u.Body, "%s got %q with stamp %q", a.id, a.body, a.header.Get(platform.Headers.Stamp))
+}
+
+func (c *checker) gathered(a *asked) {
+	var records []string
+	in := map[string]bool{}
+	for _, stamp := range strings.Split(a.header.Get(platform.Headers.Parts), ", ") {
+		u := c.stamped(stamp, a.id)
+		if u == nil || in[u.group] {
+			c.hold("own whole answer", false, "%s has the part %q, which is none of it, or twice", a.id, stamp)
+			return
+		}
+		in[u.group] = true
+		for text := u.Body; len(text) >= 16; text = text[16:] {
+			records = append(records, text[:16])
+		}
+	}
+	slices.Sort(records)
+	slices.Reverse(records)
+	want := strings.Join(records[:min(soakTop, len(records))], "")
+	c.hold("own whole answer", string(a.body) == want, "%s got %q for %q", a.id, a.body, want)
+	missing, err := strconv.Atoi(a.header.Get(platform.Headers.Missing))
+	set := slices.IndexFunc(c.soak.sets, func(set []string) bool {
+		n := 0
+		for _, g := range set {
+			if in[g] {
+				n++
+			}
+		}
+		return n == len(in)
+	})
+	c.hold("one set of shards", set >= 0, "%s mixes sets: %v", a.id, in)
+	c.hold("true coverage", err == nil && len(in)+missing == c.soak.Shards, "%s has %d parts and lacks %d", a.id, len(in), missing)
+	c.hold("least coverage", float64(len(in)) >= soakCoverage*float64(c.soak.Shards), "%s has %d parts", a.id, len(in))
+}
+
+// versions looks at how hosts follow the configuration: a process that served a
+// version's route knows it from then on.
+func (c *checker) versions() {
+	type process struct{ host, generation int }
+	known := map[process]int{}
+	inOrder := slices.Clone(c.soak.asked)
+	slices.SortFunc(inOrder, func(a, b asked) int { return cmp.Compare(a.at, b.at) })
+	for _, a := range inOrder {
+		if a.route == 0 || a.err != nil {
+			continue
+		}
+		p := process{a.host, a.generation}
+		switch a.status {
+		case http.StatusOK:
+			known[p] = max(known[p], a.route)
+		case http.StatusNotFound:
+			c.hold("no way back", known[p] < a.route, "host %d knew version %d and does not know %d at %s", a.host, known[p], a.route, a.at)
+			v := c.soak.versions[a.route-1]
+			h := c.soak.hosts[a.host]
+			settled := a.at-v.at > soakApply && a.at-h.touched > soakUntouched && a.at-c.soak.storeTouched > soakUntouched
+			c.hold("in force everywhere", !settled, "host %d does not know version %d after %s", a.host, a.route, a.at-v.at)
+		}
+	}
+}
+
+// leaving looks for requests that reached an upstream long after it left. A
+// fault of a host or of the store may have kept the news back.
+func (c *checker) leaving() {
+	for _, u := range c.soak.upstreams {
+		if u.leftAt == 0 {
+			continue
+		}
+		for _, a := range u.seen() {
+			late := a.at-u.leftAt > soakApply+soakUntouched
+			c.hold("leaving upstreams", !late, "%s got %s %s after it left", u.Name, a.id, a.at-u.leftAt)
+		}
+	}
+}
+
+// repeats counts the arrivals beyond the first at each group in windows.
+func (c *checker) repeats() {
+	perGroup := map[string][]arrival{}
+	for _, u := range c.soak.upstreams {
+		perGroup[u.group] = append(perGroup[u.group], u.seen()...)
+	}
+	for g, as := range perGroup {
+		slices.SortFunc(as, func(a, b arrival) int { return cmp.Compare(a.at, b.at) })
+		first := map[string]bool{}
+		var repeats, requests []time.Duration
+		for _, a := range as {
+			if first[a.id] {
+				repeats = append(repeats, a.at)
+			} else {
+				requests = append(requests, a.at)
+			}
+			first[a.id] = true
+		}
+		for i, at := range repeats {
+			n := i + 1 - from(repeats, at-soakWindow)
+			most := max(between(requests, at-soakWindow, at), between(requests, at-2*soakWindow, at-soakWindow))
+			allowed := soakRatio*float64(most) + soakSlack
+			c.hold("repeats", float64(n) <= allowed, "%s got %d repeats for %d requests in %s", g, n, most, soakWindow)
+		}
+	}
+}
+
+// from is the index of the first time not before another.
+func from(times []time.Duration, at time.Duration) int {
+	i, _ := slices.BinarySearch(times, at)
+	return i
+}
+
+func between(times []time.Duration, a, b time.Duration) int { return from(times, b) - from(times, a) }
+
+// recovery looks at the last requests, asked when all was healed.
+func (c *checker) recovery() {
+	last := time.Duration(0)
+	for i := range c.soak.asked {
+		last = max(last, c.soak.asked[i].at)
+	}
+	served, all := 0, 0
+	for _, a := range c.soak.asked {
+		if a.at < last-soakLast || a.status == 0 && a.err != nil && a.ended == 0 {
+			continue
+		}
+		all++
+		if a.status == http.StatusOK {
+			served++
+		}
+	}
+	c.hold("recovery", float64(served) >= soakServed*float64(all), "%d of %d requests served at the end", served, all)
+}
+
+// report writes what was injected, checked and measured.
+func (s *soak) report(w io.Writer, broken []string) {
+	fmt.Fprintf(w, "# Soak, seed %d\n\n%d hosts, %d callers, %d requests, faults for %s\n\n| Injected | Times |\n| --- | ---: |\n", s.Seed, len(s.hosts), s.Callers, len(s.asked), s.For)
+	s.table(w, s.injected)
+	fmt.Fprintf(w, "\n| Checked | Times |\n| --- | ---: |\n")
+	s.table(w, s.checked)
+	fmt.Fprintf(w, "\n| Kind | Answered | p50 ms | p99 ms | p99.9 ms | not 200 |\n| --- | ---: | ---: | ---: | ---: | ---: |\n")
+	for _, kind := range []string{"gather", "safe", "unsafe"} {
+		h := hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 2)
+		others := 0
+		for _, a := range s.asked {
+			switch {
+			case a.kind != kind:
+			case a.status == http.StatusOK && a.err == nil:
+				_ = h.RecordValue((a.ended - a.at).Microseconds()) // within bounds by the caller's own
+			default:
+				others++
+			}
+		}
+		ms := func(q float64) float64 { return float64(h.ValueAtQuantile(q)) / 1000 }
+		fmt.Fprintf(w, "| %s | %d | %.1f | %.1f | %.1f | %d |\n", kind, h.TotalCount(), ms(50), ms(99), ms(99.9), others)
+	}
+	fmt.Fprintf(w, "\n%d broken\n", len(broken))
+	for _, b := range broken {
+		fmt.Fprintln(w, "- "+b)
+	}
+}
+
+func (s *soak) table(w io.Writer, counts map[string]int) {
+	var names []string
+	for n := range counts {
+		names = append(names, n)
+	}
+	slices.Sort(names)
+	for _, n := range names {
+		fmt.Fprintf(w, "| %s | %d |\n", n, counts[n])
+	}
+}
