fix: a soak whose faults overlap on one host ends

A fault starts the host again only if the daemon that it hit is still the last one. Ruled out: a daemon that does not end at SIGTERM (it had none of its own).

--- a/loomfake/soakrun.go
+++ b/loomfake/soakrun.go
@@ -259,19 +259,21 @@
 		h.signal(syscall.SIGSTOP)
 		return func() { h.signal(syscall.SIGCONT); s.touch(h) }
 	}},
-	{"host killed", func(ctx context.Context, s *soak) func() {
+	{"host killed", func(_ context.Context, s *soak) func() {
 		h := s.anyHost()
+		end := s.restarter(h)
 		h.signal(syscall.SIGKILL)
-		return s.restarter(ctx, h)
+		return end
 	}},
-	{"host stopped", func(ctx context.Context, s *soak) func() {
+	{"host stopped", func(_ context.Context, s *soak) func() {
 		h := s.hosts[s.random.IntN(len(s.hosts))]
 		h.mu.Lock()
 		h.touched = s.now()
 		h.stops = append(h.stops, h.touched)
 		h.mu.Unlock()
+		end := s.restarter(h)
 		h.signal(syscall.SIGTERM)
-		return s.restarter(ctx, h)
+		return end
 	}},
 	{"settings read again", func(_ context.Context, s *soak) func() {
 		h := s.hosts[s.random.IntN(len(s.hosts))]
@@ -353,11 +355,13 @@
 	}
 }
 
-func (s *soak) restarter(ctx context.Context, h *soakHost) func() {
+// restarter gives what starts a host again, once the daemon that runs now has
+// ended. Faults overlap: another may have killed it and started it again.
+func (s *soak) restarter(h *soakHost) func() {
+	generation := h.generation()
 	return func() {
 		h.signal(syscall.SIGCONT)
-		// It is started again at the soak's end too.
-		s.must(h.restart(context.WithoutCancel(ctx), s.Daemon))
+		s.must(h.restart(generation, s.Daemon))
 		h.mu.Lock()
 		h.touched = s.now()
 		h.mu.Unlock()
--- a/loomfake/soaksite.go
+++ b/loomfake/soaksite.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"context"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -398,17 +397,20 @@
 	}
 }
 
-// restart waits for the daemon's end and starts it again.
-func (h *soakHost) restart(ctx context.Context, daemon string) error {
+// restart waits for the end of the daemon of a generation and starts the next,
+// unless another has done so.
+func (h *soakHost) restart(generation int, daemon string) error {
 	h.mu.Lock()
-	ended := h.ended
+	ended, current := h.ended, h.generations == generation
 	h.mu.Unlock()
-	select {
-	case <-ended:
-		return h.start(daemon)
-	case <-ctx.Done():
+	if !current {
+		return nil
+	}
+	<-ended
+	if h.generation() != generation {
 		return nil
 	}
+	return h.start(daemon)
 }
 
 // generation counts the daemons that ran so far.
