--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,9 @@
 LINT := $(GOBIN)/golangci-lint
 GOA := $(GOBIN)/goa
 
-.PHONY: build demo test lint generate format
+.PHONY: build demo test soak lint generate format
+
+SEED ?= 1
 
 build:
 	go build -o bin/ ./loomd ./loomctl ./loomfake
@@ -17,6 +19,9 @@
 	go test -race -count=1 $$(go list $(addsuffix /...,$(addprefix ./,$(MODULES))) | grep -v /replay)
 	go test -count=1 ./tier/replay
 
+soak: build
+	bin/loomfake soak -Daemon bin/loomd -Seed $(SEED)
+
 lint: $(LINT)
 	@for m in $(MODULES); do (cd $$m && $(LINT) run ./...) || exit 1; done
 
