feat: show and change routes in the language

Cause: loomctl plan knew nothing of the routes and groups that documents may have since. One piece assigns the settings of classes and routes. Measured: tests of query; those of classes are unchanged and pass.

--- a/tier/query/apply.go
+++ b/tier/query/apply.go
@@ -173,43 +173,83 @@
 }
 
 func set(d *config.Document, c *Set, p lexer.Position) error {
+	if c.Route != "" {
+		i := find(d.Routes, func(x config.Route) bool { return x.Name == c.Route })
+		if i < 0 {
+			return at(p, fmt.Sprintf("no route %q", c.Route), "correct the name; `show routes` lists them")
+		}
+		return assign(settingsOfRoute(&d.Routes[i]), c.Settings, p)
+	}
 	i := find(d.Classes, func(x config.Class) bool { return x.Name == c.Class })
 	if i < 0 {
 		return at(p, fmt.Sprintf("no class %q", c.Class), "create it first or correct the name")
 	}
-	for _, a := range c.Settings {
-		if err := setClass(&d.Classes[i], a, p); err != nil {
+	return assign(settingsOfClass(&d.Classes[i]), c.Settings, p)
+}
+
+// settable are the settings that a command may change, by name.
+type settable struct {
+	// what names the thing that has them.
+	what      string
+	durations map[string]*config.Duration
+	numbers   map[string]*float64
+	counts    map[string]*int
+	texts     map[string]*string
+}
+
+func settingsOfClass(c *config.Class) settable {
+	return settable{
+		what: "class",
+		durations: map[string]*config.Duration{
+			"deadline": &c.Deadline, "maxdeadline": &c.MaxDeadline, "margin": &c.Margin, "patience": &c.Patience,
+		},
+		numbers: map[string]*float64{
+			"coverage": &c.Coverage, "hedgequantile": &c.HedgeQuantile, "hedgebudget": &c.HedgeBudget,
+		},
+		counts: map[string]*int{"worth": &c.Worth, "maxinflight": &c.MaxInFlight},
+		texts:  map[string]*string{"choice": &c.Choice, "admission": &c.Admission, "hedge": (*string)(&c.Hedge)},
+	}
+}
+
+func settingsOfRoute(r *config.Route) settable {
+	s := settable{
+		what:      "route",
+		durations: map[string]*config.Duration{"timelimit": &r.TimeLimit, "objective": &r.Objective},
+		counts:    map[string]*int{"priority": &r.Priority, "maxattempts": &r.MaxAttempts},
+	}
+	if r.Gather != nil {
+		s.numbers = map[string]*float64{"coverage": &r.Gather.Coverage}
+		s.counts["top"] = &r.Gather.Top
+	}
+	return s
+}
+
+func assign(s settable, settings []*Assignment, p lexer.Position) error {
+	for _, a := range settings {
+		if err := s.assign(a, p); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-func setClass(c *config.Class, a *Assignment, p lexer.Position) error {
-	durations := map[string]*config.Duration{
-		"deadline": &c.Deadline, "maxdeadline": &c.MaxDeadline, "margin": &c.Margin, "patience": &c.Patience,
-	}
-	numbers := map[string]*float64{
-		"coverage": &c.Coverage, "hedgequantile": &c.HedgeQuantile, "hedgebudget": &c.HedgeBudget,
-	}
-	counts := map[string]*int{"worth": &c.Worth, "maxinflight": &c.MaxInFlight}
-	texts := map[string]*string{"choice": &c.Choice, "admission": &c.Admission, "hedge": (*string)(&c.Hedge)}
+func (s *settable) assign(a *Assignment, p lexer.Position) error {
 	name := strings.ToLower(a.Field)
 	var err error
 	switch {
-	case durations[name] != nil:
+	case s.durations[name] != nil:
 		var v time.Duration
 		if v, err = time.ParseDuration(a.Value); err == nil {
-			*durations[name] = config.Duration(v)
+			*s.durations[name] = config.Duration(v)
 		}
-	case numbers[name] != nil:
-		*numbers[name], err = strconv.ParseFloat(a.Value, 64)
-	case counts[name] != nil:
-		*counts[name], err = strconv.Atoi(a.Value)
-	case texts[name] != nil:
-		*texts[name] = a.Value
+	case s.numbers[name] != nil:
+		*s.numbers[name], err = strconv.ParseFloat(a.Value, 64)
+	case s.counts[name] != nil:
+		*s.counts[name], err = strconv.Atoi(a.Value)
+	case s.texts[name] != nil:
+		*s.texts[name] = a.Value
 	default:
-		return at(p, fmt.Sprintf("unknown setting %q", a.Field), "docs/LANGUAGE.md lists the settings of a class")
+		return at(p, fmt.Sprintf("unknown setting %q", a.Field), "docs/LANGUAGE.md lists the settings of a "+s.what)
 	}
 	if err != nil {
 		return at(p, fmt.Sprintf("bad value %q for %s", a.Value, a.Field), "write durations as 250ms, counts as whole numbers, shares as 0 to 1")
@@ -236,6 +276,14 @@
 		for _, k := range d.Classes {
 			out = append(out, fmt.Sprintf("%s deadline %s worth %d coverage %g hedge %s", k.Name, time.Duration(k.Deadline), k.Worth, k.Coverage, k.Hedge))
 		}
+	case "groups":
+		for _, g := range d.Groups {
+			out = append(out, fmt.Sprintf("%s connections %d", g.Name, g.Connections))
+		}
+	case "routes":
+		for i := range d.Routes {
+			out = append(out, routeLine(&d.Routes[i]))
+		}
 	case "shards":
 		s, err := service(d, c.Of, p)
 		if err != nil {
@@ -247,3 +295,12 @@
 	}
 	return out, nil
 }
+
+func routeLine(r *config.Route) string {
+	line := fmt.Sprintf("%s %s%s to %s timelimit %s objective %s maxattempts %d priority %d", r.Name, r.HostName, r.Prefix,
+		strings.Join(r.Targets(), ", "), time.Duration(r.TimeLimit), time.Duration(r.Objective), r.MaxAttempts, r.Priority)
+	if r.Gather != nil {
+		line += fmt.Sprintf(" coverage %g top %d", r.Gather.Coverage, r.Gather.Top)
+	}
+	return line
+}
--- a/tier/query/grammar.go
+++ b/tier/query/grammar.go
@@ -128,9 +128,10 @@
 	Replicas []string `parser:"'on' @Word ( ',' @Word )*"`
 }
 
-// Set changes settings of a class.
+// Set changes settings of a class or a route.
 type Set struct {
-	Class    string        `parser:"'set' 'class' @Word"`
+	Class    string        `parser:"'set' ( 'class' @Word"`
+	Route    string        `parser:"| 'route' @Word )"`
 	Settings []*Assignment `parser:"@@ ( ',' @@ )*"`
 }
 
@@ -149,7 +150,7 @@
 
 // Show prints a part of the document.
 type Show struct {
-	What string `parser:"'show' @( 'services' | 'upstreams' | 'hosts' | 'classes' | 'shards' )"`
+	What string `parser:"'show' @( 'services' | 'upstreams' | 'hosts' | 'classes' | 'shards' | 'groups' | 'routes' )"`
 	Of   string `parser:"( 'of' @Word )?"`
 }
 
--- a/tier/query/query_test.go
+++ b/tier/query/query_test.go
@@ -78,6 +78,24 @@
 	assert.Equal(t, d.Services[0].MapRevision, uint64(3))
 }
 
+func TestApplyChangesRoutes(t *testing.T) {
+	d := config.Document{
+		Groups: []config.Group{{Name: "A", Connections: 1}},
+		Routes: []config.Route{{
+			Name: "Find", HostName: "x.example", Prefix: "/f/", Repeatable: true, MaxAttempts: 2, TimeLimit: 1e9, Objective: 1e8,
+			Gather: &config.Gather{Groups: []string{"A"}, Top: 5, Coverage: 0.5},
+		}},
+	}
+	statements, err := Parse(`set route Find objective = 80ms, coverage = 0.9, top = 7, maxattempts = 1; show routes; show groups`)
+	assert.NilError(t, err)
+	shown, err := Apply(&d, statements)
+	assert.NilError(t, err)
+	assert.NilError(t, config.Check(&d, 1))
+	assert.Assert(t, is.DeepEqual(shown, []string{
+		"Find x.example/f/ to A timelimit 1s objective 80ms maxattempts 1 priority 0 coverage 0.9 top 7", "A connections 1",
+	}))
+}
+
 func TestApplyRefuses(t *testing.T) {
 	tests := []struct {
 		text, problem string
@@ -89,6 +107,7 @@
 		{`declare host H at "here" hall Q`, `bad address "here"`},
 		{"create class A; create class A", "there already"},
 		{"create class A; set class A deadline = 5", "bad value"},
+		{"set route Nope objective = 5ms", `no route "Nope"`},
 	}
 	for _, tt := range tests {
 		t.Run(tt.text, func(t *testing.T) {
