perf: notice at once that the platform does not answer; start faster

A reader counts as lost 1.8 s after its last answer, whatever its read does. A host that starts does not wait 0.3 s before it confirms what it read, and beats five times a second at first, since all may start at once.

--- a/tier/peers/feed.go
+++ b/tier/peers/feed.go
@@ -85,7 +85,9 @@
 	// failingSince is when the first of the reads in a row failed; 0 if the
 	// last one did not.
 	failingSince time.Duration
-	pause        time.Duration
+	// heardAt is when the last read went well.
+	heardAt time.Duration
+	pause   time.Duration
 	// lapsed are removals that are held back until lapsedDue.
 	lapsed    []config.Removal
 	lapsedDue time.Duration
@@ -106,7 +108,11 @@
 			f.failed(ctx, err)
 			continue
 		}
+		first := !f.watched
 		f.take(published)
+		if first {
+			continue // the host is not ready before a watch has confirmed the read
+		}
 		if len(published.Directory.Listed)+len(published.Directory.Removed) > 0 || published.Document != nil {
 			sleep(ctx, feedGather)
 		}
@@ -161,29 +167,28 @@
 	if f.failingSince == 0 {
 		f.failingSince = now
 	}
-	if now-f.failingSince >= awayAfter {
-		f.down(err)
+	if now-f.failingSince >= awayAfter || now-f.heardAt > newsStale {
+		f.kernel.Do(func(s *kernel.State) { lost(f.kernel, s, err) })
 	}
 	f.pause = min(max(2*f.pause, feedRetry), feedRetryMost)
 	sleep(ctx, f.pause/2+rand.N(f.pause/2+1))
 }
 
-// down tells that this host has to learn from peers.
-func (f *feed) down(err error) {
-	f.kernel.Do(func(s *kernel.State) {
-		if s.FeedDown {
-			return
-		}
-		s.FeedDown = true
-		f.kernel.Log.Warn().Err(err).Int64("PlatformAgeMillis", (f.kernel.Now() - s.PlatformHeard).Milliseconds()).
-			Msg("platform lost")
-	})
+// lost notes that this host has to learn from peers; it runs on the control
+// thread.
+func lost(k *kernel.Kernel, s *kernel.State, err error) {
+	if s.FeedDown {
+		return
+	}
+	s.FeedDown = true
+	k.Log.Warn().Err(err).Int64("PlatformAgeMillis", (k.Now() - s.PlatformHeard).Milliseconds()).Msg("platform lost")
 }
 
 // take tells the control thread what was read.
 func (f *feed) take(p *kernel.Published) {
 	now := f.kernel.Now()
-	away := f.failingSince > 0 && now-f.failingSince >= awayAfter
+	away := f.failingSince > 0 && (now-f.failingSince >= awayAfter || now-f.heardAt > newsStale)
+	f.heardAt = now
 	f.failingSince, f.pause, f.exact = 0, 0, false
 	if p.Directory.Whole {
 		// It may be an old one; the watch that follows tells.
--- a/tier/peers/feed_test.go
+++ b/tier/peers/feed_test.go
@@ -235,3 +235,57 @@
 		assert.DeepEqual(t, listedNames(k), []string{"U1", "U2", "U3"})
 	})
 }
+
+// TestReaderWithoutAnswersSaysSo has a read hang: long before it fails, the
+// host learns from peers and tells its hall nothing.
+func TestReaderWithoutAnswersSaysSo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		k, stop := kernel.New(kernel.Config{
+			Settings: kernel.Settings{Host: "H1", Hall: "A"}, Log: zerolog.Nop(), Started: time.Now(),
+			Fleet: policy.NewFleet(policy.FleetConfig{Random: rand.New(rand.NewPCG(1, 2))}),
+		})
+		defer stop()
+		told := &toldPeers{}
+		k.Peers = told
+		k.Do(func(s *kernel.State) {
+			s.Watching, s.ReadAt = true, k.Now()+time.Nanosecond
+			s.Members["H2"] = kernel.Member{Host: "H2", Hall: "A", Live: true}
+			s.Directory, _ = s.Directory.With(&config.DirectoryChange{Revision: 1})
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go (&teller{kernel: k}).loop(ctx)
+		settle(newsEvery + time.Millisecond)
+		assert.Assert(t, told.count() > 0)
+		settle(newsStale)
+		before := told.count()
+		settle(time.Second)
+		assert.Equal(t, told.count(), before)
+		done := make(chan bool, 1)
+		k.Do(func(s *kernel.State) { done <- s.FeedDown })
+		assert.Assert(t, <-done)
+	})
+}
+
+// toldPeers counts the calls to peers.
+type toldPeers struct {
+	mu    sync.Mutex
+	calls int
+}
+
+func (p *toldPeers) count() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.calls
+}
+
+// Call implements kernel.PeerCaller.
+func (p *toldPeers) Call(context.Context, string, string, any, any) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.calls++
+	return nil
+}
+
+// Notify implements kernel.PeerCaller.
+func (p *toldPeers) Notify(context.Context, string, string, any) error { return nil }
--- a/tier/peers/gossip.go
+++ b/tier/peers/gossip.go
@@ -35,6 +35,10 @@
 	// seedEvery is how many beats pass between beats to a seed that is not
 	// known as a member: a host that was cut off finds the others again.
 	seedEvery = 5
+	// quickBeat and quickBeats are how often and how many times a host beats at
+	// its start, when it knows nobody: all hosts may have been started at once.
+	quickBeat  = 200 * time.Millisecond
+	quickBeats = 8
 	// maxMembers bounds the members that are believed without a document.
 	maxMembers = 4096
 )
@@ -139,11 +143,14 @@
 }
 
 func (g *gossip) loop(ctx context.Context) {
-	tick := time.NewTicker(g.kernel.Settings.Beat)
+	tick := time.NewTicker(min(quickBeat, g.kernel.Settings.Beat))
 	defer tick.Stop()
 	leave := g.kernel.Stopping()
 	g.kernel.Do(g.beat)
-	for {
+	for beats := 0; ; beats++ {
+		if beats == quickBeats {
+			tick.Reset(g.kernel.Settings.Beat)
+		}
 		select {
 		case <-ctx.Done():
 			return
--- a/tier/peers/news.go
+++ b/tier/peers/news.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/netip"
 	"slices"
@@ -31,6 +32,9 @@
 	newsBound = time.Second
 )
 
+// errStaleNews is a platform that has not answered for some time.
+var errStaleNews = errors.New("no answer for some time")
+
 // News is what a reader of the platform tells the hosts of its hall.
 type News struct {
 	Host string
@@ -75,7 +79,12 @@
 // the control thread of a host that reads the platform.
 func (t *teller) tell(s *kernel.State) {
 	now := t.kernel.Now()
-	if !s.Watching || s.ReadAt == 0 || now-s.ReadAt > newsStale {
+	if !s.Watching || s.ReadAt == 0 {
+		return
+	}
+	if now-s.ReadAt > newsStale {
+		// The read under way may take longer still to fail.
+		lost(t.kernel, s, errStaleNews)
 		return
 	}
 	changed := s.Directory.Digest() != t.told.Digest() || revision(s) != t.revision
