perf: leave out records of hedged parts that cannot be in the answer

Cause: answers of batches are 60% of the bytes between hosts, and most batches are hedges of one or two parts, which come when nearly all parts are here. The request names the least of the greatest records so far; the host near the upstreams leaves out what is less. A block that came with such a floor counts only beside the answers it was taken from.

--- a/tier/pass/batch.go
+++ b/tier/pass/batch.go
@@ -128,25 +128,33 @@
 // relaying is which hosts make calls for one request.
 type relaying struct {
 	mu sync.Mutex
-	// hosts are the hosts of batches, by number of the batch's first attempt.
-	hosts map[int]string
+	// begun are the batches, by number of the batch's first attempt.
+	begun map[int]begun
 	// owing counts the batches that a host has not answered. A hedge must not
 	// wait for the same host as the call that it hedges.
 	owing map[string]int
 }
 
-func (r *relaying) begin(attempt int, host string) {
-	if r.hosts == nil {
-		r.hosts, r.owing = map[int]string{}, map[string]int{}
+// begun is a batch on its way.
+type begun struct {
+	host string
+	// floor and basis spare records that cannot be in the answer any more.
+	floor []byte
+	basis []*answer
+}
+
+func (r *relaying) begin(attempt int, b begun) {
+	if r.begun == nil {
+		r.begun, r.owing = map[int]begun{}, map[string]int{}
 	}
-	r.hosts[attempt] = host
-	r.owing[host]++
+	r.begun[attempt] = b
+	r.owing[b.host]++
 }
 
-func (r *relaying) hostOf(attempt int) string {
+func (r *relaying) of(attempt int) begun {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.hosts[attempt]
+	return r.begun[attempt]
 }
 
 func (r *relaying) answered(host string) {
@@ -180,7 +188,12 @@
 			apart = append(apart, calls...)
 			continue
 		}
-		q.relaying.begin(calls[0].Attempt, host)
+		b := begun{host: host}
+		if calls[0].HedgeIn == 0 {
+			// Most parts are here when one is hedged.
+			b.floor, b.basis = q.parts.floor(q.route.Gather.Top)
+		}
+		q.relaying.begin(calls[0].Attempt, b)
 		batches = append(batches, calls)
 	}
 	return batches, apart
@@ -190,10 +203,12 @@
 func (q *request) CallBatch(ctx context.Context, batch []policy.Action, to flight.Reporter[*answer]) {
 	e := q.engine
 	k := e.kernel
-	host := q.relaying.hostOf(batch[0].Attempt)
+	b := q.relaying.of(batch[0].Attempt)
+	host := b.host
 	started := k.Now()
 	way := e.relays.sent(host, started)
 	in := q.gatherRequest(batch, way)
+	in.Floor = b.floor
 	var first GatherReply
 	err := e.callRelay(ctx, host, MethodGather, in, &first, q.deadline)
 	took := k.Now() - started
@@ -209,7 +224,7 @@
 	}
 	held := time.Duration(first.HeldMicros) * time.Microsecond
 	e.relays.answered(host, k.Now(), max(took-held, time.Microsecond))
-	q.reportBatch(batch, &first, took-held, to)
+	q.reportBatch(batch, &first, b.basis, took-held, to)
 	if first.Open == 0 {
 		return
 	}
@@ -219,7 +234,7 @@
 		e.stopRelay(host, BatchName{ID: in.ID, Left: q.left.Load()}, q.id)
 		return
 	}
-	q.reportBatch(batch, &rest, took-held, to)
+	q.reportBatch(batch, &rest, b.basis, took-held, to)
 }
 
 // gatherRequest describes a batch for the host that makes its calls. The first
@@ -259,8 +274,8 @@
 
 // reportBatch reports the calls that a reply tells of. Their records are kept
 // as one block that stands for all of them.
-func (q *request) reportBatch(batch []policy.Action, g *GatherReply, way time.Duration, to flight.Reporter[*answer]) {
-	block := &block{records: g.Records, stamps: map[int]string{}}
+func (q *request) reportBatch(batch []policy.Action, g *GatherReply, basis []*answer, way time.Duration, to flight.Reporter[*answer]) {
+	block := &block{records: g.Records, stamps: map[int]string{}, basis: basis}
 	for _, c := range g.Ended {
 		if c.Index >= 0 && c.Index < len(batch) && c.Stamp != "" {
 			block.stamps[batch[c.Index].Part] = c.Stamp
--- a/tier/pass/relay.go
+++ b/tier/pass/relay.go
@@ -55,6 +55,8 @@
 	// Upstreams are called once each.
 	Upstreams []string
 	Top       int
+	// Floor is a record below which none is wanted; empty for none.
+	Floor []byte `json:",omitempty"`
 	// FirstMillis is when the first answer is due, DeadlineMillis when the calls
 	// end; both from now.
 	FirstMillis, DeadlineMillis int64
@@ -139,7 +141,7 @@
 	if err := json.Unmarshal(params, &in); err != nil {
 		return nil, fmt.Errorf("bad gather: %w", err)
 	}
-	if len(in.Upstreams) == 0 || len(in.Upstreams) > maxGathered || in.Top < 1 {
+	if len(in.Upstreams) == 0 || len(in.Upstreams) > maxGathered || in.Top < 1 || len(in.Floor)%recordBytes != 0 {
 		return nil, fmt.Errorf("bad gather: %d upstreams, top %d: send 1 to %d, and a top of 1 or more", len(in.Upstreams), in.Top, maxGathered)
 	}
 	e.kernel.InFlight.Add(1)
@@ -154,7 +156,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), left)
 	b := &batch{
 		engine: e, in: in, deadline: e.kernel.Now() + left, cancel: cancel,
-		merger: merger{top: in.Top}, open: len(in.Upstreams), calls: map[int]*relayedCall{}, finished: make(chan struct{}),
+		merger: merger{top: in.Top, floor: in.Floor}, open: len(in.Upstreams), calls: map[int]*relayedCall{}, finished: make(chan struct{}),
 	}
 	e.relayed.mu.Lock()
 	e.relayed.batches[in.ID] = b
