fix: hold back removals that come just after the platform's return

Cause: entries that lapsed while the platform was away may be removed a moment after it is back; only those of the first read were held back for the upstreams to list themselves again. The test fails without the change.

--- a/tier/peers/feed.go
+++ b/tier/peers/feed.go
@@ -30,6 +30,9 @@
 	// more when the platform came back: its entry may have lapsed meanwhile,
 	// and it lists itself again within about two seconds.
 	lapseHold = 2500 * time.Millisecond
+	// lapseLate is how long after its return the platform may still remove what
+	// lapsed while it was away.
+	lapseLate = time.Second
 )
 
 // feedPlugin reads what an adapter's platform publishes.
@@ -88,9 +91,11 @@
 	// heardAt is when the last read went well.
 	heardAt time.Duration
 	pause   time.Duration
-	// lapsed are removals that are held back until lapsedDue.
+	// lapsed are removals that are held back until lapsedDue, and removals are
+	// held back until holdUntil.
 	lapsed    []config.Removal
 	lapsedDue time.Duration
+	holdUntil time.Duration
 }
 
 func (f *feed) loop(ctx context.Context) {
@@ -221,6 +226,9 @@
 	}
 	change := p.Directory
 	if away {
+		f.holdUntil = now + lapseLate
+	}
+	if now < f.holdUntil {
 		f.hold(s, &change, now)
 	}
 	before := s.Directory.Digest()
@@ -244,6 +252,8 @@
 	if c.Whole {
 		f.lapsed = append(f.lapsed, s.Directory.Lacking(c)...)
 	}
+	if len(f.lapsed) > 0 && f.lapsedDue <= now {
+		f.lapsedDue = now + lapseHold
+	}
 	c.Removed, c.Whole = nil, false
-	f.lapsedDue = now + lapseHold
 }
--- a/tier/peers/feed_test.go
+++ b/tier/peers/feed_test.go
@@ -217,6 +217,23 @@
 	})
 }
 
+// TestFeedKeepsWhatThePlatformRemovesJustAfterItsReturn is the same with the
+// removal coming a little later than the return.
+func TestFeedKeepsWhatThePlatformRemovesJustAfterItsReturn(t *testing.T) {
+	fed(t, func(p *published, k *kernel.Kernel) {
+		p.set(func() { p.away = true })
+		settle(5 * time.Second)
+		p.set(func() { p.away = false })
+		settle(feedRetryMost + 100*time.Millisecond)
+		p.remove("U1", "U2")
+		settle(time.Second)
+		assert.DeepEqual(t, listedNames(k), []string{"U1", "U2"})
+		p.list("U2")
+		settle(lapseHold + time.Second)
+		assert.DeepEqual(t, listedNames(k), []string{"U2"})
+	})
+}
+
 func TestFeedTellsThatItHasToLearnFromPeers(t *testing.T) {
 	fed(t, func(p *published, k *kernel.Kernel) {
 		down := func() bool {
