--- a/loomfake/link.go
+++ b/loomfake/link.go
@@ -146,7 +146,7 @@
 		if n > 0 && f.Delay > 0 {
 			time.Sleep(f.Delay)
 		}
-		if n > 0 && !f.Cut && !(back && f.CutBack) {
+		if n > 0 && !f.Cut && (!back || !f.CutBack) {
 			if _, err := to.Write(buffer[:n]); err != nil {
 				break
 			}
