refactor: split what serves routes by matter; one trace through relayed calls

Cause: serve.go held reading, headers, outcomes and answers; the message between hosts had a field for the trace that nobody filled. Traces through messages and headers are one piece in wire, which entry and pass share. The test of the trace fails without the change.

--- a/tier/entry/flight.go
+++ b/tier/entry/flight.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"go.opentelemetry.io/otel/attribute"
-	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
 
 	"loomgap/tier/flight"
@@ -66,8 +65,6 @@
 	deadline time.Duration
 }
 
-var propagator propagation.TraceContext
-
 // exchange makes a call within a span of its own.
 func (e *Engine) exchange(ctx context.Context, x *exchange) (policy.CallOutcome, *wire.PartReply) {
 	route := e.route(x.upstream)
@@ -84,7 +81,7 @@
 	header := http.Header{"Content-Type": {"application/json"}}
 	if span.IsRecording() {
 		span.SetAttributes(attribute.String("Upstream", x.upstream), attribute.String("Shard", x.id.Shard), attribute.Int("Attempt", x.id.Attempt))
-		propagator.Inject(ctx, propagation.HeaderCarrier(header))
+		wire.TraceTo(ctx, header)
 	}
 	r := route.caller.do(ctx, x.path, header, x.body)
 	outcome, part := judge(&r, x.id, x.snapshot)
--- a/tier/entry/heir.go
+++ b/tier/entry/heir.go
@@ -192,6 +192,6 @@
 	defer cancel()
 	return e.kernel.Peers.Call(ctx, host, MethodOrder, wire.OrderRequest{
 		Ticket: in.Ticket, Statement: in.Statement, Class: in.Class,
-		DeadlineMillis: left.Milliseconds(), Trace: traceOf(ctx),
+		DeadlineMillis: left.Milliseconds(), Trace: wire.TraceOf(ctx),
 	}, out)
 }
--- a/tier/entry/order.go
+++ b/tier/entry/order.go
@@ -143,7 +143,7 @@
 	if e.ticketsOf(t) == nil {
 		return nil, fmt.Errorf("%w %q: %w", ErrTicket, in.Ticket, errNotHeir)
 	}
-	return e.Order(traceInto(ctx, in.Trace), &entrygen.OrderPayload{
+	return e.Order(wire.TraceInto(ctx, in.Trace), &entrygen.OrderPayload{
 		Ticket: in.Ticket, Statement: in.Statement, Class: in.Class, DeadlineMillis: &in.DeadlineMillis,
 	})
 }
--- a/tier/entry/relay.go
+++ b/tier/entry/relay.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"go.opentelemetry.io/otel/attribute"
-	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
 
 	"loomgap/tier/peers"
@@ -27,7 +26,7 @@
 	span.SetAttributes(attribute.String("Owner", owner), attribute.String("Upstream", x.upstream))
 	in := wire.RelayRequest{
 		Upstream: x.upstream, Service: x.service, Path: x.path, Body: string(x.body), Identity: x.id,
-		Snapshot: x.snapshot, DeadlineMillis: (x.deadline - e.kernel.Now()).Milliseconds(), Trace: traceOf(ctx),
+		Snapshot: x.snapshot, DeadlineMillis: (x.deadline - e.kernel.Now()).Milliseconds(), Trace: wire.TraceOf(ctx),
 	}
 	var out wire.RelayReply
 	err := e.kernel.Peers.Call(ctx, owner, MethodRelay, in, &out)
@@ -55,7 +54,7 @@
 	}
 	e.kernel.InFlight.Add(1)
 	defer e.kernel.InFlight.Add(-1)
-	ctx = traceInto(ctx, in.Trace)
+	ctx = wire.TraceInto(ctx, in.Trace)
 	left := min(time.Duration(in.DeadlineMillis)*time.Millisecond, maxRelay)
 	x := &exchange{
 		upstream: in.Upstream, service: in.Service, path: in.Path, id: in.Identity,
@@ -93,13 +92,3 @@
 	}))
 	return outcome, part
 }
-
-func traceOf(ctx context.Context) string {
-	carrier := propagation.MapCarrier{}
-	propagator.Inject(ctx, carrier)
-	return carrier.Get("traceparent")
-}
-
-func traceInto(ctx context.Context, parent string) context.Context {
-	return propagator.Extract(ctx, propagation.MapCarrier{"traceparent": parent})
-}
--- a/tier/entry/serve.go
+++ b/tier/entry/serve.go
@@ -13,8 +13,6 @@
 	goahttp "goa.design/goa/v3/http"
 	goa "goa.design/goa/v3/pkg"
 
-	"go.opentelemetry.io/otel/propagation"
-
 	entrygen "loomgap/tier/gen/entry"
 	"loomgap/tier/gen/http/entry/server"
 	opsgen "loomgap/tier/gen/ops"
@@ -119,8 +117,7 @@
 // traced takes the caller's trace from the header.
 func traced(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		ctx := propagator.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
-		next.ServeHTTP(w, r.WithContext(ctx))
+		next.ServeHTTP(w, r.WithContext(wire.TraceFrom(r.Context(), r.Header)))
 	})
 }
 
--- a/tier/pass/batch.go
+++ b/tier/pass/batch.go
@@ -8,9 +8,13 @@
 	"sync"
 	"time"
 
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+
 	"loomgap/tier/flight"
 	"loomgap/tier/kernel"
 	"loomgap/tier/policy"
+	"loomgap/tier/wire"
 )
 
 // Bounds of batches that go to another host.
@@ -207,10 +211,15 @@
 	k := e.kernel
 	b := q.relaying.of(batch[0].Attempt)
 	host := b.host
+	ctx, span := k.Tracer.Start(ctx, "relay", trace.WithSpanKind(trace.SpanKindClient))
+	defer span.End()
+	if span.IsRecording() {
+		span.SetAttributes(attribute.String("Relay", host), attribute.Int("Calls", len(batch)))
+	}
 	started := k.Now()
 	way := e.relays.sent(host, started)
 	in := q.gatherRequest(batch, way)
-	in.Floor = b.floor
+	in.Floor, in.Trace = b.floor, wire.TraceOf(ctx)
 	var first GatherReply
 	err := e.callRelay(ctx, host, MethodGather, in, &first, q.deadline)
 	took := k.Now() - started
--- a/tier/pass/gather_test.go
+++ b/tier/pass/gather_test.go
@@ -11,6 +11,8 @@
 	"strings"
 	"testing"
 
+	sdk "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/sdk/trace/tracetest"
 	"gotest.tools/v3/assert"
 
 	"loomgap/tier/config"
@@ -174,15 +176,15 @@
 func TestGatherGoesThroughANearHost(t *testing.T) {
 	tests := []struct {
 		name string
-		// change prepares the wire and the upstreams.
-		change func(w *wire, reply *func(int, int) replyFunc)
+		// change prepares the cable and the upstreams.
+		change func(w *cable, reply *func(int, int) replyFunc)
 		status int
 		in     []int
 	}{
-		{"all well", func(*wire, *func(int, int) replyFunc) {}, 200, []int{0, 1, 2, 3, 4, 5}},
-		{"the near host cannot be reached", func(w *wire, _ *func(int, int) replyFunc) { w.cut["Far"] = true }, 200, []int{0, 1, 2, 3, 4, 5}},
-		{"the near host is silent", func(w *wire, _ *func(int, int) replyFunc) { w.mute["Far"] = true }, 200, []int{0, 1, 2, 3, 4, 5}},
-		{"a shard is silent", func(_ *wire, reply *func(int, int) replyFunc) {
+		{"all well", func(*cable, *func(int, int) replyFunc) {}, 200, []int{0, 1, 2, 3, 4, 5}},
+		{"the near host cannot be reached", func(w *cable, _ *func(int, int) replyFunc) { w.cut["Far"] = true }, 200, []int{0, 1, 2, 3, 4, 5}},
+		{"the near host is silent", func(w *cable, _ *func(int, int) replyFunc) { w.mute["Far"] = true }, 200, []int{0, 1, 2, 3, 4, 5}},
+		{"a shard is silent", func(_ *cable, reply *func(int, int) replyFunc) {
 			*reply = func(s, _ int) replyFunc {
 				if s == 2 {
 					return silent
@@ -190,7 +192,7 @@
 				return good(part(s))
 			}
 		}, 200, []int{0, 1, 3, 4, 5}},
-		{"one replica of a shard is silent", func(_ *wire, reply *func(int, int) replyFunc) {
+		{"one replica of a shard is silent", func(_ *cable, reply *func(int, int) replyFunc) {
 			*reply = func(s, r int) replyFunc {
 				if s == 2 && r == 0 {
 					return silent
@@ -201,7 +203,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			w := newWire()
+			w := newCable()
 			reply := func(s, _ int) replyFunc { return good(part(s)) }
 			tt.change(w, &reply)
 			h := newHost(t, hostConfig{name: "H1", hall: "A", peers: w})
@@ -235,7 +237,7 @@
 
 // TestBatchIsStoppedForACallerThatLeaves looks at the upstreams' connections.
 func TestBatchIsStoppedForACallerThatLeaves(t *testing.T) {
-	w := newWire()
+	w := newCable()
 	h := newHost(t, hostConfig{name: "H1", hall: "A", peers: w})
 	far := newHost(t, hostConfig{name: "Far", hall: "B", peers: w})
 	w.hosts["Far"] = far
@@ -389,3 +391,33 @@
 	assert.NilError(t, err)
 	assert.Equal(t, out.(*GatherReply).Ended[0].Outcome, string(policy.CallUnreachable))
 }
+
+// TestRelayedCallsHaveOneTrace looks at the spans of a gather through a near
+// host: each hop has one, and all belong to the caller's trace.
+func TestRelayedCallsHaveOneTrace(t *testing.T) {
+	spans := tracetest.NewInMemoryExporter()
+	tracer := sdk.NewTracerProvider(sdk.WithSyncer(spans)).Tracer("")
+	w := newCable()
+	h := newHost(t, hostConfig{name: "H1", hall: "A", peers: w})
+	far := newHost(t, hostConfig{name: "Far", hall: "B", peers: w})
+	h.kernel.Tracer, far.kernel.Tracer = tracer, tracer
+	w.hosts["Far"] = far
+	gatherers(t, h, [2]string{"B", "B"}, func(s, _ int) replyFunc { return good(part(s)) })
+	far.do(func(s *kernel.State) {
+		whole := h.kernel.View().Directory.Whole()
+		s.List(&whole)
+	})
+	d := gatherDoc(1, 15)
+	h.accept(d)
+	far.accept(d)
+	h.member(far)
+	assert.Equal(t, h.ask(http.MethodGet, "/find/x", "one", 1500, "").status, http.StatusOK)
+	hops := map[string]int{}
+	traces := map[string]bool{}
+	for _, s := range spans.GetSpans() {
+		hops[s.Name]++
+		traces[s.SpanContext.TraceID().String()] = true
+	}
+	assert.Assert(t, hops["relay"] >= 1 && hops["upstream"] >= shards, "%v", hops)
+	assert.Equal(t, len(traces), 1)
+}
--- a/tier/pass/host_test.go
+++ b/tier/pass/host_test.go
@@ -274,8 +274,8 @@
 	return got{status: answer.StatusCode, header: answer.Header, body: string(text), err: err}
 }
 
-// wire joins hosts: calls between them go through JSON, as over a connection.
-type wire struct {
+// cable joins hosts: calls between them go through JSON, as over a connection.
+type cable struct {
 	mu    sync.Mutex
 	hosts map[string]*host
 	// cut are hosts that cannot be reached, mute those that never answer.
@@ -283,11 +283,11 @@
 	calls     map[string]int
 }
 
-func newWire() *wire {
-	return &wire{hosts: map[string]*host{}, cut: map[string]bool{}, mute: map[string]bool{}, calls: map[string]int{}}
+func newCable() *cable {
+	return &cable{hosts: map[string]*host{}, cut: map[string]bool{}, mute: map[string]bool{}, calls: map[string]int{}}
 }
 
-func (w *wire) handler(to, method string) (kernel.Handler, bool, error) {
+func (w *cable) handler(to, method string) (kernel.Handler, bool, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.calls[method]++
@@ -298,14 +298,14 @@
 	return h.kernel.Handler(method), w.mute[to], nil
 }
 
-func (w *wire) called(method string) int {
+func (w *cable) called(method string) int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return w.calls[method]
 }
 
 // Call implements kernel.PeerCaller.
-func (w *wire) Call(ctx context.Context, to, method string, params, result any) error {
+func (w *cable) Call(ctx context.Context, to, method string, params, result any) error {
 	handler, mute, err := w.handler(to, method)
 	if err != nil {
 		return err
@@ -343,7 +343,7 @@
 }
 
 // Notify implements kernel.PeerCaller.
-func (w *wire) Notify(ctx context.Context, to, method string, params any) error {
+func (w *cable) Notify(ctx context.Context, to, method string, params any) error {
 	var none any
 	return w.Call(ctx, to, method, params, &none)
 }
--- a/tier/pass/relay.go
+++ b/tier/pass/relay.go
@@ -9,11 +9,14 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
 
 	"loomgap/tier/flight"
 	"loomgap/tier/kernel"
 	"loomgap/tier/peers"
 	"loomgap/tier/policy"
+	"loomgap/tier/wire"
 )
 
 // Methods of the peer protocol.
@@ -153,7 +156,7 @@
 
 func (e *Engine) startBatch(in *GatherRequest) *batch {
 	left := min(time.Duration(in.DeadlineMillis)*time.Millisecond, maxGatherTime)
-	ctx, cancel := context.WithTimeout(context.Background(), left)
+	ctx, cancel := context.WithTimeout(wire.TraceInto(context.Background(), in.Trace), left)
 	b := &batch{
 		engine: e, in: in, deadline: e.kernel.Now() + left, cancel: cancel,
 		merger: merger{top: in.Top, floor: in.Floor}, open: len(in.Upstreams), calls: map[int]*relayedCall{}, finished: make(chan struct{}),
@@ -243,6 +246,8 @@
 	if left <= 0 || !k.Awake() || ctx.Err() != nil {
 		return flight.Reply[*answer]{Outcome: policy.CallNotSent}
 	}
+	ctx, span := k.Tracer.Start(ctx, "upstream", trace.WithSpanKind(trace.SpanKindClient))
+	defer span.End()
 	r := l.do(ctx, &call{
 		headers: &b.engine.headers, method: b.in.Method, head: []byte(b.in.Head), body: b.in.Body,
 		id: b.in.RequestID, upstream: name, left: left,
@@ -251,6 +256,9 @@
 	if out.Outcome == policy.CallBroken && ctx.Err() != nil {
 		out.Outcome = policy.CallCancelled
 	}
+	if span.IsRecording() {
+		span.SetAttributes(attribute.String("Upstream", name), attribute.String("Outcome", string(out.Outcome)))
+	}
 	return out
 }
 
--- a/tier/pass/serve.go
+++ b/tier/pass/serve.go
@@ -1,7 +1,6 @@
 package pass
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -12,8 +11,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
-	"github.com/rs/zerolog"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
 
@@ -21,6 +18,7 @@
 	"loomgap/tier/flight"
 	"loomgap/tier/kernel"
 	"loomgap/tier/policy"
+	"loomgap/tier/wire"
 )
 
 // Bounds of routed requests.
@@ -37,21 +35,6 @@
 	retryNoUpstream = 200 * time.Millisecond
 )
 
-// Outcomes of routed requests, in logs and metrics.
-const (
-	outcomeServed   = "Served"
-	outcomePartial  = "Partial"
-	outcomeFailed   = "Failed"
-	outcomeNotRun   = "NotRun"
-	outcomeUnknown  = "Unknown"
-	outcomeLate     = "Late"
-	outcomeNoRoute  = "NoRoute"
-	outcomeInvalid  = "Invalid"
-	outcomeGivenUp  = "GivenUp"
-	outcomeUncover  = "BelowCoverage"
-	outcomeTooLarge = "TooLarge"
-)
-
 // request is one routed request.
 type request struct {
 	engine *Engine
@@ -158,43 +141,6 @@
 	return true
 }
 
-// connectionHeaders pertain to one connection and are not passed on.
-var connectionHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
-}
-
-// strip takes the headers of one connection away.
-func strip(h http.Header) {
-	for _, line := range h["Connection"] {
-		for _, name := range strings.Split(line, ",") {
-			h.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range connectionHeaders {
-		delete(h, name)
-	}
-}
-
-// headOf writes the request line and the headers that all upstreams get alike.
-func headOf(r *http.Request, names *kernel.Headers, body int) []byte {
-	h := r.Header.Clone()
-	strip(h)
-	// A caller cannot take the ID away by naming it in Connection.
-	h[http.CanonicalHeaderKey(names.RequestID)] = r.Header[http.CanonicalHeaderKey(names.RequestID)]
-	h.Del(names.DeadlineMillis)
-	h.Del(names.Upstream)
-	h.Del("Expect")
-	h.Del("Content-Length")
-	if body > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch {
-		h.Set("Content-Length", strconv.Itoa(body))
-	}
-	var b bytes.Buffer
-	b.WriteString(r.Method + " " + r.RequestURI + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
-	_ = h.Write(&b) // a bytes.Buffer takes all
-	return b.Bytes()
-}
-
 // serve carries the request out and answers it.
 func (q *request) serve(w http.ResponseWriter, r *http.Request) {
 	q.plan = q.engine.plan(q.view, q.route)
@@ -203,7 +149,7 @@
 		return
 	}
 	q.sends = make([]int, len(q.plan.groups))
-	ctx, span := q.engine.kernel.Tracer.Start(r.Context(), "route")
+	ctx, span := q.engine.kernel.Tracer.Start(wire.TraceFrom(r.Context(), r.Header), "route")
 	defer span.End()
 	if span.IsRecording() {
 		span.SetAttributes(attribute.String("RequestID", q.id), attribute.String("Route", q.route.Name))
@@ -291,117 +237,3 @@
 		Str("Upstream", a.Upstream.Name).Int("Call", q.sends[a.Part]).Str("Outcome", string(r.Outcome)).
 		Int64("TookMillis", took.Milliseconds()).Msg("call ended")
 }
-
-// answerSingle gives the answer of one upstream.
-func (q *request) answerSingle(w http.ResponseWriter, r *policy.Result) {
-	a := q.single
-	if a == nil {
-		a = q.failure
-	}
-	switch {
-	case a != nil && !promises(a.status):
-		outcome := outcomeServed
-		if a.status >= http.StatusInternalServerError {
-			outcome = outcomeFailed
-		}
-		q.log(outcome, a.status).Int("Calls", r.Attempts).Msg("request answered")
-		q.write(w, a.status, a.header, a.body)
-	case r.Ran == 0 && !r.Unknown && q.failure == nil:
-		q.refuse(w, "no upstream took it: "+string(r.Reasons[0]), retryNoUpstream)
-	case q.engine.kernel.Now() >= q.deadline:
-		q.fail(w, http.StatusGatewayTimeout, outcomeLate, r)
-	default:
-		q.fail(w, http.StatusBadGateway, outcomeUnknown, r)
-	}
-}
-
-// answerGathered gives the merged answer, if it covers enough.
-func (q *request) answerGathered(w http.ResponseWriter, r *policy.Result) {
-	total := len(q.plan.groups)
-	records, stamps := q.parts.merge(q.route.Gather.Top, q.engine.headers.Stamp)
-	missing := total - len(stamps)
-	switch {
-	case len(stamps) > 0 && float64(len(stamps)) >= q.class.Coverage*float64(total):
-		outcome := outcomeServed
-		if missing > 0 {
-			outcome = outcomePartial
-		}
-		h := http.Header{}
-		h.Set("Content-Type", "application/octet-stream")
-		h.Set(q.engine.headers.RequestID, q.id)
-		h.Set(q.engine.headers.Parts, strings.Join(stamps, ", "))
-		h.Set(q.engine.headers.Missing, strconv.Itoa(missing))
-		q.log(outcome, http.StatusOK).Int("Calls", r.Attempts).Int("Missing", missing).Msg("request answered")
-		q.write(w, http.StatusOK, h, records)
-	case r.Ran == 0:
-		q.refuse(w, "no upstream took it", retryNoUpstream)
-	case q.engine.kernel.Now() >= q.deadline:
-		q.fail(w, http.StatusGatewayTimeout, outcomeLate, r)
-	default:
-		q.fail(w, http.StatusBadGateway, outcomeUncover, r)
-	}
-}
-
-// write gives headers and body to the caller, with no header made up.
-func (q *request) write(w http.ResponseWriter, status int, from http.Header, body []byte) {
-	strip(from)
-	h := w.Header()
-	for name, values := range from {
-		if name != "Content-Length" {
-			h[name] = values
-		}
-	}
-	for _, name := range []string{"Content-Type", "Date"} {
-		if _, ok := h[name]; !ok {
-			h[name] = nil // net/http would make one up
-		}
-	}
-	if q.method != http.MethodHead {
-		h.Set("Content-Length", strconv.Itoa(len(body)))
-	} else if n := from.Get("Content-Length"); n != "" {
-		h.Set("Content-Length", n)
-	}
-	w.WriteHeader(status)
-	if _, err := w.Write(body); err != nil {
-		q.engine.kernel.Decisions.Info().Str("RequestID", q.id).Err(err).Msg("answer not taken by its caller")
-	}
-}
-
-// refuse tells that the request did not run, and when to ask again.
-func (q *request) refuse(w http.ResponseWriter, reason string, after time.Duration) {
-	q.log(outcomeNotRun, http.StatusServiceUnavailable).Str("Reason", reason).Msg("request refused")
-	w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
-	http.Error(w, reason, http.StatusServiceUnavailable)
-}
-
-// fail tells that the request may have run and has no answer.
-func (q *request) fail(w http.ResponseWriter, status int, outcome string, r *policy.Result) {
-	q.log(outcome, status).Int("Calls", r.Attempts).Int("Ran", r.Ran).
-		Int("Included", r.Included).Interface("Reasons", r.Reasons).Msg("request failed")
-	http.Error(w, "no answer: "+outcome, status)
-}
-
-// reject tells what is wrong with the request itself.
-func (q *request) reject(w http.ResponseWriter, status int, outcome, problem string) {
-	q.log(outcome, status).Str("Problem", problem).Msg("request rejected")
-	http.Error(w, problem, status)
-}
-
-// log begins the line that tells what became of the request, and counts it.
-func (q *request) log(outcome string, status int) *zerolog.Event {
-	took := q.engine.kernel.Now() - q.begun
-	route := ""
-	if q.route != nil {
-		route = q.route.Name
-	}
-	labels := `{Route="` + route + `",Outcome="` + outcome + `"}`
-	metrics.GetOrCreateCounter("loomgap_routed_total" + labels).Inc()
-	metrics.GetOrCreateHistogram("loomgap_routed_seconds" + labels).Update(took.Seconds())
-	line := q.engine.kernel.Decisions.Info().Str("RequestID", q.id).Str("Route", route).
-		Str("Outcome", outcome).Int("Status", status).Int64("TookMillis", took.Milliseconds())
-	if q.view.Index != nil {
-		line = line.Uint64("Revision", q.view.Index.Revision).
-			Int64("PlatformAgeMillis", (q.engine.kernel.Now() - q.view.PlatformHeard).Milliseconds())
-	}
-	return line
-}
--- a/tier/policy/route.go
+++ b/tier/policy/route.go
@@ -25,11 +25,12 @@
 	hedgeDone        = 0.8
 	hedgeFarQuantile = 0.8
 	hedgeEarliest    = 0.9
+	// hedgeUnknown is the part of the objective after which a part is hedged
+	// while the latencies of like calls are not known.
+	hedgeUnknown = 0.25
 	// patience is how much longer than usual the news of calls made together are
 	// waited for at least: a busy host answers late.
 	patience = 15 * time.Millisecond
-	// hedgeUnknown is the same while the latencies are not known.
-	hedgeUnknown = 0.25
 )
 
 // Repeats bound the calls beyond the first that this host makes at a group.
