--- a/tier/pass/call.go
+++ b/tier/pass/call.go
@@ -67,6 +67,16 @@
 	err  error
 }
 
+// call makes a call and tells what it means. One that was cancelled before it
+// left, while its connection was being made, says nothing of the upstream.
+func (l *link) call(ctx context.Context, c *call, gathered bool) flight.Reply[*answer] {
+	out := judge(c.headers, l.do(ctx, c), gathered)
+	if out.Outcome == policy.CallUnreachable && ctx.Err() != nil {
+		out.Outcome = policy.CallNotSent
+	}
+	return out
+}
+
 // do makes a call on a connection of the link.
 func (l *link) do(ctx context.Context, c *call) result {
 	k, err := l.get(ctx, c.unrepeatable)
--- a/tier/pass/relay.go
+++ b/tier/pass/relay.go
@@ -248,11 +248,10 @@
 	}
 	ctx, span := k.Tracer.Start(ctx, "upstream", trace.WithSpanKind(trace.SpanKindClient))
 	defer span.End()
-	r := l.do(ctx, &call{
+	out := l.call(ctx, &call{
 		headers: &b.engine.headers, method: b.in.Method, head: []byte(b.in.Head), body: b.in.Body,
 		id: b.in.RequestID, upstream: name, left: left,
-	})
-	out := judge(&b.engine.headers, r, true)
+	}, true)
 	if out.Outcome == policy.CallBroken && ctx.Err() != nil {
 		out.Outcome = policy.CallCancelled
 	}
--- a/tier/pass/serve.go
+++ b/tier/pass/serve.go
@@ -202,12 +202,11 @@
 	}
 	ctx, span := q.engine.kernel.Tracer.Start(ctx, "upstream", trace.WithSpanKind(trace.SpanKindClient))
 	defer span.End()
-	r := l.do(ctx, &call{
+	out := l.call(ctx, &call{
 		headers: &q.engine.headers, method: q.method, head: q.head, body: q.body, id: q.id,
 		upstream: a.Upstream.Name, left: q.deadline - q.engine.kernel.Now(),
 		unrepeatable: !q.route.Repeatable,
-	})
-	out := judge(&q.engine.headers, r, q.route.Gather != nil)
+	}, q.route.Gather != nil)
 	if span.IsRecording() {
 		span.SetAttributes(attribute.String("Upstream", a.Upstream.Name), attribute.String("Outcome", string(out.Outcome)))
 	}
--- a/tier/pass/single_test.go
+++ b/tier/pass/single_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"strings"
 	"sync"
 	"testing"
@@ -17,6 +18,7 @@
 
 	"loomgap/tier/config"
 	"loomgap/tier/kernel"
+	"loomgap/tier/policy"
 )
 
 const millisecond = config.Duration(time.Millisecond)
@@ -299,6 +301,22 @@
 	}
 }
 
+// TestCancelledConnectSaysNothing cancels a call before its connection is made,
+// and has another upstream refuse connections.
+func TestCancelledConnectSaysNothing(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	at := netip.MustParseAddrPort(l.Addr().String())
+	assert.NilError(t, l.Close())
+	started := time.Now()
+	k := &link{name: "U1", address: at, now: func() time.Duration { return time.Since(started) }}
+	ctx, cancel := context.WithCancel(t.Context())
+	c := &call{headers: &names, method: http.MethodGet, id: "one", upstream: "U1", left: time.Second}
+	assert.Equal(t, k.call(ctx, c, true).Outcome, policy.CallUnreachable)
+	cancel()
+	assert.Equal(t, k.call(ctx, c, true).Outcome, policy.CallNotSent)
+}
+
 func TestSilentUpstream(t *testing.T) {
 	h, us := single(t, silent, good("x"))
 	for i := range 5 {
