test: wait for an upstream's calls to return, in place of looking after 3 s

The scenario judged by how much happens in a time; it waits now, and fails if no call returns at all.

--- a/loomfake/commands_test.go
+++ b/loomfake/commands_test.go
@@ -137,6 +137,20 @@
 			return n >= atoi(ts, args[0]) && n <= atoi(ts, args[1])
 		})
 	}),
+	// callsabove U3 N: waits until more than N calls came to an upstream.
+	"callsabove": simple(2, func(s *scene, ts *testscript.TestScript, args []string) error {
+		at, least := s.upstream(atoi(ts, strings.TrimPrefix(args[0], "U"))), atoi(ts, args[1])
+		for end := time.Now().Add(longestWait); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+			var r runsReply
+			if err := call(http.MethodGet, at+"/Runs", nil, &r); err != nil {
+				return err
+			}
+			if r.Arrived > least {
+				return nil
+			}
+		}
+		return fmt.Errorf("no call came to %s within %s", args[0], longestWait)
+	}),
 	// calls U3 NAME: stores in NAME how many calls came to an upstream.
 	"calls": simple(2, func(s *scene, ts *testscript.TestScript, args []string) error {
 		var r runsReply
@@ -146,6 +160,9 @@
 	}),
 }
 
+// longestWait bounds waits for what must happen at some time; it judges no speed.
+const longestWait = 30 * time.Second
+
 func simple(least int, f func(*scene, *testscript.TestScript, []string) error) command {
 	return func(ts *testscript.TestScript, neg bool, args []string) {
 		if neg || len(args) < least {
