fix: read under the lock whether a call lingers

The same moment also left an upstream marked as having a lingering call for good, if the call had ended just before; at hosts that make calls for others too. Both are given back now.

--- a/tier/flight/flight.go
+++ b/tier/flight/flight.go
@@ -111,6 +111,9 @@
 	outcome policy.CallOutcome
 	// lingering is true once the call goes on though it is not wanted.
 	lingering bool
+	// ended is true once the call has its outcome, though the run does not know
+	// it yet.
+	ended bool
 }
 
 // New prepares a flight.
@@ -207,10 +210,7 @@
 				c.cancel()
 			}
 		case policy.ActionLinger:
-			if c := f.calls[a.Attempt]; c != nil {
-				c.outcome, c.lingering = a.Outcome, true
-				time.AfterFunc(a.For, func() { f.giveUp(c) })
-			}
+			f.linger(a)
 		case policy.ActionTake:
 			f.caller.Take(a.Part, f.reply)
 		case policy.ActionFree:
@@ -239,6 +239,17 @@
 	return granted
 }
 
+// linger lets a call go on for a while; the flight is locked.
+func (f *Flight[R]) linger(a policy.Action) {
+	c := f.calls[a.Attempt]
+	if c == nil || c.ended {
+		f.kernel.Fleet.Lingered(a.Upstream)
+		return
+	}
+	c.outcome, c.lingering = a.Outcome, true
+	time.AfterFunc(a.For, func() { f.giveUp(c) })
+}
+
 // giveUp ends a call that lingered.
 func (f *Flight[R]) giveUp(c *call) {
 	f.mu.Lock()
@@ -347,6 +358,8 @@
 	}
 	f.mu.Lock()
 	c.cancel()
+	c.ended = true
+	lingering := c.lingering
 	reply.Outcome = f.settled(now, c, reply.Outcome)
 	if f.observer != nil {
 		f.observer.Ended(a, reply, now-started, f.over)
@@ -355,7 +368,7 @@
 	countCall(reply.Outcome)
 	granted := k.Fleet.Finish(now, policy.Call{
 		Upstream: a.Upstream, Pool: a.Pool, Outcome: reply.Outcome, Took: reply.Took, Load: reply.Load,
-		Elsewhere: c.batched, Lingering: c.lingering,
+		Elsewhere: c.batched, Lingering: lingering,
 	})
 	f.handle(func(now time.Duration) []policy.Action {
 		f.reply = reply.Part
--- a/tier/pass/relay.go
+++ b/tier/pass/relay.go
@@ -197,7 +197,7 @@
 			near, _ := k.Fleet.RoutedPools(b.in.Route)
 			policy.Deliver(k.Fleet.Finish(now, policy.Call{
 				Upstream: u, Pool: near, Outcome: reply.Outcome, Took: now - started, Load: reply.Load,
-				Lingering: b.lingers(c),
+				Lingering: b.settle(i, c),
 			}))
 		default:
 			reply.Outcome = policy.CallNotSent
@@ -219,9 +219,11 @@
 	c.upstream = u
 }
 
-func (b *batch) lingers(c *relayedCall) bool {
+// settle takes a call out of those that may linger, and tells whether it did.
+func (b *batch) settle(i int, c *relayedCall) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	delete(b.calls, i)
 	return c.lingering
 }
 
--- a/tier/policy/fleet.go
+++ b/tier/policy/fleet.go
@@ -283,6 +283,13 @@
 	return u.linger()
 }
 
+// Lingered tells that a call which was to linger has ended before.
+func (f *Fleet) Lingered(u *Upstream) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	u.lingering = false
+}
+
 // UpstreamState is a copy of what is known of an upstream, for operators.
 type UpstreamState struct {
 	Name                 string
--- a/tier/policy/route_test.go
+++ b/tier/policy/route_test.go
@@ -278,6 +278,20 @@
 	assert.Assert(t, near < 15, "%d of 100 requests went to the upstream that sheds", near)
 }
 
+// TestLingeringIsGivenBack has a call end just before it is to linger: the next
+// one may linger.
+func TestLingeringIsGivenBack(t *testing.T) {
+	f := routedFleet(1, Repeats{Ratio: 1, Depth: 100})
+	u := f.Find("N0")
+	assert.Assert(t, f.Linger(u))
+	assert.Assert(t, !f.Linger(u), "one lingers at a time")
+	f.Lingered(u)
+	assert.Assert(t, f.Linger(u))
+	u.inUse++
+	f.Finish(0, Call{Upstream: u, Pool: NewPool(), Outcome: CallCancelled, Took: time.Millisecond, Lingering: true})
+	assert.Assert(t, f.Linger(u))
+}
+
 // TestNoHedgeToABusyUpstream has the far upstream tell that calls wait there.
 func TestNoHedgeToABusyUpstream(t *testing.T) {
 	f := routedFleet(1, Repeats{Ratio: 1, Depth: 100})
