refactor: remove two functions and a check that nobody uses

Index.LongestTime and Directory.Find have no caller, and a method value was checked against the type that its use checks anyway.

--- a/tier/config/directory.go
+++ b/tier/config/directory.go
@@ -68,15 +68,6 @@
 	return d.groups[name]
 }
 
-// Find gives the listing of a name.
-func (d *Directory) Find(name string) (Listing, bool) {
-	if d == nil {
-		return Listing{}, false
-	}
-	l, ok := d.listed[name]
-	return l, ok
-}
-
 // Size is how many upstreams are listed.
 func (d *Directory) Size() int {
 	if d == nil {
--- a/tier/config/route.go
+++ b/tier/config/route.go
@@ -239,12 +239,3 @@
 
 // Group finds a group by name; nil if there is none.
 func (x *Index) Group(name string) *Group { return x.groups[name] }
-
-// LongestTime is the longest time limit of all routes; 0 without routes.
-func (x *Index) LongestTime() time.Duration {
-	out := Duration(0)
-	for i := range x.Document.Routes {
-		out = max(out, x.Document.Routes[i].TimeLimit)
-	}
-	return time.Duration(out)
-}
--- a/tier/pass/relay.go
+++ b/tier/pass/relay.go
@@ -13,7 +13,6 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"loomgap/tier/flight"
-	"loomgap/tier/kernel"
 	"loomgap/tier/peers"
 	"loomgap/tier/policy"
 	"loomgap/tier/wire"
@@ -346,7 +345,5 @@
 	return nil, in, fmt.Errorf("%w: %q ended or was never begun", errNoBatch, in.ID)
 }
 
-var _ kernel.Handler = (*Engine)(nil).onGather
-
 // unreached tells whether an error proves that no call of a batch was begun.
 func unreached(err error) bool { return errors.Is(err, peers.ErrNoPeer) }
