fix: a turn of a split is never moved to another group

A group without any upstream had its turns given to the next group.

Change: the splitter names one group for each request; a group without an upstream refuses its turns, truly and with a time to come back.

Test: TestSplitMovesNothing, failed first (40 of 40 requests ran in the group whose part is a quarter).

--- a/tier/pass/engine.go
+++ b/tier/pass/engine.go
@@ -141,11 +141,10 @@
 	}
 }
 
-// order gives the groups that a route's request may go to, in the order in
-// which to try them.
-func (e *Engine) order(r *config.Route) []string {
+// target gives the one group that a request of a route goes to.
+func (e *Engine) target(r *config.Route) string {
 	if len(r.Split) == 0 {
-		return []string{r.Group}
+		return r.Group
 	}
 	old, ok := e.splitters.Load(r.Name)
 	if ok && old.(*splitter).same(r.Split) {
@@ -188,13 +187,7 @@
 	if r.Gather != nil {
 		return e.planOf(v, r.Gather.Groups)
 	}
-	order := e.order(r)
-	for _, g := range order {
-		if p := e.planOf(v, []string{g}); p.reachable > 0 {
-			return p
-		}
-	}
-	return e.planOf(v, order[:1])
+	return e.planOf(v, []string{e.target(r)})
 }
 
 func (e *Engine) planOf(v *kernel.View, groups []string) plan {
--- a/tier/pass/single_test.go
+++ b/tier/pass/single_test.go
@@ -372,6 +372,27 @@
 	assert.Equal(t, us[0].total(), 30)
 }
 
+// TestSplitMovesNothing has one group of a split without an upstream: its turns
+// are refused, and the other group gets no more than its part.
+func TestSplitMovesNothing(t *testing.T) {
+	h := newHost(t, hostConfig{name: "H1", hall: "A"})
+	d := singles()
+	d.Routes[0].Group = ""
+	d.Routes[0].Split = []config.Weighted{{Group: "Orders", Weight: 1}, {Group: "Other", Weight: 3}}
+	h.accept(d)
+	u := newUpstream(t, "Orders1", good("x"))
+	h.list("Orders", "A", u, false)
+	refused := 0
+	for i := range 40 {
+		a := h.ask(http.MethodGet, "/read/", fmt.Sprint(i), 2000, "")
+		if a.status == http.StatusServiceUnavailable {
+			refused++
+		}
+	}
+	assert.Equal(t, u.total(), 10)
+	assert.Equal(t, refused, 30)
+}
+
 // TestRepeatsStayWithinTheirBudget has one of two upstreams fail all requests.
 func TestRepeatsStayWithinTheirBudget(t *testing.T) {
 	h := newHost(t, hostConfig{name: "H1", hall: "A", repeats: kernel.Repeats{Ratio: 0.1, Slack: 16, Window: 10 * time.Second}})
--- a/tier/pass/split.go
+++ b/tier/pass/split.go
@@ -36,9 +36,9 @@
 // same tells whether the splitter divides as a split says.
 func (s *splitter) same(split []config.Weighted) bool { return slices.Equal(s.split, split) }
 
-// next gives the groups in the order in which to try them: the one whose turn
-// it is, then the others that have a weight.
-func (s *splitter) next() []string {
+// next gives the group whose turn it is. A turn belongs to its group: it is not
+// given to another one that has more room.
+func (s *splitter) next() string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	best := -1
@@ -52,11 +52,5 @@
 		}
 	}
 	s.due[best] -= s.sum
-	out := []string{s.split[best].Group}
-	for i, w := range s.split {
-		if i != best && w.Weight > 0 {
-			out = append(out, w.Group)
-		}
-	}
-	return out
+	return s.split[best].Group
 }
