--- a/loomfake/history_test.go
+++ b/loomfake/history_test.go
@@ -18,6 +18,8 @@
 	operations []porcupine.Operation
 	outcomes   map[string]int
 	problems   []string
+	// losses tells of each request without an answer when it ended and why.
+	losses []string
 }
 
 // tryInput is one try of an order, or the last look at the upstreams' record.
@@ -86,6 +88,17 @@
 	h.outcomes[out.outcome]++
 }
 
+// outcomeLost is the outcome of a request that had no answer.
+const outcomeLost = "Lost"
+
+// lost keeps why a request that began at a time had no answer.
+func (h *history) lost(begun time.Time, err error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := time.Now()
+	h.losses = append(h.losses, fmt.Sprintf("%s after %s: %s", now.Format(time.RFC3339Nano), now.Sub(begun), err))
+}
+
 func (h *history) problem(format string, args ...any) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -136,8 +149,9 @@
 			for try := range tries {
 				begun := time.Now()
 				var a answerBody
-				if call(http.MethodPost, s.pick(hosts, c+n+try)+"/orders", body, &a) != nil {
-					a.Outcome = "Lost"
+				if err := call(http.MethodPost, s.pick(hosts, c+n+try)+"/orders", body, &a); err != nil {
+					a.Outcome = outcomeLost
+					s.answers.lost(begun, err)
 				}
 				s.answers.add(c, tryInput{ticket: t.Ticket}, begun, tryOutput{outcome: a.Outcome})
 				if a.Outcome == "Complete" {
@@ -168,9 +182,11 @@
 	return func(halt <-chan struct{}) error {
 		clients(count, each, halt, func(c, n int) {
 			var a countAnswer
+			begun := time.Now()
 			err := call(http.MethodPost, s.pick(hosts, c+n)+"/ask", askBody{Statement: "count Orders", Class: "Tally"}, &a)
 			if err != nil {
-				s.answers.count("Lost")
+				s.answers.count(outcomeLost)
+				s.answers.lost(begun, err)
 				time.Sleep(20 * time.Millisecond)
 				return
 			}
@@ -240,6 +256,9 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	ts.Logf("outcomes: %v", h.outcomes)
+	for _, l := range h.losses[:min(len(h.losses), 20)] {
+		ts.Logf("lost: %s", l)
+	}
 	if len(h.problems) > 0 {
 		return fmt.Errorf("%d wrong answers, the first: %s", len(h.problems), h.problems[0])
 	}
