perf: a batch of relayed calls tells what ended as it ends

Cause: the rest of a batch was answered when its last call had ended, so one call stuck at a paused upstream held back all others that were not in when the first answer was due; and a call refused at once, since its upstream stands still, was told of with the first answer only, 30 to 100 ms later.

Change: GatherRest answers soon after any call has ended (8 ms, so that several share a message), Gather soon after a call has failed (2 ms). The first answer for hedges is due after 0.3 of the objective. Shares of an upstream's connections are worked out by hall, since far calls come from near hosts.

Test: TestBatchTellsWhatEnded, in synthetic time.

--- a/tier/pass/batch.go
+++ b/tier/pass/batch.go
@@ -23,6 +23,9 @@
 	// first, and relayRest how long it is left alone then.
 	relaySilent = 150 * time.Millisecond
 	relayRest   = 2 * time.Second
+	// hedgesFirst is the part of the objective after which the first answer for
+	// hedges is due: most calls to another hall take less.
+	hedgesFirst = 0.3
 	// stopBound is how long telling a host to stop may take.
 	stopBound = time.Second
 )
@@ -236,16 +239,29 @@
 	held := time.Duration(first.HeldMicros) * time.Microsecond
 	e.relays.answered(host, k.Now(), max(took-held, time.Microsecond))
 	q.reportBatch(batch, &first, b.basis, took-held, to)
-	if first.Open == 0 {
-		return
-	}
-	to.Overdue()
-	var rest GatherReply
-	if err := e.callRelay(ctx, host, MethodRest, BatchName{ID: in.ID}, &rest, q.deadline); err != nil {
-		e.stopRelay(host, BatchName{ID: in.ID, Left: q.left.Load()}, q.id)
-		return
+	q.askForRest(ctx, batch, in.ID, &first, took-held, to)
+}
+
+// askForRest reports what a batch's first answer lacked, as it comes in. The
+// calls that are not in when the first answer was due are hedged.
+func (q *request) askForRest(ctx context.Context, batch []policy.Action, id string, last *GatherReply, way time.Duration, to flight.Reporter[*answer]) {
+	b := q.relaying.of(batch[0].Attempt)
+	overdue := false
+	for last.Open > 0 {
+		if last.Due && !overdue {
+			overdue = true
+			to.Overdue()
+		}
+		last = new(GatherReply)
+		if err := q.engine.callRelay(ctx, b.host, MethodRest, BatchName{ID: id}, last, q.deadline); err != nil {
+			if ctx.Err() == nil {
+				q.engine.kernel.Decisions.Info().Str("RequestID", q.id).Str("Relay", b.host).Err(err).Msg("rest of a batch not answered")
+			}
+			q.engine.stopRelay(b.host, BatchName{ID: id, Left: q.left.Load()}, q.id)
+			return
+		}
+		q.reportBatch(batch, last, b.basis, way, to)
 	}
-	q.reportBatch(batch, &rest, b.basis, took-held, to)
 }
 
 // gatherRequest describes a batch for the host that makes its calls. The first
@@ -265,12 +281,14 @@
 }
 
 // firstDue is in what time the first answer for a batch is wanted: before its
-// calls are hedged, or if they will not be, when the answer is put together.
+// calls are hedged. Hedges are not hedged again; theirs is wanted soon.
 func (q *request) firstDue(batch []policy.Action) time.Duration {
 	due := q.begun + time.Duration(q.class.Patience) - q.engine.kernel.Now()
 	for _, a := range batch {
 		if a.HedgeIn > 0 {
 			due = min(due, a.HedgeIn)
+		} else {
+			due = min(due, time.Duration(hedgesFirst*float64(q.route.Objective)))
 		}
 	}
 	return due
--- a/tier/pass/engine.go
+++ b/tier/pass/engine.go
@@ -17,11 +17,16 @@
 // Shares of what upstreams and groups allow, for one host.
 const (
 	// leastHosts is how many hosts are reckoned with while fewer are known: a
-	// host that has just started knows of none.
-	leastHosts = 8
-	// connectionShare is the part of an upstream's connections that all hosts
-	// together use; the rest is for those that are being replaced.
-	connectionShare = 0.9
+	// host that has just started knows of none. leastInHall is the same for the
+	// hosts of one hall.
+	leastHosts  = 8
+	leastInHall = 4
+	// nearConnections is the part of an upstream's connections that the hosts of
+	// its own hall share, farConnections that of all others; the rest is for
+	// those that are being replaced. Calls from afar go through a host near the
+	// upstream, so that few others connect to it.
+	nearConnections = 0.65
+	farConnections  = 0.25
 	// burstShare is how many times its even part of the connections a host may
 	// use: hosts are not all busy with one upstream at the same moment.
 	burstShare = 2
@@ -53,8 +58,9 @@
 type basis struct {
 	index     *config.Index
 	directory *config.Directory
-	hosts     int
-	repeats   kernel.Repeats
+	// hosts counts the hosts that stay, hall those of this host's hall.
+	hosts, hall int
+	repeats     kernel.Repeats
 }
 
 // NewEngine makes an engine that follows the kernel's views.
@@ -98,7 +104,10 @@
 	if v.Index == nil || v.Directory == nil {
 		return
 	}
-	next := basis{index: v.Index, directory: v.Directory, hosts: max(v.Staying(), leastHosts), repeats: e.kernel.Live().Repeats}
+	next := basis{
+		index: v.Index, directory: v.Directory, repeats: e.kernel.Live().Repeats,
+		hosts: max(v.Staying(), leastHosts), hall: max(len(v.Hall(&e.kernel.Settings)), leastInHall),
+	}
 	if next == e.basis {
 		return
 	}
@@ -110,7 +119,7 @@
 	old, links := *e.links.Load(), map[string]*link{}
 	var shares []policy.Share
 	for _, l := range v.Directory.All() {
-		shares = append(shares, e.share(v.Index, &l, next.hosts))
+		shares = append(shares, e.share(&l, &next))
 		n := old[l.Name]
 		if n == nil || n.address != l.Address {
 			n = &link{name: l.Name, address: l.Address, now: e.kernel.Now}
@@ -130,14 +139,19 @@
 
 // share is this host's part of an upstream: as many calls as it may have
 // connections there.
-func (e *Engine) share(x *config.Index, l *config.Listing, hosts int) policy.Share {
+func (e *Engine) share(l *config.Listing, b *basis) policy.Share {
+	near := l.Hall == e.kernel.Settings.Hall
 	connections := l.Slots
-	if g := x.Group(l.Group); g != nil {
+	if g := b.index.Group(l.Group); g != nil {
 		connections = g.Connections
 	}
+	part, hosts := nearConnections, b.hall
+	if !near {
+		part, hosts = farConnections, max(b.hosts-b.hall, 1)
+	}
 	return policy.Share{
-		Name: l.Name, Slots: max(int(burstShare*connectionShare*float64(connections))/hosts, 1), Leaving: l.Leaving,
-		Listed: true, Hall: l.Hall, Near: l.Hall == e.kernel.Settings.Hall,
+		Name: l.Name, Slots: max(int(burstShare*part*float64(connections))/hosts, 1), Leaving: l.Leaving,
+		Listed: true, Hall: l.Hall, Near: near,
 	}
 }
 
--- a/tier/pass/relay.go
+++ b/tier/pass/relay.go
@@ -21,9 +21,13 @@
 // Methods of the peer protocol.
 const (
 	// MethodGather has a host near some upstreams make calls and merge what
-	// they answer.
+	// they answer. It is answered when all calls have ended, when the first
+	// answer is due, or soon after a call has failed, so that another upstream
+	// can be asked.
 	MethodGather = "Gather"
-	// MethodRest waits for the calls that the answer to Gather lacked.
+	// MethodRest waits for more of the calls that the answers until then lacked.
+	// Once the first answer was due it is answered soon after any call ended: a
+	// call that is stuck does not hold back the others.
 	MethodRest = "GatherRest"
 	// MethodStop tells that what is still lacking is not wanted any more.
 	MethodStop = "GatherStop"
@@ -35,6 +39,11 @@
 	gatherReserve = 4 * time.Millisecond
 	// gatherLeast is the least time that the calls have for the first answer.
 	gatherLeast = 5 * time.Millisecond
+	// failureNews and callNews are how long after a call has failed, or has ended
+	// when the first answer was due before, the answer waits for others: one
+	// message costs as much as several calls of one.
+	failureNews = 2 * time.Millisecond
+	callNews    = 8 * time.Millisecond
 	// restGrace is how long what was not asked for is kept after its deadline.
 	restGrace = time.Second
 	// maxGathered bounds the calls of one message.
@@ -73,6 +82,8 @@
 	Records []byte
 	// Open counts the calls still under way; GatherRest asks for them.
 	Open int `json:",omitempty"`
+	// Due is true once the first answer was due.
+	Due bool `json:",omitempty"`
 	// HeldMicros is how long the answer was waited for here.
 	HeldMicros int64
 }
@@ -119,6 +130,12 @@
 	calls map[int]*relayedCall
 	// finished is closed when no call is under way any more.
 	finished chan struct{}
+	// due is when the first answer is due.
+	due time.Duration
+	// failed is true while ended has a call that did not go well.
+	failed bool
+	// news holds one item once a call has ended that was not told of.
+	news chan struct{}
 }
 
 // relayedCall is one call under way for another host.
@@ -150,15 +167,18 @@
 	defer e.kernel.InFlight.Add(-1)
 	metrics.GetOrCreateCounter("loomgap_relayed_calls_total").Add(len(in.Upstreams))
 	b := e.startBatch(&in)
-	return b.wait(time.Duration(in.FirstMillis) * time.Millisecond), nil
+	return b.wait(), nil
 }
 
 func (e *Engine) startBatch(in *GatherRequest) *batch {
 	left := min(time.Duration(in.DeadlineMillis)*time.Millisecond, maxGatherTime)
 	ctx, cancel := context.WithTimeout(wire.TraceInto(context.Background(), in.Trace), left)
+	now := e.kernel.Now()
 	b := &batch{
-		engine: e, in: in, deadline: e.kernel.Now() + left, cancel: cancel,
-		merger: merger{top: in.Top, floor: in.Floor}, open: len(in.Upstreams), calls: map[int]*relayedCall{}, finished: make(chan struct{}),
+		engine: e, in: in, deadline: now + left, cancel: cancel,
+		due:    now + min(time.Duration(in.FirstMillis)*time.Millisecond, left),
+		merger: merger{top: in.Top, floor: in.Floor}, open: len(in.Upstreams), calls: map[int]*relayedCall{},
+		finished: make(chan struct{}), news: make(chan struct{}, 1),
 	}
 	e.relayed.mu.Lock()
 	e.relayed.batches[in.ID] = b
@@ -268,34 +288,78 @@
 	defer b.mu.Unlock()
 	b.merger.add(records)
 	b.ended = append(b.ended, c)
+	b.failed = b.failed || c.Stamp == ""
 	delete(b.calls, c.Index)
 	if b.open--; b.open == 0 {
 		close(b.finished)
 		b.cancel()
+		return
+	}
+	select {
+	case b.news <- struct{}{}:
+	default: // the news before it was not taken in yet
 	}
 }
 
-// wait gives what ended until all did or a time has passed. What is given is
+// wait gives what ended, as soon as there is something to tell. What is given is
 // not given again.
-func (b *batch) wait(most time.Duration) *GatherReply {
+func (b *batch) wait() *GatherReply {
 	started := b.engine.kernel.Now()
-	timer := time.NewTimer(most)
-	defer timer.Stop()
-	select {
-	case <-b.finished:
-	case <-timer.C:
-	}
+	b.await(started)
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	out := &GatherReply{Ended: b.ended, Records: b.merger.result(), Open: b.open}
-	b.ended, b.merger.records = nil, nil
+	now := b.engine.kernel.Now()
+	out := &GatherReply{Ended: b.ended, Records: b.merger.result(), Open: b.open, Due: now >= b.due}
+	b.ended, b.merger.records, b.failed = nil, nil, false
 	if b.open == 0 {
 		b.engine.relayed.drop(b.in.ID)
 	}
-	out.HeldMicros = (b.engine.kernel.Now() - started).Microseconds()
+	out.HeldMicros = (now - started).Microseconds()
 	return out
 }
 
+// await returns when all calls have ended, when the first answer is due, soon
+// after a call has failed, and once the first answer was due, soon after any
+// call has ended.
+func (b *batch) await(now time.Duration) {
+	due := now >= b.due
+	until := b.due
+	if due {
+		until = b.deadline
+	}
+	timer := time.NewTimer(until - now)
+	defer timer.Stop()
+	for {
+		select {
+		case <-b.finished:
+			return
+		case <-timer.C:
+			return
+		case <-b.news:
+			now = b.engine.kernel.Now()
+			if soon, told := b.tellIn(due); told && now+soon < until {
+				until = now + soon
+				timer.Reset(soon)
+			}
+		}
+	}
+}
+
+// tellIn gives how long what ended may wait for others; false if it need not be
+// told of by itself.
+func (b *batch) tellIn(due bool) (time.Duration, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	switch {
+	case len(b.ended) == 0:
+		return 0, false
+	case b.failed:
+		return failureNews, true
+	default:
+		return callNews, due
+	}
+}
+
 func (r *relayed) find(id string) *batch {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -308,15 +372,17 @@
 	delete(r.batches, id)
 }
 
-// onRest answers when all calls of a batch have ended, at its deadline at the
+// onRest answers when there is more to tell of a batch, at its deadline at the
 // latest.
 func (e *Engine) onRest(_ context.Context, params json.RawMessage) (any, error) {
 	b, _, err := e.batchOf(params)
 	if err != nil {
 		return nil, err
 	}
-	out := b.wait(b.deadline - e.kernel.Now())
-	e.relayed.drop(b.in.ID)
+	out := b.wait()
+	if e.kernel.Now() >= b.deadline {
+		e.relayed.drop(b.in.ID)
+	}
 	return out, nil
 }
 
--- /dev/null
+++ b/tier/pass/relay_test.go
@@ -0,0 +1,87 @@
+package pass
+
+import (
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"go.opentelemetry.io/otel/trace/noop"
+	"gotest.tools/v3/assert"
+
+	"loomgap/tier/kernel"
+	"loomgap/tier/policy"
+)
+
+// newBatch makes a batch of calls whose ends the test tells of.
+func newBatch(t *testing.T, calls int, due, deadline time.Duration) *batch {
+	k, closeKernel := kernel.New(kernel.Config{
+		Log: zerolog.Nop(), Tracer: noop.NewTracerProvider().Tracer(""), Started: time.Now(),
+		Fleet: policy.NewFleet(policy.FleetConfig{}),
+	})
+	t.Cleanup(closeKernel)
+	return &batch{
+		engine: &Engine{kernel: k, relayed: relayed{batches: map[string]*batch{}}}, in: &GatherRequest{ID: "B"},
+		due: due, deadline: deadline, cancel: func() {}, merger: merger{top: 1}, open: calls,
+		calls: map[int]*relayedCall{}, finished: make(chan struct{}), news: make(chan struct{}, 1),
+	}
+}
+
+// TestBatchTellsWhatEnded has the calls of a batch end at certain times, and
+// looks at when the answers come and what they tell of.
+func TestBatchTellsWhatEnded(t *testing.T) {
+	const ms = time.Millisecond
+	type end struct {
+		after  time.Duration
+		failed bool
+	}
+	type told struct {
+		at    time.Duration
+		calls int
+	}
+	tests := []struct {
+		name string
+		ends []end
+		want []told
+	}{
+		{"all in time", []end{{10 * ms, false}, {20 * ms, false}, {20 * ms, false}}, []told{{20 * ms, 3}}},
+		{"one is stuck", []end{{10 * ms, false}, {20 * ms, false}, {300 * ms, false}}, []told{{50 * ms, 2}, {300 * ms, 1}}},
+		{
+			"a stuck one holds nothing back", []end{{60 * ms, false}, {65 * ms, false}, {300 * ms, false}},
+			[]told{{50 * ms, 0}, {68 * ms, 2}, {300 * ms, 1}},
+		},
+		{
+			"a failure is told at once", []end{{1 * ms, true}, {2 * ms, true}, {20 * ms, false}},
+			[]told{{3 * ms, 2}, {20 * ms, 1}},
+		},
+		{"the deadline ends it", []end{{10 * ms, false}, {20 * ms, false}, {2000 * ms, false}}, []told{{50 * ms, 2}, {1000 * ms, 0}}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBatch(t, len(tt.ends), 50*ms, 1000*ms)
+				for i, e := range tt.ends {
+					go func() {
+						time.Sleep(e.after)
+						c := GatheredCall{Index: i, Stamp: "S"}
+						if e.failed {
+							c = GatheredCall{Index: i, Outcome: string(policy.CallStalled)}
+						}
+						b.end(c, nil)
+					}()
+				}
+				var got []told
+				for b.engine.kernel.Now() < b.deadline {
+					r := b.wait()
+					got = append(got, told{b.engine.kernel.Now(), len(r.Ended)})
+					if r.Open == 0 {
+						break
+					}
+				}
+				assert.Assert(t, slices.Equal(got, tt.want), "%v", got)
+				time.Sleep(2 * time.Second) // the calls that are still under way
+			})
+		})
+	}
+}
