perf: earn a part of the slack of repeats by time; a lost batch says nothing of its upstreams

Besides, a batch whose host was not reached, also one cancelled while it connected, counted as a failure of each of its upstreams.

Change: half of the slack is earned by time, as long as one repeat can be saved up; hosts that fell silent a while ago still count in the division, since one that is cut off goes on making repeats. New outcome Lost.

What binds are shards with a slow upstream: their repeats run out while hosts learn of it one by one. Tests: TestRepeatsAreEarnedByTime, TestLostCallsSayNothingOfTheirUpstream.

--- a/tier/flight/flight.go
+++ b/tier/flight/flight.go
@@ -50,7 +50,7 @@
 	Batches(sends []policy.Action) (batches [][]policy.Action, apart []policy.Action)
 	// CallBatch makes the calls of a batch and reports what became of each, as
 	// soon as it is known. What it has not reported when it returns counts as
-	// broken. It ends soon after its context does.
+	// lost. It ends soon after its context does.
 	CallBatch(ctx context.Context, batch []policy.Action, to Reporter[R])
 }
 
@@ -299,7 +299,7 @@
 	rest := Reply[R]{Outcome: policy.CallNotSent}
 	if f.kernel.Awake() && r.started < f.deadline {
 		f.batcher.CallBatch(ctx, batch, r)
-		rest.Outcome = policy.CallBroken
+		rest.Outcome = policy.CallLost
 	}
 	for i := range batch {
 		r.Report(i, rest)
@@ -381,7 +381,7 @@
 // flight is locked.
 func (f *Flight[R]) settled(now time.Duration, c *call, o policy.CallOutcome) policy.CallOutcome {
 	switch {
-	case o != policy.CallBroken:
+	case o != policy.CallBroken && o != policy.CallLost:
 		return o
 	case c.outcome != "":
 		return c.outcome
--- a/tier/pass/batch.go
+++ b/tier/pass/batch.go
@@ -322,11 +322,12 @@
 	}
 }
 
-// batchFailed reports a batch whose host gave no answer.
+// batchFailed reports a batch whose host gave no answer. That says nothing of the
+// upstreams.
 func (q *request) batchFailed(ctx context.Context, batch []policy.Action, host string, err error, to flight.Reporter[*answer]) {
-	outcome := policy.CallBroken
+	outcome := policy.CallLost
 	if unreached(err) {
-		outcome = policy.CallUnreachable
+		outcome = policy.CallNotSent
 	}
 	if ctx.Err() == nil {
 		q.engine.kernel.Decisions.Info().Str("RequestID", q.id).Str("Relay", host).Int("Calls", len(batch)).
--- a/tier/pass/engine.go
+++ b/tier/pass/engine.go
@@ -58,9 +58,10 @@
 type basis struct {
 	index     *config.Index
 	directory *config.Directory
-	// hosts counts the hosts that stay, hall those of this host's hall.
-	hosts, hall int
-	repeats     kernel.Repeats
+	// hosts counts the hosts that stay, hall those of this host's hall, and known
+	// all that were heard of lately: one that is cut off still makes repeats.
+	hosts, hall, known int
+	repeats            kernel.Repeats
 }
 
 // NewEngine makes an engine that follows the kernel's views.
@@ -107,15 +108,13 @@
 	next := basis{
 		index: v.Index, directory: v.Directory, repeats: e.kernel.Live().Repeats,
 		hosts: max(v.Staying(), leastHosts), hall: max(len(v.Hall(&e.kernel.Settings)), leastInHall),
+		known: max(1+len(v.Members), leastHosts),
 	}
 	if next == e.basis {
 		return
 	}
 	e.basis = next
-	e.kernel.Fleet.SetRepeats(policy.Repeats{
-		Ratio: next.repeats.Ratio,
-		Depth: next.repeats.Slack * slackShare / float64(next.hosts),
-	})
+	e.kernel.Fleet.SetRepeats(policy.ShareRepeats(next.repeats.Ratio, next.repeats.Slack*slackShare, next.repeats.Window, next.known))
 	old, links := *e.links.Load(), map[string]*link{}
 	var shares []policy.Share
 	for _, l := range v.Directory.All() {
--- a/tier/policy/attempt.go
+++ b/tier/policy/attempt.go
@@ -53,7 +53,7 @@
 	if u == nil {
 		u = r.pick(now, i, false)
 	}
-	if u == nil || !u.free() || u.busy(now) || !r.takeHedge(i) {
+	if u == nil || !u.free() || u.busy(now) || !r.takeHedge(now, i) {
 		return out
 	}
 	r.parts[i].hedged = true
@@ -219,7 +219,7 @@
 	if len(p.live) > 0 {
 		return nil
 	}
-	if !r.mayAsk(i) || !r.mayRetry(i, o) {
+	if !r.mayAsk(i) || !r.mayRetry(now, i, o) {
 		r.miss(i, reasonOf(o))
 		return nil
 	}
@@ -239,7 +239,7 @@
 
 func reasonOf(o CallOutcome) query.Reason {
 	switch o {
-	case CallUnreachable, CallBroken, CallFailed:
+	case CallUnreachable, CallBroken, CallLost, CallFailed:
 		return query.ReasonUnreachable
 	case CallSnapshotGone:
 		return query.ReasonSnapshotGone
--- a/tier/policy/policy.go
+++ b/tier/policy/policy.go
@@ -42,6 +42,9 @@
 	CallGarbage CallOutcome = "Garbage"
 	// CallBroken is a connection lost after the request may have left.
 	CallBroken CallOutcome = "Broken"
+	// CallLost is a call that another host was to make and told nothing of. It
+	// may have run; nothing is learnt of the upstream.
+	CallLost CallOutcome = "Lost"
 	// CallCancelled is a call that this host gave up while others were enough.
 	CallCancelled CallOutcome = "Cancelled"
 	// CallLate is a call that this host gave up at the deadline.
--- a/tier/policy/route.go
+++ b/tier/policy/route.go
@@ -37,10 +37,36 @@
 type Repeats struct {
 	// Ratio is how many repeats one request earns.
 	Ratio float64
+	// PerSecond is how many repeats are earned by time alone.
+	PerSecond float64
 	// Depth is how many earned repeats may be saved up.
 	Depth float64
 }
 
+// slackByTime is the most of the slack that hosts earn as time passes; the rest
+// they may save up. In a window no more than the whole is spent: what was saved
+// up before and what is earned meanwhile. leastSaved is how many repeats a host
+// is to be able to save up before it earns any by time.
+const (
+	slackByTime = 0.5
+	leastSaved  = 1.0
+)
+
+// ShareRepeats gives the part of one of so many hosts in what a group allows in
+// each window: a ratio of its requests, and a slack besides.
+func ShareRepeats(ratio, slack float64, window time.Duration, hosts int) Repeats {
+	slack *= repeatShare / float64(max(hosts, 1))
+	byTime := 0.0
+	if window > 0 && slack > leastSaved {
+		byTime = min(slackByTime*slack, slack-leastSaved)
+	}
+	out := Repeats{Ratio: ratio * repeatShare, Depth: slack - byTime}
+	if byTime > 0 {
+		out.PerSecond = byTime / window.Seconds()
+	}
+	return out
+}
+
 // Routed is what a routed request adds to a run.
 type Routed struct {
 	// Groups holds for each part the group whose budget its repeats use.
@@ -70,6 +96,8 @@
 // group is what the requests to one group of upstreams share in one host.
 type group struct {
 	repeats budget
+	// filledAt is up to when repeats were earned by time.
+	filledAt time.Duration
 }
 
 // SetRepeats sets the bounds of repeats at each group. What is saved up beyond
@@ -77,45 +105,53 @@
 func (f *Fleet) SetRepeats(r Repeats) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.repeats = Repeats{Ratio: r.Ratio * repeatShare, Depth: r.Depth * repeatShare}
+	f.repeats = r
 	for _, g := range f.groups {
 		g.repeats.tokens = min(g.repeats.tokens, f.repeats.Depth)
 	}
 }
 
-// group finds what is shared about a group; the fleet is locked. A group
-// begins with a part of the depth: all hosts may be started again at once, and
-// what they spent before still counts.
-func (f *Fleet) group(name string) *group {
+// group finds what is shared about a group, with what it has earned up to now;
+// the fleet is locked. A group begins with a part of the depth: all hosts may be
+// started again at once, and what they spent before still counts.
+func (f *Fleet) group(now time.Duration, name string) *group {
 	g := f.groups[name]
 	if g == nil {
-		g = &group{repeats: budget{f.repeats.Depth * repeatsAtStart}}
+		g = &group{repeats: budget{f.repeats.Depth * repeatsAtStart}, filledAt: now}
 		f.groups[name] = g
 	}
+	g.repeats.fill(f.repeats.PerSecond*(now-g.filledAt).Seconds(), f.repeats.Depth)
+	g.filledAt = now
 	return g
 }
 
 // takeRepeat takes a repeat at a group; the fleet is locked. Where there are so
 // many hosts that none may save up a few repeats, chance decides.
-func (f *Fleet) takeRepeat(name string) bool {
-	g := f.group(name)
+func (f *Fleet) takeRepeat(now time.Duration, name string) bool {
+	g := f.group(now, name)
 	if f.repeats.Depth < drawBelow {
 		return g.repeats.draw(f.random)
 	}
 	return g.repeats.take()
 }
 
+// earnRepeat lets one request earn its part of the repeats at a group; the fleet
+// is locked.
+func (f *Fleet) earnRepeat(now time.Duration, name string) {
+	f.group(now, name).repeats.fill(f.repeats.Ratio, f.repeats.Depth)
+}
+
 // earnRepeats lets a request earn its part of the repeats.
-func (r *Run) earnRepeats() {
+func (r *Run) earnRepeats(now time.Duration) {
 	for _, n := range r.routed.Groups {
-		r.fleet.group(n).repeats.fill(r.fleet.repeats.Ratio, r.fleet.repeats.Depth)
+		r.fleet.earnRepeat(now, n)
 	}
 }
 
 // takeHedge takes a hedge of a part from its budget.
-func (r *Run) takeHedge(i int) bool {
+func (r *Run) takeHedge(now time.Duration, i int) bool {
 	if r.routed != nil {
-		return r.mayAsk(i) && r.fleet.takeRepeat(r.routed.Groups[i])
+		return r.mayAsk(i) && r.fleet.takeRepeat(now, r.routed.Groups[i])
 	}
 	return r.fleet.class(r.class).hedges.take()
 }
@@ -132,14 +168,14 @@
 // mayRetry takes a retry from the budget. For a request of a class, a call
 // that was shed costs the upstream next to nothing, so only its tries are
 // bounded. A routed request pays for each call that arrived.
-func (r *Run) mayRetry(i int, o CallOutcome) bool {
+func (r *Run) mayRetry(now time.Duration, i int, o CallOutcome) bool {
 	if r.routed == nil {
 		return o == CallShed || r.fleet.class(r.class).retries.take()
 	}
 	if p := &r.parts[i]; p.arrivals == 0 {
 		return true
 	}
-	return r.fleet.takeRepeat(r.routed.Groups[i])
+	return r.fleet.takeRepeat(now, r.routed.Groups[i])
 }
 
 // hopeless tells whether the least coverage of a routed request is out of
--- a/tier/policy/route_test.go
+++ b/tier/policy/route_test.go
@@ -88,12 +88,15 @@
 	}
 }
 
+// tickTime is the virtual time of one tick.
+const tickTime = 100 * time.Millisecond
+
 func repeatsOf(t *testing.T, hosts int, ratio, slack float64, window int, least float64) {
 	random := rand.New(rand.NewPCG(20261202, 0))
 	fleets := make([]*Fleet, hosts)
 	start := func() *Fleet {
 		f := NewFleet(FleetConfig{Random: random})
-		f.SetRepeats(Repeats{Ratio: ratio, Depth: slack * 0.9 / float64(hosts)})
+		f.SetRepeats(ShareRepeats(ratio, slack*0.9, time.Duration(window)*tickTime, hosts))
 		return f
 	}
 	for i := range fleets {
@@ -102,6 +105,7 @@
 	var requests, repeats []int
 	used := 0
 	for tick := range 3000 {
+		now := time.Duration(tick) * tickTime
 		requests, repeats = append(requests, 0), append(repeats, 0)
 		for i, f := range fleets {
 			if random.IntN(3000) == 0 {
@@ -112,12 +116,12 @@
 				n *= 5
 			}
 			for range n {
-				f.group("G").repeats.fill(f.repeats.Ratio, f.repeats.Depth)
+				f.earnRepeat(now, "G")
 				requests[tick]++
 			}
 			// Idle for some windows, a host has saved up all it may.
 			for want := random.IntN(20); tick%250 < 200 && want > 0; want-- {
-				if f.takeRepeat("G") {
+				if f.takeRepeat(now, "G") {
 					repeats[tick]++
 					used++
 				}
@@ -321,3 +325,32 @@
 	assert.Equal(t, len(hedges), 1)
 	assert.Equal(t, hedges[0].Part, first[1].Part)
 }
+
+// TestLostCallsSayNothingOfTheirUpstream has a host that was to make calls fail
+// several times: its upstream is not left for that.
+func TestLostCallsSayNothingOfTheirUpstream(t *testing.T) {
+	for _, o := range []CallOutcome{CallLost, CallNotSent} {
+		f := routedFleet(1, Repeats{})
+		near, _ := f.RoutedPools("Find")
+		u := f.Find("F0")
+		for range 2 * ejectAfter {
+			f.Finish(0, Call{Upstream: u, Pool: near, Outcome: o, Took: time.Millisecond, Elsewhere: true})
+		}
+		assert.Assert(t, u.fit(0) && u.faults == 0, "%s: %+v", o, u)
+	}
+}
+
+// TestRepeatsAreEarnedByTime lets a group rest for a window: it earns a part of
+// the slack, and the whole of it is never exceeded.
+func TestRepeatsAreEarnedByTime(t *testing.T) {
+	const window = 10 * time.Second
+	f := NewFleet(FleetConfig{Random: rand.New(rand.NewPCG(1, 2))})
+	f.SetRepeats(ShareRepeats(0, 80, window, 8))
+	spent := 0
+	for now := time.Duration(0); now <= window; now += window / 100 {
+		for f.takeRepeat(now, "G") {
+			spent++
+		}
+	}
+	assert.Assert(t, spent >= 4 && spent <= 10, "%d repeats", spent)
+}
