perf: push the progress of batches; send only the records that are likely needed

And half of the bytes between hosts are records: a host that answers for 8 of 25 parts sent the 50 greatest, of which 16 belong to the answer on average.

Change: Gather is answered when all its calls have ended; what is told before is pushed on the caller's connection (kernel.Push). The silence of a host is judged by when its first sign is due; a hedge may wait for an upstream's pause. A reply has as many records as its parts are expected to have among the greatest, and three standard deviations; GatherRecords gives the rest if they are needed, and the route's next requests ask for all for a minute.

Ruled out: asking for the rest ahead of time, which costs a message for each batch. Also: times in log lines have milliseconds. Tests: TestRecordsLeftOutAreAskedFor, TestBatchKeepsWhatItLeftOut, TestRecordsFor, TestHandlerTellsItsCallerMore, TestLogTellsMilliseconds.

--- a/loomd/log.go
+++ b/loomd/log.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/rs/zerolog"
@@ -12,6 +13,15 @@
 // lost: some seconds of a busy host, about a megabyte.
 const logBuffer = 4096
 
+// logTime is the form of times in lines: in UTC, with the milliseconds that tell
+// which of two hosts was first.
+const logTime = "2006-01-02T15:04:05.000Z07:00"
+
+func init() {
+	zerolog.TimeFieldFormat = logTime
+	zerolog.TimestampFunc = func() time.Time { return time.Now().UTC() }
+}
+
 // newLog makes a log of JSON lines whose callers never wait for the writer:
 // lines that nobody takes in time are lost and counted. The function it returns
 // writes what is left.
--- a/loomd/log_test.go
+++ b/loomd/log_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"bufio"
+	"bytes"
+	"encoding/json"
 	"os"
 	"testing"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"gotest.tools/v3/assert"
@@ -34,3 +37,15 @@
 	lost := metrics.GetOrCreateCounter("loomgap_log_lines_lost_total").Get()
 	assert.Equal(t, uint64(n)+lost, uint64(lines))
 }
+
+// TestLogTellsMilliseconds writes a line and reads its time.
+func TestLogTellsMilliseconds(t *testing.T) {
+	var out bytes.Buffer
+	log, flush := newLog(&out)
+	log.Info().Msg("x")
+	flush()
+	var line struct{ Time time.Time }
+	assert.NilError(t, json.Unmarshal(out.Bytes(), &line))
+	assert.Assert(t, bytes.Contains(out.Bytes(), []byte(line.Time.Format(logTime))), out.String())
+	assert.Equal(t, line.Time.Location(), time.UTC)
+}
--- a/tier/kernel/state.go
+++ b/tier/kernel/state.go
@@ -64,7 +64,6 @@
 	LogRate int
 }
 
-// Live are the settings that may change while the process runs.
 // Live are the settings that may change while the process runs.
 type Live struct {
 	// Seeds are other entry hosts to join at.
--- a/tier/pass/answer.go
+++ b/tier/pass/answer.go
@@ -1,6 +1,7 @@
 package pass
 
 import (
+	"context"
 	"net/http"
 	"strconv"
 	"strings"
@@ -51,7 +52,8 @@
 }
 
 // answerGathered gives the merged answer, if it covers enough.
-func (q *request) answerGathered(w http.ResponseWriter, r *policy.Result) {
+func (q *request) answerGathered(ctx context.Context, w http.ResponseWriter, r *policy.Result) {
+	q.complete(ctx)
 	total := len(q.plan.groups)
 	records, stamps := q.parts.merge(q.route.Gather.Top, q.engine.headers.Stamp)
 	missing := total - len(stamps)
--- a/tier/pass/batch.go
+++ b/tier/pass/batch.go
@@ -3,9 +3,12 @@
 import (
 	"cmp"
 	"context"
+	"encoding/json"
+	"fmt"
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.opentelemetry.io/otel/attribute"
@@ -19,13 +22,17 @@
 
 // Bounds of batches that go to another host.
 const (
-	// relaySilent is how long a host may owe an answer until others are asked
-	// first, and relayRest how long it is left alone then.
-	relaySilent = 150 * time.Millisecond
+	// relaySilent is how long the first sign of a host may be late until others
+	// are asked first, and relayRest how long it is left alone then.
+	relaySilent = 100 * time.Millisecond
 	relayRest   = 2 * time.Second
-	// hedgesFirst is the part of the objective after which the first answer for
-	// hedges is due: most calls to another hall take less.
-	hedgesFirst = 0.3
+	// hedgesDue is when the first sign is due for a batch of hedges, which is told
+	// of when a call ends: upstreams that pause answer within that.
+	hedgesDue = policy.LingerFor
+	// progressBacklog is how many replies before the answer may wait to be taken
+	// in, and lateProgress how long they may come after it.
+	progressBacklog = 64
+	lateProgress    = 20 * time.Millisecond
 	// stopBound is how long telling a host to stop may take.
 	stopBound = time.Second
 )
@@ -43,8 +50,8 @@
 type relayState struct {
 	// open counts the batches that it owes.
 	open int
-	// since is when the oldest unanswered batch was sent; 0 if none is.
-	since time.Duration
+	// dueAt is when the oldest unanswered batch is due; 0 if none is.
+	dueAt time.Duration
 	// restUntil is until when others are asked first.
 	restUntil time.Duration
 	// way is the least time that a message took there and back.
@@ -83,18 +90,25 @@
 
 func (r *relays) answers(host string, now time.Duration) bool {
 	s := r.state(host)
-	return now >= s.restUntil && (s.since == 0 || now-s.since < relaySilent)
+	return now >= s.restUntil && (s.dueAt == 0 || now-s.dueAt < relaySilent)
 }
 
-func (r *relays) sent(host string, now time.Duration) (way time.Duration) {
+// way gives how long a message takes to a host and back; 0 if it is not known.
+func (r *relays) way(host string) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.state(host).way
+}
+
+// sent notes a batch, and when the first sign of it is due.
+func (r *relays) sent(host string, due time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s := r.state(host)
 	s.open++
-	if s.since == 0 {
-		s.since = now
+	if s.dueAt == 0 {
+		s.dueAt = due
 	}
-	return s.way
 }
 
 // answered notes an answer and how long the message took there and back.
@@ -108,29 +122,26 @@
 	}
 }
 
-// unanswered notes a batch without an answer; with late the answer was due
+// unanswered notes a batch without an answer; with late the first sign was due
 // long before, and the host is left alone for a while.
 func (r *relays) unanswered(host string, now time.Duration, late bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s := r.state(host)
-	if !late {
-		since := s.since
-		s.settle(now)
-		if s.open > 0 {
-			s.since = since
-		}
-		return
-	}
+	dueAt := s.dueAt
 	s.settle(now)
-	s.restUntil = now + relayRest
+	if late {
+		s.restUntil = now + relayRest
+	} else if s.open > 0 {
+		s.dueAt = dueAt
+	}
 }
 
 func (s *relayState) settle(now time.Duration) {
 	s.open--
-	s.since = 0
+	s.dueAt = 0
 	if s.open > 0 {
-		s.since = now
+		s.dueAt = now
 	}
 }
 
@@ -220,47 +231,181 @@
 		span.SetAttributes(attribute.String("Relay", host), attribute.Int("Calls", len(batch)))
 	}
 	started := k.Now()
-	way := e.relays.sent(host, started)
+	way := e.relays.way(host)
 	in := q.gatherRequest(batch, way)
+	due := started + way + time.Duration(in.FirstMillis)*time.Millisecond
+	if in.FirstMillis == 0 {
+		due = started + way + hedgesDue
+	}
+	e.relays.sent(host, due)
 	in.Floor, in.Trace = b.floor, wire.TraceOf(ctx)
-	var first GatherReply
-	err := e.callRelay(ctx, host, MethodGather, in, &first, q.deadline)
-	took := k.Now() - started
-	q.relaying.answered(host)
-	if err != nil {
-		due := time.Duration(in.FirstMillis)*time.Millisecond + way
-		e.relays.unanswered(host, k.Now(), ctx.Err() == nil || took > due+relaySilent)
-		if ctx.Err() != nil {
-			e.stopRelay(host, BatchName{ID: in.ID, Left: q.left.Load()}, q.id)
+	progress, forget := e.batches.open(in.ID)
+	defer forget()
+	s := &sentBatch{request: q, calls: batch, in: in, begun: b, started: started, due: due, way: way, to: to}
+	answered := make(chan error, 1)
+	go func() { answered <- e.callRelay(ctx, host, MethodGather, in, &s.last, q.deadline) }()
+	for {
+		select {
+		case p := <-progress:
+			s.take(p)
+		case err := <-answered:
+			s.finish(ctx, progress, err)
+			return
 		}
-		q.batchFailed(ctx, batch, host, err, to)
+	}
+}
+
+// sentBatch is a batch that another host makes the calls of. It is used by one
+// goroutine.
+type sentBatch struct {
+	request *request
+	calls   []policy.Action
+	in      *GatherRequest
+	begun   begun
+	// started is when it was sent, due when the first sign of it is due.
+	started, due time.Duration
+	// way is how long a message takes there and back, as far as is known.
+	way time.Duration
+	to  flight.Reporter[*answer]
+	// told counts what came before the answer.
+	told int
+	// heard is true once anything came, overdue once the calls that are not in
+	// were said to be slow.
+	heard, overdue bool
+	// last is the answer.
+	last GatherReply
+}
+
+// take reports the calls that a reply tells of. Those that are not in when the
+// first answer was due are hedged.
+func (s *sentBatch) take(g *GatherReply) {
+	s.told++
+	s.hear(g)
+	s.report(g)
+	if g.Due && !s.overdue {
+		s.overdue = true
+		s.to.Overdue()
+	}
+}
+
+// hear notes the first sign of the host, and how long the message took.
+func (s *sentBatch) hear(g *GatherReply) {
+	if s.heard {
 		return
 	}
-	held := time.Duration(first.HeldMicros) * time.Microsecond
-	e.relays.answered(host, k.Now(), max(took-held, time.Microsecond))
-	q.reportBatch(batch, &first, b.basis, took-held, to)
-	q.askForRest(ctx, batch, in.ID, &first, took-held, to)
+	s.heard = true
+	e := s.request.engine
+	now := e.kernel.Now()
+	held := time.Duration(g.HeldMicros) * time.Microsecond
+	s.way = max(now-s.started-held, time.Microsecond)
+	e.relays.answered(s.begun.host, now, s.way)
+	s.request.relaying.answered(s.begun.host)
 }
 
-// askForRest reports what a batch's first answer lacked, as it comes in. The
-// calls that are not in when the first answer was due are hedged.
-func (q *request) askForRest(ctx context.Context, batch []policy.Action, id string, last *GatherReply, way time.Duration, to flight.Reporter[*answer]) {
-	b := q.relaying.of(batch[0].Attempt)
-	overdue := false
-	for last.Open > 0 {
-		if last.Due && !overdue {
-			overdue = true
-			to.Overdue()
-		}
-		last = new(GatherReply)
-		if err := q.engine.callRelay(ctx, b.host, MethodRest, BatchName{ID: id}, last, q.deadline); err != nil {
-			if ctx.Err() == nil {
-				q.engine.kernel.Decisions.Info().Str("RequestID", q.id).Str("Relay", b.host).Err(err).Msg("rest of a batch not answered")
-			}
-			q.engine.stopRelay(b.host, BatchName{ID: id, Left: q.left.Load()}, q.id)
+// finish takes the answer in, or that there is none.
+func (s *sentBatch) finish(ctx context.Context, progress <-chan *GatherReply, err error) {
+	if err != nil {
+		s.fail(ctx, err)
+		return
+	}
+	s.hear(&s.last)
+	s.report(&s.last)
+	// What was told before the answer may be handled after it.
+	timer := time.NewTimer(lateProgress)
+	defer timer.Stop()
+	for s.told < s.last.Told {
+		select {
+		case p := <-progress:
+			s.take(p)
+		case <-timer.C:
 			return
 		}
-		q.reportBatch(batch, last, b.basis, way, to)
+	}
+}
+
+// fail reports the calls of a batch without an answer. That says nothing of the
+// upstreams.
+func (s *sentBatch) fail(ctx context.Context, err error) {
+	q, host := s.request, s.begun.host
+	e := q.engine
+	outcome := policy.CallLost
+	if unreached(err) && !s.heard {
+		outcome = policy.CallNotSent
+	}
+	if !s.heard {
+		now := e.kernel.Now()
+		e.relays.unanswered(host, now, ctx.Err() == nil || now-s.due > relaySilent)
+		q.relaying.answered(host)
+	}
+	if ctx.Err() != nil {
+		e.stopRelay(host, BatchName{ID: s.in.ID, Left: q.left.Load()}, q.id)
+	} else {
+		e.kernel.Decisions.Info().Str("RequestID", q.id).Str("Relay", host).Int("Calls", len(s.calls)).
+			Str("Outcome", string(outcome)).Err(err).Msg("batch not answered")
+	}
+	for i := range s.calls {
+		s.to.Report(i, flight.Reply[*answer]{Outcome: outcome})
+	}
+}
+
+// report reports the calls that a reply tells of. Their records are kept as one
+// block that stands for all of them.
+func (s *sentBatch) report(g *GatherReply) {
+	fleet := s.request.engine.kernel.Fleet
+	fleet.TakeConditions(s.request.engine.kernel.Now(), fleet.HallOf(s.calls[0].Upstream), g.Worse)
+	block := &block{records: g.Records, stamps: map[int]string{}, basis: s.begun.basis}
+	if g.Cut > 0 {
+		block.rest = &restOf{host: s.begun.host, at: RecordsRequest{ID: s.in.ID, Cut: g.Cut}}
+	}
+	ended := slices.DeleteFunc(g.Ended, func(c GatheredCall) bool { return c.Index < 0 || c.Index >= len(s.calls) })
+	for _, c := range ended {
+		if c.Stamp != "" {
+			block.stamps[s.calls[c.Index].Part] = c.Stamp
+		}
+	}
+	for _, c := range ended {
+		r := flight.Reply[*answer]{Outcome: policy.CallOutcome(c.Outcome), Took: time.Duration(c.TookMicros)*time.Microsecond + s.way}
+		if c.Stamp != "" {
+			r.Outcome, r.Part = policy.CallOK, &answer{block: block}
+		}
+		s.to.Report(c.Index, r)
+	}
+}
+
+// sentBatches are the batches of this host that others make the calls of.
+type sentBatches struct {
+	// prefix begins the names of this process's batches; no other has it.
+	prefix string
+	count  atomic.Uint64
+	// open holds a chan *GatherReply for each batch under way, by ID.
+	byID sync.Map
+}
+
+// name gives a batch a name of its own.
+func (s *sentBatches) name() string { return s.prefix + strconv.FormatUint(s.count.Add(1), 36) }
+
+// open gives what is told of a batch until it is forgotten.
+func (s *sentBatches) open(id string) (progress <-chan *GatherReply, forget func()) {
+	c := make(chan *GatherReply, progressBacklog)
+	s.byID.Store(id, c)
+	return c, func() { s.byID.Delete(id) }
+}
+
+// onProgress takes in what a host tells of a batch before its answer.
+func (e *Engine) onProgress(_ context.Context, params json.RawMessage) (any, error) {
+	var in GatherReply
+	if err := json.Unmarshal(params, &in); err != nil {
+		return nil, fmt.Errorf("bad progress: %w", err)
+	}
+	c, ok := e.batches.byID.Load(in.ID)
+	if !ok {
+		return nil, fmt.Errorf("%w: %q ended", errNoBatch, in.ID)
+	}
+	select {
+	case c.(chan *GatherReply) <- &in:
+		return struct{}{}, nil
+	default:
+		return nil, fmt.Errorf("too much is told of batch %q", in.ID)
 	}
 }
 
@@ -269,11 +414,14 @@
 func (q *request) gatherRequest(batch []policy.Action, way time.Duration) *GatherRequest {
 	now := q.engine.kernel.Now()
 	in := &GatherRequest{
-		ID:    q.engine.batchPrefix + strconv.FormatUint(q.engine.batches.Add(1), 36),
+		ID:    q.engine.batches.name(),
 		Route: q.route.Name, RequestID: q.id, Method: q.method, Head: string(q.head), Body: q.body, Top: q.route.Gather.Top,
-		FirstMillis:    max(q.firstDue(batch)-way-gatherReserve, gatherLeast).Milliseconds(),
+		FirstMillis:    q.firstDue(batch, way).Milliseconds(),
 		DeadlineMillis: (q.deadline - now).Milliseconds(),
 	}
+	if !q.engine.wholeRecords(q.route.Name) {
+		in.Of = len(q.plan.groups)
+	}
 	for _, a := range batch {
 		in.Upstreams = append(in.Upstreams, a.Upstream.Name)
 	}
@@ -281,17 +429,16 @@
 }
 
 // firstDue is in what time the first answer for a batch is wanted: before its
-// calls are hedged. Hedges are not hedged again; theirs is wanted soon.
-func (q *request) firstDue(batch []policy.Action) time.Duration {
+// calls are hedged. Hedges are not hedged again: each that ends is told of.
+func (q *request) firstDue(batch []policy.Action, way time.Duration) time.Duration {
 	due := q.begun + time.Duration(q.class.Patience) - q.engine.kernel.Now()
 	for _, a := range batch {
-		if a.HedgeIn > 0 {
-			due = min(due, a.HedgeIn)
-		} else {
-			due = min(due, time.Duration(hedgesFirst*float64(q.route.Objective)))
+		if a.HedgeIn == 0 {
+			return 0
 		}
+		due = min(due, a.HedgeIn)
 	}
-	return due
+	return max(due-way-gatherReserve, gatherLeast)
 }
 
 // callRelay calls another host and gives up with the context or the deadline.
@@ -301,45 +448,6 @@
 	return e.kernel.Peers.Call(ctx, host, method, in, out)
 }
 
-// reportBatch reports the calls that a reply tells of. Their records are kept
-// as one block that stands for all of them.
-func (q *request) reportBatch(batch []policy.Action, g *GatherReply, basis []*answer, way time.Duration, to flight.Reporter[*answer]) {
-	fleet := q.engine.kernel.Fleet
-	fleet.TakeConditions(q.engine.kernel.Now(), fleet.HallOf(batch[0].Upstream), g.Worse)
-	block := &block{records: g.Records, stamps: map[int]string{}, basis: basis}
-	for _, c := range g.Ended {
-		if c.Index >= 0 && c.Index < len(batch) && c.Stamp != "" {
-			block.stamps[batch[c.Index].Part] = c.Stamp
-		}
-	}
-	for _, c := range g.Ended {
-		if c.Index < 0 || c.Index >= len(batch) {
-			continue
-		}
-		r := flight.Reply[*answer]{Outcome: policy.CallOutcome(c.Outcome), Took: time.Duration(c.TookMicros)*time.Microsecond + way}
-		if c.Stamp != "" {
-			r.Outcome, r.Part = policy.CallOK, &answer{block: block}
-		}
-		to.Report(c.Index, r)
-	}
-}
-
-// batchFailed reports a batch whose host gave no answer. That says nothing of the
-// upstreams.
-func (q *request) batchFailed(ctx context.Context, batch []policy.Action, host string, err error, to flight.Reporter[*answer]) {
-	outcome := policy.CallLost
-	if unreached(err) {
-		outcome = policy.CallNotSent
-	}
-	if ctx.Err() == nil {
-		q.engine.kernel.Decisions.Info().Str("RequestID", q.id).Str("Relay", host).Int("Calls", len(batch)).
-			Str("Outcome", string(outcome)).Err(err).Msg("batch not answered")
-	}
-	for i := range batch {
-		to.Report(i, flight.Reply[*answer]{Outcome: outcome})
-	}
-}
-
 // stopRelay tells a host that the calls of a batch are not wanted any more.
 func (e *Engine) stopRelay(host string, name BatchName, request string) {
 	ctx, cancel := context.WithTimeout(context.Background(), stopBound)
--- a/tier/pass/engine.go
+++ b/tier/pass/engine.go
@@ -51,10 +51,10 @@
 	// this host makes for others.
 	relays  relays
 	relayed relayed
-	// batches counts the batches sent to relays; their IDs begin with
-	// batchPrefix, which no other process has.
-	batches     atomic.Uint64
-	batchPrefix string
+	// batches are those that relays make the calls of.
+	batches sentBatches
+	// whole holds for each route until when all records are asked for.
+	whole sync.Map
 	// basis is what shares and links were made from; used on the control
 	// thread.
 	basis basis
@@ -75,7 +75,7 @@
 	e := &Engine{
 		kernel: k, headers: h,
 		relays: relays{states: map[string]*relayState{}}, relayed: relayed{batches: map[string]*batch{}},
-		batchPrefix: strconv.FormatUint(rand.Uint64()>>batchPrefixSpare, 36) + "-",
+		batches: sentBatches{prefix: strconv.FormatUint(rand.Uint64()>>batchPrefixSpare, 36) + "-"},
 	}
 	e.serveRelay()
 	e.links.Store(&map[string]*link{})
--- a/tier/pass/gather_test.go
+++ b/tier/pass/gather_test.go
@@ -383,7 +383,7 @@
 		_, err := h.engine.onGather(t.Context(), []byte(text))
 		assert.Assert(t, err != nil, text)
 	}
-	_, err := h.engine.onRest(t.Context(), []byte(`{"ID":"none"}`))
+	_, err := h.engine.onProgress(t.Context(), []byte(`{"ID":"none"}`))
 	assert.ErrorIs(t, err, errNoBatch)
 	_, err = h.engine.onStop(t.Context(), []byte(`{"ID":"none"}`))
 	assert.ErrorIs(t, err, errNoBatch)
--- a/tier/pass/host_test.go
+++ b/tier/pass/host_test.go
@@ -199,6 +199,9 @@
 	k.Peers = c.peers
 	e, closeEngine := NewEngine(k, names)
 	h := &host{t: t, kernel: k, engine: e, server: httptest.NewServer(e), revision: 1}
+	if w, ok := c.peers.(*cable); ok && w.sender == nil {
+		w.sender = h
+	}
 	t.Cleanup(func() {
 		h.server.Close()
 		closeEngine()
@@ -280,7 +283,11 @@
 	hosts map[string]*host
 	// cut are hosts that cannot be reached, mute those that never answer.
 	cut, mute map[string]bool
-	calls     map[string]int
+	// broken are methods that no host can be reached for.
+	broken map[string]bool
+	calls  map[string]int
+	// sender is the host that calls others: the first that was made.
+	sender *host
 }
 
 func newCable() *cable {
@@ -292,7 +299,7 @@
 	defer w.mu.Unlock()
 	w.calls[method]++
 	h := w.hosts[to]
-	if h == nil || w.cut[to] {
+	if h == nil || w.cut[to] || w.broken[method] {
 		return nil, false, fmt.Errorf("host %s: %w", to, peers.ErrNoPeer)
 	}
 	return h.kernel.Handler(method), w.mute[to], nil
@@ -324,7 +331,7 @@
 	}
 	done := make(chan outcome, 1)
 	go func() {
-		v, err := handler(context.Background(), in)
+		v, err := handler(kernel.WithPush(context.Background(), w.push), in)
 		done <- outcome{v, err}
 	}()
 	select {
@@ -342,6 +349,16 @@
 	}
 }
 
+// push tells the sender something before the answer.
+func (w *cable) push(method string, params any) error {
+	text, err := json.Marshal(params)
+	if err != nil {
+		return err
+	}
+	_, err = w.sender.kernel.Handler(method)(context.Background(), text)
+	return err
+}
+
 // Notify implements kernel.PeerCaller.
 func (w *cable) Notify(ctx context.Context, to, method string, params any) error {
 	var none any
--- a/tier/pass/merge.go
+++ b/tier/pass/merge.go
@@ -51,6 +51,18 @@
 	// basis are the answers from which the floor was taken below which records
 	// were left out. The block is of use only beside all of them.
 	basis []*answer
+	// rest tells where the least records are that were not sent; nil if all were.
+	rest *restOf
+}
+
+// lacks tells whether records that were not sent may belong to an answer whose
+// least record is given, nil for an answer with room for more.
+func (b *block) lacks(least []byte) bool {
+	if b.rest == nil || len(b.records) < recordBytes {
+		return b.rest != nil
+	}
+	last := b.records[len(b.records)-recordBytes:]
+	return least == nil || bytes.Compare(last, least) > 0
 }
 
 // gathered collects the parts of one answer.
@@ -93,6 +105,30 @@
 	return m.records[top-1], basis
 }
 
+// lacking lists the blocks of the answer of which records that were not sent may
+// belong to it.
+func (g *gathered) lacking(top int) []*block {
+	m := merger{top: top}
+	blocks, single := g.choose()
+	for _, b := range blocks {
+		m.add(b.records)
+	}
+	for _, a := range single {
+		m.add(a.body)
+	}
+	m.cut()
+	var least []byte
+	if len(m.records) == top {
+		least = m.records[top-1]
+	}
+	return slices.DeleteFunc(blocks, func(b *block) bool { return !b.lacks(least) })
+}
+
+// drop leaves a block out of the answer.
+func (g *gathered) drop(b *block) {
+	g.blocks = slices.DeleteFunc(g.blocks, func(other *block) bool { return other == b })
+}
+
 // choose gives what makes the answer. A block whose basis is not in it is left
 // out, and what is left is chosen from again.
 func (g *gathered) choose() (blocks []*block, single map[int]*answer) {
--- a/tier/pass/relay.go
+++ b/tier/pass/relay.go
@@ -13,6 +13,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"loomgap/tier/flight"
+	"loomgap/tier/kernel"
 	"loomgap/tier/peers"
 	"loomgap/tier/policy"
 	"loomgap/tier/wire"
@@ -21,15 +22,14 @@
 // Methods of the peer protocol.
 const (
 	// MethodGather has a host near some upstreams make calls and merge what
-	// they answer. It is answered when all calls have ended, when the first
-	// answer is due, or soon after a call has failed, so that another upstream
-	// can be asked.
+	// they answer. It is answered when all calls have ended.
 	MethodGather = "Gather"
-	// MethodRest waits for more of the calls that the answers until then lacked.
-	// Once the first answer was due it is answered soon after any call ended: a
-	// call that is stuck does not hold back the others.
-	MethodRest = "GatherRest"
-	// MethodStop tells that what is still lacking is not wanted any more.
+	// MethodProgress tells the sender of Gather of calls that ended before: when
+	// the first answer is due, soon after a call has failed, so that another
+	// upstream can be asked, and from then on soon after any call ended, so that
+	// a call that is stuck does not hold back the others.
+	MethodProgress = "GatherProgress"
+	// MethodStop tells that the calls still under way are not wanted any more.
 	MethodStop = "GatherStop"
 )
 
@@ -40,12 +40,12 @@
 	// gatherLeast is the least time that the calls have for the first answer.
 	gatherLeast = 5 * time.Millisecond
 	// failureNews and callNews are how long after a call has failed, or has ended
-	// when the first answer was due before, the answer waits for others: one
-	// message costs as much as several calls of one.
+	// when the first answer was due before, others are waited for: one message
+	// costs as much as several calls of one.
 	failureNews = 2 * time.Millisecond
 	callNews    = 8 * time.Millisecond
-	// restGrace is how long what was not asked for is kept after its deadline.
-	restGrace = time.Second
+	// cutGrace is how long records that were left out are kept after the deadline.
+	cutGrace = time.Second
 	// maxGathered bounds the calls of one message.
 	maxGathered = 4096
 	// maxGatherTime bounds how long another host may keep calls going.
@@ -65,25 +65,35 @@
 	Body []byte `json:",omitempty"`
 	// Upstreams are called once each.
 	Upstreams []string
-	Top       int
+	// Top is how many records the answer to the caller has, Of how many parts it
+	// is made of. Records that are hardly needed may be left out of an answer;
+	// with 0 for Of none are.
+	Top int
+	Of  int `json:",omitempty"`
 	// Floor is a record below which none is wanted; empty for none.
 	Floor []byte `json:",omitempty"`
-	// FirstMillis is when the first answer is due, DeadlineMillis when the calls
-	// end; both from now.
+	// FirstMillis is when the first answer is due, 0 if any call that ends is to be
+	// told of; DeadlineMillis is when the calls end; both from now.
 	FirstMillis, DeadlineMillis int64
 	Trace                       string `json:",omitempty"`
 }
 
-// GatherReply tells what became of the calls.
+// GatherReply tells what became of calls that were not told of before.
 type GatherReply struct {
+	// ID is that of the batch, for GatherProgress only.
+	ID string `json:",omitempty"`
 	// Ended are the calls that ended, by index of Upstreams.
 	Ended []GatheredCall
-	// Records are the greatest records of all calls in Ended that went well.
+	// Records are the greatest records of all calls in Ended that went well, the
+	// greatest first. With Cut above 0 there are more, which GatherRecords gives
+	// under that number.
 	Records []byte
-	// Open counts the calls still under way; GatherRest asks for them.
-	Open int `json:",omitempty"`
-	// Due is true once the first answer was due.
+	Cut     int `json:",omitempty"`
+	// Due is true once the first answer was due: calls not told of are slow.
 	Due bool `json:",omitempty"`
+	// Told is how many times GatherProgress told of the batch, in the answer to
+	// Gather.
+	Told int `json:",omitempty"`
 	// Worse are the upstreams of the answering host's hall that do worse than
 	// others at the moment.
 	Worse []policy.Condition `json:",omitempty"`
@@ -104,11 +114,15 @@
 // BatchName names a batch that was asked for before.
 type BatchName struct {
 	ID string
-	// Left is true for GatherStop if the caller of the request is gone.
+	// Left is true if the caller of the request is gone.
 	Left bool `json:",omitempty"`
 }
 
-var errNoBatch = errors.New("no such batch")
+// Errors of batches.
+var (
+	errNoBatch = errors.New("no such batch")
+	errStopped = errors.New("batch was stopped")
+)
 
 // relayed holds the batches of other hosts that have calls under way.
 type relayed struct {
@@ -127,16 +141,20 @@
 	// ended are calls that were not told of yet, with their records.
 	ended  []GatheredCall
 	merger merger
+	// cut are the records that answers left out, for GatherRecords.
+	cut [][]byte
 	// open counts the calls under way.
 	open int
 	// calls are the calls under way, by index.
 	calls map[int]*relayedCall
 	// finished is closed when no call is under way any more.
 	finished chan struct{}
-	// due is when the first answer is due.
-	due time.Duration
+	// begun is when the calls began, due when the first answer is due.
+	begun, due time.Duration
 	// failed is true while ended has a call that did not go well.
 	failed bool
+	// stopped is true once nobody wants the calls any more.
+	stopped bool
 	// news holds one item once a call has ended that was not told of.
 	news chan struct{}
 }
@@ -152,13 +170,13 @@
 
 func (e *Engine) serveRelay() {
 	e.kernel.Handle(MethodGather, e.onGather)
-	e.kernel.Handle(MethodRest, e.onRest)
+	e.kernel.Handle(MethodProgress, e.onProgress)
 	e.kernel.Handle(MethodStop, e.onStop)
+	e.kernel.Handle(MethodRecords, e.onRecords)
 }
 
-// onGather makes the calls and answers when all have ended or the first answer
-// is due.
-func (e *Engine) onGather(_ context.Context, params json.RawMessage) (any, error) {
+// onGather makes the calls, tells of those that ended and answers when all have.
+func (e *Engine) onGather(ctx context.Context, params json.RawMessage) (any, error) {
 	var in GatherRequest
 	if err := json.Unmarshal(params, &in); err != nil {
 		return nil, fmt.Errorf("bad gather: %w", err)
@@ -170,7 +188,21 @@
 	defer e.kernel.InFlight.Add(-1)
 	metrics.GetOrCreateCounter("loomgap_relayed_calls_total").Add(len(in.Upstreams))
 	b := e.startBatch(&in)
-	return b.wait(), nil
+	for told := 0; ; told++ {
+		out, last := b.wait()
+		switch {
+		case last && b.isStopped():
+			return nil, errStopped
+		case last:
+			out.Told = told
+			return out, nil
+		}
+		out.ID = in.ID
+		if err := kernel.Push(ctx, MethodProgress, out); err != nil {
+			b.stop(0)
+			return nil, fmt.Errorf("tell of batch %s: %w", in.ID, err)
+		}
+	}
 }
 
 func (e *Engine) startBatch(in *GatherRequest) *batch {
@@ -179,15 +211,15 @@
 	now := e.kernel.Now()
 	b := &batch{
 		engine: e, in: in, deadline: now + left, cancel: cancel,
-		due:    now + min(time.Duration(in.FirstMillis)*time.Millisecond, left),
+		begun: now, due: now + min(time.Duration(in.FirstMillis)*time.Millisecond, left),
 		merger: merger{top: in.Top, floor: in.Floor}, open: len(in.Upstreams), calls: map[int]*relayedCall{},
 		finished: make(chan struct{}), news: make(chan struct{}, 1),
 	}
 	e.relayed.mu.Lock()
 	e.relayed.batches[in.ID] = b
 	e.relayed.mu.Unlock()
-	// Nobody may ask for the rest, if the sender is gone.
-	time.AfterFunc(left+restGrace, func() { e.relayed.drop(in.ID) })
+	// Nobody may ask for records that were left out.
+	time.AfterFunc(left+cutGrace, func() { e.relayed.drop(in.ID) })
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for i, name := range in.Upstreams {
@@ -254,6 +286,8 @@
 func (b *batch) stop(linger time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.stopped = true
+	b.forget()
 	for _, c := range b.calls {
 		if linger > 0 && c.upstream != nil && b.engine.kernel.Fleet.Linger(c.upstream) {
 			c.lingering = true
@@ -304,21 +338,46 @@
 	}
 }
 
-// wait gives what ended, as soon as there is something to tell. What is given is
-// not given again.
-func (b *batch) wait() *GatherReply {
-	started := b.engine.kernel.Now()
-	b.await(started)
+// wait gives what ended, as soon as there is something to tell; last is true if
+// nothing follows. What is given is not given again.
+func (b *batch) wait() (out *GatherReply, last bool) {
+	b.await(b.engine.kernel.Now())
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.engine.kernel.Now()
-	out := &GatherReply{Ended: b.ended, Records: b.merger.result(), Open: b.open, Due: now >= b.due, Worse: b.engine.kernel.Fleet.Conditions(now)}
+	out = &GatherReply{Ended: b.ended, Due: now >= b.due, Worse: b.engine.kernel.Fleet.Conditions(now), HeldMicros: (now - b.begun).Microseconds()}
+	out.Records, out.Cut = b.give(b.merger.result(), goodCalls(b.ended))
 	b.ended, b.merger.records, b.failed = nil, nil, false
-	if b.open == 0 {
+	last = b.open == 0 || now >= b.deadline
+	if last {
+		b.forget()
+	}
+	return out, last
+}
+
+func (b *batch) isStopped() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.stopped
+}
+
+// goodCalls counts the calls that went well.
+func goodCalls(ended []GatheredCall) int {
+	n := 0
+	for _, c := range ended {
+		if c.Stamp != "" {
+			n++
+		}
+	}
+	return n
+}
+
+// forget drops a batch that nobody asks for any more, but for records that were
+// left out; it is locked. Those are dropped some time after the deadline.
+func (b *batch) forget() {
+	if len(b.cut) == 0 {
 		b.engine.relayed.drop(b.in.ID)
 	}
-	out.HeldMicros = (now - started).Microseconds()
-	return out
 }
 
 // await returns when all calls have ended, when the first answer is due, soon
@@ -375,44 +434,23 @@
 	delete(r.batches, id)
 }
 
-// onRest answers when there is more to tell of a batch, at its deadline at the
-// latest.
-func (e *Engine) onRest(_ context.Context, params json.RawMessage) (any, error) {
-	b, _, err := e.batchOf(params)
-	if err != nil {
-		return nil, err
-	}
-	out := b.wait()
-	if e.kernel.Now() >= b.deadline {
-		e.relayed.drop(b.in.ID)
-	}
-	return out, nil
-}
-
 // onStop ends the calls of a batch.
 func (e *Engine) onStop(_ context.Context, params json.RawMessage) (any, error) {
-	b, in, err := e.batchOf(params)
-	if err != nil {
-		return nil, err
+	var in BatchName
+	if err := json.Unmarshal(params, &in); err != nil {
+		return nil, fmt.Errorf("bad batch name: %w", err)
+	}
+	b := e.relayed.find(in.ID)
+	if b == nil {
+		return nil, fmt.Errorf("%w: %q ended or was never begun", errNoBatch, in.ID)
 	}
 	linger := policy.LingerFor
 	if in.Left {
 		linger = 0
 	}
 	b.stop(linger)
-	e.relayed.drop(b.in.ID)
 	return struct{}{}, nil
 }
 
-func (e *Engine) batchOf(params json.RawMessage) (b *batch, in BatchName, err error) {
-	if err := json.Unmarshal(params, &in); err != nil {
-		return nil, in, fmt.Errorf("bad batch name: %w", err)
-	}
-	if b := e.relayed.find(in.ID); b != nil {
-		return b, in, nil
-	}
-	return nil, in, fmt.Errorf("%w: %q ended or was never begun", errNoBatch, in.ID)
-}
-
 // unreached tells whether an error proves that no call of a batch was begun.
 func unreached(err error) bool { return errors.Is(err, peers.ErrNoPeer) }
--- a/tier/pass/relay_test.go
+++ b/tier/pass/relay_test.go
@@ -72,12 +72,10 @@
 					}()
 				}
 				var got []told
-				for b.engine.kernel.Now() < b.deadline {
-					r := b.wait()
+				for last := false; !last; {
+					var r *GatherReply
+					r, last = b.wait()
 					got = append(got, told{b.engine.kernel.Now(), len(r.Ended)})
-					if r.Open == 0 {
-						break
-					}
 				}
 				assert.Assert(t, slices.Equal(got, tt.want), "%v", got)
 				time.Sleep(2 * time.Second) // the calls that are still under way
--- /dev/null
+++ b/tier/pass/rest_test.go
@@ -0,0 +1,136 @@
+package pass
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"loomgap/tier/kernel"
+)
+
+func TestRecordsFor(t *testing.T) {
+	tests := []struct{ top, parts, of, want int }{
+		{50, 8, 25, 28},
+		{50, 1, 25, 9},
+		{50, 15, 90, 19},
+		{50, 25, 25, 50},
+		{50, 3, 0, 50},
+		{5, 8, 25, 5},
+	}
+	for _, tt := range tests {
+		assert.Equal(t, recordsFor(tt.top, tt.parts, tt.of), tt.want, "%+v", tt)
+	}
+}
+
+// TestRecordsLeftOutAreAskedFor has half of the shards in another hall. Where
+// these have the greatest records, more are needed than were sent at first.
+func TestRecordsLeftOutAreAskedFor(t *testing.T) {
+	const top = 25
+	even := func(s int) string { return part(s) }
+	skewed := func(s int) string {
+		if s < shards/2 {
+			return part(s)
+		}
+		return strings.ReplaceAll(part(s), ".", "z")[:10*recordBytes]
+	}
+	// high puts the far shards' records before all others.
+	high := func(s int) string {
+		var b strings.Builder
+		for text := skewed(s); len(text) >= recordBytes; text = text[recordBytes:] {
+			if s < shards/2 {
+				b.WriteString(text[:recordBytes])
+				continue
+			}
+			b.WriteString("z" + text[1:recordBytes])
+		}
+		return b.String()
+	}
+	tests := []struct {
+		name  string
+		parts func(int) string
+		// asked tells whether records were asked for a second time.
+		asked bool
+		// cut has the other hall's host unreachable by then.
+		cut    bool
+		shards int
+	}{
+		{"evenly spread", even, false, false, shards},
+		{"all in the other hall", high, true, false, shards},
+		{"all in the other hall, which is cut off then", high, true, true, shards / 2},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			w := newCable()
+			h := newHost(t, hostConfig{name: "H1", hall: "A", peers: w})
+			far := newHost(t, hostConfig{name: "Far", hall: "B", peers: w})
+			w.hosts["Far"] = far
+			if tt.cut {
+				w.broken = map[string]bool{MethodRecords: true}
+			}
+			var all []string
+			for s := range shards {
+				text := tt.parts(s)
+				hall := "A"
+				if s >= shards/2 {
+					hall = "B"
+				}
+				h.list(fmt.Sprint("S", s), hall, newUpstream(t, fmt.Sprint("U", s), good(text)), false)
+				if tt.cut && hall == "B" {
+					continue
+				}
+				for ; len(text) >= recordBytes; text = text[recordBytes:] {
+					all = append(all, text[:recordBytes])
+				}
+			}
+			far.do(func(s *kernel.State) {
+				whole := h.kernel.View().Directory.Whole()
+				s.List(&whole)
+			})
+			d := gatherDoc(0.4, top)
+			h.accept(d)
+			far.accept(d)
+			h.member(far)
+			r := h.ask(http.MethodGet, "/find/x", "one", 1500, "")
+			assert.NilError(t, r.err)
+			slices.Sort(all)
+			slices.Reverse(all)
+			assert.Equal(t, r.body, strings.Join(all[:top], ""))
+			assert.Equal(t, len(stampsOf(r)), tt.shards)
+			assert.Equal(t, w.called(MethodRecords) > 0, tt.asked)
+			assert.Equal(t, h.engine.wholeRecords("Find"), tt.asked)
+			if !tt.asked || tt.cut {
+				return
+			}
+			// From now on all records are sent at once.
+			before := w.called(MethodRecords)
+			assert.Equal(t, h.ask(http.MethodGet, "/find/x", "two", 1500, "").body, r.body)
+			assert.Equal(t, w.called(MethodRecords), before)
+		})
+	}
+}
+
+// TestBatchKeepsWhatItLeftOut asks a batch for records that it has, and for such
+// that it has not.
+func TestBatchKeepsWhatItLeftOut(t *testing.T) {
+	b := newBatch(t, 1, 0, time.Second)
+	b.in.Top, b.in.Of, b.merger.top = 25, 50, 25
+	b.engine.relayed.batches["B"] = b
+	b.end(GatheredCall{Stamp: "S"}, []byte(strings.Repeat("0123456789abcdef", 25)))
+	out, last := b.wait()
+	assert.Assert(t, last)
+	given := len(out.Records) / recordBytes
+	assert.Equal(t, given, recordsFor(25, 1, 50))
+	assert.Equal(t, out.Cut, 1)
+	for _, bad := range []string{`{`, `{"ID":"B"}`, `{"ID":"B","Cut":2}`, `{"ID":"C","Cut":1}`} {
+		_, err := b.engine.onRecords(t.Context(), []byte(bad))
+		assert.Assert(t, err != nil, bad)
+	}
+	rest, err := b.engine.onRecords(t.Context(), []byte(`{"ID":"B","Cut":1}`))
+	assert.NilError(t, err)
+	assert.Equal(t, len(rest.(*RecordsReply).Records)/recordBytes, 25-given)
+}
--- a/tier/pass/serve.go
+++ b/tier/pass/serve.go
@@ -166,7 +166,7 @@
 		q.log(outcomeGivenUp, 0).Int("Ran", result.Ran).Msg("request given up by its caller")
 		panic(http.ErrAbortHandler)
 	case q.route.Gather != nil:
-		q.answerGathered(w, &result)
+		q.answerGathered(ctx, w, &result)
 	default:
 		q.answerSingle(w, &result)
 	}
--- a/tier/peers/node.go
+++ b/tier/peers/node.go
@@ -90,7 +90,7 @@
 }
 
 // serve carries out a call of another host.
-func (n *node) serve(ctx context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
+func (n *node) serve(ctx context.Context, c *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
 	h := n.kernel.Handler(r.Method)
 	if h == nil {
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "unknown method " + r.Method}
@@ -98,7 +98,7 @@
 	if r.Params == nil {
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: "no parameters"}
 	}
-	out, err := h(ctx, *r.Params)
+	out, err := h(kernel.WithPush(ctx, func(method string, params any) error { return c.Notify(ctx, method, params) }), *r.Params)
 	if err != nil {
 		return nil, &jsonrpc2.Error{Code: codeBusy, Message: err.Error()}
 	}
