perf: one host reads the platform for all halls

Change: the host that ranks first in its hall tells it; the first of these reads the platform, and tells one host of each other hall besides. A host that hears no platform says so (Lost) in place of falling silent, so the next in the ranking takes over at once; after three that try in vain the others wait. Hosts whose news end at the same moment follow one another in steps of 50 ms.

Ruled out: the waiting reads' length, since the one that is under way must show within 1.8 s that the platform does not answer. TestReaderWithoutAnswersSaysSo now counts the news of a host that hears the platform: one that does not tells just that. TestOneHostReadsTheStoreForAll replaces the test of one hall and has one and two. New: TestLeads, TestReaderTellsOneHostOfEachOtherHall, TestNewsOfAnotherHallAreToldOn.

--- a/tier/kernel/state.go
+++ b/tier/kernel/state.go
@@ -96,6 +96,24 @@
 	Revision uint64
 }
 
+// Heard is a sign of a host that tells what is published.
+type Heard struct {
+	At time.Duration
+	// Lost is true if that host does not hear the platform; Since is from when on
+	// it has told so, or told that it does.
+	Lost  bool
+	Since time.Duration
+}
+
+// Next is what is heard of a host after this.
+func (h Heard) Next(now time.Duration, lost bool) Heard {
+	out := Heard{At: now, Lost: lost, Since: h.Since}
+	if h.At == 0 || h.Lost != lost {
+		out.Since = now
+	}
+	return out
+}
+
 // State is the control state. Only the control thread uses it.
 type State struct {
 	// Index is the document in force; nil before the first. Its revision only rises.
@@ -119,16 +137,20 @@
 	Returned map[string]time.Duration
 	// Watching tells whether this host watches the platform.
 	Watching bool
+	// Telling tells whether this host tells its hall what is published: what it
+	// reads itself, or hears from a reader in another hall.
+	Telling bool
 	// PlatformHeard is when the hall last heard the platform.
 	PlatformHeard time.Duration
 	// FeedDown is true while this host cannot read what the platform publishes
 	// and has to learn it from peers.
 	FeedDown bool
-	// ReadAt is when this host itself last read the platform; 0 for never.
-	ReadAt time.Duration
-	// News holds for each host of the hall when it last told that it reads the
-	// platform.
-	News map[string]time.Duration
+	// SourceAt is when what this host tells was read from the platform, by itself
+	// or by the reader that it heard it from; 0 for never.
+	SourceAt time.Duration
+	// News holds what was last heard from each host that tells this hall, and
+	// FarNews the same of those in other halls that read the platform.
+	News, FarNews map[string]Heard
 	// Pauses counts the pauses of this process.
 	Pauses int
 	// Confirmed is true once a peer told that it has no newer document than
@@ -140,7 +162,7 @@
 }
 
 func newState() *State {
-	return &State{Members: map[string]Member{}, Leaving: map[string]time.Duration{}, Returned: map[string]time.Duration{}, News: map[string]time.Duration{}}
+	return &State{Members: map[string]Member{}, Leaving: map[string]time.Duration{}, Returned: map[string]time.Duration{}, News: map[string]Heard{}, FarNews: map[string]Heard{}}
 }
 
 // Changed has the state published after the job.
--- a/tier/peers/feed.go
+++ b/tier/peers/feed.go
@@ -61,6 +61,8 @@
 	ctx, cancel := context.WithCancel(ctx)
 	f := &feed{kernel: k, source: source, teller: &teller{kernel: k}}
 	k.Do(func(s *kernel.State) { s.FeedDown = true })
+	// What is heard from another hall's reader is told on at once.
+	k.OnView(f.teller.follow)
 	done := make(chan struct{}, 2)
 	go func() { f.loop(ctx); done <- struct{}{} }()
 	go func() { f.teller.loop(ctx); done <- struct{}{} }()
@@ -124,23 +126,23 @@
 	}
 }
 
-// turn tells whether it is this host's turn to read. A host that has read
-// before goes on from where it was.
+// turn tells whether it is this host's turn to read. A host that has read before
+// goes on from where it was.
 func (f *feed) turn() bool {
 	turn := make(chan bool, 1)
 	f.kernel.Do(func(s *kernel.State) {
-		mine := s.Directory == nil || reads(f.kernel, s)
-		if mine != s.Watching {
-			s.Watching = mine
+		tells, reads := duties(f.kernel, s)
+		if tells != s.Telling || reads != s.Watching {
+			s.Telling, s.Watching = tells, reads
 			s.Changed()
-			f.kernel.Log.Info().Bool("Reads", mine).Int64("PlatformAgeMillis", (f.kernel.Now() - s.PlatformHeard).Milliseconds()).
-				Msg("turn to read the platform")
+			f.kernel.Log.Info().Bool("Tells", tells).Bool("Reads", reads).
+				Int64("PlatformAgeMillis", (f.kernel.Now() - s.PlatformHeard).Milliseconds()).Msg("turn to read the platform")
 		}
-		if !mine {
-			// Others of the hall read for this host.
+		if !reads {
+			// Others read for this host.
 			s.FeedDown = false
 		}
-		turn <- mine
+		turn <- reads
 	})
 	return <-turn
 }
@@ -216,7 +218,7 @@
 
 // install runs on the control thread while the feed waits.
 func (f *feed) install(s *kernel.State, p *kernel.Published, now time.Duration, away bool) {
-	s.PlatformHeard, s.ReadAt = now, now
+	s.PlatformHeard, s.SourceAt = now, now
 	if s.FeedDown {
 		s.FeedDown = false
 		f.kernel.Log.Info().Uint64("DirectoryRevision", p.Revision).Msg("platform regained")
--- a/tier/peers/feed_test.go
+++ b/tier/peers/feed_test.go
@@ -265,7 +265,7 @@
 		told := &toldPeers{}
 		k.Peers = told
 		k.Do(func(s *kernel.State) {
-			s.Watching, s.ReadAt = true, k.Now()+time.Nanosecond
+			s.Watching, s.Telling, s.SourceAt = true, true, k.Now()+time.Nanosecond
 			s.Members["H2"] = kernel.Member{Host: "H2", Hall: "A", Live: true}
 			s.Directory, _ = s.Directory.With(&config.DirectoryChange{Revision: 1})
 		})
@@ -284,10 +284,12 @@
 	})
 }
 
-// toldPeers counts the calls to peers.
+// toldPeers counts the news of a host that hears the platform, and keeps whom it
+// told them.
 type toldPeers struct {
 	mu    sync.Mutex
 	calls int
+	hosts map[string]bool
 }
 
 func (p *toldPeers) count() int {
@@ -297,10 +299,17 @@
 }
 
 // Call implements kernel.PeerCaller.
-func (p *toldPeers) Call(context.Context, string, string, any, any) error {
+func (p *toldPeers) Call(_ context.Context, host, _ string, params, _ any) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if news, ok := params.(News); ok && news.Lost {
+		return nil
+	}
 	p.calls++
+	if p.hosts == nil {
+		p.hosts = map[string]bool{}
+	}
+	p.hosts[host] = true
 	return nil
 }
 
--- a/tier/peers/gossip.go
+++ b/tier/peers/gossip.go
@@ -242,7 +242,7 @@
 	if s.FeedDown {
 		return true
 	}
-	if g.kernel.Settings.Adapter != "" && !s.Watching {
+	if g.kernel.Settings.Adapter != "" && !s.Telling {
 		return g.beats%(otherHallEvery*quietCross) == 0
 	}
 	return g.beats%otherHallEvery == 0
--- /dev/null
+++ b/tier/peers/news_test.go
@@ -0,0 +1,137 @@
+package peers
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"loomgap/tier/config"
+	"loomgap/tier/kernel"
+	"loomgap/tier/policy"
+)
+
+// ranked gives names of hosts in their order for reading the platform.
+func ranked(n int) []string {
+	var names []string
+	for i := range n {
+		names = append(names, fmt.Sprint("H", i))
+	}
+	return Rank(watchKey, names)
+}
+
+// newsKernel makes a kernel of a host in hall A.
+func newsKernel(t *testing.T, host string) *kernel.Kernel {
+	k, stop := kernel.New(kernel.Config{
+		Settings: kernel.Settings{Host: host, Hall: "A"}, Log: zerolog.Nop(), Started: time.Now(),
+		Fleet: policy.NewFleet(policy.FleetConfig{}),
+	})
+	t.Cleanup(stop)
+	return k
+}
+
+// TestLeads has a host hear of others that rank before or after it.
+func TestLeads(t *testing.T) {
+	names := ranked(6)
+	const now = time.Minute
+	fresh := kernel.Heard{At: now, Since: now - time.Second}
+	silent := kernel.Heard{At: now - newsLost - newsStep*newsSteps, Since: 1}
+	inVain := kernel.Heard{At: now, Lost: true, Since: now - time.Second}
+	justLost := kernel.Heard{At: now, Lost: true, Since: now - 1}
+	tests := []struct {
+		name string
+		// heard is by place in the ranking; the host itself has place 4.
+		heard map[int]kernel.Heard
+		want  bool
+	}{
+		{"nobody is heard of", nil, true},
+		{"one before tells", map[int]kernel.Heard{0: fresh}, false},
+		{"one after tells", map[int]kernel.Heard{5: fresh}, true},
+		{"one before fell silent", map[int]kernel.Heard{0: silent}, true},
+		{"one before fell silent, another tells", map[int]kernel.Heard{0: silent, 1: fresh}, false},
+		{"one before reads in vain", map[int]kernel.Heard{0: inVain}, true},
+		{"three before read in vain", map[int]kernel.Heard{0: inVain, 1: inVain, 2: inVain}, false},
+		{"three before read in vain, one fell silent", map[int]kernel.Heard{0: inVain, 1: inVain, 2: silent}, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				k := newsKernel(t, names[4])
+				time.Sleep(now)
+				heard := map[string]kernel.Heard{}
+				for place, h := range tt.heard {
+					heard[names[place]] = h
+				}
+				assert.Equal(t, leads(k, heard), tt.want)
+			})
+		})
+	}
+	synctest.Test(t, func(t *testing.T) {
+		// Hosts whose reader has lost the platform at the same moment follow one
+		// another.
+		first := 0
+		for _, n := range names[1:] {
+			k := newsKernel(t, n)
+			time.Sleep(now - k.Now())
+			if leads(k, map[string]kernel.Heard{names[0]: justLost}) {
+				first++
+			}
+		}
+		assert.Assert(t, first < 4, "%d of 5 read at once", first)
+	})
+}
+
+// TestReaderTellsOneHostOfEachOtherHall looks at whom a reader tells, and whom a
+// host that only passes news on.
+func TestReaderTellsOneHostOfEachOtherHall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		k := newsKernel(t, "Self")
+		s := &kernel.State{Watching: true, Members: map[string]kernel.Member{}}
+		for i, n := range ranked(9) {
+			hall := string(rune('A' + i%3))
+			s.Members[n] = kernel.Member{Host: n, Hall: hall, Live: true, Leaving: i == 1}
+		}
+		tl := &teller{kernel: k}
+		assert.Equal(t, len(tl.listeners(s)), 3+2)
+		s.Watching = false
+		assert.Equal(t, len(tl.listeners(s)), 3)
+	})
+}
+
+// TestNewsOfAnotherHallAreToldOn has a host hear from the reader in another hall:
+// it tells its own hall at once, and does not read itself.
+func TestNewsOfAnotherHallAreToldOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		names := ranked(2)
+		k := newsKernel(t, names[1])
+		told := &toldPeers{}
+		k.Peers = told
+		tl := &teller{kernel: k}
+		k.OnView(tl.follow)
+		g := &gossip{kernel: k, listing: true, fetching: true}
+		change := &config.DirectoryChange{Revision: 5, Listed: []config.Listing{{Name: "U1", Group: "G", Hall: "A", Slots: 1, Revision: 5}}}
+		time.Sleep(time.Second)
+		k.Do(func(s *kernel.State) {
+			s.Directory, _ = s.Directory.With(&config.DirectoryChange{Revision: 1})
+			s.Members["Mate"] = kernel.Member{Host: "Mate", Hall: "A", Live: true}
+			s.Telling = true
+			g.hear(s, &News{Host: names[0], Hall: "B", Age: 100 * time.Millisecond, Change: change, DirectoryRevision: 5})
+		})
+		synctest.Wait()
+		assert.Assert(t, told.hosts["Mate"])
+		assert.DeepEqual(t, listedNames(k), []string{"U1"})
+		reads := make(chan bool, 1)
+		k.Do(func(s *kernel.State) {
+			tells, r := duties(k, s)
+			assert.Assert(t, tells)
+			reads <- r
+		})
+		assert.Assert(t, !<-reads)
+		time.Sleep(newsLost + newsStep*newsSteps)
+		k.Do(func(s *kernel.State) { _, r := duties(k, s); reads <- r })
+		assert.Assert(t, <-reads, "the reader is gone")
+	})
+}
