fix: a stopping host takes requests until the balancer was told twice

Cause of the known red test: the balancer's stand-in asked one host after another, each for up to 500 ms, and the scenario's hosts settle for 500 ms, so under load it could send to a host that had ended.

Change: a planned stop waits until /ready was answered twice with no, bounded by -SettleMost; on the platform that is within -Settle as long as the host runs. The stand-in asks each host by itself.

--- a/loomd/serve.go
+++ b/loomd/serve.go
@@ -109,6 +109,6 @@
 	case <-k.Stopping():
 	}
 	log.Info().Dur("Settle", s.Settle).Msg("planned stop begins")
-	time.Sleep(s.Settle)
+	k.Settle()
 	return nil
 }
--- a/loomd/settings.go
+++ b/loomd/settings.go
@@ -79,6 +79,8 @@
 	f.DurationVar(&s.WatchWait, "WatchWait", 10*time.Second, "how long one read of the platform waits for news")
 	f.DurationVar(&s.TicketLife, "TicketLife", time.Minute, "how long a ticket is remembered")
 	f.DurationVar(&s.Settle, "Settle", 2*time.Second, "how long a stopping host still takes requests")
+	f.IntVar(&s.SettleAsks, "SettleAsks", 2, "how `often` a stopping host must have told at /ready that it stops before it takes no more requests")
+	f.DurationVar(&s.SettleMost, "SettleMost", 0, "longest time for that; 0 for twice -Settle")
 	f.DurationVar(&s.StopBound, "StopBound", 15*time.Second, "longest time for requests in flight at a planned stop")
 	f.DurationVar(&s.LeavingHold, "LeavingHold", 2*time.Minute, "how long an upstream counts as leaving after its last sign")
 	f.StringVar(&s.Adapter, "Adapter", "", "`name` of the platform's adapter; empty for loomgap's own protocols")
@@ -122,6 +124,9 @@
 
 // checkSettings finds what is missing or wrong.
 func checkSettings(s *kernel.Settings) error {
+	if s.SettleMost == 0 {
+		s.SettleMost = 2 * s.Settle
+	}
 	rules := []struct {
 		ok            bool
 		flag, problem string
@@ -137,6 +142,8 @@
 		{s.WatchWait >= 100*time.Millisecond && s.WatchWait <= 5*time.Minute, "WatchWait", "out of range", "use 100ms to 5m"},
 		{s.TicketLife >= time.Second && s.TicketLife <= time.Hour, "TicketLife", "out of range", "use 1s to 1h"},
 		{s.Settle >= 0 && s.Settle <= time.Minute, "Settle", "out of range", "use 0 to 1m"},
+		{s.SettleAsks >= 0 && s.SettleAsks <= 100, "SettleAsks", "out of range", "use 0 to 100"},
+		{s.SettleMost >= s.Settle && s.SettleMost <= 2*time.Minute, "SettleMost", "out of range", "use -Settle to 2m"},
 		{s.StopBound >= time.Second && s.StopBound <= 10*time.Minute, "StopBound", "out of range", "use 1s to 10m"},
 		{s.LeavingHold >= time.Second && s.LeavingHold <= time.Hour, "LeavingHold", "out of range", "use 1s to 1h"},
 		{s.Repeats.Ratio >= 0 && s.Repeats.Ratio <= 1, "RepeatRatio", "out of range", "use 0 to 1"},
--- a/loomd/settings_test.go
+++ b/loomd/settings_test.go
@@ -45,6 +45,8 @@
 		{name: "beat too short", extra: []string{"-Beat", "1ms"}, flag: "Beat"},
 		{name: "tickets too long", extra: []string{"-TicketLife", "48h"}, flag: "TicketLife"},
 		{name: "trace ratio", extra: []string{"-TraceRatio", "2"}, flag: "TraceRatio"},
+		{name: "settles for less than it must", extra: []string{"-Settle", "2s", "-SettleMost", "1s"}, flag: "SettleMost"},
+		{name: "asked too often", extra: []string{"-SettleAsks", "-1"}, flag: "SettleAsks"},
 		{name: "stop bound", extra: []string{"-StopBound", "0s"}, flag: "StopBound"},
 	}
 	for _, tt := range tests {
--- a/loomfake/commands_test.go
+++ b/loomfake/commands_test.go
@@ -202,7 +202,7 @@
 
 func environment(ts *testscript.TestScript) []string {
 	out := os.Environ()
-	for _, n := range []string{"LOOMD_BEAT", "LOOMD_WATCHWAIT", "LOOMD_SETTLE", "LOOMD_TICKETLIFE", "LOOMD_LEAVINGHOLD"} {
+	for _, n := range []string{"LOOMD_BEAT", "LOOMD_WATCHWAIT", "LOOMD_SETTLE", "LOOMD_SETTLEMOST", "LOOMD_TICKETLIFE", "LOOMD_LEAVINGHOLD"} {
 		if v := ts.Getenv(n); v != "" {
 			out = append(out, n+"="+v)
 		}
--- a/loomfake/loadrun.go
+++ b/loomfake/loadrun.go
@@ -40,10 +40,15 @@
 	client *http.Client
 	mu     sync.Mutex
 	tally  map[string]*classTally
-	// ready holds the hosts that the balancer sends to.
-	ready  atomic.Pointer[[]netip.AddrPort]
-	turn   atomic.Uint64
-	orders atomic.Uint64
+	// ready holds the hosts that the balancer sends to; admitting orders those
+	// that change it.
+	ready     atomic.Pointer[[]netip.AddrPort]
+	admitting sync.Mutex
+	// probeBound is how long a host may take to say whether it is ready; 0 for
+	// balanceBound.
+	probeBound time.Duration
+	turn       atomic.Uint64
+	orders     atomic.Uint64
 }
 
 type classTally struct {
@@ -107,24 +112,48 @@
 	return &l.config.Mix[0]
 }
 
-// balance asks hosts whether they are ready, as the platform's balancer does.
+// balance asks hosts whether they are ready, as the platform's balancer does:
+// each by itself, so that one that is slow to answer holds up none.
 func (l *load) balance(ctx context.Context) {
-	for ctx.Err() == nil {
-		var ready []netip.AddrPort
-		for i, o := range l.config.Operate {
-			if l.isReady(ctx, o) {
-				ready = append(ready, l.config.Hosts[i])
+	ready := make([]atomic.Bool, len(l.config.Hosts))
+	var all sync.WaitGroup
+	for i, o := range l.config.Operate {
+		all.Go(func() {
+			for ctx.Err() == nil {
+				ready[i].Store(l.isReady(ctx, o))
+				l.admit(ready)
+				time.Sleep(balanceEvery)
 			}
+		})
+	}
+	all.Wait()
+}
+
+// balanceEvery is how often each host is asked; balanceBound is how long it may
+// take to answer.
+const (
+	balanceEvery = 100 * time.Millisecond
+	balanceBound = 500 * time.Millisecond
+)
+
+// admit sends requests to the hosts that are ready, or where none is, to those
+// that were.
+func (l *load) admit(ready []atomic.Bool) {
+	l.admitting.Lock()
+	defer l.admitting.Unlock()
+	var hosts []netip.AddrPort
+	for i := range ready {
+		if ready[i].Load() {
+			hosts = append(hosts, l.config.Hosts[i])
 		}
-		if len(ready) > 0 {
-			l.ready.Store(&ready)
-		}
-		time.Sleep(100 * time.Millisecond)
+	}
+	if len(hosts) > 0 {
+		l.ready.Store(&hosts)
 	}
 }
 
 func (l *load) isReady(ctx context.Context, at netip.AddrPort) bool {
-	ctx, cancel := context.WithTimeout(ctx, 500*time.Millisecond)
+	ctx, cancel := context.WithTimeout(ctx, cmp.Or(l.probeBound, balanceBound))
 	defer cancel()
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+at.String()+"/ready", nil)
 	if err != nil {
--- a/tier/entry/ops.go
+++ b/tier/entry/ops.go
@@ -124,7 +124,7 @@
 
 // Ready implements opsgen.Service.
 func (s *opsService) Ready(context.Context) error {
-	if s.kernel.Phase() == kernel.PhaseReady && s.kernel.Awake() {
+	if s.kernel.Ready() {
 		return nil
 	}
 	return &opsgen.Fault{Kind: "Busy", Message: "the host is " + string(s.kernel.Phase()) + ": send work to another"}
--- a/tier/kernel/kernel.go
+++ b/tier/kernel/kernel.go
@@ -26,6 +26,8 @@
 	// pauseBound is the longest gap between pulses of a process that is taken
 	// to have run all the time.
 	pauseBound = time.Second
+	// settleLook is how often a stopping host looks whether it was asked.
+	settleLook = 20 * time.Millisecond
 )
 
 // ErrNoPlugin is wrapped when a pipeline names a plug-in nobody registered.
@@ -98,6 +100,8 @@
 	watchers []func(*View)
 	stopping chan struct{}
 	stopOnce sync.Once
+	// refused counts how often a stopping host told that it is not ready.
+	refused atomic.Int64
 }
 
 // Config configures a kernel.
@@ -208,6 +212,26 @@
 // Stopping is closed when a planned stop was asked for.
 func (k *Kernel) Stopping() <-chan struct{} { return k.stopping }
 
+// Ready tells whether the host is to get requests, for whoever asks.
+func (k *Kernel) Ready() bool {
+	if k.Phase() == PhaseDraining {
+		k.refused.Add(1)
+		return false
+	}
+	return k.Phase() == PhaseReady && k.Awake()
+}
+
+// Settle waits until whoever sends requests to a stopping host knows that it
+// stops: for a time, and until it has told so a number of times.
+func (k *Kernel) Settle() {
+	began := k.Now()
+	time.Sleep(k.Settings.Settle)
+	for k.refused.Load() < int64(k.Settings.SettleAsks) && k.Now()-began < k.Settings.SettleMost {
+		time.Sleep(settleLook)
+	}
+	k.Log.Info().Int64("Asked", k.refused.Load()).Dur("Took", k.Now()-began).Msg("no more requests taken")
+}
+
 // control is the control thread.
 func (k *Kernel) control(ctx context.Context, s *State) {
 	tick := time.NewTicker(pulseEvery)
--- a/tier/kernel/kernel_test.go
+++ b/tier/kernel/kernel_test.go
@@ -140,3 +140,36 @@
 		assert.Equal(t, k.View().Pauses, 1, "the view tells of the pause")
 	})
 }
+
+// TestSettleWaitsUntilTheBalancerKnows has a stopping host be asked whether it is
+// ready at certain times.
+func TestSettleWaitsUntilTheBalancerKnows(t *testing.T) {
+	tests := []struct {
+		name string
+		asks []time.Duration
+		want time.Duration
+	}{
+		{"asked in time", []time.Duration{100 * time.Millisecond, 900 * time.Millisecond}, time.Second},
+		{"asked late", []time.Duration{100 * time.Millisecond, 2500 * time.Millisecond}, 2500 * time.Millisecond},
+		{"never asked", nil, 4 * time.Second},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				k, stop := New(Config{
+					Settings: Settings{Settle: time.Second, SettleAsks: 2, SettleMost: 4 * time.Second},
+					Log:      zerolog.Nop(), Started: time.Now(),
+				})
+				defer stop()
+				k.SetPhase(PhaseReady)
+				assert.Assert(t, k.Ready())
+				k.SetPhase(PhaseDraining)
+				for _, at := range tt.asks {
+					time.AfterFunc(at, func() { assert.Check(t, !k.Ready()) })
+				}
+				k.Settle()
+				assert.Assert(t, k.Now() >= tt.want && k.Now() <= tt.want+2*settleLook, "%s", k.Now())
+			})
+		})
+	}
+}
--- a/tier/kernel/state.go
+++ b/tier/kernel/state.go
@@ -48,6 +48,11 @@
 	// Settle is how long a stopping host still takes requests, so that the
 	// balancer sees that it is not ready.
 	Settle time.Duration
+	// SettleAsks is how often it must have told that it is not ready before it
+	// stops taking requests, if that takes no longer than SettleMost.
+	SettleAsks int
+	// SettleMost is the longest time that it waits for that; Settle or more.
+	SettleMost time.Duration
 	// StopBound is the longest time that a planned stop takes.
 	StopBound time.Duration
 	// LeavingHold is how long an upstream is taken for leaving after its last
