--- a/tier/pass/engine.go
+++ b/tier/pass/engine.go
@@ -51,8 +51,6 @@
 	// this host makes for others.
 	relays  relays
 	relayed relayed
-	// told is what this host told its hall of its upstreams.
-	told told
 	// batches are those that relays make the calls of.
 	batches sentBatches
 	// whole holds for each route until when all records are asked for.
--- a/tier/pass/relay.go
+++ b/tier/pass/relay.go
@@ -173,7 +173,6 @@
 	e.kernel.Handle(MethodProgress, e.onProgress)
 	e.kernel.Handle(MethodStop, e.onStop)
 	e.kernel.Handle(MethodRecords, e.onRecords)
-	e.kernel.Handle(MethodConditions, e.onConditions)
 }
 
 // onGather makes the calls, tells of those that ended and answers when all have.
@@ -258,7 +257,6 @@
 			reply.Outcome = policy.CallNotSent
 		}
 	}
-	b.engine.tellConditions()
 	out := GatheredCall{Index: i, TookMicros: (k.Now() - started).Microseconds()}
 	if reply.Outcome != policy.CallOK {
 		out.Outcome = string(reply.Outcome)
--- a/tier/policy/fleet.go
+++ b/tier/policy/fleet.go
@@ -45,8 +45,6 @@
 	repeats   Repeats
 	// news is what other hosts told of their halls' upstreams.
 	news map[string]*hallNews
-	// stalledBy holds the upstreams that each host of the hall saw stand still.
-	stalledBy map[string][]string
 }
 
 // FleetConfig configures a fleet.
@@ -64,7 +62,6 @@
 		classes:   map[string]*classState{},
 		groups:    map[string]*group{},
 		news:      map[string]*hallNews{},
-		stalledBy: map[string][]string{},
 	}
 }
 
--- a/tier/policy/news.go
+++ b/tier/policy/news.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 )
 
@@ -16,12 +15,6 @@
 	// tellFresh is how old what is known of an upstream may be to be told: one
 	// that all have left is asked again once it is no longer told of.
 	tellFresh = 3 * time.Second
-	// stallLife is how long an upstream is taken to stand still that another host
-	// said so of: longer than upstreams pause.
-	stallLife = 300 * time.Millisecond
-	// ownTrouble is the part of a hall's upstreams that one host may find in
-	// trouble: if it is more, the trouble is its own, and it tells nothing.
-	ownTrouble = 0.3
 	// newsLife is how long what was told is believed: hosts hear from another
 	// hall with each request that it makes calls for.
 	newsLife = 3 * time.Second
@@ -49,29 +42,19 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var out []Condition
-	near := 0
 	for _, u := range f.upstreams {
-		if !u.listed || !u.near || u.leaving {
+		if !u.listed || !u.near || u.leaving || u.samples == 0 || now-u.sampledAt > tellFresh {
 			continue
 		}
-		near++
-		if u.samples > 0 && now-u.sampledAt <= tellFresh && (u.slowness > tellSlow || u.faults > tellFaults) {
+		if u.slowness > tellSlow || u.faults > tellFaults {
 			out = append(out, Condition{
 				Upstream: u.Name, Slowness: int(math.Round(u.slowness)), FaultPercent: int(math.Round(100 * u.faults)),
 			})
 		}
 	}
-	if !believable(len(out), near) {
-		return nil
-	}
 	return out
 }
 
-// believable tells whether so many upstreams in trouble may be so by themselves.
-func believable(troubled, near int) bool {
-	return troubled <= 1 || float64(troubled) <= ownTrouble*float64(near)
-}
-
 // TakeConditions takes in what a host told of the upstreams of its hall: those
 // that it does not tell of do well.
 func (f *Fleet) TakeConditions(now time.Duration, hall string, told []Condition) {
@@ -84,47 +67,6 @@
 	}
 }
 
-// StalledNear names the upstreams of this host's hall that answer nobody for the
-// moment, in order.
-func (f *Fleet) StalledNear(now time.Duration) []string {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	var out []string
-	near := 0
-	for n, u := range f.upstreams {
-		if !u.listed || !u.near {
-			continue
-		}
-		near++
-		if !u.stallTold && u.stalled(now) {
-			out = append(out, n)
-		}
-	}
-	if !believable(len(out), near) {
-		return nil
-	}
-	slices.Sort(out)
-	return out
-}
-
-// TakeStalled takes in which upstreams another host of the hall saw stand still;
-// those that it told of before and does not now answer again.
-func (f *Fleet) TakeStalled(now time.Duration, host string, names []string) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for _, n := range f.stalledBy[host] {
-		if u := f.upstreams[n]; u != nil && u.stallTold {
-			u.stallTold, u.stalledUntil = false, 0
-		}
-	}
-	f.stalledBy[host] = names
-	for _, n := range names {
-		if u := f.upstreams[n]; u != nil {
-			u.stallTold, u.stalledUntil = true, max(u.stalledUntil, now+stallLife)
-		}
-	}
-}
-
 // hallNews finds what is told of a hall; the fleet is locked.
 func (f *Fleet) hallNews(hall string) *hallNews {
 	n := f.news[hall]
--- a/tier/policy/upstream.go
+++ b/tier/policy/upstream.go
@@ -56,8 +56,6 @@
 	silentFrom time.Duration
 	// stalledUntil is until when the host near it said that it stalls.
 	stalledUntil time.Duration
-	// stallTold is true while stalledUntil is what another host of the hall told.
-	stallTold bool
 	// lingering is true while a call goes on to show when it answers again.
 	lingering bool
 	// slowness is the smoothed ratio of its calls' time to the median of like
@@ -126,7 +124,7 @@
 	case c.Outcome == CallStalled:
 		u.stalledUntil = now + stalledFor
 	case c.Outcome.answered():
-		u.silentFrom, u.stalledUntil, u.stallTold = 0, 0, false
+		u.silentFrom, u.stalledUntil = 0, 0
 		if u.inUse > 1 {
 			u.silentFrom = now
 		}
