fix: an entry of the platform that is not understood holds back no other

Cause, found by reading: one upstream's entry that is no JSON, or has no address, failed the whole read, and each read after it, so no change of the configuration or of any upstream came through until the entry was gone.

--- a/tier/kernel/adapter.go
+++ b/tier/kernel/adapter.go
@@ -29,6 +29,9 @@
 	DocumentRevision uint64
 	// Directory is what changed in the directory.
 	Directory config.DirectoryChange
+	// Problems are entries that could not be understood. They are left out; the
+	// others count.
+	Problems []error
 }
 
 // Source reads what a platform publishes. It is used by one goroutine.
--- a/tier/peers/feed.go
+++ b/tier/peers/feed.go
@@ -194,6 +194,10 @@
 // take tells the control thread what was read.
 func (f *feed) take(p *kernel.Published) {
 	now := f.kernel.Now()
+	for _, err := range p.Problems {
+		f.kernel.Log.Error().Err(err).Msg("entry of the platform not understood, left out")
+		metrics.GetOrCreateCounter("loomgap_platform_entries_refused_total").Inc()
+	}
 	away := f.failingSince > 0 && (now-f.failingSince >= awayAfter || now-f.heardAt > newsStale)
 	f.heardAt = now
 	f.failingSince, f.pause, f.exact = 0, 0, false
