perf: connect ahead to hosts of other halls; leave silent ones alone for longer

Change: a host connects to the first two hosts of each other hall as soon as it knows them; a host that stays silent rests 2, 4, 8, 16 s. Tests: TestHostsOfOtherHallsAreMetAhead, TestSilentHostRestsLongerEachTime.

--- a/tier/kernel/kernel.go
+++ b/tier/kernel/kernel.go
@@ -71,6 +71,9 @@
 	Call(ctx context.Context, host, method string, params, result any) error
 	// Notify tells another entry host something, and wants no answer.
 	Notify(ctx context.Context, host, method string, params any) error
+	// Connect makes the connection to another entry host, if there is none, so
+	// that the first call need not wait for it.
+	Connect(ctx context.Context, host string) error
 }
 
 // Kernel owns the control state of one entry host.
--- a/tier/pass/batch.go
+++ b/tier/pass/batch.go
@@ -23,9 +23,12 @@
 // Bounds of batches that go to another host.
 const (
 	// relaySilent is how long the first sign of a host may be late until others
-	// are asked first, and relayRest how long it is left alone then.
-	relaySilent = 100 * time.Millisecond
-	relayRest   = 2 * time.Second
+	// are asked first, and relayRest how long it is left alone then: twice as long
+	// each time until it answers, relayRestMost at most. Each try of a host that
+	// is cut off costs the calls of a batch.
+	relaySilent   = 100 * time.Millisecond
+	relayRest     = 2 * time.Second
+	relayRestMost = 16 * time.Second
 	// hedgesDue is when the first sign is due for a batch of hedges, which is told
 	// of when a call ends: upstreams that pause answer within that.
 	hedgesDue = policy.LingerFor
@@ -52,8 +55,9 @@
 	open int
 	// dueAt is when the oldest unanswered batch is due; 0 if none is.
 	dueAt time.Duration
-	// restUntil is until when others are asked first.
-	restUntil time.Duration
+	// restUntil is until when others are asked first, rest how long it was left
+	// alone the last time; 0 once it has answered.
+	restUntil, rest time.Duration
 	// way is the least time that a message took there and back.
 	way time.Duration
 }
@@ -117,6 +121,7 @@
 	defer r.mu.Unlock()
 	s := r.state(host)
 	s.settle(now)
+	s.rest = 0
 	if s.way == 0 || way < s.way {
 		s.way = way
 	}
@@ -131,7 +136,8 @@
 	dueAt := s.dueAt
 	s.settle(now)
 	if late {
-		s.restUntil = now + relayRest
+		s.rest = min(max(2*s.rest, relayRest), relayRestMost)
+		s.restUntil = now + s.rest
 	} else if s.open > 0 {
 		s.dueAt = dueAt
 	}
--- a/tier/pass/engine.go
+++ b/tier/pass/engine.go
@@ -4,7 +4,9 @@
 package pass
 
 import (
+	"context"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -35,6 +37,9 @@
 	// host may not know of all others.
 	slackShare = 0.9
 	sweepEvery = time.Second
+	// relaysMet is how many hosts of each other hall are connected to ahead: the
+	// one that most calls go through, and the next, for hedges.
+	relaysMet = 2
 	// batchPrefixSpare is how many of 64 random bits a batch's ID does without:
 	// with 48 left, two of 1,000 hosts draw the same once in 500 million times.
 	batchPrefixSpare = 16
@@ -55,6 +60,9 @@
 	batches sentBatches
 	// whole holds for each route until when all records are asked for.
 	whole sync.Map
+	// met are the hosts of other halls that were connected to; used on the
+	// control thread.
+	met map[string]bool
 	// basis is what shares and links were made from; used on the control
 	// thread.
 	basis basis
@@ -112,6 +120,7 @@
 	if v.Index == nil || v.Directory == nil {
 		return
 	}
+	e.meet(v)
 	next := basis{
 		index: v.Index, directory: v.Directory, repeats: e.kernel.Live().Repeats,
 		hosts: max(v.Staying(), leastHosts), hall: max(len(v.Hall(&e.kernel.Settings)), leastInHall),
@@ -143,6 +152,36 @@
 	go policy.Deliver(granted)
 }
 
+// meet connects to the hosts that calls to other halls will go through, so that
+// the first of them does not wait; it runs on the control thread.
+func (e *Engine) meet(v *kernel.View) {
+	halls := map[string][]string{}
+	for n, m := range v.Members {
+		if m.Live && !m.Leaving && m.Hall != e.kernel.Settings.Hall && m.Peer.IsValid() {
+			halls[m.Hall] = append(halls[m.Hall], n)
+		}
+	}
+	met := map[string]bool{}
+	for _, hosts := range halls {
+		slices.Sort(hosts)
+		for _, h := range hosts[:min(relaysMet, len(hosts))] {
+			met[h] = true
+			if !e.met[h] {
+				go e.connect(h)
+			}
+		}
+	}
+	e.met = met
+}
+
+func (e *Engine) connect(host string) {
+	ctx, cancel := context.WithTimeout(context.Background(), dialBound)
+	defer cancel()
+	if err := e.kernel.Peers.Connect(ctx, host); err != nil {
+		e.kernel.Log.Info().Err(err).Str("Peer", host).Msg("not connected to a host of another hall")
+	}
+}
+
 // share is this host's part of an upstream: as many calls as it may have
 // connections there.
 func (e *Engine) share(l *config.Listing, b *basis) policy.Share {
--- a/tier/pass/gather_test.go
+++ b/tier/pass/gather_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/netip"
 	"slices"
 	"strings"
 	"testing"
@@ -425,3 +426,31 @@
 		assert.Equal(t, s.SpanContext.TraceID(), spans.GetSpans()[0].SpanContext.TraceID())
 	}
 }
+
+// TestHostsOfOtherHallsAreMetAhead has a host learn of others: it connects to two
+// of each other hall, once.
+func TestHostsOfOtherHallsAreMetAhead(t *testing.T) {
+	w := newCable()
+	h := newHost(t, hostConfig{name: "H1", hall: "A", peers: w})
+	h.accept(gatherDoc(1, 15))
+	gatherers(t, h, [2]string{"A", "B"}, func(s, _ int) replyFunc { return good(part(s)) })
+	at := netip.MustParseAddrPort("127.0.0.1:1")
+	h.do(func(s *kernel.State) {
+		for _, m := range []kernel.Member{
+			{Host: "A2", Hall: "A", Live: true}, {Host: "B3", Hall: "B", Live: true}, {Host: "B1", Hall: "B", Live: true},
+			{Host: "B2", Hall: "B", Live: true}, {Host: "C1", Hall: "C", Live: true}, {Host: "C2", Hall: "C"},
+		} {
+			m.Peer = at
+			s.Members[m.Host] = m
+		}
+		s.Changed()
+	})
+	met := func() []string {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		return slices.Sorted(slices.Values(w.met))
+	}
+	eventually(t, "three are met", func() bool { return len(met()) == 3 })
+	h.do(func(s *kernel.State) { s.Changed() })
+	assert.DeepEqual(t, met(), []string{"B1", "B2", "C1"})
+}
--- a/tier/pass/host_test.go
+++ b/tier/pass/host_test.go
@@ -286,6 +286,8 @@
 	// broken are methods that no host can be reached for.
 	broken map[string]bool
 	calls  map[string]int
+	// met are the hosts that were connected to ahead.
+	met []string
 	// sender is the host that calls others: the first that was made.
 	sender *host
 }
@@ -359,6 +361,14 @@
 	return err
 }
 
+// Connect implements kernel.PeerCaller.
+func (w *cable) Connect(_ context.Context, host string) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.met = append(w.met, host)
+	return nil
+}
+
 // Notify implements kernel.PeerCaller.
 func (w *cable) Notify(ctx context.Context, to, method string, params any) error {
 	var none any
--- a/tier/pass/relay_test.go
+++ b/tier/pass/relay_test.go
@@ -83,3 +83,24 @@
 		})
 	}
 }
+
+// TestSilentHostRestsLongerEachTime has a host of another hall leave batches
+// unanswered, and then answer one.
+func TestSilentHostRestsLongerEachTime(t *testing.T) {
+	r := relays{states: map[string]*relayState{}}
+	now := time.Minute
+	for _, rest := range []time.Duration{relayRest, 2 * relayRest, 4 * relayRest, relayRestMost, relayRestMost} {
+		r.sent("Far", now)
+		assert.Assert(t, r.answers("Far", now+relaySilent-1))
+		assert.Assert(t, !r.answers("Far", now+relaySilent))
+		r.unanswered("Far", now, true)
+		assert.Assert(t, !r.answers("Far", now+rest-1), "%s", rest)
+		now += rest
+		assert.Assert(t, r.answers("Far", now))
+	}
+	r.sent("Far", now)
+	r.answered("Far", now, time.Millisecond)
+	r.sent("Far", now)
+	r.unanswered("Far", now, true)
+	assert.Assert(t, r.answers("Far", now+relayRest))
+}
--- a/tier/peers/feed_test.go
+++ b/tier/peers/feed_test.go
@@ -313,5 +313,10 @@
 	return nil
 }
 
+// Connect implements kernel.PeerCaller.
+func (*toldPeers) Connect(context.Context, string) error {
+	return nil
+}
+
 // Notify implements kernel.PeerCaller.
 func (p *toldPeers) Notify(context.Context, string, string, any) error { return nil }
--- a/tier/peers/node.go
+++ b/tier/peers/node.go
@@ -130,6 +130,16 @@
 	return nil
 }
 
+// Connect implements kernel.PeerCaller.
+func (n *node) Connect(ctx context.Context, host string) error {
+	at, err := n.addressOf(host)
+	if err != nil {
+		return err
+	}
+	_, err = n.dial(ctx, at)
+	return err
+}
+
 func (n *node) addressOf(host string) (netip.AddrPort, error) {
 	v := n.kernel.View()
 	if v.Index != nil && v.Index.Host(host) != nil {
--- a/tier/policy/route.go
+++ b/tier/policy/route.go
@@ -46,10 +46,11 @@
 // slackByTime is the most of the slack that hosts earn as time passes; the rest
 // they may save up. In a window no more than the whole is spent: what was saved
 // up before and what is earned meanwhile. leastSaved is how many repeats a host
-// is to be able to save up before it earns any by time.
+// is to be able to save up before it earns any by time: with one, every tenth
+// hedge of the grown site came too soon after another.
 const (
 	slackByTime = 0.5
-	leastSaved  = 1.0
+	leastSaved  = 2.0
 )
 
 // ShareRepeats gives the part of one of so many hosts in what a group allows in
