--- a/tier/pass/gather_test.go
+++ b/tier/pass/gather_test.go
@@ -437,8 +437,12 @@
 	at := netip.MustParseAddrPort("127.0.0.1:1")
 	h.do(func(s *kernel.State) {
 		for _, m := range []kernel.Member{
-			{Host: "A2", Hall: "A", Live: true}, {Host: "B3", Hall: "B", Live: true}, {Host: "B1", Hall: "B", Live: true},
-			{Host: "B2", Hall: "B", Live: true}, {Host: "C1", Hall: "C", Live: true}, {Host: "C2", Hall: "C"},
+			{Host: "A2", Hall: "A", Live: true},
+			{Host: "B3", Hall: "B", Live: true},
+			{Host: "B1", Hall: "B", Live: true},
+			{Host: "B2", Hall: "B", Live: true},
+			{Host: "C1", Hall: "C", Live: true},
+			{Host: "C2", Hall: "C"},
 		} {
 			m.Peer = at
 			s.Members[m.Host] = m
--- a/tier/pass/relay_test.go
+++ b/tier/pass/relay_test.go
@@ -48,11 +48,13 @@
 		{"all in time", []end{{10 * ms, false}, {20 * ms, false}, {20 * ms, false}}, []told{{20 * ms, 3}}},
 		{"one is stuck", []end{{10 * ms, false}, {20 * ms, false}, {300 * ms, false}}, []told{{50 * ms, 2}, {300 * ms, 1}}},
 		{
-			"a stuck one holds nothing back", []end{{60 * ms, false}, {65 * ms, false}, {300 * ms, false}},
+			"a stuck one holds nothing back",
+			[]end{{60 * ms, false}, {65 * ms, false}, {300 * ms, false}},
 			[]told{{50 * ms, 0}, {68 * ms, 2}, {300 * ms, 1}},
 		},
 		{
-			"a failure is told at once", []end{{1 * ms, true}, {2 * ms, true}, {20 * ms, false}},
+			"a failure is told at once",
+			[]end{{1 * ms, true}, {2 * ms, true}, {20 * ms, false}},
 			[]told{{3 * ms, 2}, {20 * ms, 1}},
 		},
 		{"the deadline ends it", []end{{10 * ms, false}, {20 * ms, false}, {2000 * ms, false}}, []told{{50 * ms, 2}, {1000 * ms, 0}}},
