refactor: find a batch in one piece; a stopped batch answers at once

What the last read of the change found: onStop and onRecords looked a batch up with the same lines, and a batch that its sender had stopped still told of the calls that were cancelled with it, which nobody takes in.

--- a/tier/pass/batch.go
+++ b/tier/pass/batch.go
@@ -383,7 +383,7 @@
 	// prefix begins the names of this process's batches; no other has it.
 	prefix string
 	count  atomic.Uint64
-	// open holds a chan *GatherReply for each batch under way, by ID.
+	// byID holds a chan *GatherReply for each batch under way.
 	byID sync.Map
 }
 
--- a/tier/pass/relay.go
+++ b/tier/pass/relay.go
@@ -191,7 +191,8 @@
 	for told := 0; ; told++ {
 		out, last := b.wait()
 		switch {
-		case last && b.isStopped():
+		case b.isStopped():
+			// Nobody wants to know; calls that linger end by themselves.
 			return nil, errStopped
 		case last:
 			out.Told = told
@@ -422,10 +423,13 @@
 	}
 }
 
-func (r *relayed) find(id string) *batch {
+func (r *relayed) find(id string) (*batch, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.batches[id]
+	if b := r.batches[id]; b != nil {
+		return b, nil
+	}
+	return nil, fmt.Errorf("%w: %q ended or was never begun", errNoBatch, id)
 }
 
 func (r *relayed) drop(id string) {
@@ -440,9 +444,9 @@
 	if err := json.Unmarshal(params, &in); err != nil {
 		return nil, fmt.Errorf("bad batch name: %w", err)
 	}
-	b := e.relayed.find(in.ID)
-	if b == nil {
-		return nil, fmt.Errorf("%w: %q ended or was never begun", errNoBatch, in.ID)
+	b, err := e.relayed.find(in.ID)
+	if err != nil {
+		return nil, err
 	}
 	linger := policy.LingerFor
 	if in.Left {
--- a/tier/pass/rest.go
+++ b/tier/pass/rest.go
@@ -74,9 +74,9 @@
 	if err := json.Unmarshal(params, &in); err != nil {
 		return nil, fmt.Errorf("bad request for records: %w", err)
 	}
-	b := e.relayed.find(in.ID)
-	if b == nil {
-		return nil, fmt.Errorf("%w: %q ended or was never begun", errNoBatch, in.ID)
+	b, err := e.relayed.find(in.ID)
+	if err != nil {
+		return nil, err
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
