--- a/tier/pass/host_test.go
+++ b/tier/pass/host_test.go
@@ -54,6 +54,20 @@
 	bodies   map[string]string
 	dialed   int
 	reply    replyFunc
+	conns    []net.Conn
+}
+
+// forget resets the connections that are there, without a word.
+func (u *upstream) forget() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for _, c := range u.conns {
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+		_ = c.Close()
+	}
+	u.conns = nil
 }
 
 func newUpstream(t testing.TB, name string, reply replyFunc) *upstream {
@@ -76,6 +90,7 @@
 		}
 		u.mu.Lock()
 		u.dialed++
+		u.conns = append(u.conns, c)
 		u.mu.Unlock()
 		go u.converse(c)
 	}
--- a/tier/pass/single_test.go
+++ b/tier/pass/single_test.go
@@ -212,6 +212,46 @@
 	assert.Equal(t, us[0].dialed, 1, "the kept connection was used")
 }
 
+// TestUpstreamThatGoesDownAndUp has one of two upstreams reset what it gets, by
+// turns: repeatable requests are all served, others never run twice, and the
+// upstream is used again once it is back.
+func TestUpstreamThatGoesDownAndUp(t *testing.T) {
+	h, us := single(t, good("x"), good("x"))
+	turn := func(r replyFunc) {
+		us[0].mu.Lock()
+		defer us[0].mu.Unlock()
+		us[0].reply = r
+	}
+	for round := range 4 {
+		turn(reset)
+		for i := range 15 {
+			id := fmt.Sprint("read", round, "-", i)
+			assert.Equal(t, h.ask(http.MethodGet, "/read/", id, 2000, "").status, http.StatusOK)
+			id = fmt.Sprint("place", round, "-", i)
+			status := h.ask(http.MethodPost, "/place/", id, 2000, "b").status
+			ran := us[0].seen(id) + us[1].seen(id)
+			assert.Assert(t, ran <= 1 && (status == http.StatusOK || status == http.StatusBadGateway), "%d, ran %d times", status, ran)
+		}
+		turn(good("x"))
+		before := us[0].total()
+		for i := 0; us[0].total() == before; i++ {
+			assert.Equal(t, h.ask(http.MethodGet, "/read/", fmt.Sprint("back", round, "-", i), 2000, "").status, http.StatusOK)
+			assert.Assert(t, i < 20_000, "never used again")
+		}
+	}
+}
+
+// TestForgottenConnections has an upstream forget the connections that rest: what
+// is sent on one is reset. Repeatable requests are served all the same.
+func TestForgottenConnections(t *testing.T) {
+	h, us := single(t, good("x"))
+	for i := range 10 {
+		id := fmt.Sprint("n", i)
+		assert.Equal(t, h.ask(http.MethodGet, "/read/", id, 2000, "").status, http.StatusOK)
+		us[0].forget()
+	}
+}
+
 // TestSurplusAnswers has each answer followed by a second one, at once or just
 // when the next request is there.
 func TestSurplusAnswers(t *testing.T) {
