perf: call a hall directly whose hosts do not answer

Change: when two hosts of a hall in a row have left a batch unanswered, its upstreams are called directly for 2 s, 4 s and so on; then one batch looks whether the way is back. Tests: TestSilentHallIsCalledDirectly.

--- a/tier/pass/batch.go
+++ b/tier/pass/batch.go
@@ -29,6 +29,10 @@
 	relaySilent   = 100 * time.Millisecond
 	relayRest     = 2 * time.Second
 	relayRestMost = 16 * time.Second
+	// hallSilent is how many hosts of a hall in a row leave a batch unanswered
+	// until its upstreams are called directly: this host may be cut off from the
+	// hosts there, and not from the upstreams.
+	hallSilent = 2
 	// hedgesDue is when the first sign is due for a batch of hedges, which is told
 	// of when a call ends: upstreams that pause answer within that.
 	hedgesDue = policy.LingerFor
@@ -45,8 +49,33 @@
 // relays knows which hosts answer for the upstreams of other halls.
 type relays struct {
 	mu sync.Mutex
-	// states are by name of host.
+	// states are by name of host, halls by name of hall.
 	states map[string]*relayState
+	halls  map[string]*hallState
+}
+
+func newRelays() relays {
+	return relays{states: map[string]*relayState{}, halls: map[string]*hallState{}}
+}
+
+// hallState is what is known of the way to the hosts of one hall.
+type hallState struct {
+	// silent counts the hosts in a row that answered no batch in time; last is
+	// the last of them.
+	silent int
+	last   string
+	rest   rest
+}
+
+// rest is how long something that does not answer is left alone: twice as long
+// each time, until it answers.
+type rest struct {
+	until, last time.Duration
+}
+
+func (r *rest) begin(now time.Duration) {
+	r.last = min(max(2*r.last, relayRest), relayRestMost)
+	r.until = now + r.last
 }
 
 // relayState is what is known of one host from its answers.
@@ -55,9 +84,8 @@
 	open int
 	// dueAt is when the oldest unanswered batch is due; 0 if none is.
 	dueAt time.Duration
-	// restUntil is until when others are asked first, rest how long it was left
-	// alone the last time; 0 once it has answered.
-	restUntil, rest time.Duration
+	// rest is while others are asked first.
+	rest rest
 	// way is the least time that a message took there and back.
 	way time.Duration
 }
@@ -78,6 +106,9 @@
 func (r *relays) choose(v *kernel.View, hall string, now time.Duration, owing map[string]int) string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if now < r.hall(hall).rest.until {
+		return ""
+	}
 	var names []string
 	for n, m := range v.Members {
 		if m.Live && !m.Leaving && m.Hall == hall && m.Peer.IsValid() && owing[n] == 0 && r.answers(n, now) {
@@ -92,9 +123,18 @@
 	})
 }
 
+func (r *relays) hall(name string) *hallState {
+	h := r.halls[name]
+	if h == nil {
+		h = &hallState{}
+		r.halls[name] = h
+	}
+	return h
+}
+
 func (r *relays) answers(host string, now time.Duration) bool {
 	s := r.state(host)
-	return now >= s.restUntil && (s.dueAt == 0 || now-s.dueAt < relaySilent)
+	return now >= s.rest.until && (s.dueAt == 0 || now-s.dueAt < relaySilent)
 }
 
 // way gives how long a message takes to a host and back; 0 if it is not known.
@@ -116,12 +156,13 @@
 }
 
 // answered notes an answer and how long the message took there and back.
-func (r *relays) answered(host string, now, way time.Duration) {
+func (r *relays) answered(host, hall string, now, way time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s := r.state(host)
 	s.settle(now)
-	s.rest = 0
+	s.rest = rest{}
+	*r.hall(hall) = hallState{}
 	if s.way == 0 || way < s.way {
 		s.way = way
 	}
@@ -129,17 +170,26 @@
 
 // unanswered notes a batch without an answer; with late the first sign was due
 // long before, and the host is left alone for a while.
-func (r *relays) unanswered(host string, now time.Duration, late bool) {
+func (r *relays) unanswered(host, hall string, now time.Duration, late bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s := r.state(host)
 	dueAt := s.dueAt
 	s.settle(now)
-	if late {
-		s.rest = min(max(2*s.rest, relayRest), relayRestMost)
-		s.restUntil = now + s.rest
-	} else if s.open > 0 {
-		s.dueAt = dueAt
+	if !late {
+		if s.open > 0 {
+			s.dueAt = dueAt
+		}
+		return
+	}
+	s.rest.begin(now)
+	h := r.hall(hall)
+	if h.last != host {
+		h.silent++
+		h.last = host
+	}
+	if h.silent >= hallSilent && now >= h.rest.until {
+		h.rest.begin(now)
 	}
 }
 
@@ -282,6 +332,9 @@
 	last GatherReply
 }
 
+// hall is where the calls of the batch are made.
+func (s *sentBatch) hall() string { return s.request.engine.kernel.Fleet.HallOf(s.calls[0].Upstream) }
+
 // take reports the calls that a reply tells of. Those that are not in when the
 // first answer was due are hedged.
 func (s *sentBatch) take(g *GatherReply) {
@@ -304,7 +357,7 @@
 	now := e.kernel.Now()
 	held := time.Duration(g.HeldMicros) * time.Microsecond
 	s.way = max(now-s.started-held, time.Microsecond)
-	e.relays.answered(s.begun.host, now, s.way)
+	e.relays.answered(s.begun.host, s.hall(), now, s.way)
 	s.request.relaying.answered(s.begun.host)
 }
 
@@ -340,7 +393,7 @@
 	}
 	if !s.heard {
 		now := e.kernel.Now()
-		e.relays.unanswered(host, now, ctx.Err() == nil || now-s.due > relaySilent)
+		e.relays.unanswered(host, s.hall(), now, ctx.Err() == nil || now-s.due > relaySilent)
 		q.relaying.answered(host)
 	}
 	if ctx.Err() != nil {
@@ -358,7 +411,7 @@
 // block that stands for all of them.
 func (s *sentBatch) report(g *GatherReply) {
 	fleet := s.request.engine.kernel.Fleet
-	fleet.TakeConditions(s.request.engine.kernel.Now(), fleet.HallOf(s.calls[0].Upstream), g.Worse)
+	fleet.TakeConditions(s.request.engine.kernel.Now(), s.hall(), g.Worse)
 	block := &block{records: g.Records, stamps: map[int]string{}, basis: s.begun.basis}
 	if g.Cut > 0 {
 		block.rest = &restOf{host: s.begun.host, at: RecordsRequest{ID: s.in.ID, Cut: g.Cut}}
--- a/tier/pass/engine.go
+++ b/tier/pass/engine.go
@@ -82,7 +82,7 @@
 func NewEngine(k *kernel.Kernel, h kernel.Headers) (*Engine, func()) {
 	e := &Engine{
 		kernel: k, headers: h,
-		relays: relays{states: map[string]*relayState{}}, relayed: relayed{batches: map[string]*batch{}},
+		relays: newRelays(), relayed: relayed{batches: map[string]*batch{}},
 		batches: sentBatches{prefix: strconv.FormatUint(rand.Uint64()>>batchPrefixSpare, 36) + "-"},
 	}
 	e.serveRelay()
--- a/tier/pass/relay_test.go
+++ b/tier/pass/relay_test.go
@@ -1,6 +1,8 @@
 package pass
 
 import (
+	"fmt"
+	"net/netip"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -89,20 +91,51 @@
 // TestSilentHostRestsLongerEachTime has a host of another hall leave batches
 // unanswered, and then answer one.
 func TestSilentHostRestsLongerEachTime(t *testing.T) {
-	r := relays{states: map[string]*relayState{}}
+	r := newRelays()
 	now := time.Minute
 	for _, rest := range []time.Duration{relayRest, 2 * relayRest, 4 * relayRest, relayRestMost, relayRestMost} {
 		r.sent("Far", now)
 		assert.Assert(t, r.answers("Far", now+relaySilent-1))
 		assert.Assert(t, !r.answers("Far", now+relaySilent))
-		r.unanswered("Far", now, true)
+		r.unanswered("Far", "B", now, true)
 		assert.Assert(t, !r.answers("Far", now+rest-1), "%s", rest)
 		now += rest
 		assert.Assert(t, r.answers("Far", now))
 	}
 	r.sent("Far", now)
-	r.answered("Far", now, time.Millisecond)
+	r.answered("Far", "B", now, time.Millisecond)
 	r.sent("Far", now)
-	r.unanswered("Far", now, true)
+	r.unanswered("Far", "B", now, true)
 	assert.Assert(t, r.answers("Far", now+relayRest))
 }
+
+// TestSilentHallIsCalledDirectly has a host be cut off from ten hosts of another
+// hall: after two batches it calls the upstreams there itself, for a while.
+func TestSilentHallIsCalledDirectly(t *testing.T) {
+	r := newRelays()
+	v := &kernel.View{Members: map[string]kernel.Member{}}
+	for i := range 10 {
+		n := fmt.Sprint("B", i)
+		v.Members[n] = kernel.Member{Host: n, Hall: "B", Live: true, Peer: netip.MustParseAddrPort("127.0.0.1:1")}
+	}
+	now := time.Minute
+	lost := func() string {
+		host := r.choose(v, "B", now, nil)
+		if host != "" {
+			r.sent(host, now)
+			r.unanswered(host, "B", now, true)
+		}
+		return host
+	}
+	assert.Equal(t, lost(), "B0")
+	assert.Equal(t, lost(), "B1")
+	assert.Equal(t, lost(), "")
+	now += relayRest
+	assert.Equal(t, lost(), "B0", "one batch looks whether the way is back")
+	assert.Equal(t, lost(), "")
+	now += 2 * relayRest
+	host := r.choose(v, "B", now, nil)
+	r.sent(host, now)
+	r.answered(host, "B", now, time.Millisecond)
+	assert.Assert(t, r.choose(v, "B", now, nil) != "")
+}
