fix: the soak compares only requests that follow one another

Cause: the check took requests in the order in which they were sent, and what one knew for what the next must know; under a load of 34 the one that was sent first was read last.

Change: a refusal counts against what was answered before it was sent. That is as strict for requests that follow one another, and says nothing of those that were under way at once, which prove nothing. Ruled out: a way back of the host, which has one document in force line for each version, rising.

--- a/loomfake/soak_test.go
+++ b/loomfake/soak_test.go
@@ -22,6 +22,7 @@
 }{
 	{4, "a fault on a host that was down already waited for the daemon started since, and never ended"},
 	{10, "as seed 4"},
+	{311, "the check took two requests that were under way at once for one after the other, just as a version came in force"},
 	{40, "two hosts of the soak were given one port, which was free when each was asked for"},
 }
 
@@ -184,3 +185,30 @@
 		s.report(io.Discard, broken)
 	}
 }
+
+// TestRequestsUnderWayAtOnceSayNothingOfEachOther has a host take a version in
+// while two requests are under way: the one that was sent first is served.
+func TestRequestsUnderWayAtOnceSayNothingOfEachOther(t *testing.T) {
+	const second = time.Second
+	tests := []struct {
+		name                      string
+		served, refused, answered time.Duration
+		broken                    int
+	}{
+		{"at once", 2 * second, 3 * second, 4 * second, 0},
+		{"one after the other", 2 * second, 5 * second, 4 * second, 1},
+		{"the other way round", 6 * second, 5 * second, 7 * second, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := &soak{hosts: []*soakHost{{}}, versions: make([]version, 2), checked: map[string]int{}}
+			s.asked = []asked{
+				{status: http.StatusOK, route: 2, at: tt.served, ended: tt.answered},
+				{status: http.StatusNotFound, route: 2, at: tt.refused, ended: tt.refused + second/2},
+			}
+			c := &checker{soak: s}
+			c.versions()
+			assert.Equal(t, len(c.broken), tt.broken, "%v", c.broken)
+		})
+	}
+}
--- a/loomfake/soakcheck.go
+++ b/loomfake/soakcheck.go
@@ -155,28 +155,33 @@
 	c.hold("least coverage", float64(len(in)) >= soakCoverage*float64(c.soak.Shards), "%s has %d parts", a.id, len(in))
 }
 
-// versions looks at how hosts follow the configuration: a process that served a
-// version's route knows it from then on.
+// versions looks at how hosts follow the configuration: a process that answered
+// for a version's route knows it for all requests that are sent from then on. Two
+// requests that were on their way at the same time say nothing of each other: the
+// one sent first may have been read last.
 func (c *checker) versions() {
 	type process struct{ host, generation int }
 	known := map[process]int{}
-	inOrder := slices.Clone(c.soak.asked)
-	slices.SortFunc(inOrder, func(a, b asked) int { return cmp.Compare(a.at, b.at) })
-	for _, a := range inOrder {
-		if a.route == 0 || a.err != nil {
-			continue
-		}
-		p := process{a.host, a.generation}
-		switch a.status {
-		case http.StatusOK:
-			known[p] = max(known[p], a.route)
-		case http.StatusNotFound:
-			c.hold("no way back", known[p] < a.route, "host %d knew version %d and does not know %d at %s", a.host, known[p], a.route, a.at)
-			v := c.soak.versions[a.route-1]
-			h := c.soak.hosts[a.host]
-			settled := a.at-v.at > soakApply && a.at-h.touched > soakUntouched && a.at-c.soak.storeTouched > soakUntouched
-			c.hold("in force everywhere", !settled, "host %d does not know version %d after %s", a.host, a.route, a.at-v.at)
+	served := slices.DeleteFunc(slices.Clone(c.soak.asked), func(a asked) bool {
+		return a.route == 0 || a.err != nil || a.status != http.StatusOK
+	})
+	slices.SortFunc(served, func(a, b asked) int { return cmp.Compare(a.ended, b.ended) })
+	refused := slices.DeleteFunc(slices.Clone(c.soak.asked), func(a asked) bool {
+		return a.route == 0 || a.err != nil || a.status != http.StatusNotFound
+	})
+	slices.SortFunc(refused, func(a, b asked) int { return cmp.Compare(a.at, b.at) })
+	for _, a := range refused {
+		for len(served) > 0 && served[0].ended < a.at {
+			p := process{served[0].host, served[0].generation}
+			known[p] = max(known[p], served[0].route)
+			served = served[1:]
 		}
+		latest := known[process{a.host, a.generation}]
+		c.hold("no way back", latest < a.route, "host %d knew version %d and does not know %d at %s", a.host, latest, a.route, a.at)
+		v := c.soak.versions[a.route-1]
+		h := c.soak.hosts[a.host]
+		settled := a.at-v.at > soakApply && a.at-h.touched > soakUntouched && a.at-c.soak.storeTouched > soakUntouched
+		c.hold("in force everywhere", !settled, "host %d does not know version %d after %s", a.host, a.route, a.at-v.at)
 	}
 }
 
