fix: fill the holes of a directory that is learnt from news

Cause: a host that gets a change by news applied it before asking whether its own list is behind. Applied, the change raised the list's revision to the sender's, so what was listed between the host's own read and the change was missed for good, until those upstreams change. With one reader for all halls most hosts stop reading within that moment; with one a hall the fault was there, too.

Change: after a change the digests are compared, and the whole list is fetched if they differ and the sender's is not older, twice a second at most. Test: TestHolesInTheDirectoryAreFilled, failed first.

--- a/tier/peers/gossip.go
+++ b/tier/peers/gossip.go
@@ -139,6 +139,8 @@
 	// fetching is true while a document is being fetched from a peer, listing
 	// while a directory is.
 	fetching, listing bool
+	// listedAt is when a whole directory was last asked for; 0 for never.
+	listedAt time.Duration
 
 	packing sync.Mutex
 	// packed is the document last handed to a peer; used with packing held.
--- a/tier/peers/news.go
+++ b/tier/peers/news.go
@@ -35,6 +35,8 @@
 	// newsStale is how old a reader's own news may be: a reader that does not
 	// hear the platform is no reader.
 	newsStale = 1800 * time.Millisecond
+	// listAgain is how long a host waits until it fetches the whole list again.
+	listAgain = 500 * time.Millisecond
 	// newsBound is how long telling one host may take.
 	newsBound = time.Second
 )
@@ -188,9 +190,11 @@
 	if n.Change != nil {
 		s.List(n.Change)
 	}
-	behind := s.Directory == nil || n.DirectoryRevision > s.Directory.Revision
-	if behind && n.Directory != s.Directory.Digest() && !g.listing {
-		g.listing = true
+	// A change may be applied to a list with holes, so what is listed then is
+	// compared. The sender knows all up to its revision.
+	lacks := n.Directory != s.Directory.Digest() && (s.Directory == nil || n.DirectoryRevision >= s.Directory.Revision)
+	if lacks && !g.listing && (g.listedAt == 0 || now-g.listedAt >= listAgain) {
+		g.listing, g.listedAt = true, now
 		go g.fetchDirectory(n.Peer)
 	}
 	if n.Revision > revision(s) && !g.fetching {
--- a/tier/peers/news_test.go
+++ b/tier/peers/news_test.go
@@ -135,3 +135,32 @@
 		assert.Assert(t, <-reads, "the reader is gone")
 	})
 }
+
+// TestHolesInTheDirectoryAreFilled has a host that lacks an upstream hear of a
+// change of another one: it gets the whole list from the sender.
+func TestHolesInTheDirectoryAreFilled(t *testing.T) {
+	listings := func(names ...string) *config.DirectoryChange {
+		c := &config.DirectoryChange{Revision: 3}
+		for i, n := range names {
+			c.Listed = append(c.Listed, config.Listing{Name: n, Group: "G", Hall: "A", Slots: 1, Revision: uint64(i + 1)})
+		}
+		return c
+	}
+	teller, _, at := newTestNode(t)
+	g := &gossip{kernel: teller}
+	teller.Handle(MethodDirectory, g.onDirectory)
+	teller.Do(func(s *kernel.State) { s.List(listings("U1", "U2", "U3")) })
+	lacking, n, _ := newTestNode(t)
+	mine := &gossip{kernel: lacking, node: n}
+	lacking.Do(func(s *kernel.State) {
+		first := listings("U1")
+		first.Revision = 1
+		s.List(first)
+		change := &config.DirectoryChange{Revision: 3, Listed: listings("U1", "U2", "U3").Listed[2:]}
+		mine.hear(s, &News{Host: "T", Peer: at, Directory: teller.View().Directory.Digest(), DirectoryRevision: 3, Change: change})
+	})
+	for end := time.Now().Add(20 * time.Second); lacking.View().Directory.Size() < 3; time.Sleep(time.Millisecond) {
+		assert.Assert(t, time.Now().Before(end), "%v", listedNames(lacking))
+	}
+	assert.DeepEqual(t, listedNames(lacking), []string{"U1", "U2", "U3"})
+}
