--- a/tier/peers/feed.go
+++ b/tier/peers/feed.go
@@ -222,6 +222,8 @@
 
 // install runs on the control thread while the feed waits.
 func (f *feed) install(s *kernel.State, p *kernel.Published, now time.Duration, away bool) {
+	// If others heard the platform all the while, nothing lapsed.
+	away = away && now-s.PlatformHeard > newsStale
 	s.PlatformHeard, s.SourceAt = now, now
 	if s.FeedDown {
 		s.FeedDown = false
--- a/tier/peers/feed_test.go
+++ b/tier/peers/feed_test.go
@@ -217,6 +217,22 @@
 	})
 }
 
+// TestFeedHoldsNothingThatOthersHeard has the platform be away for this host alone,
+// which hears from others meanwhile: what is removed then is gone.
+func TestFeedHoldsNothingThatOthersHeard(t *testing.T) {
+	fed(t, func(p *published, k *kernel.Kernel) {
+		p.set(func() { p.away = true })
+		for range 10 {
+			settle(500 * time.Millisecond)
+			k.Do(func(s *kernel.State) { s.PlatformHeard = k.Now() })
+		}
+		p.remove("U1")
+		p.set(func() { p.away = false })
+		settle(time.Second + feedRetryMost/2)
+		assert.DeepEqual(t, listedNames(k), []string{"U2"})
+	})
+}
+
 // TestFeedKeepsWhatThePlatformRemovesJustAfterItsReturn is the same with the
 // removal coming a little later than the return.
 func TestFeedKeepsWhatThePlatformRemovesJustAfterItsReturn(t *testing.T) {
