--- /dev/null
+++ b/tier/pass/hosts.go
@@ -0,0 +1,165 @@
+package pass
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"loomgap/tier/kernel"
+)
+
+// relays knows which hosts answer for the upstreams of other halls.
+type relays struct {
+	mu sync.Mutex
+	// states are by name of host, halls by name of hall.
+	states map[string]*relayState
+	halls  map[string]*hallState
+}
+
+func newRelays() relays {
+	return relays{states: map[string]*relayState{}, halls: map[string]*hallState{}}
+}
+
+// hallState is what is known of the way to the hosts of one hall.
+type hallState struct {
+	// silent counts the hosts in a row that answered no batch in time; last is
+	// the last of them.
+	silent int
+	last   string
+	rest   rest
+}
+
+// rest is how long something that does not answer is left alone: twice as long
+// each time, until it answers.
+type rest struct {
+	until, last time.Duration
+}
+
+func (r *rest) begin(now time.Duration) {
+	r.last = min(max(2*r.last, relayRest), relayRestMost)
+	r.until = now + r.last
+}
+
+// relayState is what is known of one host from its answers.
+type relayState struct {
+	// open counts the batches that it owes.
+	open int
+	// dueAt is when the oldest unanswered batch is due; 0 if none is.
+	dueAt time.Duration
+	// rest is while others are asked first.
+	rest rest
+	// way is the least time that a message took there and back.
+	way time.Duration
+}
+
+func (r *relays) state(host string) *relayState {
+	s := r.states[host]
+	if s == nil {
+		s = &relayState{}
+		r.states[host] = s
+	}
+	return s
+}
+
+// choose gives the live host of a hall that owes the fewest answers, and none to
+// a certain request; empty if there is none that answers. Of those that owe
+// alike, all hosts take the same one: it sees most calls to its upstreams, so it
+// learns soon how they do. Choosing by chance was tried and was worse.
+func (r *relays) choose(v *kernel.View, hall string, now time.Duration, owing map[string]int) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if now < r.hall(hall).rest.until {
+		return ""
+	}
+	var names []string
+	for n, m := range v.Members {
+		if m.Live && !m.Leaving && m.Hall == hall && m.Peer.IsValid() && owing[n] == 0 && r.answers(n, now) {
+			names = append(names, n)
+		}
+	}
+	if len(names) == 0 {
+		return ""
+	}
+	return slices.MinFunc(names, func(a, b string) int {
+		return cmp.Or(cmp.Compare(r.state(a).open, r.state(b).open), cmp.Compare(a, b))
+	})
+}
+
+func (r *relays) hall(name string) *hallState {
+	h := r.halls[name]
+	if h == nil {
+		h = &hallState{}
+		r.halls[name] = h
+	}
+	return h
+}
+
+func (r *relays) answers(host string, now time.Duration) bool {
+	s := r.state(host)
+	return now >= s.rest.until && (s.dueAt == 0 || now-s.dueAt < relaySilent)
+}
+
+// way gives how long a message takes to a host and back; 0 if it is not known.
+func (r *relays) way(host string) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.state(host).way
+}
+
+// sent notes a batch, and when the first sign of it is due.
+func (r *relays) sent(host string, due time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.state(host)
+	s.open++
+	if s.dueAt == 0 {
+		s.dueAt = due
+	}
+}
+
+// answered notes an answer and how long the message took there and back.
+func (r *relays) answered(host, hall string, now, way time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.state(host)
+	s.settle(now)
+	s.rest = rest{}
+	*r.hall(hall) = hallState{}
+	if s.way == 0 || way < s.way {
+		s.way = way
+	}
+}
+
+// unanswered notes a batch without an answer; with late the first sign was due
+// long before, and the host is left alone for a while.
+func (r *relays) unanswered(host, hall string, now time.Duration, late bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.state(host)
+	dueAt := s.dueAt
+	s.settle(now)
+	if !late {
+		if s.open > 0 {
+			s.dueAt = dueAt
+		}
+		return
+	}
+	s.rest.begin(now)
+	h := r.hall(hall)
+	if h.last != host {
+		h.silent++
+		h.last = host
+	}
+	if h.silent >= hallSilent && now >= h.rest.until {
+		h.rest.begin(now)
+	}
+}
+
+func (s *relayState) settle(now time.Duration) {
+	s.open--
+	s.dueAt = 0
+	if s.open > 0 {
+		s.dueAt = now
+	}
+}
