feat: log which shards an answer lacks, why, and what kept a hedge back

Change: the line names up to eight shards with reason, calls sent and the obstacle to a hedge. No decision changes.

--- a/tier/pass/answer.go
+++ b/tier/pass/answer.go
@@ -68,7 +68,8 @@
 		h.Set(q.engine.headers.RequestID, q.id)
 		h.Set(q.engine.headers.Parts, strings.Join(stamps, ", "))
 		h.Set(q.engine.headers.Missing, strconv.Itoa(missing))
-		q.log(outcome, http.StatusOK).Int("Calls", r.Attempts).Int("Missing", missing).Msg("request answered")
+		q.log(outcome, http.StatusOK).Int("Calls", r.Attempts).Int("Missing", missing).
+			Strs("Lacking", q.lacking(r)).Msg("request answered")
 		q.write(w, http.StatusOK, h, records)
 	case r.Ran == 0:
 		q.refuse(w, "no upstream took it", retryNoUpstream)
@@ -114,10 +115,29 @@
 // fail tells that the request may have run and has no answer.
 func (q *request) fail(w http.ResponseWriter, status int, outcome string, r *policy.Result) {
 	q.log(outcome, status).Int("Calls", r.Attempts).Int("Ran", r.Ran).
-		Int("Included", r.Included).Interface("Reasons", r.Reasons).Msg("request failed")
+		Int("Included", r.Included).Strs("Lacking", q.lacking(r)).Msg("request failed")
 	http.Error(w, "no answer: "+outcome, status)
 }
 
+// lackingLogged bounds the shards that one log line names.
+const lackingLogged = 8
+
+// lacking describes the shards that an answer lacks, for the log: the group, why
+// it is not in, how many calls were sent for it, and what kept a second upstream
+// from being asked.
+func (q *request) lacking(r *policy.Result) []string {
+	missing := r.Missing[:min(len(r.Missing), lackingLogged)]
+	out := make([]string, 0, len(missing))
+	for _, m := range missing {
+		text := q.plan.groups[m.Part] + " " + string(m.Reason) + " " + strconv.Itoa(m.Sends)
+		if m.Unhedged != "" {
+			text += " " + string(m.Unhedged)
+		}
+		out = append(out, text)
+	}
+	return out
+}
+
 // reject tells what is wrong with the request itself.
 func (q *request) reject(w http.ResponseWriter, status int, outcome, problem string) {
 	q.log(outcome, status).Str("Problem", problem).Msg("request rejected")
--- a/tier/policy/attempt.go
+++ b/tier/policy/attempt.go
@@ -53,13 +53,46 @@
 	if u == nil {
 		u = r.pick(now, i, false)
 	}
-	if u == nil || !u.free() || u.busy(now) || !r.takeHedge(now, i) {
+	p := &r.parts[i]
+	p.unhedged = r.hedgeObstacle(now, i, u)
+	if p.unhedged != "" {
 		return out
 	}
-	r.parts[i].hedged = true
+	p.hedged = true
 	return r.enter(now, i, u, out)
 }
 
+// HedgeObstacle says what kept a call from being hedged.
+type HedgeObstacle string
+
+// The obstacles to a hedge.
+const (
+	// HedgeNoUpstream means that no other upstream of the shard is listed.
+	HedgeNoUpstream HedgeObstacle = "NoUpstream"
+	// HedgeNoSlot means that this host's share of the other upstream is in use.
+	HedgeNoSlot HedgeObstacle = "NoSlot"
+	// HedgeQueue means that calls wait in the other upstream's own queue.
+	HedgeQueue HedgeObstacle = "Queue"
+	// HedgeNoBudget means that the budget of repeated calls is spent.
+	HedgeNoBudget HedgeObstacle = "NoBudget"
+)
+
+// hedgeObstacle takes a hedge of a part from its budget, or says why not.
+func (r *Run) hedgeObstacle(now time.Duration, i int, u *Upstream) HedgeObstacle {
+	switch {
+	case u == nil:
+		return HedgeNoUpstream
+	case !u.free():
+		return HedgeNoSlot
+	case u.busy(now):
+		return HedgeQueue
+	case !r.takeHedge(now, i):
+		return HedgeNoBudget
+	default:
+		return ""
+	}
+}
+
 // again gives the upstream of the shard's one live attempt, if it is fit.
 func (r *Run) again(now time.Duration, i int) *Upstream {
 	u := r.attempts[r.parts[i].live[0]].upstream
--- a/tier/policy/run.go
+++ b/tier/policy/run.go
@@ -86,8 +86,10 @@
 	sends, arrivals, ran int
 	// hedged is true once a second replica was asked; there is no third.
 	hedged bool
-	live   []int
-	tried  []*Upstream
+	// unhedged is why no second replica was asked when it was last considered.
+	unhedged HedgeObstacle
+	live     []int
+	tried    []*Upstream
 	// retryAt is when a refused shard is tried again; 0 for never.
 	retryAt time.Duration
 }
@@ -356,10 +358,38 @@
 	return false
 }
 
+// Missing says why a part is not in the answer.
+type Missing struct {
+	// Part is the index of the shard within the run.
+	Part int
+	// Reason is never empty.
+	Reason query.Reason
+	// Sends counts the calls sent for the part.
+	Sends int
+	// Unhedged is why no second upstream was asked; empty if one was, or if the
+	// call was not yet due to be hedged.
+	Unhedged HedgeObstacle
+}
+
+// Missing lists the parts that a finished run has no answer for.
+func (r *Run) Missing() []Missing {
+	var out []Missing
+	for i := range r.parts {
+		p := &r.parts[i]
+		if p.included {
+			continue
+		}
+		out = append(out, Missing{Part: i, Reason: p.reason, Sends: p.sends, Unhedged: p.unhedged})
+	}
+	return out
+}
+
 // Result describes a finished run.
 type Result struct {
 	// Reasons holds for each part why it is missing, empty if it is included.
 	Reasons []query.Reason
+	// Missing explains the parts that are not included.
+	Missing []Missing
 	// Included counts the included parts.
 	Included int
 	// Attempts counts the upstream calls that were sent, cancelled ones included.
@@ -372,7 +402,7 @@
 
 // Result gives the account of the run after ActionFinish.
 func (r *Run) Result() Result {
-	out := Result{Included: r.included, Attempts: r.calls, Unknown: r.unknown}
+	out := Result{Included: r.included, Attempts: r.calls, Unknown: r.unknown, Missing: r.Missing()}
 	for i := range r.parts {
 		out.Reasons = append(out.Reasons, r.parts[i].reason)
 		out.Ran += r.parts[i].ran
