fix: replace a peer connection that has gone silent

Cause: only a heartbeat without an answer closed a connection between hosts; calls, news and fetches left a silent one in use, so a host stayed out of reach though a new connection to it worked. Change: a connection notes since when an answer is owed. From 300 ms on new calls make another; the old one is closed when its last call has ended, so slow answers are not lost.

--- a/tier/peers/gossip.go
+++ b/tier/peers/gossip.go
@@ -294,9 +294,6 @@
 	var reply Beat
 	if err := g.node.callAddress(ctx, to, MethodBeat, message, &reply); err != nil {
 		g.kernel.Log.Debug().Err(err).Msg("heartbeat not answered")
-		if ctx.Err() != nil {
-			g.node.hangUp(to)
-		}
 		return
 	}
 	g.kernel.Do(func(s *kernel.State) { g.take(s, to, &reply) })
--- a/tier/peers/node.go
+++ b/tier/peers/node.go
@@ -25,13 +25,16 @@
 	codeBusy = -32000
 )
 
+// dialer makes the connections to peers.
+var dialer = net.Dialer{Timeout: dialBound}
+
 // node serves and calls the peer protocol.
 type node struct {
 	kernel   *kernel.Kernel
 	listener net.Listener
 	mu       sync.Mutex
 	// conns holds the outgoing connection of each address; used with mu held.
-	conns map[netip.AddrPort]*jsonrpc2.Conn
+	conns map[netip.AddrPort]*outgoing
 	// serving holds the incoming connections; used with mu held.
 	serving map[*jsonrpc2.Conn]bool
 }
@@ -43,7 +46,7 @@
 	if err != nil {
 		return nil, nil, fmt.Errorf("listen for peers: %w: free the address or set -Peer", err)
 	}
-	n := &node{kernel: k, listener: l, conns: map[netip.AddrPort]*jsonrpc2.Conn{}, serving: map[*jsonrpc2.Conn]bool{}}
+	n := &node{kernel: k, listener: l, conns: map[netip.AddrPort]*outgoing{}, serving: map[*jsonrpc2.Conn]bool{}}
 	go n.accept()
 	return n, n.close, nil
 }
@@ -52,8 +55,8 @@
 	_ = n.listener.Close()
 	n.mu.Lock()
 	var all []*jsonrpc2.Conn
-	for _, c := range n.conns {
-		all = append(all, c)
+	for _, o := range n.conns {
+		all = append(all, o.rpc)
 	}
 	for c := range n.serving {
 		all = append(all, c)
@@ -70,7 +73,7 @@
 		if err != nil {
 			return
 		}
-		conn := n.connect(c)
+		conn := n.serveOn(&peerConn{Conn: c, now: n.kernel.Now})
 		n.mu.Lock()
 		n.serving[conn] = true
 		n.mu.Unlock()
@@ -83,8 +86,9 @@
 	}
 }
 
-func (n *node) connect(c net.Conn) *jsonrpc2.Conn {
-	stream := jsonrpc2.NewBufferedStream(countedConn{c}, frameCodec{})
+// serveOn speaks the peer protocol on a connection, whoever made it.
+func (n *node) serveOn(c *peerConn) *jsonrpc2.Conn {
+	stream := jsonrpc2.NewBufferedStream(c, frameCodec{})
 	handler := jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(n.serve))
 	return jsonrpc2.NewConn(context.Background(), stream, handler, jsonrpc2.SetLogger(quiet{}))
 }
@@ -120,11 +124,11 @@
 	if err != nil {
 		return err
 	}
-	c, err := n.dial(ctx, at)
+	o, err := n.dial(ctx, at)
 	if err != nil {
 		return err
 	}
-	if err := c.Notify(ctx, method, params); err != nil {
+	if err := o.rpc.Notify(ctx, method, params); err != nil {
 		return fmt.Errorf("%s at %s: %w", method, at, err)
 	}
 	return nil
@@ -152,65 +156,16 @@
 }
 
 func (n *node) callAddress(ctx context.Context, to netip.AddrPort, method string, params, result any) error {
-	c, err := n.dial(ctx, to)
+	o, err := n.dial(ctx, to)
 	if err != nil {
 		return err
 	}
-	if err := c.Call(ctx, method, params, result); err != nil {
+	if err := o.call(ctx, method, params, result); err != nil {
 		return fmt.Errorf("%s at %s: %w", method, to, err)
 	}
 	return nil
 }
 
-func (n *node) dial(ctx context.Context, to netip.AddrPort) (*jsonrpc2.Conn, error) {
-	n.mu.Lock()
-	c := n.conns[to]
-	n.mu.Unlock()
-	if c != nil {
-		return c, nil
-	}
-	d := net.Dialer{Timeout: dialBound}
-	raw, err := d.DialContext(ctx, "tcp", to.String())
-	if err != nil {
-		return nil, fmt.Errorf("dial %s: %w: %w", to, ErrNoPeer, err)
-	}
-	return n.keep(to, n.connect(raw)), nil
-}
-
-// keep makes a connection the one to use, unless another was faster.
-func (n *node) keep(to netip.AddrPort, c *jsonrpc2.Conn) *jsonrpc2.Conn {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if other := n.conns[to]; other != nil {
-		go func() { _ = c.Close() }()
-		return other
-	}
-	n.conns[to] = c
-	go func() {
-		<-c.DisconnectNotify()
-		n.drop(to, c)
-	}()
-	return c
-}
-
-func (n *node) drop(to netip.AddrPort, c *jsonrpc2.Conn) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if n.conns[to] == c {
-		delete(n.conns, to)
-	}
-}
-
-// hangUp closes the connection to an address that does not answer.
-func (n *node) hangUp(to netip.AddrPort) {
-	n.mu.Lock()
-	c := n.conns[to]
-	n.mu.Unlock()
-	if c != nil {
-		_ = c.Close()
-	}
-}
-
 // quiet drops the library's own log lines; errors come back from calls.
 type quiet struct{}
 
--- /dev/null
+++ b/tier/peers/outgo.go
@@ -0,0 +1,119 @@
+package peers
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/jsonrpc2"
+)
+
+// silentBound is how long a peer may leave calls unanswered until its connection
+// is replaced: longer than an answer takes on a busy host (up to 100 ms). It
+// prevents a connection that has gone silent, without a reset, from keeping its
+// host out of reach: a new one to the same host may work.
+const silentBound = 300 * time.Millisecond
+
+// outgoing is a connection that this host made to a peer.
+type outgoing struct {
+	rpc *jsonrpc2.Conn
+	raw *peerConn
+
+	mu sync.Mutex
+	// calls counts the calls under way.
+	calls int
+	// replaced is true once new calls go on another connection; the connection
+	// is closed when the last call on it has ended.
+	replaced bool
+}
+
+// call makes a call and waits for its answer.
+func (o *outgoing) call(ctx context.Context, method string, params, result any) error {
+	o.enter()
+	defer o.leave()
+	o.raw.asked()
+	return o.rpc.Call(ctx, method, params, result)
+}
+
+func (o *outgoing) enter() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.calls++
+}
+
+func (o *outgoing) leave() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.calls--
+	o.closeIfDone()
+}
+
+// replace has the connection closed once its calls have ended.
+func (o *outgoing) replace() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.replaced = true
+	o.closeIfDone()
+}
+
+// closeIfDone is used with mu held.
+func (o *outgoing) closeIfDone() {
+	if o.replaced && o.calls == 0 {
+		go func() { _ = o.rpc.Close() }()
+	}
+}
+
+// existing returns the connection to an address; nil if there is none that
+// answers.
+func (n *node) existing(to netip.AddrPort) *outgoing {
+	n.mu.Lock()
+	o := n.conns[to]
+	n.mu.Unlock()
+	if o == nil || o.raw.silentFor() < silentBound {
+		return o
+	}
+	n.drop(to, o)
+	o.replace()
+	n.kernel.Log.Info().Str("Peer", to.String()).Msg("connection to peer is silent, making another")
+	return nil
+}
+
+// dial returns a connection to an address, made if there is none.
+func (n *node) dial(ctx context.Context, to netip.AddrPort) (*outgoing, error) {
+	if o := n.existing(to); o != nil {
+		return o, nil
+	}
+	raw, err := dialer.DialContext(ctx, "tcp", to.String())
+	if err != nil {
+		return nil, fmt.Errorf("dial %s: %w: %w", to, ErrNoPeer, err)
+	}
+	c := &peerConn{Conn: raw, now: n.kernel.Now}
+	return n.keep(to, &outgoing{rpc: n.serveOn(c), raw: c}), nil
+}
+
+// keep makes a connection the one to use, unless another was faster.
+func (n *node) keep(to netip.AddrPort, o *outgoing) *outgoing {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if other := n.conns[to]; other != nil {
+		go func() { _ = o.rpc.Close() }()
+		return other
+	}
+	n.conns[to] = o
+	go func() {
+		<-o.rpc.DisconnectNotify()
+		n.drop(to, o)
+	}()
+	return o
+}
+
+// drop makes a connection no longer the one to use.
+func (n *node) drop(to netip.AddrPort, o *outgoing) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.conns[to] == o {
+		delete(n.conns, to)
+	}
+}
--- /dev/null
+++ b/tier/peers/outgo_test.go
@@ -0,0 +1,125 @@
+package peers
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// silentFirst passes connections on to an address, but for the first: that one
+// is held open and says nothing.
+type silentFirst struct {
+	listener net.Listener
+	accepted atomic.Int32
+}
+
+func newSilentFirst(t *testing.T, to netip.AddrPort) *silentFirst {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	s := &silentFirst{listener: l}
+	go s.serve(t, to)
+	return s
+}
+
+func (s *silentFirst) address() netip.AddrPort {
+	return s.listener.Addr().(*net.TCPAddr).AddrPort()
+}
+
+func (s *silentFirst) serve(t *testing.T, to netip.AddrPort) {
+	for {
+		in, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		t.Cleanup(func() { _ = in.Close() })
+		if s.accepted.Add(1) == 1 {
+			continue
+		}
+		out, err := net.Dial("tcp", to.String())
+		if err != nil {
+			_ = in.Close()
+			continue
+		}
+		t.Cleanup(func() { _ = out.Close() })
+		go copyAll(in, out)
+		go copyAll(out, in)
+	}
+}
+
+func copyAll(to, from net.Conn) {
+	buffer := make([]byte, 4<<10)
+	for {
+		n, err := from.Read(buffer)
+		if _, failed := to.Write(buffer[:n]); err != nil || failed != nil {
+			_ = to.Close()
+			return
+		}
+	}
+}
+
+// TestSilentConnectionIsReplaced has a connection to a peer go silent without a
+// reset: calls that give it up must find the peer again on another one, though
+// no heartbeat goes there.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	_, n, _ := newTestNode(t)
+	k, _, at := newTestNode(t)
+	k.Handle("Echo", func(context.Context, json.RawMessage) (any, error) { return struct{}{}, nil })
+	proxy := newSilentFirst(t, at)
+	call := func() error {
+		ctx, cancel := context.WithTimeout(context.Background(), silentBound/2)
+		defer cancel()
+		var none struct{}
+		return n.callAddress(ctx, proxy.address(), "Echo", struct{}{}, &none)
+	}
+	assert.Assert(t, call() != nil, "the first connection is silent")
+	for attempt := 0; call() != nil; attempt++ {
+		assert.Assert(t, attempt < 20, "the silent connection stays in use")
+	}
+	assert.Equal(t, proxy.accepted.Load(), int32(2))
+}
+
+// TestSlowAnswerOutlivesItsConnection has a peer answer later than the bound of
+// silence, while another call has a new connection made: the first call must
+// still get its answer.
+func TestSlowAnswerOutlivesItsConnection(t *testing.T) {
+	_, n, _ := newTestNode(t)
+	k, _, at := newTestNode(t)
+	release := make(chan struct{})
+	k.Handle("Slow", func(context.Context, json.RawMessage) (any, error) {
+		<-release
+		return struct{}{}, nil
+	})
+	k.Handle("Echo", func(context.Context, json.RawMessage) (any, error) { return struct{}{}, nil })
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	slow := make(chan error, 1)
+	go func() {
+		var none struct{}
+		slow <- n.callAddress(ctx, at, "Slow", struct{}{}, &none)
+	}()
+	before := firstConnection(n, at)
+	for n.existing(at) == before {
+		time.Sleep(silentBound / 10)
+	}
+	var none struct{}
+	assert.NilError(t, n.callAddress(ctx, at, "Echo", struct{}{}, &none))
+	close(release)
+	assert.NilError(t, <-slow)
+}
+
+// firstConnection waits until there is a connection to an address.
+func firstConnection(n *node, at netip.AddrPort) *outgoing {
+	for {
+		if o := n.existing(at); o != nil {
+			return o
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
