fix: distrust kept connections to an upstream after one has gone silent

Cause: after a silent failure of all open connections, one request after another was sent on a kept one and lost its first call. Test: TestSilentConnectionsAreDistrusted, seen failing without the change.

--- a/tier/pass/call.go
+++ b/tier/pass/call.go
@@ -85,12 +85,16 @@
 	}
 	// A cancelled call ends its connection: that is what tells the upstream.
 	stop := context.AfterFunc(ctx, func() { _ = k.Close() })
+	started := l.now()
 	a, keep, err := k.exchange(c)
 	if !stop() && err == nil && keep {
 		keep = false
 	}
 	if !keep {
 		_ = k.Close()
+		if err != nil && k.reused && l.now()-started >= silentBound {
+			l.distrust(started)
+		}
 		return result{answer: a, sent: true, err: err}
 	}
 	l.put(k)
--- a/tier/pass/conn.go
+++ b/tier/pass/conn.go
@@ -7,9 +7,12 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
+
+	"loomgap/tier/policy"
 )
 
 // Times and sizes of upstream connections.
@@ -27,6 +30,12 @@
 	// request which must not be repeated.
 	freshEnough = 500 * time.Millisecond
 	readBuffer  = 4 << 10
+	// silentBound is how long a call on a kept connection must go without an
+	// answer until the other kept connections are distrusted: longer than
+	// upstreams pause, and no longer than a call lingers that shows it. It
+	// prevents one request after another from being sent on connections that
+	// have all gone silent without a reset.
+	silentBound = policy.LingerFor
 )
 
 // errStale is a kept connection that ended or spoke out of turn.
@@ -42,6 +51,8 @@
 	// restedAt is when it was put back; idleFor is how long it may rest.
 	restedAt time.Duration
 	idleFor  time.Duration
+	// reused is true once the connection has been put back.
+	reused bool
 }
 
 // link holds the kept connections to one upstream.
@@ -102,7 +113,7 @@
 
 // put keeps a connection for the next request.
 func (l *link) put(c *conn) {
-	c.restedAt = l.now()
+	c.restedAt, c.reused = l.now(), true
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.closed {
@@ -115,18 +126,26 @@
 // sweep closes the connections that have rested too long.
 func (l *link) sweep() {
 	now := l.now()
+	l.dropKept(func(c *conn) bool { return now-c.restedAt >= c.idleFor })
+}
+
+// dropKept closes the kept connections that a test picks.
+func (l *link) dropKept(dropped func(c *conn) bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	kept := l.kept[:0]
-	for _, c := range l.kept {
-		if now-c.restedAt >= c.idleFor {
-			_ = c.Close()
-			continue
+	l.kept = slices.DeleteFunc(l.kept, func(c *conn) bool {
+		if !dropped(c) {
+			return false
 		}
-		kept = append(kept, c)
-	}
-	clear(l.kept[len(kept):])
-	l.kept = kept
+		_ = c.Close()
+		return true
+	})
+}
+
+// distrust closes the kept connections that have not brought an answer since a
+// call on one of them was sent in vain.
+func (l *link) distrust(since time.Duration) {
+	l.dropKept(func(c *conn) bool { return c.restedAt < since })
 }
 
 // close closes what is kept; calls under way go on.
--- a/tier/pass/host_test.go
+++ b/tier/pass/host_test.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -55,6 +56,8 @@
 	dialed   int
 	reply    replyFunc
 	conns    []net.Conn
+	// silenced is how many of conns, the first, never answer again.
+	silenced int
 }
 
 // forget resets the connections that are there, without a word.
@@ -70,6 +73,26 @@
 	u.conns = nil
 }
 
+// silence has the connections that are there never answer again; new ones work.
+func (u *upstream) silence() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.silenced = len(u.conns)
+}
+
+func (u *upstream) connections() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return len(u.conns)
+}
+
+// isSilenced tells whether a connection was there when they were silenced.
+func (u *upstream) isSilenced(c net.Conn) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return slices.Contains(u.conns[:min(u.silenced, len(u.conns))], c)
+}
+
 func newUpstream(t testing.TB, name string, reply replyFunc) *upstream {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -114,6 +137,9 @@
 		u.requests[id], u.bodies[id] = r, string(body)
 		reply := u.reply
 		u.mu.Unlock()
+		if u.isSilenced(c) {
+			reply = silent
+		}
 		if !reply(u, c, r) {
 			return
 		}
--- a/tier/pass/single_test.go
+++ b/tier/pass/single_test.go
@@ -489,3 +489,35 @@
 	defer l.mu.Unlock()
 	return l.b.String()
 }
+
+// TestSilentConnectionsAreDistrusted has all kept connections to an upstream go
+// silent without a reset, while new ones work: one call may be lost by it, the
+// next must not be.
+func TestSilentConnectionsAreDistrusted(t *testing.T) {
+	u := newUpstream(t, "U1", good("x"))
+	l := &link{name: "U1", address: netip.MustParseAddrPort(u.listener.Addr().String()), now: sinceStart(time.Now())}
+	t.Cleanup(l.close)
+	var kept []*conn
+	for range 3 {
+		c, err := l.dial(t.Context())
+		assert.NilError(t, err)
+		kept = append(kept, c)
+	}
+	for _, c := range kept {
+		l.put(c)
+	}
+	eventually(t, "connections are accepted", func() bool { return u.connections() == 3 })
+	u.silence()
+	call := func(id string, bound time.Duration) policy.CallOutcome {
+		ctx, cancel := context.WithTimeout(t.Context(), bound)
+		defer cancel()
+		head := "GET / HTTP/1.1\r\nHost: x\r\n" + names.RequestID + ": " + id + "\r\n"
+		return l.call(ctx, &call{headers: &names, method: http.MethodGet, head: []byte(head), id: id, upstream: "U1", left: testBound}, true).Outcome
+	}
+	assert.Equal(t, call("one", silentBound+silentBound/4), policy.CallBroken)
+	assert.Equal(t, call("two", testBound), policy.CallOK)
+}
+
+func sinceStart(start time.Time) func() time.Duration {
+	return func() time.Duration { return time.Since(start) }
+}
