feat: have requests wait for the first configuration while a host starts

Ruled out: a slow start: from process start to the first answer of the platform it is about 60 ms, of which the read is 20 to 50. Change: a request waits for the first configuration until the process is 150 ms old; an older host without one refuses at once as before. Test: TestRequestWaitsForTheFirstDocument (503 before); TestHostWithoutDocumentRefuses holds the refusal.

--- a/tier/pass/engine.go
+++ b/tier/pass/engine.go
@@ -60,6 +60,9 @@
 	batches sentBatches
 	// whole holds for each route until when all records are asked for.
 	whole sync.Map
+	// configured is closed once there is a view to serve requests from.
+	configured     chan struct{}
+	configuredOnce sync.Once
 	// met are the hosts of other halls that were connected to; used on the
 	// control thread.
 	met map[string]bool
@@ -81,7 +84,7 @@
 // NewEngine makes an engine that follows the kernel's views.
 func NewEngine(k *kernel.Kernel, h kernel.Headers) (*Engine, func()) {
 	e := &Engine{
-		kernel: k, headers: h,
+		kernel: k, headers: h, configured: make(chan struct{}),
 		relays: newRelays(), relayed: relayed{batches: map[string]*batch{}},
 		batches: sentBatches{prefix: strconv.FormatUint(rand.Uint64()>>batchPrefixSpare, 36) + "-"},
 	}
@@ -120,6 +123,7 @@
 	if v.Index == nil || v.Directory == nil {
 		return
 	}
+	defer e.configuredOnce.Do(func() { close(e.configured) })
 	e.meet(v)
 	next := basis{
 		index: v.Index, directory: v.Directory, repeats: e.kernel.Live().Repeats,
@@ -152,6 +156,30 @@
 	go policy.Deliver(granted)
 }
 
+// awaitConfiguration waits for the first configuration while the process is
+// starting, and reports whether there is one.
+func (e *Engine) awaitConfiguration(ctx context.Context) bool {
+	select {
+	case <-e.configured:
+		return true
+	default:
+	}
+	left := startBound - e.kernel.Now()
+	if left <= 0 {
+		return false
+	}
+	timer := time.NewTimer(left)
+	defer timer.Stop()
+	select {
+	case <-e.configured:
+		return true
+	case <-timer.C:
+		return false
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // meet connects to the hosts that calls to other halls will go through, so that
 // the first of them does not wait; it runs on the control thread.
 func (e *Engine) meet(v *kernel.View) {
--- a/tier/pass/host_test.go
+++ b/tier/pass/host_test.go
@@ -222,19 +222,24 @@
 	peers      kernel.PeerCaller
 	repeats    kernel.Repeats
 	log        io.Writer
+	// age is that of the process; 0 for a minute.
+	age time.Duration
 }
 
 func newHost(t testing.TB, c hostConfig) *host {
 	if c.repeats == (kernel.Repeats{}) {
 		c.repeats = kernel.Repeats{Ratio: 1, Slack: 1000, Window: 10 * time.Second}
 	}
+	if c.age == 0 {
+		c.age = time.Minute
+	}
 	log := zerolog.Nop()
 	if c.log != nil {
 		log = zerolog.New(c.log)
 	}
 	k, stop := kernel.New(kernel.Config{
 		Settings: kernel.Settings{Host: c.name, Hall: c.hall, Incarnation: "1", Adapter: "Test", Repeats: c.repeats},
-		Log:      log, Tracer: noop.NewTracerProvider().Tracer(""), Started: time.Now().Add(-time.Minute),
+		Log:      log, Tracer: noop.NewTracerProvider().Tracer(""), Started: time.Now().Add(-c.age),
 		Fleet: policy.NewFleet(policy.FleetConfig{Random: rand.New(rand.NewPCG(1, 2))}),
 	})
 	k.Peers = c.peers
--- a/tier/pass/serve.go
+++ b/tier/pass/serve.go
@@ -33,6 +33,11 @@
 	// replaced within about a second.
 	retryNoConfig   = 300 * time.Millisecond
 	retryNoUpstream = 200 * time.Millisecond
+	// startBound is the age of the process up to which a request waits for the
+	// first configuration: twice what it takes where the platform answers (20 to
+	// 75 ms after the listener opens). It prevents the first callers after a
+	// restart of all hosts from being refused for want of some milliseconds.
+	startBound = 150 * time.Millisecond
 )
 
 // request is one routed request.
@@ -71,11 +76,13 @@
 	e.kernel.InFlight.Add(1)
 	defer e.kernel.InFlight.Add(-1)
 	e.kernel.Wake()
-	q := &request{engine: e, id: r.Header.Get(e.headers.RequestID), view: e.kernel.View(), begun: e.kernel.Now(), method: r.Method}
+	q := &request{engine: e, id: r.Header.Get(e.headers.RequestID), begun: e.kernel.Now(), method: r.Method}
+	configured := e.awaitConfiguration(r.Context())
+	q.view = e.kernel.View()
 	if e.kernel.Phase() == kernel.PhaseDraining {
 		w.Header().Set("Connection", "close")
 	}
-	if q.view.Index == nil || q.view.Directory == nil {
+	if !configured {
 		q.refuse(w, "no configuration yet", retryNoConfig)
 		return
 	}
--- a/tier/pass/single_test.go
+++ b/tier/pass/single_test.go
@@ -120,6 +120,21 @@
 	assert.Equal(t, r.status, http.StatusServiceUnavailable)
 }
 
+// TestRequestWaitsForTheFirstDocument has a request arrive at a host that is just
+// starting: it is served as soon as there is a document.
+func TestRequestWaitsForTheFirstDocument(t *testing.T) {
+	h := newHost(t, hostConfig{name: "H1", hall: "A", age: -testBound})
+	u := newUpstream(t, "U1", good("x"))
+	answers := make(chan got, 1)
+	go func() { answers <- h.ask(http.MethodGet, "/read/", "one", 5000, "") }()
+	eventually(t, "the request arrives", func() bool { return h.kernel.InFlight.Load() == 1 })
+	h.list("Orders", "A", u, false)
+	h.accept(singles())
+	r := <-answers
+	assert.NilError(t, r.err)
+	assert.Equal(t, r.status, http.StatusOK)
+}
+
 // TestFailures has two upstreams that fail alike, and tells what a caller gets
 // and how often the request arrives in all.
 func TestFailures(t *testing.T) {
