--- a/tier/peers/gossip.go
+++ b/tier/peers/gossip.go
@@ -381,10 +381,8 @@
 
 // fetch gets the document in force at a peer.
 func (g *gossip) fetch(from netip.AddrPort) {
-	ctx, cancel := context.WithTimeout(context.Background(), callBound)
-	defer cancel()
 	var d wire.PackedDocument
-	err := g.node.callAddress(ctx, from, MethodDocument, struct{}{}, &d)
+	err := g.node.fetch(from, MethodDocument, &d)
 	text := ""
 	if err == nil {
 		text, err = d.Unpack(config.MaxBytes)
--- a/tier/peers/listed.go
+++ b/tier/peers/listed.go
@@ -48,10 +48,8 @@
 }
 
 func (g *gossip) directoryOf(from netip.AddrPort) (*config.DirectoryChange, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), callBound)
-	defer cancel()
 	var packed wire.PackedDocument
-	if err := g.node.callAddress(ctx, from, MethodDirectory, struct{}{}, &packed); err != nil {
+	if err := g.node.fetch(from, MethodDirectory, &packed); err != nil {
 		return nil, err
 	}
 	text, err := packed.Unpack(maxDirectory)
--- a/tier/peers/outgo.go
+++ b/tier/peers/outgo.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/netip"
 	"sync"
@@ -16,6 +17,10 @@
 // host out of reach: a new one to the same host may work.
 const silentBound = 300 * time.Millisecond
 
+// fetchBound is how long the first try of a fetch may take. A change must be in
+// force within seconds, also at a host whose connections have all gone silent.
+const fetchBound = 500 * time.Millisecond
+
 // outgoing is a connection that this host made to a peer.
 type outgoing struct {
 	rpc *jsonrpc2.Conn
@@ -65,6 +70,22 @@
 	}
 }
 
+// fetch gets something from a peer. Where a connection has gone silent the second
+// try is made on another.
+func (n *node) fetch(from netip.AddrPort, method string, result any) error {
+	err := n.callWithin(fetchBound, from, method, result)
+	if errors.Is(err, context.DeadlineExceeded) {
+		err = n.callWithin(callBound, from, method, result)
+	}
+	return err
+}
+
+func (n *node) callWithin(bound time.Duration, to netip.AddrPort, method string, result any) error {
+	ctx, cancel := context.WithTimeout(context.Background(), bound)
+	defer cancel()
+	return n.callAddress(ctx, to, method, struct{}{}, result)
+}
+
 // existing returns the connection to an address; nil if there is none that
 // answers.
 func (n *node) existing(to netip.AddrPort) *outgoing {
--- a/tier/peers/outgo_test.go
+++ b/tier/peers/outgo_test.go
@@ -85,6 +85,17 @@
 	assert.Equal(t, proxy.accepted.Load(), int32(2))
 }
 
+// TestFetchSurvivesASilentConnection has a host fetch from a peer on a connection
+// that has gone silent: it must not wait for the whole bound of a call and fail.
+func TestFetchSurvivesASilentConnection(t *testing.T) {
+	_, n, _ := newTestNode(t)
+	k, _, at := newTestNode(t)
+	k.Handle("Echo", func(context.Context, json.RawMessage) (any, error) { return struct{}{}, nil })
+	proxy := newSilentFirst(t, at)
+	var none struct{}
+	assert.NilError(t, n.fetch(proxy.address(), "Echo", &none))
+}
+
 // TestSlowAnswerOutlivesItsConnection has a peer answer later than the bound of
 // silence, while another call has a new connection made: the first call must
 // still get its answer.
