feat: take Retry-After from what is known of the upstreams, and spread it

Cause: every refusal said 200 ms, whatever it was for: callers that were refused together came back together, and where upstreams rest after shedding (5 ms to 1 s) too late or too early. Change: the time until enough parts have an upstream that may be asked again, 20 ms at least; 200 ms where nothing is known; up to half as long again at random. The log line has it.

--- a/tier/pass/answer.go
+++ b/tier/pass/answer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"strings"
@@ -43,7 +44,7 @@
 		q.log(outcome, a.status).Int("Calls", r.Attempts).Msg("request answered")
 		q.write(w, a.status, a.header, a.body)
 	case r.Ran == 0 && !r.Unknown && q.failure == nil:
-		q.refuse(w, "no upstream took it: "+string(r.Reasons[0]), retryNoUpstream)
+		q.refuse(w, "no upstream took it: "+string(r.Reasons[0]), q.retryUpstream())
 	case q.engine.kernel.Now() >= q.deadline:
 		q.fail(w, http.StatusGatewayTimeout, outcomeLate, r)
 	default:
@@ -72,7 +73,7 @@
 			Strs("Lacking", q.lacking(r)).Msg("request answered")
 		q.write(w, http.StatusOK, h, records)
 	case r.Ran == 0:
-		q.refuse(w, "no upstream took it", retryNoUpstream)
+		q.refuse(w, "no upstream took it", q.retryUpstream())
 	case q.engine.kernel.Now() >= q.deadline:
 		q.fail(w, http.StatusGatewayTimeout, outcomeLate, r)
 	default:
@@ -105,9 +106,23 @@
 	}
 }
 
-// refuse tells that the request did not run, and when to ask again.
+// retryUpstream returns in what time upstreams are expected to take the request:
+// when enough of those that shed calls or failed may be asked again, where that
+// is known.
+func (q *request) retryUpstream() time.Duration {
+	k := q.engine.kernel
+	if left := k.Fleet.RetryIn(k.Now(), q.plan.replicas, q.class.Coverage); left > 0 {
+		return max(left, retryLeast)
+	}
+	return retryNoUpstream
+}
+
+// refuse tells that the request did not run, and when to ask again: from the time
+// given on, spread so that callers refused together do not come back together.
 func (q *request) refuse(w http.ResponseWriter, reason string, after time.Duration) {
-	q.log(outcomeNotRun, http.StatusServiceUnavailable).Str("Reason", reason).Msg("request refused")
+	after += rand.N(time.Duration(retrySpread * float64(after)))
+	q.log(outcomeNotRun, http.StatusServiceUnavailable).Str("Reason", reason).
+		Int64("RetryMillis", after.Milliseconds()).Msg("request refused")
 	w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
 	http.Error(w, reason, http.StatusServiceUnavailable)
 }
--- a/tier/pass/serve.go
+++ b/tier/pass/serve.go
@@ -33,6 +33,11 @@
 	// replaced within about a second.
 	retryNoConfig   = 300 * time.Millisecond
 	retryNoUpstream = 200 * time.Millisecond
+	// retryLeast is the least time after which to ask again, so that a caller does
+	// not meet the same queue; upstreams rest 5 ms at first after they shed a call.
+	retryLeast = 20 * time.Millisecond
+	// retrySpread is by what part of it the time is made longer at random.
+	retrySpread = 0.5
 	// startBound is the age of the process up to which a request waits for the
 	// first configuration: twice what it takes where the platform answers (20 to
 	// 75 ms after the listener opens). It prevents the first callers after a
--- a/tier/pass/single_test.go
+++ b/tier/pass/single_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -120,6 +121,24 @@
 	assert.Equal(t, r.status, http.StatusServiceUnavailable)
 }
 
+// TestRefusalsAreSpread refuses callers together: they must not be told to come
+// back together.
+func TestRefusalsAreSpread(t *testing.T) {
+	h := newHost(t, hostConfig{name: "H1", hall: "A"})
+	h.accept(singles())
+	h.list("Other", "A", newUpstream(t, "U1", good("x")), false)
+	times := map[string]bool{}
+	for i := range 8 {
+		r := h.ask(http.MethodGet, "/read/", fmt.Sprint(i), 1000, "")
+		assert.Equal(t, r.status, http.StatusServiceUnavailable)
+		after, err := strconv.ParseFloat(r.header.Get("Retry-After"), 64)
+		assert.NilError(t, err)
+		assert.Assert(t, after >= retryNoUpstream.Seconds() && after <= (1+retrySpread)*retryNoUpstream.Seconds(), "%v s", after)
+		times[r.header.Get("Retry-After")] = true
+	}
+	assert.Assert(t, len(times) > 1, "all come back together: %v", times)
+}
+
 // TestRequestWaitsForTheFirstDocument has a request arrive at a host that is just
 // starting: it is served as soon as there is a document.
 func TestRequestWaitsForTheFirstDocument(t *testing.T) {
