--- a/loomctl/client.go
+++ b/loomctl/client.go
@@ -64,7 +64,7 @@
 	return opsgen.NewClient(h.Status(), h.Document(), h.Ready(), h.Drain())
 }
 
-// bounded gives a context that ends with the timeout.
+// bounded returns a context that ends with the timeout.
 func (c *connection) bounded(ctx context.Context) (context.Context, context.CancelFunc) {
 	return context.WithTimeout(ctx, c.timeout)
 }
--- a/loomctl/order.go
+++ b/loomctl/order.go
@@ -71,7 +71,7 @@
 	return printAnswer(a, c.format)
 }
 
-// explain gives the message of a typed error.
+// explain returns the message of a typed error.
 func explain(err error) error {
 	var f *entrygen.Fault
 	if errors.As(err, &f) {
--- a/loomctl/plan.go
+++ b/loomctl/plan.go
@@ -126,7 +126,7 @@
 	return true
 }
 
-// start gives the document to begin from and the newest published revision.
+// start returns the document to begin from and the newest published revision.
 func (c *planCommand) start(ctx context.Context) (*config.Document, uint64, error) {
 	if c.from != "" {
 		d, err := readDocument(c.from)
--- a/loomd/reload.go
+++ b/loomd/reload.go
@@ -53,13 +53,13 @@
 		k.Log.Error().Err(err).Msg("changed settings refused, the old ones stay in force")
 		return
 	}
-	old, live := k.Live(), kernel.Live{Seeds: next.Seeds, Repeats: next.Repeats}
-	if slices.Equal(old.Seeds, live.Seeds) && old.Repeats == live.Repeats {
+	old, live := k.Live(), kernel.Live{Seeds: next.Seeds, RetryBudget: next.RetryBudget}
+	if slices.Equal(old.Seeds, live.Seeds) && old.RetryBudget == live.RetryBudget {
 		return
 	}
 	k.Reload(live)
-	k.Log.Info().Int("Seeds", len(live.Seeds)).Float64("RepeatRatio", live.Repeats.Ratio).
-		Float64("RepeatSlack", live.Repeats.Slack).Msg("changed settings in force")
+	k.Log.Info().Int("Seeds", len(live.Seeds)).Float64("RetryRatio", live.RetryBudget.Ratio).
+		Float64("RetrySlack", live.RetryBudget.Slack).Msg("changed settings in force")
 }
 
 // origin is where the settings of a daemon come from.
--- a/loomd/reload_test.go
+++ b/loomd/reload_test.go
@@ -33,15 +33,15 @@
 		seeds []netip.AddrPort
 		slack float64
 	}{
-		{"changed seeds", fileText + "LOOMD_SEEDS=127.0.0.1:2\nLOOMD_REPEATSLACK=9\n", second, 9},
-		{"no seeds left", fileText + "LOOMD_SEEDS=\nLOOMD_REPEATSLACK=9\n", nil, 9},
+		{"changed seeds", fileText + "LOOMD_SEEDS=127.0.0.1:2\nLOOMD_RETRYSLACK=9\n", second, 9},
+		{"no seeds left", fileText + "LOOMD_SEEDS=\nLOOMD_RETRYSLACK=9\n", nil, 9},
 		{"bad value keeps the old", fileText + "LOOMD_SEEDS=nowhere\n", first, 7},
 		{"missing setting keeps the old", "LOOMD_SEEDS=127.0.0.1:2\n", first, 7},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			k, cleanUp := kernel.New(kernel.Config{
-				Settings: kernel.Settings{Seeds: first, Repeats: kernel.Repeats{Slack: 7}}, Log: zerolog.Nop(), Started: time.Now(),
+				Settings: kernel.Settings{Seeds: first, RetryBudget: kernel.RetryBudget{Slack: 7}}, Log: zerolog.Nop(), Started: time.Now(),
 				Fleet: policy.NewFleet(policy.FleetConfig{Random: rand.New(rand.NewPCG(1, 1))}),
 			})
 			defer cleanUp()
@@ -49,7 +49,7 @@
 			assert.NilError(t, os.WriteFile(path, []byte(tt.text), 0o600))
 			reload(k, origin{file: path})
 			assert.DeepEqual(t, texts(k.Live().Seeds), texts(tt.seeds))
-			assert.Equal(t, k.Live().Repeats.Slack, tt.slack)
+			assert.Equal(t, k.Live().RetryBudget.Slack, tt.slack)
 		})
 	}
 }
--- a/loomd/settings.go
+++ b/loomd/settings.go
@@ -84,9 +84,9 @@
 	f.DurationVar(&s.StopBound, "StopBound", 15*time.Second, "longest time for requests in flight at a planned stop")
 	f.DurationVar(&s.LeavingHold, "LeavingHold", 2*time.Minute, "how long an upstream counts as leaving after its last sign")
 	f.StringVar(&s.Adapter, "Adapter", "", "`name` of the platform's adapter; empty for loomgap's own protocols")
-	f.Float64Var(&s.Repeats.Ratio, "RepeatRatio", 0.2, "share of routed requests that may be repeated")
-	f.Float64Var(&s.Repeats.Slack, "RepeatSlack", 50, "`calls` that may be repeated besides, by all hosts in one -RepeatWindow")
-	f.DurationVar(&s.Repeats.Window, "RepeatWindow", 10*time.Second, "span in which repeats are counted")
+	f.Float64Var(&s.RetryBudget.Ratio, "RetryRatio", 0.2, "share of routed requests that may be repeated")
+	f.Float64Var(&s.RetryBudget.Slack, "RetrySlack", 50, "`calls` that may be repeated besides, by all hosts in one -RetryWindow")
+	f.DurationVar(&s.RetryBudget.Window, "RetryWindow", 10*time.Second, "span in which repeats are counted")
 	f.IntVar(&s.LogRate, "LogRate", 200, "most log lines a second about single requests")
 	f.Float64Var(&s.TraceRatio, "TraceRatio", 0, "share of requests whose spans are logged, 0 to 1")
 }
@@ -146,9 +146,9 @@
 		{s.SettleMost >= s.Settle && s.SettleMost <= 2*time.Minute, "SettleMost", "out of range", "use -Settle to 2m"},
 		{s.StopBound >= time.Second && s.StopBound <= 10*time.Minute, "StopBound", "out of range", "use 1s to 10m"},
 		{s.LeavingHold >= time.Second && s.LeavingHold <= time.Hour, "LeavingHold", "out of range", "use 1s to 1h"},
-		{s.Repeats.Ratio >= 0 && s.Repeats.Ratio <= 1, "RepeatRatio", "out of range", "use 0 to 1"},
-		{s.Repeats.Slack >= 0, "RepeatSlack", "out of range", "use 0 or more"},
-		{s.Repeats.Window >= time.Second, "RepeatWindow", "out of range", "use 1s or more"},
+		{s.RetryBudget.Ratio >= 0 && s.RetryBudget.Ratio <= 1, "RetryRatio", "out of range", "use 0 to 1"},
+		{s.RetryBudget.Slack >= 0, "RetrySlack", "out of range", "use 0 or more"},
+		{s.RetryBudget.Window >= time.Second, "RetryWindow", "out of range", "use 1s or more"},
 		{s.LogRate >= 1, "LogRate", "out of range", "use 1 or more"},
 		{s.TraceRatio >= 0 && s.TraceRatio <= 1, "TraceRatio", "out of range", "use 0 to 1"},
 	}
--- a/loomfake/commands_test.go
+++ b/loomfake/commands_test.go
@@ -353,7 +353,7 @@
 	return nil
 }
 
-// pick gives the address of a host for a client.
+// pick returns the address of a host for a client.
 func (s *scene) pick(hosts []int, n int) string {
 	if s.balancer != nil {
 		return s.balancer.host().String()
--- a/loomfake/soakcheck.go
+++ b/loomfake/soakcheck.go
@@ -31,7 +31,7 @@
 	soakServed = 0.95
 )
 
-// check gives the broken promises, each with what showed it.
+// check returns the broken promises, each with what showed it.
 func (s *soak) check() []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -99,7 +99,7 @@
 	}
 }
 
-// stopped tells whether a request was under way during a planned stop of its
+// stopped reports whether a request was under way during a planned stop of its
 // host with nothing else done to the host.
 func (c *checker) stopped(a *asked) bool {
 	h := c.soak.hosts[a.host]
--- a/loomfake/soakrun.go
+++ b/loomfake/soakrun.go
@@ -360,7 +360,7 @@
 	}
 }
 
-// restarter gives what starts a host again, once the daemon that runs now has
+// restarter returns what starts a host again, once the daemon that runs now has
 // ended. Faults overlap: another may have killed it and started it again.
 func (s *soak) restarter(h *soakHost) func() {
 	generation := h.generation()
--- a/loomfake/soaksite.go
+++ b/loomfake/soaksite.go
@@ -253,7 +253,7 @@
 	return set, nil
 }
 
-// recordsOf gives the records of a shard, which all its replicas have.
+// recordsOf returns the records of a shard, which all its replicas have.
 func recordsOf(group string) string {
 	r := rand.New(rand.NewPCG(xxhash.Sum64String(group), 0))
 	var b strings.Builder
@@ -362,7 +362,7 @@
 		seeds = append(seeds, o.peer.String())
 	}
 	text := fmt.Sprintf("LOOMD_ADAPTER=%s\nLOOMD_HOST=%s\nLOOMD_HALL=%s\nLOOMD_LISTEN=%s\nLOOMD_OPERATE=%s\nLOOMD_PEER=%s\nLOOMD_PLATFORM=%s\n"+
-		"LOOMD_SEEDS=%s\nLOOMD_REPEATRATIO=%g\nLOOMD_REPEATSLACK=%d\nLOOMD_WATCHWAIT=1s\nLOOMD_SETTLE=700ms\nLOOMD_STOPBOUND=2500ms\n",
+		"LOOMD_SEEDS=%s\nLOOMD_RETRYRATIO=%g\nLOOMD_RETRYSLACK=%d\nLOOMD_WATCHWAIT=1s\nLOOMD_SETTLE=700ms\nLOOMD_STOPBOUND=2500ms\n",
 		platform.Name, h.name, h.hall, h.listen, h.operate, h.peer, h.storeAt, strings.Join(seeds, ","), soakRatio, soakSlack)
 	return os.WriteFile(h.settings, []byte(text), 0o600)
 }
--- a/tier/config/check.go
+++ b/tier/config/check.go
@@ -8,7 +8,7 @@
 	"time"
 )
 
-// ValidName tells whether a name of a host, hall, class and so on is well formed.
+// ValidName reports whether a name of a host, hall, class and so on is well formed.
 func ValidName(name string) bool { return nameForm.MatchString(name) }
 
 var nameForm = regexp.MustCompile(`^[A-Za-z][A-Za-z0-9_.-]{0,62}$`)
@@ -20,7 +20,7 @@
 	maxSlots       = 4096
 )
 
-// Check tells whether a document published at a revision is valid. It depends
+// Check reports whether a document published at a revision is valid. It depends
 // on nothing but its arguments.
 func Check(d *Document, revision uint64) error {
 	c := checker{doc: d, upstreams: map[string]bool{}}
@@ -118,7 +118,7 @@
 // Choices and Admissions name what package policy registers; they stand here
 // because a document must be checked alike everywhere.
 var (
-	Choices    = []string{"LeastTime", "Random", "First", "Soonest"}
+	Choices    = []string{"LeastTime", "Random", "First", "LeastLatency"}
 	Admissions = []string{"None", "Deadline", "Worth"}
 )
 
--- a/tier/config/directory.go
+++ b/tier/config/directory.go
@@ -31,7 +31,7 @@
 type Directory struct {
 	// Revision is the platform's revision up to which the directory is whole.
 	Revision uint64
-	// removed gives for names that were removed the revision of the removal, so
+	// removed returns for names that were removed the revision of the removal, so
 	// that an older listing of the same name does not bring it back.
 	removed map[string]uint64
 	listed  map[string]Listing
@@ -89,7 +89,7 @@
 	return out
 }
 
-// Whole gives the directory as a change that brings another host to it.
+// Whole returns the directory as a change that brings another host to it.
 func (d *Directory) Whole() DirectoryChange {
 	if d == nil {
 		return DirectoryChange{}
@@ -110,7 +110,7 @@
 	return d.digest
 }
 
-// Lacking gives the removals that would make the directory equal to a whole
+// Lacking returns the removals that would make the directory equal to a whole
 // listing, without those that are newer than it.
 func (d *Directory) Lacking(c *DirectoryChange) []Removal {
 	if d == nil {
@@ -129,7 +129,7 @@
 	return out
 }
 
-// Since gives what changed from an earlier directory to this one.
+// Since returns what changed from an earlier directory to this one.
 func (d *Directory) Since(old *Directory) DirectoryChange {
 	if old == nil || d == nil {
 		return d.Whole()
@@ -148,7 +148,7 @@
 	return out
 }
 
-// With gives the directory after a change. What is older than what is known
+// With returns the directory after a change. What is older than what is known
 // has no effect, so changes may arrive twice or out of order. A whole listing
 // older than the directory takes nothing away. The second result is false if
 // nothing changed but the revision.
--- a/tier/config/document.go
+++ b/tier/config/document.go
@@ -133,7 +133,7 @@
 	return nil
 }
 
-// DefaultClass gives the settings of a class that the document leaves out.
+// DefaultClass returns the settings of a class that the document leaves out.
 func DefaultClass() Class {
 	return Class{
 		Deadline:      Duration(300 * time.Millisecond),
--- a/tier/config/env.go
+++ b/tier/config/env.go
@@ -16,7 +16,7 @@
 // Error implements error.
 func (e *VariableError) Error() string { return fmt.Sprintf("%s: %v", e.Variable, e.Err) }
 
-// Unwrap gives what the flag said.
+// Unwrap returns what the flag said.
 func (e *VariableError) Unwrap() error { return e.Err }
 
 // Lookup finds the value of a variable.
--- a/tier/config/route.go
+++ b/tier/config/route.go
@@ -90,13 +90,13 @@
 	}
 }
 
-// Class gives the settings of the decisions about the route's requests.
+// Class returns the settings of the decisions about the route's requests.
 func (r *Route) Class() Class {
 	c := DefaultClass()
 	c.Name = r.Name
 	c.Deadline, c.MaxDeadline, c.Margin = r.TimeLimit, r.TimeLimit, 0
-	c.Choice, c.Admission, c.HedgeQuantile = "Soonest", "None", routeHedgeQuantile
-	c.Patience = r.Objective - min(homeReserve, r.Objective/5)
+	c.Choice, c.Admission, c.HedgeQuantile = "LeastLatency", "None", routeHedgeQuantile
+	c.Patience = r.Objective - min(responseReserve, r.Objective/5)
 	c.MaxInFlight = routeInFlight
 	if r.Gather != nil {
 		c.Coverage = r.Gather.Coverage
@@ -108,9 +108,9 @@
 	// routeHedgeQuantile is lower than a class's own: the budget of repeats is
 	// the bound, and a pause of an upstream is cheapest left early.
 	routeHedgeQuantile = 0.95
-	// homeReserve is kept back from an objective for the way of the answer to
+	// responseReserve is kept back from an objective for the way of the answer to
 	// its caller: connection, links, merge. From days on the bench.
-	homeReserve = Duration(18 * time.Millisecond)
+	responseReserve = Duration(18 * time.Millisecond)
 	// routeInFlight bounds the requests of one route in one host, so that their
 	// bodies fit into the memory of a small host.
 	routeInFlight = 2000
--- a/tier/entry/engine.go
+++ b/tier/entry/engine.go
@@ -15,12 +15,12 @@
 	"go.opentelemetry.io/otel/attribute"
 
 	"loomgap/tier/config"
-	"loomgap/tier/flight"
 	entrygen "loomgap/tier/gen/entry"
 	"loomgap/tier/kernel"
 	"loomgap/tier/peers"
 	"loomgap/tier/policy"
 	"loomgap/tier/query"
+	"loomgap/tier/runner"
 	"loomgap/tier/wire"
 )
 
@@ -255,7 +255,7 @@
 	return second, nil
 }
 
-// stale tells whether another plan may cover more.
+// stale reports whether another plan may cover more.
 func stale(a *entrygen.Answer) bool {
 	for _, m := range a.Missing {
 		if m.Reason == string(query.ReasonMoved) || m.Reason == string(query.ReasonSnapshotGone) {
@@ -316,7 +316,7 @@
 // run carries out a request. One that may be repeated is given up when the
 // context of its caller ends.
 func (e *Engine) run(ctx context.Context, c *partCaller, h *held, replicas [][]*policy.Upstream, repeatable bool) (policy.Result, error) {
-	f, err := flight.New(flight.Config[*wire.PartReply]{
+	f, err := runner.New(runner.Config[*wire.PartReply]{
 		Kernel: e.kernel, Caller: c,
 		Run: policy.RunConfig{
 			Fleet: e.kernel.Fleet, Pool: e.pool(h.service.Name), Class: h.class, Deadline: h.deadline,
@@ -330,7 +330,7 @@
 	if repeatable {
 		giveUp = ctx.Done()
 	}
-	return f.Fly(ctx, giveUp)
+	return f.Run(ctx, giveUp)
 }
 
 func (e *Engine) describe(id string, h *held, shards []config.Shard, r *policy.Result) *entrygen.Answer {
--- a/tier/entry/flight.go
+++ b/tier/entry/flight.go
@@ -9,8 +9,8 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
 
-	"loomgap/tier/flight"
 	"loomgap/tier/policy"
+	"loomgap/tier/runner"
 	"loomgap/tier/wire"
 )
 
@@ -30,15 +30,15 @@
 	take func(p *wire.PartReply)
 }
 
-var _ flight.Caller[*wire.PartReply] = (*partCaller)(nil)
+var _ runner.Caller[*wire.PartReply] = (*partCaller)(nil)
 
-// Call implements flight.Caller.
-func (c *partCaller) Call(ctx context.Context, a policy.Action) flight.Reply[*wire.PartReply] {
+// Call implements runner.Caller.
+func (c *partCaller) Call(ctx context.Context, a policy.Action) runner.Reply[*wire.PartReply] {
 	k := c.engine.kernel
 	id, body, err := c.message(a.Part, a.Attempt)
 	if err != nil {
 		k.Log.Error().Err(err).Msg("message not encoded")
-		return flight.Reply[*wire.PartReply]{Outcome: policy.CallNotSent}
+		return runner.Reply[*wire.PartReply]{Outcome: policy.CallNotSent}
 	}
 	outcome, part := c.engine.exchange(ctx, &exchange{
 		upstream: a.Upstream.Name, service: c.service, path: c.path,
@@ -47,10 +47,10 @@
 	if part != nil {
 		k.Fleet.Note(k.Now(), a.Upstream, policy.Window{Oldest: part.Oldest, Newest: part.Newest, Known: true}, part.Leaving)
 	}
-	return flight.Reply[*wire.PartReply]{Outcome: outcome, Part: part}
+	return runner.Reply[*wire.PartReply]{Outcome: outcome, Part: part}
 }
 
-// Take implements flight.Caller.
+// Take implements runner.Caller.
 func (c *partCaller) Take(_ int, p *wire.PartReply) { c.take(p) }
 
 // exchange is one call to an upstream, made here or through the host that
--- a/tier/entry/order.go
+++ b/tier/entry/order.go
@@ -86,7 +86,7 @@
 	return answer, nil
 }
 
-// ticketsOf gives the tickets that a ticket belongs to; nil if this host holds
+// ticketsOf returns the tickets that a ticket belongs to; nil if this host holds
 // none of that process.
 func (e *Engine) ticketsOf(t Ticket) *Tickets {
 	if t.Host == e.kernel.Settings.Host && t.Incarnation == e.kernel.Settings.Incarnation {
@@ -141,7 +141,7 @@
 		return nil, err
 	}
 	if e.ticketsOf(t) == nil {
-		return nil, fmt.Errorf("%w %q: %w", ErrTicket, in.Ticket, errNotHeir)
+		return nil, fmt.Errorf("%w %q: %w", ErrTicket, in.Ticket, errNotSuccessor)
 	}
 	return e.Order(wire.TraceInto(ctx, in.Trace), &entrygen.OrderPayload{
 		Ticket: in.Ticket, Statement: in.Statement, Class: in.Class, DeadlineMillis: &in.DeadlineMillis,
--- a/tier/entry/heir.go
+++ b/tier/entry/successor.go
@@ -24,13 +24,13 @@
 	handedAtOnce = 500
 	// maxAdopted is how many processes' tickets a host keeps.
 	maxAdopted = 64
-	// heirsAsked is how many hosts are asked for a ticket whose process is gone.
-	heirsAsked = 2
-	adoptBound = 2 * time.Second
+	// successorsAsked is how many hosts are asked for a ticket whose process is gone.
+	successorsAsked = 2
+	adoptBound      = 2 * time.Second
 )
 
-// errNotHeir is returned by a host that has not adopted a ticket.
-var errNotHeir = errors.New("ticket not held here")
+// errNotSuccessor is returned by a host that has not adopted a ticket.
+var errNotSuccessor = errors.New("ticket not held here")
 
 // HandedTicket is a ticket on its way to another host.
 type HandedTicket struct {
@@ -89,14 +89,14 @@
 
 func processOf(host, incarnation string) string { return host + "/" + incarnation }
 
-// find gives the tickets of a process; nil if they are not held here.
+// find returns the tickets of a process; nil if they are not held here.
 func (a *adopted) find(process string) *Tickets {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	return a.all[process]
 }
 
-// open gives the tickets of a process, made empty at first; the oldest process
+// open returns the tickets of a process, made empty at first; the oldest process
 // is dropped when there are too many, and its tickets are Unknown from then on.
 func (a *adopted) open(host, incarnation string, life time.Duration) *Tickets {
 	a.mu.Lock()
@@ -143,8 +143,8 @@
 	return struct{}{}, nil
 }
 
-// heirs ranks the other hosts that may hold the tickets of a process that is gone.
-func heirs(v *kernel.View, s *kernel.Settings, process string) []string {
+// successors ranks the other hosts that may hold the tickets of a process that is gone.
+func successors(v *kernel.View, s *kernel.Settings, process string) []string {
 	ranked := peers.Rank("heir\x00"+process, v.Hall(s))
 	return slices.DeleteFunc(ranked, func(h string) bool { return h == s.Host })
 }
@@ -154,7 +154,7 @@
 func (e *Engine) handOver() {
 	for _, t := range append(e.adopted.list(), e.tickets) {
 		process := processOf(t.host, t.incarnation)
-		ranked := heirs(e.kernel.View(), &e.kernel.Settings, process)
+		ranked := successors(e.kernel.View(), &e.kernel.Settings, process)
 		handed := t.GiveAway(e.kernel.Now())
 		if len(handed) == 0 || len(ranked) == 0 {
 			continue
@@ -175,8 +175,8 @@
 
 // askHeirs sends an order to the hosts that may have adopted its ticket.
 func (e *Engine) askHeirs(ctx context.Context, t Ticket, in *entrygen.OrderPayload, h *held) *entrygen.Answer {
-	ranked := heirs(h.view, &e.kernel.Settings, processOf(t.Host, t.Incarnation))
-	for _, n := range ranked[:min(heirsAsked, len(ranked))] {
+	ranked := successors(h.view, &e.kernel.Settings, processOf(t.Host, t.Incarnation))
+	for _, n := range ranked[:min(successorsAsked, len(ranked))] {
 		var out entrygen.Answer
 		if e.sendOrder(ctx, n, in, h, &out) == nil {
 			return &out
--- a/tier/entry/ticket.go
+++ b/tier/entry/ticket.go
@@ -182,7 +182,7 @@
 	s.settled = nil
 }
 
-// Answer gives the final answer of a ticket; nil if it has none.
+// Answer returns the final answer of a ticket; nil if it has none.
 func (t *Tickets) Answer(counter uint64) *entrygen.Answer {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/tier/kernel/kernel.go
+++ b/tier/kernel/kernel.go
@@ -39,7 +39,7 @@
 	Name() string
 	// Default fills in settings that were left out.
 	Default(s *Settings)
-	// Skip tells whether the stage has nothing to do.
+	// Skip reports whether the stage has nothing to do.
 	Skip(s *Settings) bool
 	// Run starts the stage and returns its clean-up, which may be nil.
 	Run(ctx context.Context, k *Kernel) (func(), error)
@@ -128,7 +128,7 @@
 		stopping:  make(chan struct{}),
 	}
 	k.phase.Store(PhaseStarting)
-	k.live.Store(&Live{Seeds: c.Settings.Seeds, Repeats: c.Settings.Repeats})
+	k.live.Store(&Live{Seeds: c.Settings.Seeds, RetryBudget: c.Settings.RetryBudget})
 	state := newState()
 	k.view.Store(state.view())
 	k.pulse.Store(int64(k.Now()))
@@ -147,7 +147,7 @@
 // Now is the time since the process started, on the monotonic clock.
 func (k *Kernel) Now() time.Duration { return time.Since(k.started) }
 
-// Live gives the settings that may change while the process runs.
+// Live returns the settings that may change while the process runs.
 func (k *Kernel) Live() Live { return *k.live.Load() }
 
 // Reload puts changed settings in force; the control thread publishes a view.
@@ -182,7 +182,7 @@
 	return h.(Handler)
 }
 
-// Awake tells whether the process has run without a long pause up to now. A
+// Awake reports whether the process has run without a long pause up to now. A
 // process that was paused must not act on what it believed before.
 func (k *Kernel) Awake() bool {
 	return k.Now()-time.Duration(k.pulse.Load()) < pauseBound
@@ -215,7 +215,7 @@
 // Stopping is closed when a planned stop was asked for.
 func (k *Kernel) Stopping() <-chan struct{} { return k.stopping }
 
-// Ready tells whether the host is to get requests, for whoever asks.
+// Ready reports whether the host is to get requests, for whoever asks.
 func (k *Kernel) Ready() bool {
 	if k.Phase() == PhaseDraining {
 		k.refused.Add(1)
--- a/tier/kernel/kernel_test.go
+++ b/tier/kernel/kernel_test.go
@@ -22,7 +22,7 @@
 	})
 }
 
-// document gives a valid document that is based on a revision.
+// document returns a valid document that is based on a revision.
 func document(t *testing.T, based string) string {
 	t.Helper()
 	text, err := os.ReadFile("../config/testdata/good.json")
--- a/tier/kernel/state.go
+++ b/tier/kernel/state.go
@@ -63,8 +63,8 @@
 	// Adapter names the adapter of the platform; empty for loomgap's own
 	// platform protocol and callers.
 	Adapter string
-	// Repeats bound the calls beyond the first of each routed request.
-	Repeats Repeats
+	// RetryBudget bounds the calls beyond the first of each routed request.
+	RetryBudget RetryBudget
 	// LogRate is the most log lines a second about single requests.
 	LogRate int
 }
@@ -73,16 +73,16 @@
 type Live struct {
 	// Seeds are other entry hosts to join at.
 	Seeds []netip.AddrPort
-	// Repeats bound the calls beyond the first.
-	Repeats Repeats
+	// RetryBudget bounds the calls beyond the first.
+	RetryBudget RetryBudget
 }
 
-// Repeats bound the calls beyond the first that a group of upstreams gets from
+// RetryBudget bounds the calls beyond the first that a group of upstreams gets from
 // all hosts together, within any span of Window.
-type Repeats struct {
+type RetryBudget struct {
 	// Ratio is the part of the requests that may be repeated.
 	Ratio float64
-	// Slack is how many repeats are allowed besides.
+	// Slack is how many retries are allowed besides.
 	Slack float64
 	// Window is the span that is looked at.
 	Window time.Duration
@@ -101,8 +101,8 @@
 	Revision uint64
 }
 
-// Heard is a sign of a host that tells what is published.
-type Heard struct {
+// SourceSign is the last announcement of a host that announces what is published.
+type SourceSign struct {
 	At time.Duration
 	// Lost is true if that host does not hear the platform; Since is from when on
 	// it has told so, or told that it does.
@@ -111,8 +111,8 @@
 }
 
 // Next is what is heard of a host after this.
-func (h Heard) Next(now time.Duration, lost bool) Heard {
-	out := Heard{At: now, Lost: lost, Since: h.Since}
+func (h SourceSign) Next(now time.Duration, lost bool) SourceSign {
+	out := SourceSign{At: now, Lost: lost, Since: h.Since}
 	if h.At == 0 || h.Lost != lost {
 		out.Since = now
 	}
@@ -140,11 +140,11 @@
 	// Returned gives for each upstream when it was last said to be back; older
 	// signs of leaving do not count.
 	Returned map[string]time.Duration
-	// Watching tells whether this host watches the platform.
-	Watching bool
-	// Telling tells whether this host tells its hall what is published: what it
+	// Reading reports whether this host watches the platform.
+	Reading bool
+	// Announcing reports whether this host tells its hall what is published: what it
 	// reads itself, or hears from a reader in another hall.
-	Telling bool
+	Announcing bool
 	// PlatformHeard is when the hall last heard the platform.
 	PlatformHeard time.Duration
 	// FeedDown is true while this host cannot read what the platform publishes
@@ -153,9 +153,9 @@
 	// SourceAt is when what this host tells was read from the platform, by itself
 	// or by the reader that it heard it from; 0 for never.
 	SourceAt time.Duration
-	// News holds what was last heard from each host that tells this hall, and
-	// FarNews the same of those in other halls that read the platform.
-	News, FarNews map[string]Heard
+	// HallSources holds what was last heard from each host that tells this hall, and
+	// OtherSources the same of those in other halls that read the platform.
+	HallSources, OtherSources map[string]SourceSign
 	// Pauses counts the pauses of this process.
 	Pauses int
 	// Confirmed is true once a peer told that it has no newer document than
@@ -167,15 +167,15 @@
 }
 
 func newState() *State {
-	return &State{Members: map[string]Member{}, Leaving: map[string]time.Duration{}, Returned: map[string]time.Duration{}, News: map[string]Heard{}, FarNews: map[string]Heard{}}
+	return &State{Members: map[string]Member{}, Leaving: map[string]time.Duration{}, Returned: map[string]time.Duration{}, HallSources: map[string]SourceSign{}, OtherSources: map[string]SourceSign{}}
 }
 
 // Changed has the state published after the job.
 func (s *State) Changed() { s.changed = true }
 
-// Told takes in what a peer told of a document that it refused and that was
+// NotePublished takes in what a peer told of a document that it refused and that was
 // not seen here.
-func (s *State) Told(published uint64, refused string) {
+func (s *State) NotePublished(published uint64, refused string) {
 	if published <= s.Published {
 		return
 	}
@@ -242,7 +242,7 @@
 	return &View{
 		Index: s.Index, Published: s.Published, Newest: s.Newest, Refused: s.Refused, Directory: s.Directory,
 		Members: maps.Clone(s.Members), Leaving: s.leaving(),
-		Watching: s.Watching, PlatformHeard: s.PlatformHeard, Pauses: s.Pauses, Confirmed: s.Confirmed,
+		Watching: s.Reading, PlatformHeard: s.PlatformHeard, Pauses: s.Pauses, Confirmed: s.Confirmed,
 	}
 }
 
--- a/tier/pass/answer.go
+++ b/tier/pass/answer.go
@@ -29,7 +29,7 @@
 	outcomeTooLarge = "TooLarge"
 )
 
-// answerSingle gives the answer of one upstream.
+// answerSingle returns the answer of one upstream.
 func (q *request) answerSingle(w http.ResponseWriter, r *policy.Result) {
 	a := q.single
 	if a == nil {
@@ -52,7 +52,7 @@
 	}
 }
 
-// answerGathered gives the merged answer, if it covers enough.
+// answerGathered returns the merged answer, if it covers enough.
 func (q *request) answerGathered(ctx context.Context, w http.ResponseWriter, r *policy.Result) {
 	q.complete(ctx)
 	total := len(q.plan.groups)
--- a/tier/pass/batch.go
+++ b/tier/pass/batch.go
@@ -13,20 +13,20 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
 
-	"loomgap/tier/flight"
 	"loomgap/tier/policy"
+	"loomgap/tier/runner"
 	"loomgap/tier/wire"
 )
 
 // Bounds of batches that go to another host.
 const (
 	// relaySilent is how long the first sign of a host may be late until others
-	// are asked first, and relayRest how long it is left alone then: twice as long
+	// are asked first, and relayBackoff how long it is left alone then: twice as long
 	// each time until it answers, relayRestMost at most. Each try of a host that
 	// is cut off costs the calls of a batch.
-	relaySilent   = 100 * time.Millisecond
-	relayRest     = 2 * time.Second
-	relayRestMost = 16 * time.Second
+	relaySilent      = 100 * time.Millisecond
+	relayBackoff     = 2 * time.Second
+	relayBackoffMost = 16 * time.Second
 	// hallSilent is how many hosts of a hall in a row leave a batch unanswered
 	// until its upstreams are called directly: this host may be cut off from the
 	// hosts there, and not from the upstreams.
@@ -42,16 +42,16 @@
 	stopBound = time.Second
 )
 
-var _ flight.Batcher[*answer] = (*request)(nil)
+var _ runner.Batcher[*answer] = (*request)(nil)
 
 // relaying is which hosts make calls for one request.
 type relaying struct {
 	mu sync.Mutex
 	// begun are the batches, by number of the batch's first attempt.
 	begun map[int]begun
-	// owing counts the batches that a host has not answered. A hedge must not
+	// outstanding counts the batches that a host has not answered. A hedge must not
 	// wait for the same host as the call that it hedges.
-	owing map[string]int
+	outstanding map[string]int
 }
 
 // begun is a batch on its way.
@@ -64,10 +64,10 @@
 
 func (r *relaying) begin(attempt int, b begun) {
 	if r.begun == nil {
-		r.begun, r.owing = map[int]begun{}, map[string]int{}
+		r.begun, r.outstanding = map[int]begun{}, map[string]int{}
 	}
 	r.begun[attempt] = b
-	r.owing[b.host]++
+	r.outstanding[b.host]++
 }
 
 func (r *relaying) of(attempt int) begun {
@@ -79,10 +79,10 @@
 func (r *relaying) answered(host string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.owing[host]--
+	r.outstanding[host]--
 }
 
-// Batches implements flight.Batcher: calls to upstreams of one other hall go
+// Batches implements runner.Batcher: calls to upstreams of one other hall go
 // together through a host there. Even a single call does: that host has
 // connections to the upstream, and making one from afar takes longer than the
 // call.
@@ -101,7 +101,7 @@
 	for h, calls := range byHall {
 		host := ""
 		if h != k.Settings.Hall {
-			host = q.engine.relays.choose(q.view, h, k.Now(), q.relaying.owing)
+			host = q.engine.relays.choose(q.view, h, k.Now(), q.relaying.outstanding)
 		}
 		if host == "" {
 			apart = append(apart, calls...)
@@ -118,8 +118,8 @@
 	return batches, apart
 }
 
-// CallBatch implements flight.Batcher.
-func (q *request) CallBatch(ctx context.Context, batch []policy.Action, to flight.Reporter[*answer]) {
+// CallBatch implements runner.Batcher.
+func (q *request) CallBatch(ctx context.Context, batch []policy.Action, to runner.Reporter[*answer]) {
 	e := q.engine
 	k := e.kernel
 	b := q.relaying.of(batch[0].Attempt)
@@ -130,7 +130,7 @@
 		span.SetAttributes(attribute.String("Relay", host), attribute.Int("Calls", len(batch)))
 	}
 	started := k.Now()
-	way := e.relays.way(host)
+	way := e.relays.roundTrip(host)
 	in := q.gatherRequest(batch, way)
 	due := started + way + time.Duration(in.FirstMillis)*time.Millisecond
 	if in.FirstMillis == 0 {
@@ -140,7 +140,7 @@
 	in.Floor, in.Trace = b.floor, wire.TraceOf(ctx)
 	progress, forget := e.batches.open(in.ID)
 	defer forget()
-	s := &sentBatch{request: q, calls: batch, in: in, begun: b, started: started, due: due, way: way, to: to}
+	s := &sentBatch{request: q, calls: batch, in: in, begun: b, started: started, due: due, roundTrip: way, to: to}
 	answered := make(chan error, 1)
 	go func() { answered <- e.callRelay(ctx, host, MethodGather, in, &s.last, q.deadline) }()
 	for {
@@ -163,11 +163,11 @@
 	begun   begun
 	// started is when it was sent, due when the first sign of it is due.
 	started, due time.Duration
-	// way is how long a message takes there and back, as far as is known.
-	way time.Duration
-	to  flight.Reporter[*answer]
-	// told counts what came before the answer.
-	told int
+	// roundTrip is how long a message takes there and back, as far as is known.
+	roundTrip time.Duration
+	to        runner.Reporter[*answer]
+	// received counts what came before the answer.
+	received int
 	// heard is true once anything came, overdue once the calls that are not in
 	// were said to be slow.
 	heard, overdue bool
@@ -181,8 +181,8 @@
 // take reports the calls that a reply tells of. Those that are not in when the
 // first answer was due are hedged.
 func (s *sentBatch) take(g *GatherReply) {
-	s.told++
-	s.hear(g)
+	s.received++
+	s.noteFirstReply(g)
 	s.report(g)
 	if g.Due && !s.overdue {
 		s.overdue = true
@@ -190,8 +190,8 @@
 	}
 }
 
-// hear notes the first sign of the host, and how long the message took.
-func (s *sentBatch) hear(g *GatherReply) {
+// noteFirstReply notes the first sign of the host, and how long the message took.
+func (s *sentBatch) noteFirstReply(g *GatherReply) {
 	if s.heard {
 		return
 	}
@@ -199,8 +199,8 @@
 	e := s.request.engine
 	now := e.kernel.Now()
 	held := time.Duration(g.HeldMicros) * time.Microsecond
-	s.way = max(now-s.started-held, time.Microsecond)
-	e.relays.answered(s.begun.host, s.hall(), now, s.way)
+	s.roundTrip = max(now-s.started-held, time.Microsecond)
+	e.relays.answered(s.begun.host, s.hall(), now, s.roundTrip)
 	s.request.relaying.answered(s.begun.host)
 }
 
@@ -210,12 +210,12 @@
 		s.fail(ctx, err)
 		return
 	}
-	s.hear(&s.last)
+	s.noteFirstReply(&s.last)
 	s.report(&s.last)
 	// What was told before the answer may be handled after it.
 	timer := time.NewTimer(lateProgress)
 	defer timer.Stop()
-	for s.told < s.last.Told {
+	for s.received < s.last.ProgressSent {
 		select {
 		case p := <-progress:
 			s.take(p)
@@ -240,13 +240,13 @@
 		q.relaying.answered(host)
 	}
 	if ctx.Err() != nil {
-		e.stopRelay(host, BatchName{ID: s.in.ID, Left: q.left.Load()}, q.id)
+		e.stopRelay(host, StopRequest{ID: s.in.ID, Left: q.callerGone.Load()}, q.id)
 	} else {
 		e.kernel.Decisions.Info().Str("RequestID", q.id).Str("Relay", host).Int("Calls", len(s.calls)).
 			Str("Outcome", string(outcome)).Err(err).Msg("batch not answered")
 	}
 	for i := range s.calls {
-		s.to.Report(i, flight.Reply[*answer]{Outcome: outcome})
+		s.to.Report(i, runner.Reply[*answer]{Outcome: outcome})
 	}
 }
 
@@ -254,10 +254,10 @@
 // block that stands for all of them.
 func (s *sentBatch) report(g *GatherReply) {
 	fleet := s.request.engine.kernel.Fleet
-	fleet.TakeConditions(s.request.engine.kernel.Now(), s.hall(), g.Worse)
+	fleet.TakeConditions(s.request.engine.kernel.Now(), s.hall(), g.Conditions)
 	block := &block{records: g.Records, stamps: map[int]string{}, basis: s.begun.basis}
 	if g.Cut > 0 {
-		block.rest = &restOf{host: s.begun.host, at: RecordsRequest{ID: s.in.ID, Cut: g.Cut}}
+		block.rest = &omitted{host: s.begun.host, at: RecordsRequest{ID: s.in.ID, Cut: g.Cut}}
 	}
 	ended := slices.DeleteFunc(g.Ended, func(c GatheredCall) bool { return c.Index < 0 || c.Index >= len(s.calls) })
 	for _, c := range ended {
@@ -266,7 +266,7 @@
 		}
 	}
 	for _, c := range ended {
-		r := flight.Reply[*answer]{Outcome: policy.CallOutcome(c.Outcome), Took: time.Duration(c.TookMicros)*time.Microsecond + s.way}
+		r := runner.Reply[*answer]{Outcome: policy.CallOutcome(c.Outcome), Took: time.Duration(c.TookMicros)*time.Microsecond + s.roundTrip}
 		if c.Stamp != "" {
 			r.Outcome, r.Part = policy.CallOK, &answer{block: block}
 		}
@@ -283,10 +283,10 @@
 	byID sync.Map
 }
 
-// name gives a batch a name of its own.
+// name returns a batch a name of its own.
 func (s *sentBatches) name() string { return s.prefix + strconv.FormatUint(s.count.Add(1), 36) }
 
-// open gives what is told of a batch until it is forgotten.
+// open returns what is told of a batch until it is forgotten.
 func (s *sentBatches) open(id string) (progress <-chan *GatherReply, forget func()) {
 	c := make(chan *GatherReply, progressBacklog)
 	s.byID.Store(id, c)
@@ -351,7 +351,7 @@
 }
 
 // stopRelay tells a host that the calls of a batch are not wanted any more.
-func (e *Engine) stopRelay(host string, name BatchName, request string) {
+func (e *Engine) stopRelay(host string, name StopRequest, request string) {
 	ctx, cancel := context.WithTimeout(context.Background(), stopBound)
 	defer cancel()
 	if err := e.kernel.Peers.Notify(ctx, host, MethodStop, name); err != nil {
--- a/tier/pass/call.go
+++ b/tier/pass/call.go
@@ -11,9 +11,9 @@
 	"strings"
 	"time"
 
-	"loomgap/tier/flight"
 	"loomgap/tier/kernel"
 	"loomgap/tier/policy"
+	"loomgap/tier/runner"
 )
 
 // Bounds of upstream answers.
@@ -69,7 +69,7 @@
 
 // call makes a call and tells what it means. One that was cancelled before it
 // left, while its connection was being made, says nothing of the upstream.
-func (l *link) call(ctx context.Context, c *call, gathered bool) flight.Reply[*answer] {
+func (l *link) call(ctx context.Context, c *call, gathered bool) runner.Reply[*answer] {
 	out := judge(c.headers, l.do(ctx, c), gathered)
 	if out.Outcome == policy.CallUnreachable && ctx.Err() != nil {
 		out.Outcome = policy.CallNotSent
@@ -93,7 +93,7 @@
 	if !keep {
 		_ = k.Close()
 		if err != nil && k.reused && l.now()-started >= silentBound {
-			l.distrust(started)
+			l.closeIdleBefore(started)
 		}
 		return result{answer: a, sent: true, err: err}
 	}
@@ -171,7 +171,7 @@
 	if err != nil {
 		return nil, false, err
 	}
-	k.heed(r.Header)
+	k.noteKeepAlive(r.Header)
 	keep = !r.Close && k.idleFor > 0
 	return &answer{status: r.StatusCode, header: r.Header, body: body}, keep, nil
 }
@@ -195,8 +195,8 @@
 	return body, err
 }
 
-// heed takes in how long the upstream keeps the connection.
-func (k *conn) heed(h http.Header) {
+// noteKeepAlive takes in how long the upstream keeps the connection.
+func (k *conn) noteKeepAlive(h http.Header) {
 	_, after, found := strings.Cut(h.Get("Keep-Alive"), "timeout=")
 	if !found {
 		return
@@ -211,17 +211,17 @@
 
 // judge tells what a call's result means. A reply carries the answer only if
 // it may be given to the caller or merged.
-func judge(h *kernel.Headers, r result, gathered bool) flight.Reply[*answer] {
+func judge(h *kernel.Headers, r result, gathered bool) runner.Reply[*answer] {
 	switch {
 	case r.err != nil && !r.sent:
-		return flight.Reply[*answer]{Outcome: policy.CallUnreachable}
+		return runner.Reply[*answer]{Outcome: policy.CallUnreachable}
 	case errors.Is(r.err, errCrossed) || errors.Is(r.err, errTooLarge):
-		return flight.Reply[*answer]{Outcome: policy.CallGarbage}
+		return runner.Reply[*answer]{Outcome: policy.CallGarbage}
 	case r.err != nil:
-		return flight.Reply[*answer]{Outcome: policy.CallBroken}
+		return runner.Reply[*answer]{Outcome: policy.CallBroken}
 	}
 	a := r.answer
-	out := flight.Reply[*answer]{Load: loadOf(a.header.Get(h.Load)), Part: a}
+	out := runner.Reply[*answer]{Load: loadOf(a.header.Get(h.Load)), Part: a}
 	switch {
 	case a.status == http.StatusMisdirectedRequest:
 		out.Outcome = policy.CallMoved
@@ -237,7 +237,7 @@
 	return out
 }
 
-// promises tells whether a status says that the request did not run.
+// promises reports whether a status says that the request did not run.
 func promises(status int) bool {
 	switch status {
 	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
--- a/tier/pass/conn.go
+++ b/tier/pass/conn.go
@@ -62,7 +62,7 @@
 	now     func() time.Duration
 
 	mu   sync.Mutex
-	kept []*conn
+	idle []*conn
 	// closed is true once the upstream is no longer listed.
 	closed bool
 }
@@ -70,7 +70,7 @@
 // dialer makes the connections to upstreams.
 var dialer = net.Dialer{Timeout: dialBound, KeepAlive: -1}
 
-// get gives a kept connection that is still sound, or makes one. With fresh,
+// get returns a kept connection that is still sound, or makes one. With fresh,
 // only one that was used a moment ago is taken.
 func (l *link) get(ctx context.Context, fresh bool) (*conn, error) {
 	for {
@@ -79,7 +79,7 @@
 			return l.dial(ctx)
 		}
 		rested := l.now() - c.restedAt
-		if rested < c.idleFor && (!fresh || rested < freshEnough) && c.quiet() == nil {
+		if rested < c.idleFor && (!fresh || rested < freshEnough) && c.checkIdle() == nil {
 			return c, nil
 		}
 		_ = c.Close()
@@ -89,12 +89,12 @@
 func (l *link) pop() *conn {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	n := len(l.kept)
+	n := len(l.idle)
 	if n == 0 {
 		return nil
 	}
-	c := l.kept[n-1]
-	l.kept = l.kept[:n-1]
+	c := l.idle[n-1]
+	l.idle = l.idle[:n-1]
 	return c
 }
 
@@ -120,20 +120,20 @@
 		_ = c.Close()
 		return
 	}
-	l.kept = append(l.kept, c)
+	l.idle = append(l.idle, c)
 }
 
 // sweep closes the connections that have rested too long.
 func (l *link) sweep() {
 	now := l.now()
-	l.dropKept(func(c *conn) bool { return now-c.restedAt >= c.idleFor })
+	l.closeIdle(func(c *conn) bool { return now-c.restedAt >= c.idleFor })
 }
 
-// dropKept closes the kept connections that a test picks.
-func (l *link) dropKept(dropped func(c *conn) bool) {
+// closeIdle closes the kept connections that a test picks.
+func (l *link) closeIdle(dropped func(c *conn) bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.kept = slices.DeleteFunc(l.kept, func(c *conn) bool {
+	l.idle = slices.DeleteFunc(l.idle, func(c *conn) bool {
 		if !dropped(c) {
 			return false
 		}
@@ -142,10 +142,10 @@
 	})
 }
 
-// distrust closes the kept connections that have not brought an answer since a
+// closeIdleBefore closes the kept connections that have not brought an answer since a
 // call on one of them was sent in vain.
-func (l *link) distrust(since time.Duration) {
-	l.dropKept(func(c *conn) bool { return c.restedAt < since })
+func (l *link) closeIdleBefore(since time.Duration) {
+	l.closeIdle(func(c *conn) bool { return c.restedAt < since })
 }
 
 // close closes what is kept; calls under way go on.
@@ -153,15 +153,15 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.closed = true
-	for _, c := range l.kept {
+	for _, c := range l.idle {
 		_ = c.Close()
 	}
-	l.kept = nil
+	l.idle = nil
 }
 
-// quiet fails if the upstream closed the connection or sent bytes that nobody
+// checkIdle fails if the upstream closed the connection or sent bytes that nobody
 // asked for. It looks without waiting and takes nothing off the connection.
-func (c *conn) quiet() error {
+func (c *conn) checkIdle() error {
 	if c.reader.Buffered() > 0 {
 		return errStale
 	}
--- a/tier/pass/engine.go
+++ b/tier/pass/engine.go
@@ -37,9 +37,9 @@
 	// host may not know of all others.
 	slackShare = 0.9
 	sweepEvery = time.Second
-	// relaysMet is how many hosts of each other hall are connected to ahead: the
+	// preconnectHosts is how many hosts of each other hall are connected to ahead: the
 	// one that most calls go through, and the next, for hedges.
-	relaysMet = 2
+	preconnectHosts = 2
 	// batchPrefixSpare is how many of 64 random bits a batch's ID does without:
 	// with 48 left, two of 1,000 hosts draw the same once in 500 million times.
 	batchPrefixSpare = 16
@@ -55,7 +55,7 @@
 	// relays are the hosts that make calls for this one, relayed the calls that
 	// this host makes for others.
 	relays  relays
-	relayed relayed
+	relayed batches
 	// batches are those that relays make the calls of.
 	batches sentBatches
 	// whole holds for each route until when all records are asked for.
@@ -63,9 +63,9 @@
 	// configured is closed once there is a view to serve requests from.
 	configured     chan struct{}
 	configuredOnce sync.Once
-	// met are the hosts of other halls that were connected to; used on the
+	// preconnected are the hosts of other halls that were connected to; used on the
 	// control thread.
-	met map[string]bool
+	preconnected map[string]bool
 	// basis is what shares and links were made from; used on the control
 	// thread.
 	basis basis
@@ -78,14 +78,14 @@
 	// hosts counts the hosts that stay, hall those of this host's hall, and known
 	// all that were heard of lately: one that is cut off still makes repeats.
 	hosts, hall, known int
-	repeats            kernel.Repeats
+	retryBudget        kernel.RetryBudget
 }
 
 // NewEngine makes an engine that follows the kernel's views.
 func NewEngine(k *kernel.Kernel, h kernel.Headers) (*Engine, func()) {
 	e := &Engine{
 		kernel: k, headers: h, configured: make(chan struct{}),
-		relays: newRelays(), relayed: relayed{batches: map[string]*batch{}},
+		relays: newRelays(), relayed: batches{batches: map[string]*batch{}},
 		batches: sentBatches{prefix: strconv.FormatUint(rand.Uint64()>>batchPrefixSpare, 36) + "-"},
 	}
 	e.serveRelay()
@@ -124,9 +124,9 @@
 		return
 	}
 	defer e.configuredOnce.Do(func() { close(e.configured) })
-	e.meet(v)
+	e.preconnect(v)
 	next := basis{
-		index: v.Index, directory: v.Directory, repeats: e.kernel.Live().Repeats,
+		index: v.Index, directory: v.Directory, retryBudget: e.kernel.Live().RetryBudget,
 		hosts: max(v.Staying(), leastHosts), hall: max(len(v.Hall(&e.kernel.Settings)), leastInHall),
 		known: max(1+len(v.Members), leastHosts),
 	}
@@ -134,7 +134,7 @@
 		return
 	}
 	e.basis = next
-	e.kernel.Fleet.SetRepeats(policy.ShareRepeats(next.repeats.Ratio, next.repeats.Slack*slackShare, next.repeats.Window, next.known))
+	e.kernel.Fleet.SetRetryBudget(policy.ShareRetryBudget(next.retryBudget.Ratio, next.retryBudget.Slack*slackShare, next.retryBudget.Window, next.known))
 	old, links := *e.links.Load(), map[string]*link{}
 	var shares []policy.Share
 	for _, l := range v.Directory.All() {
@@ -180,9 +180,9 @@
 	}
 }
 
-// meet connects to the hosts that calls to other halls will go through, so that
+// preconnect connects to the hosts that calls to other halls will go through, so that
 // the first of them does not wait; it runs on the control thread.
-func (e *Engine) meet(v *kernel.View) {
+func (e *Engine) preconnect(v *kernel.View) {
 	halls := map[string][]string{}
 	for n, m := range v.Members {
 		if m.Live && !m.Leaving && m.Hall != e.kernel.Settings.Hall && m.Peer.IsValid() {
@@ -192,14 +192,14 @@
 	met := map[string]bool{}
 	for _, hosts := range halls {
 		slices.Sort(hosts)
-		for _, h := range hosts[:min(relaysMet, len(hosts))] {
+		for _, h := range hosts[:min(preconnectHosts, len(hosts))] {
 			met[h] = true
-			if !e.met[h] {
+			if !e.preconnected[h] {
 				go e.connect(h)
 			}
 		}
 	}
-	e.met = met
+	e.preconnected = met
 }
 
 func (e *Engine) connect(host string) {
@@ -228,7 +228,7 @@
 	}
 }
 
-// target gives the one group that a request of a route goes to.
+// target returns the one group that a request of a route goes to.
 func (e *Engine) target(r *config.Route) string {
 	if len(r.Split) == 0 {
 		return r.Group
@@ -294,7 +294,7 @@
 	return p
 }
 
-// hallOf gives the hall of any upstream that is not in this host's own hall.
+// hallOf returns the hall of any upstream that is not in this host's own hall.
 func (e *Engine) hallOf(listed []config.Listing) string {
 	for _, i := range rand.Perm(len(listed)) {
 		if h := listed[i].Hall; h != e.kernel.Settings.Hall {
--- a/tier/pass/host_test.go
+++ b/tier/pass/host_test.go
@@ -86,7 +86,7 @@
 	return len(u.conns)
 }
 
-// isSilenced tells whether a connection was there when they were silenced.
+// isSilenced reports whether a connection was there when they were silenced.
 func (u *upstream) isSilenced(c net.Conn) bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -220,15 +220,15 @@
 type hostConfig struct {
 	name, hall string
 	peers      kernel.PeerCaller
-	repeats    kernel.Repeats
+	repeats    kernel.RetryBudget
 	log        io.Writer
 	// age is that of the process; 0 for a minute.
 	age time.Duration
 }
 
 func newHost(t testing.TB, c hostConfig) *host {
-	if c.repeats == (kernel.Repeats{}) {
-		c.repeats = kernel.Repeats{Ratio: 1, Slack: 1000, Window: 10 * time.Second}
+	if c.repeats == (kernel.RetryBudget{}) {
+		c.repeats = kernel.RetryBudget{Ratio: 1, Slack: 1000, Window: 10 * time.Second}
 	}
 	if c.age == 0 {
 		c.age = time.Minute
@@ -238,7 +238,7 @@
 		log = zerolog.New(c.log)
 	}
 	k, stop := kernel.New(kernel.Config{
-		Settings: kernel.Settings{Host: c.name, Hall: c.hall, Incarnation: "1", Adapter: "Test", Repeats: c.repeats},
+		Settings: kernel.Settings{Host: c.name, Hall: c.hall, Incarnation: "1", Adapter: "Test", RetryBudget: c.repeats},
 		Log:      log, Tracer: noop.NewTracerProvider().Tracer(""), Started: time.Now().Add(-c.age),
 		Fleet: policy.NewFleet(policy.FleetConfig{Random: rand.New(rand.NewPCG(1, 2))}),
 	})
--- a/tier/pass/hosts.go
+++ b/tier/pass/hosts.go
@@ -25,19 +25,19 @@
 type hallState struct {
 	// silent counts the hosts in a row that answered no batch in time; last is
 	// the last of them.
-	silent int
-	last   string
-	rest   rest
+	silent  int
+	last    string
+	backoff backoff
 }
 
-// rest is how long something that does not answer is left alone: twice as long
+// backoff is how long something that does not answer is left alone: twice as long
 // each time, until it answers.
-type rest struct {
+type backoff struct {
 	until, last time.Duration
 }
 
-func (r *rest) begin(now time.Duration) {
-	r.last = min(max(2*r.last, relayRest), relayRestMost)
+func (r *backoff) begin(now time.Duration) {
+	r.last = min(max(2*r.last, relayBackoff), relayBackoffMost)
 	r.until = now + r.last
 }
 
@@ -47,10 +47,10 @@
 	open int
 	// dueAt is when the oldest unanswered batch is due; 0 if none is.
 	dueAt time.Duration
-	// rest is while others are asked first.
-	rest rest
-	// way is the least time that a message took there and back.
-	way time.Duration
+	// backoff is while others are asked first.
+	backoff backoff
+	// roundTrip is the least time that a message took there and back.
+	roundTrip time.Duration
 }
 
 func (r *relays) state(host string) *relayState {
@@ -62,14 +62,14 @@
 	return s
 }
 
-// choose gives the live host of a hall that owes the fewest answers, and none to
+// choose returns the live host of a hall that owes the fewest answers, and none to
 // a certain request; empty if there is none that answers. Of those that owe
 // alike, all hosts take the same one: it sees most calls to its upstreams, so it
 // learns soon how they do. Choosing by chance was tried and was worse.
 func (r *relays) choose(v *kernel.View, hall string, now time.Duration, owing map[string]int) string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if now < r.hall(hall).rest.until {
+	if now < r.hall(hall).backoff.until {
 		return ""
 	}
 	var names []string
@@ -97,14 +97,14 @@
 
 func (r *relays) answers(host string, now time.Duration) bool {
 	s := r.state(host)
-	return now >= s.rest.until && (s.dueAt == 0 || now-s.dueAt < relaySilent)
+	return now >= s.backoff.until && (s.dueAt == 0 || now-s.dueAt < relaySilent)
 }
 
-// way gives how long a message takes to a host and back; 0 if it is not known.
-func (r *relays) way(host string) time.Duration {
+// roundTrip returns how long a message takes to a host and back; 0 if it is not known.
+func (r *relays) roundTrip(host string) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.state(host).way
+	return r.state(host).roundTrip
 }
 
 // sent notes a batch, and when the first sign of it is due.
@@ -123,11 +123,11 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s := r.state(host)
-	s.settle(now)
-	s.rest = rest{}
+	s.closeOne(now)
+	s.backoff = backoff{}
 	*r.hall(hall) = hallState{}
-	if s.way == 0 || way < s.way {
-		s.way = way
+	if s.roundTrip == 0 || way < s.roundTrip {
+		s.roundTrip = way
 	}
 }
 
@@ -138,25 +138,25 @@
 	defer r.mu.Unlock()
 	s := r.state(host)
 	dueAt := s.dueAt
-	s.settle(now)
+	s.closeOne(now)
 	if !late {
 		if s.open > 0 {
 			s.dueAt = dueAt
 		}
 		return
 	}
-	s.rest.begin(now)
+	s.backoff.begin(now)
 	h := r.hall(hall)
 	if h.last != host {
 		h.silent++
 		h.last = host
 	}
-	if h.silent >= hallSilent && now >= h.rest.until {
-		h.rest.begin(now)
+	if h.silent >= hallSilent && now >= h.backoff.until {
+		h.backoff.begin(now)
 	}
 }
 
-func (s *relayState) settle(now time.Duration) {
+func (s *relayState) closeOne(now time.Duration) {
 	s.open--
 	s.dueAt = 0
 	if s.open > 0 {
--- a/tier/pass/merge.go
+++ b/tier/pass/merge.go
@@ -26,7 +26,7 @@
 	}
 }
 
-// result gives the greatest records, the greatest first.
+// result returns the greatest records, the greatest first.
 func (m *merger) result() []byte {
 	m.cut()
 	return bytes.Join(m.records, nil)
@@ -52,10 +52,10 @@
 	// were left out. The block is of use only beside all of them.
 	basis []*answer
 	// rest tells where the least records are that were not sent; nil if all were.
-	rest *restOf
+	rest *omitted
 }
 
-// lacks tells whether records that were not sent may belong to an answer whose
+// lacks reports whether records that were not sent may belong to an answer whose
 // least record is given, nil for an answer with room for more.
 func (b *block) lacks(least []byte) bool {
 	if b.rest == nil || len(b.records) < recordBytes {
@@ -84,7 +84,7 @@
 	}
 }
 
-// floor gives the least of the greatest records of what is here, and the answers
+// floor returns the least of the greatest records of what is here, and the answers
 // that it is from; nil while there are too few records. A record below it cannot
 // be in the answer.
 func (g *gathered) floor(top int) (record []byte, basis []*answer) {
@@ -129,7 +129,7 @@
 	g.blocks = slices.DeleteFunc(g.blocks, func(other *block) bool { return other == b })
 }
 
-// choose gives what makes the answer. A block whose basis is not in it is left
+// choose returns what makes the answer. A block whose basis is not in it is left
 // out, and what is left is chosen from again.
 func (g *gathered) choose() (blocks []*block, single map[int]*answer) {
 	for {
@@ -142,7 +142,7 @@
 	}
 }
 
-// supported tells whether all that a block's floor was taken from is chosen.
+// supported reports whether all that a block's floor was taken from is chosen.
 func supported(b *block, blocks []*block, single map[int]*answer) bool {
 	for _, a := range b.basis {
 		if a.block != nil && slices.Contains(blocks, a.block) {
@@ -159,7 +159,7 @@
 	return true
 }
 
-// disjoint gives blocks with no part in common, the largest first, and the
+// disjoint returns blocks with no part in common, the largest first, and the
 // single parts that no block has.
 func (g *gathered) disjoint() (blocks []*block, single map[int]*answer) {
 	slices.SortStableFunc(g.blocks, func(a, b *block) int { return len(b.stamps) - len(a.stamps) })
@@ -191,7 +191,7 @@
 	return false
 }
 
-// merge gives the greatest records and the stamps of the parts they are from.
+// merge returns the greatest records and the stamps of the parts they are from.
 func (g *gathered) merge(top int, stampHeader string) (records []byte, stamps []string) {
 	m := merger{top: top}
 	blocks, single := g.choose()
--- a/tier/pass/relay.go
+++ b/tier/pass/relay.go
@@ -12,10 +12,10 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
 
-	"loomgap/tier/flight"
 	"loomgap/tier/kernel"
 	"loomgap/tier/peers"
 	"loomgap/tier/policy"
+	"loomgap/tier/runner"
 	"loomgap/tier/wire"
 )
 
@@ -24,12 +24,12 @@
 	// MethodGather has a host near some upstreams make calls and merge what
 	// they answer. It is answered when all calls have ended.
 	MethodGather = "Gather"
-	// MethodProgress tells the sender of Gather of calls that ended before: when
+	// MethodProgress reports calls to the sender of Gather that ended before: when
 	// the first answer is due, soon after a call has failed, so that another
 	// upstream can be asked, and from then on soon after any call ended, so that
 	// a call that is stuck does not hold back the others.
 	MethodProgress = "GatherProgress"
-	// MethodStop tells that the calls still under way are not wanted any more.
+	// MethodStop cancels the calls still under way.
 	MethodStop = "GatherStop"
 )
 
@@ -39,11 +39,11 @@
 	gatherReserve = 4 * time.Millisecond
 	// gatherLeast is the least time that the calls have for the first answer.
 	gatherLeast = 5 * time.Millisecond
-	// failureNews and callNews are how long after a call has failed, or has ended
+	// failureDelay and progressDelay are how long after a call has failed, or has ended
 	// when the first answer was due before, others are waited for: one message
 	// costs as much as several calls of one.
-	failureNews = 2 * time.Millisecond
-	callNews    = 8 * time.Millisecond
+	failureDelay  = 2 * time.Millisecond
+	progressDelay = 8 * time.Millisecond
 	// cutGrace is how long records that were left out are kept after the deadline.
 	cutGrace = time.Second
 	// maxGathered bounds the calls of one message.
@@ -78,7 +78,7 @@
 	Trace                       string `json:",omitempty"`
 }
 
-// GatherReply tells what became of calls that were not told of before.
+// GatherReply reports the calls that ended and were not reported before.
 type GatherReply struct {
 	// ID is that of the batch, for GatherProgress only.
 	ID string `json:",omitempty"`
@@ -89,14 +89,14 @@
 	// under that number.
 	Records []byte
 	Cut     int `json:",omitempty"`
-	// Due is true once the first answer was due: calls not told of are slow.
+	// Due is true once the first answer was due: calls not reported are slow.
 	Due bool `json:",omitempty"`
-	// Told is how many times GatherProgress told of the batch, in the answer to
-	// Gather.
-	Told int `json:",omitempty"`
-	// Worse are the upstreams of the answering host's hall that do worse than
+	// ProgressSent is how many times GatherProgress reported the batch before, in
+	// the answer to Gather.
+	ProgressSent int `json:",omitempty"`
+	// Conditions are the upstreams of the answering host's hall that do worse than
 	// others at the moment.
-	Worse []policy.Condition `json:",omitempty"`
+	Conditions []policy.Condition `json:",omitempty"`
 	// HeldMicros is how long the answer was waited for here.
 	HeldMicros int64
 }
@@ -111,8 +111,8 @@
 	TookMicros int64
 }
 
-// BatchName names a batch that was asked for before.
-type BatchName struct {
+// StopRequest names a batch that was asked for before.
+type StopRequest struct {
 	ID string
 	// Left is true if the caller of the request is gone.
 	Left bool `json:",omitempty"`
@@ -124,8 +124,8 @@
 	errStopped = errors.New("batch was stopped")
 )
 
-// relayed holds the batches of other hosts that have calls under way.
-type relayed struct {
+// batches holds the batches of other hosts that have calls under way.
+type batches struct {
 	mu      sync.Mutex
 	batches map[string]*batch
 }
@@ -138,7 +138,7 @@
 	cancel   context.CancelFunc
 
 	mu sync.Mutex
-	// ended are calls that were not told of yet, with their records.
+	// ended are calls that were not reported yet, with their records.
 	ended  []GatheredCall
 	merger merger
 	// cut are the records that answers left out, for GatherRecords.
@@ -155,8 +155,8 @@
 	failed bool
 	// stopped is true once nobody wants the calls any more.
 	stopped bool
-	// news holds one item once a call has ended that was not told of.
-	news chan struct{}
+	// changed holds one item once a call has ended that was not reported.
+	changed chan struct{}
 }
 
 // relayedCall is one call under way for another host.
@@ -195,7 +195,7 @@
 			// Nobody wants to know; calls that linger end by themselves.
 			return nil, errStopped
 		case last:
-			out.Told = told
+			out.ProgressSent = told
 			return out, nil
 		}
 		out.ID = in.ID
@@ -214,7 +214,7 @@
 		engine: e, in: in, deadline: now + left, cancel: cancel,
 		begun: now, due: now + min(time.Duration(in.FirstMillis)*time.Millisecond, left),
 		merger: merger{top: in.Top, floor: in.Floor}, open: len(in.Upstreams), calls: map[int]*relayedCall{},
-		finished: make(chan struct{}), news: make(chan struct{}, 1),
+		finished: make(chan struct{}), changed: make(chan struct{}, 1),
 	}
 	e.relayed.mu.Lock()
 	e.relayed.batches[in.ID] = b
@@ -236,7 +236,7 @@
 func (b *batch) call(ctx context.Context, i int, name string, c *relayedCall) {
 	defer c.cancel()
 	k := b.engine.kernel
-	reply := flight.Reply[*answer]{Outcome: policy.CallUnreachable}
+	reply := runner.Reply[*answer]{Outcome: policy.CallUnreachable}
 	started := k.Now()
 	u, l := k.Fleet.Find(name), (*b.engine.links.Load())[name]
 	if u != nil && l != nil {
@@ -245,14 +245,14 @@
 			reply.Outcome = policy.CallStalled
 		case k.Fleet.Acquire(ctx, u, b.deadline, k.Now):
 			started = k.Now()
-			b.hold(c, u)
+			b.holdSlot(c, u)
 			k.Fleet.Sent(started, u)
 			reply = b.exchange(ctx, l, name)
 			now := k.Now()
 			near, _ := k.Fleet.RoutedPools(b.in.Route)
 			policy.Deliver(k.Fleet.Finish(now, policy.Call{
 				Upstream: u, Pool: near, Outcome: reply.Outcome, Took: now - started, Load: reply.Load,
-				Lingering: b.settle(i, c),
+				Lingering: b.release(i, c),
 			}))
 		default:
 			reply.Outcome = policy.CallNotSent
@@ -268,14 +268,14 @@
 	b.end(out, reply.Part.body)
 }
 
-func (b *batch) hold(c *relayedCall, u *policy.Upstream) {
+func (b *batch) holdSlot(c *relayedCall, u *policy.Upstream) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	c.upstream = u
 }
 
-// settle takes a call out of those that may linger, and tells whether it did.
-func (b *batch) settle(i int, c *relayedCall) bool {
+// release takes a call out of those that may linger, and reports whether it did.
+func (b *batch) release(i int, c *relayedCall) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	delete(b.calls, i)
@@ -299,11 +299,11 @@
 	}
 }
 
-func (b *batch) exchange(ctx context.Context, l *link, name string) flight.Reply[*answer] {
+func (b *batch) exchange(ctx context.Context, l *link, name string) runner.Reply[*answer] {
 	k := b.engine.kernel
 	left := b.deadline - k.Now()
 	if left <= 0 || !k.Awake() || ctx.Err() != nil {
-		return flight.Reply[*answer]{Outcome: policy.CallNotSent}
+		return runner.Reply[*answer]{Outcome: policy.CallNotSent}
 	}
 	ctx, span := k.Tracer.Start(ctx, "upstream", trace.WithSpanKind(trace.SpanKindClient))
 	defer span.End()
@@ -334,20 +334,20 @@
 		return
 	}
 	select {
-	case b.news <- struct{}{}:
+	case b.changed <- struct{}{}:
 	default: // the news before it was not taken in yet
 	}
 }
 
-// wait gives what ended, as soon as there is something to tell; last is true if
+// wait returns what ended, as soon as there is something to tell; last is true if
 // nothing follows. What is given is not given again.
 func (b *batch) wait() (out *GatherReply, last bool) {
 	b.await(b.engine.kernel.Now())
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.engine.kernel.Now()
-	out = &GatherReply{Ended: b.ended, Due: now >= b.due, Worse: b.engine.kernel.Fleet.Conditions(now), HeldMicros: (now - b.begun).Microseconds()}
-	out.Records, out.Cut = b.give(b.merger.result(), goodCalls(b.ended))
+	out = &GatherReply{Ended: b.ended, Due: now >= b.due, Conditions: b.engine.kernel.Fleet.Conditions(now), HeldMicros: (now - b.begun).Microseconds()}
+	out.Records, out.Cut = b.cutRecords(b.merger.result(), goodCalls(b.ended))
 	b.ended, b.merger.records, b.failed = nil, nil, false
 	last = b.open == 0 || now >= b.deadline
 	if last {
@@ -398,9 +398,9 @@
 			return
 		case <-timer.C:
 			return
-		case <-b.news:
+		case <-b.changed:
 			now = b.engine.kernel.Now()
-			if soon, told := b.tellIn(due); told && now+soon < until {
+			if soon, told := b.progressDue(due); told && now+soon < until {
 				until = now + soon
 				timer.Reset(soon)
 			}
@@ -408,22 +408,22 @@
 	}
 }
 
-// tellIn gives how long what ended may wait for others; false if it need not be
+// progressDue returns how long what ended may wait for others; false if it need not be
 // told of by itself.
-func (b *batch) tellIn(due bool) (time.Duration, bool) {
+func (b *batch) progressDue(due bool) (time.Duration, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	switch {
 	case len(b.ended) == 0:
 		return 0, false
 	case b.failed:
-		return failureNews, true
+		return failureDelay, true
 	default:
-		return callNews, due
+		return progressDelay, due
 	}
 }
 
-func (r *relayed) find(id string) (*batch, error) {
+func (r *batches) find(id string) (*batch, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if b := r.batches[id]; b != nil {
@@ -432,7 +432,7 @@
 	return nil, fmt.Errorf("%w: %q ended or was never begun", errNoBatch, id)
 }
 
-func (r *relayed) drop(id string) {
+func (r *batches) drop(id string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	delete(r.batches, id)
@@ -440,7 +440,7 @@
 
 // onStop ends the calls of a batch.
 func (e *Engine) onStop(_ context.Context, params json.RawMessage) (any, error) {
-	var in BatchName
+	var in StopRequest
 	if err := json.Unmarshal(params, &in); err != nil {
 		return nil, fmt.Errorf("bad batch name: %w", err)
 	}
@@ -456,5 +456,5 @@
 	return struct{}{}, nil
 }
 
-// unreached tells whether an error proves that no call of a batch was begun.
+// unreached reports whether an error proves that no call of a batch was begun.
 func unreached(err error) bool { return errors.Is(err, peers.ErrNoPeer) }
--- a/tier/pass/relay_test.go
+++ b/tier/pass/relay_test.go
@@ -24,9 +24,9 @@
 	})
 	t.Cleanup(closeKernel)
 	return &batch{
-		engine: &Engine{kernel: k, relayed: relayed{batches: map[string]*batch{}}}, in: &GatherRequest{ID: "B"},
+		engine: &Engine{kernel: k, relayed: batches{batches: map[string]*batch{}}}, in: &GatherRequest{ID: "B"},
 		due: due, deadline: deadline, cancel: func() {}, merger: merger{top: 1}, open: calls,
-		calls: map[int]*relayedCall{}, finished: make(chan struct{}), news: make(chan struct{}, 1),
+		calls: map[int]*relayedCall{}, finished: make(chan struct{}), changed: make(chan struct{}, 1),
 	}
 }
 
@@ -93,7 +93,7 @@
 func TestSilentHostRestsLongerEachTime(t *testing.T) {
 	r := newRelays()
 	now := time.Minute
-	for _, rest := range []time.Duration{relayRest, 2 * relayRest, 4 * relayRest, relayRestMost, relayRestMost} {
+	for _, rest := range []time.Duration{relayBackoff, 2 * relayBackoff, 4 * relayBackoff, relayBackoffMost, relayBackoffMost} {
 		r.sent("Far", now)
 		assert.Assert(t, r.answers("Far", now+relaySilent-1))
 		assert.Assert(t, !r.answers("Far", now+relaySilent))
@@ -106,7 +106,7 @@
 	r.answered("Far", "B", now, time.Millisecond)
 	r.sent("Far", now)
 	r.unanswered("Far", "B", now, true)
-	assert.Assert(t, r.answers("Far", now+relayRest))
+	assert.Assert(t, r.answers("Far", now+relayBackoff))
 }
 
 // TestSilentHallIsCalledDirectly has a host be cut off from ten hosts of another
@@ -130,10 +130,10 @@
 	assert.Equal(t, lost(), "B0")
 	assert.Equal(t, lost(), "B1")
 	assert.Equal(t, lost(), "")
-	now += relayRest
+	now += relayBackoff
 	assert.Equal(t, lost(), "B0", "one batch looks whether the way is back")
 	assert.Equal(t, lost(), "")
-	now += 2 * relayRest
+	now += 2 * relayBackoff
 	host := r.choose(v, "B", now, nil)
 	r.sent(host, now)
 	r.answered(host, "B", now, time.Millisecond)
--- a/tier/pass/rest.go
+++ b/tier/pass/rest.go
@@ -27,8 +27,8 @@
 	recordsBound = 100 * time.Millisecond
 )
 
-// restOf names records that were not sent.
-type restOf struct {
+// omitted names records that were not sent.
+type omitted struct {
 	host string
 	at   RecordsRequest
 }
@@ -57,9 +57,9 @@
 	return min(top, int(math.Ceil(mean+spareDeviations*deviation))+spareRecords)
 }
 
-// give cuts the records for an answer about some parts, and keeps the rest; the
+// cutRecords cuts the records for an answer about some parts, and keeps the rest; the
 // batch is locked.
-func (b *batch) give(records []byte, parts int) (given []byte, cut int) {
+func (b *batch) cutRecords(records []byte, parts int) (given []byte, cut int) {
 	n := recordsFor(b.in.Top, parts, b.in.Of) * recordBytes
 	if len(records) <= n {
 		return records, 0
@@ -86,7 +86,7 @@
 	return &RecordsReply{Records: b.cut[in.Cut-1]}, nil
 }
 
-// wholeRecords tells whether all records of a route's parts are to be sent.
+// wholeRecords reports whether all records of a route's parts are to be sent.
 func (e *Engine) wholeRecords(route string) bool {
 	until, ok := e.whole.Load(route)
 	return ok && e.kernel.Now() < until.(time.Duration)
@@ -105,7 +105,7 @@
 		errs := make([]error, len(lacking))
 		var all sync.WaitGroup
 		for i, b := range lacking {
-			all.Go(func() { errs[i] = q.fetchRest(ctx, b) })
+			all.Go(func() { errs[i] = q.fetchOmitted(ctx, b) })
 		}
 		all.Wait()
 		for i, b := range lacking {
@@ -118,8 +118,8 @@
 	}
 }
 
-// fetchRest gets the records of a block that were not sent.
-func (q *request) fetchRest(ctx context.Context, b *block) error {
+// fetchOmitted gets the records of a block that were not sent.
+func (q *request) fetchOmitted(ctx context.Context, b *block) error {
 	ctx, cancel := context.WithTimeout(ctx, recordsBound)
 	defer cancel()
 	var out RecordsReply
--- a/tier/pass/rest_test.go
+++ b/tier/pass/rest_test.go
@@ -53,7 +53,7 @@
 	tests := []struct {
 		name  string
 		parts func(int) string
-		// asked tells whether records were asked for a second time.
+		// asked reports whether records were asked for a second time.
 		asked bool
 		// cut has the other hall's host unreachable by then.
 		cut    bool
--- a/tier/pass/serve.go
+++ b/tier/pass/serve.go
@@ -15,17 +15,17 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"loomgap/tier/config"
-	"loomgap/tier/flight"
 	"loomgap/tier/kernel"
 	"loomgap/tier/policy"
+	"loomgap/tier/runner"
 	"loomgap/tier/wire"
 )
 
 // Bounds of routed requests.
 const (
-	// wayHome is kept back from a caller's own deadline, so that the answer is
+	// responseReserve is kept back from a caller's own deadline, so that the answer is
 	// there while the caller still waits: a link's delay and a late timer.
-	wayHome = 10 * time.Millisecond
+	responseReserve = 10 * time.Millisecond
 	// defaultBody bounds a request's body where the document says nothing.
 	defaultBody = 1 << 20
 	// retryNoConfig and retryNoUpstream are when to ask again: a host reads
@@ -64,15 +64,15 @@
 	single, failure *answer
 	parts           gathered
 	relaying        relaying
-	// left is true once the caller is gone.
-	left atomic.Bool
+	// callerGone is true once the caller is gone.
+	callerGone atomic.Bool
 	// sends counts the calls sent for each part.
 	sends []int
 }
 
 var (
-	_ flight.Caller[*answer]   = (*request)(nil)
-	_ flight.Observer[*answer] = (*request)(nil)
+	_ runner.Caller[*answer]   = (*request)(nil)
+	_ runner.Observer[*answer] = (*request)(nil)
 	_ http.Handler             = (*Engine)(nil)
 )
 
@@ -129,7 +129,7 @@
 		}
 		limit = min(limit, time.Duration(millis)*time.Millisecond)
 	}
-	q.deadline = q.begun + limit - min(wayHome, limit/4)
+	q.deadline = q.begun + limit - min(responseReserve, limit/4)
 	most := q.view.Index.Document.Limits.Body
 	if most <= 0 {
 		most = defaultBody
@@ -166,7 +166,7 @@
 	if span.IsRecording() {
 		span.SetAttributes(attribute.String("RequestID", q.id), attribute.String("Route", q.route.Name))
 	}
-	result, err := q.fly(ctx)
+	result, err := q.run(ctx)
 	var refusal *policy.Refusal
 	switch {
 	case errors.As(err, &refusal):
@@ -184,10 +184,10 @@
 	}
 }
 
-func (q *request) fly(ctx context.Context) (policy.Result, error) {
+func (q *request) run(ctx context.Context) (policy.Result, error) {
 	k := q.engine.kernel
 	near, far := k.Fleet.RoutedPools(q.route.Name)
-	f, err := flight.New(flight.Config[*answer]{
+	f, err := runner.New(runner.Config[*answer]{
 		Kernel: k, Caller: q,
 		Run: policy.RunConfig{
 			Fleet: k.Fleet, Pool: near, Class: q.class, Deadline: q.deadline,
@@ -201,16 +201,16 @@
 	if err != nil {
 		return policy.Result{}, err
 	}
-	stop := context.AfterFunc(ctx, func() { q.left.Store(true) })
+	stop := context.AfterFunc(ctx, func() { q.callerGone.Store(true) })
 	defer stop()
-	return f.Fly(ctx, ctx.Done())
+	return f.Run(ctx, ctx.Done())
 }
 
-// Call implements flight.Caller.
-func (q *request) Call(ctx context.Context, a policy.Action) flight.Reply[*answer] {
+// Call implements runner.Caller.
+func (q *request) Call(ctx context.Context, a policy.Action) runner.Reply[*answer] {
 	l := (*q.engine.links.Load())[a.Upstream.Name]
 	if l == nil {
-		return flight.Reply[*answer]{Outcome: policy.CallUnreachable}
+		return runner.Reply[*answer]{Outcome: policy.CallUnreachable}
 	}
 	ctx, span := q.engine.kernel.Tracer.Start(ctx, "upstream", trace.WithSpanKind(trace.SpanKindClient))
 	defer span.End()
@@ -225,7 +225,7 @@
 	return out
 }
 
-// Take implements flight.Caller.
+// Take implements runner.Caller.
 func (q *request) Take(part int, a *answer) {
 	if q.route.Gather == nil {
 		q.single = a
@@ -234,9 +234,9 @@
 	q.parts.take(part, a)
 }
 
-// Ended implements flight.Observer: it keeps an upstream's own failure, and
+// Ended implements runner.Observer: it keeps an upstream's own failure, and
 // logs the calls that did not go well.
-func (q *request) Ended(a policy.Action, r flight.Reply[*answer], took time.Duration, over bool) {
+func (q *request) Ended(a policy.Action, r runner.Reply[*answer], took time.Duration, over bool) {
 	q.sends[a.Part]++
 	if r.Outcome == policy.CallOK {
 		return
--- a/tier/pass/split.go
+++ b/tier/pass/split.go
@@ -33,10 +33,10 @@
 	return s
 }
 
-// same tells whether the splitter divides as a split says.
+// same reports whether the splitter divides as a split says.
 func (s *splitter) same(split []config.Weighted) bool { return slices.Equal(s.split, split) }
 
-// next gives the group whose turn it is. A turn belongs to its group: it is not
+// next returns the group whose turn it is. A turn belongs to its group: it is not
 // given to another one that has more room.
 func (s *splitter) next() string {
 	s.mu.Lock()
--- /dev/null
+++ b/tier/peers/announce.go
@@ -0,0 +1,241 @@
+package peers
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/netip"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"loomgap/tier/config"
+	"loomgap/tier/kernel"
+)
+
+// MethodAnnounce is the peer method by which a host that reads the platform
+// announces to the others of its hall what it read.
+const MethodAnnounce = "Announce"
+
+// Times of announcements.
+const (
+	// announceEvery is how often a reader announces if nothing changes.
+	announceEvery = 400 * time.Millisecond
+	// announceLost is how long a host goes without announcements before it reads itself:
+	// three lost messages. A change must be in force within seconds though the
+	// reader is gone. takeoverStep divides the hosts whose announcements end at the same time,
+	// so that the first of them has told the others, in takeoverSteps steps.
+	announceLost  = 1300 * time.Millisecond
+	takeoverStep  = 50 * time.Millisecond
+	takeoverSteps = 5
+	// failedReadersMost is how many hosts of a hall, or halls, try to read a platform
+	// that does not answer: it may turn some hosts away and serve others.
+	failedReadersMost = 3
+	// sourceStale is how old a reader's last read may be: a reader that does not
+	// hear the platform is no reader.
+	sourceStale = 1800 * time.Millisecond
+	// listAgain is how long a host waits until it fetches the whole list again.
+	listAgain = 500 * time.Millisecond
+	// announceBound is how long telling one host may take.
+	announceBound = time.Second
+)
+
+// errStaleNews is a platform that has not answered for some time.
+var errStaleNews = errors.New("no answer for some time")
+
+// Announcement says what is published: the reader of the platform sends it to its
+// own hall and to one host of each other hall, which passes it on to its hall.
+type Announcement struct {
+	Host string
+	Peer netip.AddrPort
+	Hall string
+	// Age is how long ago it was read from the platform, Lost true if that is too
+	// long ago to rely on.
+	Age  time.Duration
+	Lost bool `json:",omitempty"`
+	// Revision is the document in force there, Directory the digest of the
+	// upstreams listed.
+	Revision  uint64
+	Directory uint64
+	// DirectoryRevision is the platform's revision up to which it is whole.
+	DirectoryRevision uint64
+	// Change is what changed since the announcement before.
+	Change *config.DirectoryChange `json:",omitempty"`
+}
+
+// announcer sends other hosts what this host read or was announced.
+type announcer struct {
+	kernel *kernel.Kernel
+	// announced is the directory that was announced last, revision the document; used on
+	// the control thread.
+	announced   *config.Directory
+	revision    uint64
+	announcedAt time.Duration
+	// seen and seenIndex are what the last view had.
+	seen      *config.Directory
+	seenIndex *config.Index
+}
+
+// follow announces what changed in a new view; it runs on the control thread.
+func (t *announcer) follow(v *kernel.View) {
+	if v.Directory == t.seen && v.Index == t.seenIndex {
+		return
+	}
+	t.seen, t.seenIndex = v.Directory, v.Index
+	// The control thread does not wait for a place among its own jobs.
+	go t.kernel.Do(t.announce)
+}
+
+// loop announces at regular times, until the context ends.
+func (t *announcer) loop(ctx context.Context) {
+	tick := time.NewTicker(announceEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			t.kernel.Do(t.announce)
+		}
+	}
+}
+
+// announce sends an announcement if something changed or it is time; it runs on
+// the control thread.
+func (t *announcer) announce(s *kernel.State) {
+	now := t.kernel.Now()
+	if !s.Announcing || s.SourceAt == 0 {
+		return
+	}
+	news := Announcement{
+		Host: t.kernel.Settings.Host, Peer: t.kernel.Settings.Peer, Hall: t.kernel.Settings.Hall,
+		Age: now - s.SourceAt, Lost: now-s.SourceAt > sourceStale,
+		Revision: revision(s), Directory: s.Directory.Digest(), DirectoryRevision: s.Directory.Revision,
+	}
+	if news.Lost && s.Reading {
+		// The read under way may take longer still to fail.
+		lost(t.kernel, s, errStaleNews)
+	}
+	changed := news.Directory != t.announced.Digest() || news.Revision != t.revision
+	if (!changed || news.Lost) && now-t.announcedAt < announceEvery/2 {
+		return
+	}
+	if news.Directory != t.announced.Digest() {
+		change := s.Directory.Since(t.announced)
+		news.Change = &change
+	}
+	t.announced, t.revision, t.announcedAt = s.Directory, news.Revision, now
+	for _, n := range t.recipients(s) {
+		go t.send(n, news)
+	}
+}
+
+// recipients lists whom this host announces to: its hall, and if it reads the
+// platform itself, the first host of each other hall.
+func (t *announcer) recipients(s *kernel.State) []string {
+	var out []string
+	others := map[string][]string{}
+	for n, m := range s.Members {
+		switch {
+		case !m.Live || m.Leaving:
+		case m.Hall == t.kernel.Settings.Hall:
+			out = append(out, n)
+		default:
+			others[m.Hall] = append(others[m.Hall], n)
+		}
+	}
+	if !s.Reading {
+		return out
+	}
+	for _, hosts := range others {
+		out = append(out, Rank(watchKey, hosts)[0])
+	}
+	return out
+}
+
+func (t *announcer) send(host string, n Announcement) {
+	ctx, cancel := context.WithTimeout(context.Background(), announceBound)
+	defer cancel()
+	var none struct{}
+	if err := t.kernel.Peers.Call(ctx, host, MethodAnnounce, n, &none); err != nil {
+		t.kernel.Log.Debug().Err(err).Str("Peer", host).Msg("news not told")
+	}
+}
+
+// onAnnouncement serves an announcement of a reader.
+func (g *gossip) onAnnouncement(_ context.Context, params json.RawMessage) (any, error) {
+	var n Announcement
+	if err := json.Unmarshal(params, &n); err != nil {
+		return nil, fmt.Errorf("bad news: %w", err)
+	}
+	if !n.Peer.IsValid() {
+		return nil, fmt.Errorf("bad news: host %q tells no address", n.Host)
+	}
+	g.kernel.Do(func(s *kernel.State) { g.takeAnnouncement(s, &n) })
+	return struct{}{}, nil
+}
+
+// takeAnnouncement learns from an announcement. What is still missing then is
+// fetched whole.
+func (g *gossip) takeAnnouncement(s *kernel.State, n *Announcement) {
+	now := g.kernel.Now()
+	isLost := n.Lost || n.Age > sourceStale
+	if n.Hall == g.kernel.Settings.Hall {
+		s.HallSources[n.Host] = s.HallSources[n.Host].Next(now, isLost)
+	} else {
+		s.OtherSources[n.Host] = s.OtherSources[n.Host].Next(now, isLost)
+		s.SourceAt = max(s.SourceAt, now-max(n.Age, 0))
+	}
+	s.PlatformHeard = max(s.PlatformHeard, now-max(n.Age, 0))
+	if n.Change != nil {
+		s.List(n.Change)
+	}
+	// A change may be applied to a list with holes, so what is listed then is
+	// compared. The sender knows all up to its revision.
+	lacks := n.Directory != s.Directory.Digest() && (s.Directory == nil || n.DirectoryRevision >= s.Directory.Revision)
+	if lacks && !g.listing && (g.listedAt == 0 || now-g.listedAt >= listAgain) {
+		g.listing, g.listedAt = true, now
+		go g.fetchDirectory(n.Peer)
+	}
+	if n.Revision > revision(s) && !g.fetching {
+		g.fetching = true
+		go g.fetch(n.Peer)
+	}
+	if !s.Confirmed && n.Revision > 0 && n.Revision <= revision(s) {
+		s.Confirmed = true
+		s.Changed()
+	}
+}
+
+// rolesOf reports whether this host is to tell its hall what is published, and
+// whether it is to read that from the platform; it runs on the control thread. A
+// host that knows of nothing yet reads at once.
+func rolesOf(k *kernel.Kernel, s *kernel.State) (tells, reads bool) {
+	if s.Directory == nil {
+		return true, true
+	}
+	tells = leads(k, s.HallSources)
+	return tells, tells && leads(k, s.OtherSources)
+}
+
+// leads reports whether this host is first among those that tell, as far as it
+// heard of them: if none that ranks before it has told a moment ago that it hears
+// the platform, and few try in vain.
+func leads(k *kernel.Kernel, heard map[string]kernel.SourceSign) bool {
+	now := k.Now()
+	self := k.Settings.Host
+	step := time.Duration(xxhash.Sum64String(self)%takeoverSteps) * takeoverStep
+	inVain := 0
+	for n, h := range heard {
+		silent := now - h.At
+		switch {
+		case Rank(watchKey, []string{n, self})[0] == self:
+		case !h.Lost && silent < announceLost+step, h.Lost && now-h.Since < step:
+			return false
+		case h.Lost && silent < announceLost:
+			inVain++
+		}
+	}
+	return inVain < failedReadersMost
+}
--- a/tier/peers/news_test.go
+++ b/tier/peers/announce_test.go
@@ -14,7 +14,7 @@
 	"loomgap/tier/policy"
 )
 
-// ranked gives names of hosts in their order for reading the platform.
+// ranked returns names of hosts in their order for reading the platform.
 func ranked(n int) []string {
 	var names []string
 	for i := range n {
@@ -37,31 +37,31 @@
 func TestLeads(t *testing.T) {
 	names := ranked(6)
 	const now = time.Minute
-	fresh := kernel.Heard{At: now, Since: now - time.Second}
-	silent := kernel.Heard{At: now - newsLost - newsStep*newsSteps, Since: 1}
-	inVain := kernel.Heard{At: now, Lost: true, Since: now - time.Second}
-	justLost := kernel.Heard{At: now, Lost: true, Since: now - 1}
+	fresh := kernel.SourceSign{At: now, Since: now - time.Second}
+	silent := kernel.SourceSign{At: now - announceLost - takeoverStep*takeoverSteps, Since: 1}
+	inVain := kernel.SourceSign{At: now, Lost: true, Since: now - time.Second}
+	justLost := kernel.SourceSign{At: now, Lost: true, Since: now - 1}
 	tests := []struct {
 		name string
 		// heard is by place in the ranking; the host itself has place 4.
-		heard map[int]kernel.Heard
+		heard map[int]kernel.SourceSign
 		want  bool
 	}{
 		{"nobody is heard of", nil, true},
-		{"one before tells", map[int]kernel.Heard{0: fresh}, false},
-		{"one after tells", map[int]kernel.Heard{5: fresh}, true},
-		{"one before fell silent", map[int]kernel.Heard{0: silent}, true},
-		{"one before fell silent, another tells", map[int]kernel.Heard{0: silent, 1: fresh}, false},
-		{"one before reads in vain", map[int]kernel.Heard{0: inVain}, true},
-		{"three before read in vain", map[int]kernel.Heard{0: inVain, 1: inVain, 2: inVain}, false},
-		{"three before read in vain, one fell silent", map[int]kernel.Heard{0: inVain, 1: inVain, 2: silent}, true},
+		{"one before tells", map[int]kernel.SourceSign{0: fresh}, false},
+		{"one after tells", map[int]kernel.SourceSign{5: fresh}, true},
+		{"one before fell silent", map[int]kernel.SourceSign{0: silent}, true},
+		{"one before fell silent, another tells", map[int]kernel.SourceSign{0: silent, 1: fresh}, false},
+		{"one before reads in vain", map[int]kernel.SourceSign{0: inVain}, true},
+		{"three before read in vain", map[int]kernel.SourceSign{0: inVain, 1: inVain, 2: inVain}, false},
+		{"three before read in vain, one fell silent", map[int]kernel.SourceSign{0: inVain, 1: inVain, 2: silent}, true},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				k := newsKernel(t, names[4])
 				time.Sleep(now)
-				heard := map[string]kernel.Heard{}
+				heard := map[string]kernel.SourceSign{}
 				for place, h := range tt.heard {
 					heard[names[place]] = h
 				}
@@ -76,7 +76,7 @@
 		for _, n := range names[1:] {
 			k := newsKernel(t, n)
 			time.Sleep(now - k.Now())
-			if leads(k, map[string]kernel.Heard{names[0]: justLost}) {
+			if leads(k, map[string]kernel.SourceSign{names[0]: justLost}) {
 				first++
 			}
 		}
@@ -89,15 +89,15 @@
 func TestReaderTellsOneHostOfEachOtherHall(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		k := newsKernel(t, "Self")
-		s := &kernel.State{Watching: true, Members: map[string]kernel.Member{}}
+		s := &kernel.State{Reading: true, Members: map[string]kernel.Member{}}
 		for i, n := range ranked(9) {
 			hall := string(rune('A' + i%3))
 			s.Members[n] = kernel.Member{Host: n, Hall: hall, Live: true, Leaving: i == 1}
 		}
-		tl := &teller{kernel: k}
-		assert.Equal(t, len(tl.listeners(s)), 3+2)
-		s.Watching = false
-		assert.Equal(t, len(tl.listeners(s)), 3)
+		tl := &announcer{kernel: k}
+		assert.Equal(t, len(tl.recipients(s)), 3+2)
+		s.Reading = false
+		assert.Equal(t, len(tl.recipients(s)), 3)
 	})
 }
 
@@ -109,7 +109,7 @@
 		k := newsKernel(t, names[1])
 		told := &toldPeers{}
 		k.Peers = told
-		tl := &teller{kernel: k}
+		tl := &announcer{kernel: k}
 		k.OnView(tl.follow)
 		g := &gossip{kernel: k, listing: true, fetching: true}
 		change := &config.DirectoryChange{Revision: 5, Listed: []config.Listing{{Name: "U1", Group: "G", Hall: "A", Slots: 1, Revision: 5}}}
@@ -117,21 +117,21 @@
 		k.Do(func(s *kernel.State) {
 			s.Directory, _ = s.Directory.With(&config.DirectoryChange{Revision: 1})
 			s.Members["Mate"] = kernel.Member{Host: "Mate", Hall: "A", Live: true}
-			s.Telling = true
-			g.hear(s, &News{Host: names[0], Hall: "B", Age: 100 * time.Millisecond, Change: change, DirectoryRevision: 5})
+			s.Announcing = true
+			g.takeAnnouncement(s, &Announcement{Host: names[0], Hall: "B", Age: 100 * time.Millisecond, Change: change, DirectoryRevision: 5})
 		})
 		synctest.Wait()
 		assert.Assert(t, told.hosts["Mate"])
 		assert.DeepEqual(t, listedNames(k), []string{"U1"})
 		reads := make(chan bool, 1)
 		k.Do(func(s *kernel.State) {
-			tells, r := duties(k, s)
+			tells, r := rolesOf(k, s)
 			assert.Assert(t, tells)
 			reads <- r
 		})
 		assert.Assert(t, !<-reads)
-		time.Sleep(newsLost + newsStep*newsSteps)
-		k.Do(func(s *kernel.State) { _, r := duties(k, s); reads <- r })
+		time.Sleep(announceLost + takeoverStep*takeoverSteps)
+		k.Do(func(s *kernel.State) { _, r := rolesOf(k, s); reads <- r })
 		assert.Assert(t, <-reads, "the reader is gone")
 	})
 }
@@ -157,7 +157,7 @@
 		first.Revision = 1
 		s.List(first)
 		change := &config.DirectoryChange{Revision: 3, Listed: listings("U1", "U2", "U3").Listed[2:]}
-		mine.hear(s, &News{Host: "T", Peer: at, Directory: teller.View().Directory.Digest(), DirectoryRevision: 3, Change: change})
+		mine.takeAnnouncement(s, &Announcement{Host: "T", Peer: at, Directory: teller.View().Directory.Digest(), DirectoryRevision: 3, Change: change})
 	})
 	for end := time.Now().Add(20 * time.Second); lacking.View().Directory.Size() < 3; time.Sleep(time.Millisecond) {
 		assert.Assert(t, time.Now().Before(end), "%v", listedNames(lacking))
--- a/tier/peers/bench_test.go
+++ b/tier/peers/bench_test.go
@@ -26,10 +26,10 @@
 			}
 			size := 0
 			for b.Loop() {
-				text, err := json.Marshal(Beat{Members: t.Told(0), Revision: 600, Digest: "3b2943c1a576b1e4", Hall: "Quito1"})
+				text, err := json.Marshal(Heartbeat{Members: t.HeartbeatEntries(0), Revision: 600, Digest: "3b2943c1a576b1e4", Hall: "Quito1"})
 				assert.NilError(b, err)
 				size = len(text)
-				var in Beat
+				var in Heartbeat
 				assert.NilError(b, json.Unmarshal(text, &in))
 				t.Merge(0, in.Members)
 			}
--- a/tier/peers/feed.go
+++ b/tier/peers/feed.go
@@ -14,9 +14,9 @@
 
 // Times of the reader of an adapter's source.
 const (
-	// feedGather is the pause after a change, so that a burst of changes costs
+	// changePause is the pause after a change, so that a burst of changes costs
 	// one read.
-	feedGather = 300 * time.Millisecond
+	changePause = 300 * time.Millisecond
 	// feedRetry and feedRetryMost bound the pause after a read that failed. A
 	// source that is back must be read well within the seconds in which a
 	// document has to be in force.
@@ -59,7 +59,7 @@
 	}
 	source, closeSource := a.Open(k.Settings.Platform)
 	ctx, cancel := context.WithCancel(ctx)
-	f := &feed{kernel: k, source: source, teller: &teller{kernel: k}}
+	f := &feed{kernel: k, source: source, teller: &announcer{kernel: k}}
 	k.Do(func(s *kernel.State) { s.FeedDown = true })
 	// What is heard from another hall's reader is told on at once.
 	k.OnView(f.teller.follow)
@@ -80,7 +80,7 @@
 	kernel *kernel.Kernel
 	source kernel.Source
 	// teller tells the hall what was read; nil to tell nobody.
-	teller *teller
+	teller *announcer
 	// revision is up to where everything was read; 0 for nothing yet.
 	revision uint64
 	// exact is true if the next whole read must not be an old one.
@@ -121,19 +121,19 @@
 			continue // the host is not ready before a watch has confirmed the read
 		}
 		if len(published.Directory.Listed)+len(published.Directory.Removed) > 0 || published.Document != nil {
-			sleep(ctx, feedGather)
+			sleep(ctx, changePause)
 		}
 	}
 }
 
-// turn tells whether it is this host's turn to read. A host that has read before
+// turn reports whether it is this host's turn to read. A host that has read before
 // goes on from where it was.
 func (f *feed) turn() bool {
 	turn := make(chan bool, 1)
 	f.kernel.Do(func(s *kernel.State) {
-		tells, reads := duties(f.kernel, s)
-		if tells != s.Telling || reads != s.Watching {
-			s.Telling, s.Watching = tells, reads
+		tells, reads := rolesOf(f.kernel, s)
+		if tells != s.Announcing || reads != s.Reading {
+			s.Announcing, s.Reading = tells, reads
 			s.Changed()
 			f.kernel.Log.Info().Bool("Tells", tells).Bool("Reads", reads).
 				Int64("PlatformAgeMillis", (f.kernel.Now() - s.PlatformHeard).Milliseconds()).Msg("turn to read the platform")
@@ -174,7 +174,7 @@
 	if f.failingSince == 0 {
 		f.failingSince = now
 	}
-	if now-f.failingSince >= awayAfter || now-f.heardAt > newsStale {
+	if now-f.failingSince >= awayAfter || now-f.heardAt > sourceStale {
 		f.kernel.Do(func(s *kernel.State) { lost(f.kernel, s, err) })
 	}
 	f.pause = min(max(2*f.pause, feedRetry), feedRetryMost)
@@ -198,7 +198,7 @@
 		f.kernel.Log.Error().Err(err).Msg("entry of the platform not understood, left out")
 		metrics.GetOrCreateCounter("loomgap_platform_entries_refused_total").Inc()
 	}
-	away := f.failingSince > 0 && (now-f.failingSince >= awayAfter || now-f.heardAt > newsStale)
+	away := f.failingSince > 0 && (now-f.failingSince >= awayAfter || now-f.heardAt > sourceStale)
 	f.heardAt = now
 	f.failingSince, f.pause, f.exact = 0, 0, false
 	if p.Directory.Whole {
@@ -223,7 +223,7 @@
 // install runs on the control thread while the feed waits.
 func (f *feed) install(s *kernel.State, p *kernel.Published, now time.Duration, away bool) {
 	// If others heard the platform all the while, nothing lapsed.
-	away = away && now-s.PlatformHeard > newsStale
+	away = away && now-s.PlatformHeard > sourceStale
 	s.PlatformHeard, s.SourceAt = now, now
 	if s.FeedDown {
 		s.FeedDown = false
@@ -250,7 +250,7 @@
 			Int("Removed", len(change.Removed)).Int("Upstreams", s.Directory.Size()).Msg("directory changed")
 	}
 	if f.teller != nil {
-		f.teller.tell(s)
+		f.teller.announce(s)
 	}
 }
 
--- a/tier/peers/feed_test.go
+++ b/tier/peers/feed_test.go
@@ -281,16 +281,16 @@
 		told := &toldPeers{}
 		k.Peers = told
 		k.Do(func(s *kernel.State) {
-			s.Watching, s.Telling, s.SourceAt = true, true, k.Now()+time.Nanosecond
+			s.Reading, s.Announcing, s.SourceAt = true, true, k.Now()+time.Nanosecond
 			s.Members["H2"] = kernel.Member{Host: "H2", Hall: "A", Live: true}
 			s.Directory, _ = s.Directory.With(&config.DirectoryChange{Revision: 1})
 		})
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
-		go (&teller{kernel: k}).loop(ctx)
-		settle(newsEvery + time.Millisecond)
+		go (&announcer{kernel: k}).loop(ctx)
+		settle(announceEvery + time.Millisecond)
 		assert.Assert(t, told.count() > 0)
-		settle(newsStale)
+		settle(sourceStale)
 		before := told.count()
 		settle(time.Second)
 		assert.Equal(t, told.count(), before)
@@ -318,7 +318,7 @@
 func (p *toldPeers) Call(_ context.Context, host, _ string, params, _ any) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if news, ok := params.(News); ok && news.Lost {
+	if news, ok := params.(Announcement); ok && news.Lost {
 		return nil
 	}
 	p.calls++
--- a/tier/peers/gossip.go
+++ b/tier/peers/gossip.go
@@ -20,7 +20,7 @@
 
 // Methods of the peer protocol.
 const (
-	MethodBeat      = "Beat"
+	MethodHeartbeat = "Beat"
 	MethodDocument  = "Document"
 	MethodDirectory = "Directory"
 )
@@ -38,16 +38,16 @@
 	// seedEvery is how many beats pass between beats to a seed that is not
 	// known as a member: a host that was cut off finds the others again.
 	seedEvery = 5
-	// quickBeat and quickBeats are how often and how many times a host beats at
+	// startInterval and quickBeats are how often and how many times a host beats at
 	// its start, when it knows nobody: all hosts may have been started at once.
-	quickBeat  = 200 * time.Millisecond
-	quickBeats = 8
+	startInterval   = 200 * time.Millisecond
+	startHeartbeats = 8
 	// maxMembers bounds the members that are believed without a document.
 	maxMembers = 4096
 )
 
-// Beat is the message of a heartbeat and of its reply.
-type Beat struct {
+// Heartbeat is the message of a heartbeat and of its reply.
+type Heartbeat struct {
 	Members []Entry
 	// Revision and Digest name the document in force.
 	Revision uint64
@@ -110,10 +110,10 @@
 		table.Hall, table.Peer = k.Settings.Hall, k.Settings.Peer
 	}
 	g := &gossip{kernel: k, node: n, random: rand.New(seed), table: NewTable(table)}
-	k.Handle(MethodBeat, g.onBeat)
+	k.Handle(MethodHeartbeat, g.onHeartbeat)
 	k.Handle(MethodDocument, g.onDocument)
 	k.Handle(MethodDirectory, g.onDirectory)
-	k.Handle(MethodNews, g.onNews)
+	k.Handle(MethodAnnounce, g.onAnnouncement)
 	ctx, cancel := context.WithCancel(ctx)
 	done := make(chan struct{})
 	go func() {
@@ -134,7 +134,7 @@
 	node   *node
 	table  *Table
 	random *rand.Rand
-	beats  int
+	rounds int
 	pauses int
 	// fetching is true while a document is being fetched from a peer, listing
 	// while a directory is.
@@ -148,12 +148,12 @@
 }
 
 func (g *gossip) loop(ctx context.Context) {
-	tick := time.NewTicker(min(quickBeat, g.kernel.Settings.Beat))
+	tick := time.NewTicker(min(startInterval, g.kernel.Settings.Beat))
 	defer tick.Stop()
 	leave := g.kernel.Stopping()
-	g.kernel.Do(g.beat)
+	g.kernel.Do(g.sendHeartbeats)
 	for beats := 0; ; beats++ {
-		if beats == quickBeats {
+		if beats == startHeartbeats {
 			tick.Reset(g.kernel.Settings.Beat)
 		}
 		select {
@@ -163,26 +163,26 @@
 			leave = nil
 			g.kernel.Do(func(s *kernel.State) {
 				g.table.Leave()
-				g.beat(s)
+				g.sendHeartbeats(s)
 			})
 		case <-tick.C:
-			g.kernel.Do(g.beat)
+			g.kernel.Do(g.sendHeartbeats)
 		}
 	}
 }
 
-// beat sends one round of heartbeats.
-func (g *gossip) beat(s *kernel.State) {
+// sendHeartbeats sends one round of heartbeats.
+func (g *gossip) sendHeartbeats(s *kernel.State) {
 	now := g.kernel.Now()
 	if s.Pauses != g.pauses {
 		g.pauses = s.Pauses
 		g.table.Refresh(now)
 	}
-	g.beats++
+	g.rounds++
 	g.table.Tick(now, revision(s))
 	g.update(s, now)
 	message := g.message(s, now)
-	for _, to := range g.partners(s) {
+	for _, to := range g.targets(s) {
 		go g.send(to, message)
 	}
 }
@@ -194,8 +194,8 @@
 	return s.Index.Revision
 }
 
-func (g *gossip) message(s *kernel.State, now time.Duration) Beat {
-	b := Beat{Members: g.table.Told(now), Revision: revision(s), Hall: g.kernel.Settings.Hall, PlatformAge: now - s.PlatformHeard, Published: s.Published, Refused: s.Refused}
+func (g *gossip) message(s *kernel.State, now time.Duration) Heartbeat {
+	b := Heartbeat{Members: g.table.HeartbeatEntries(now), Revision: revision(s), Hall: g.kernel.Settings.Hall, PlatformAge: now - s.PlatformHeard, Published: s.Published, Refused: s.Refused}
 	if s.Directory != nil {
 		b.Directory, b.DirectoryRevision = s.Directory.Digest(), s.Directory.Revision
 	}
@@ -208,8 +208,8 @@
 	return b
 }
 
-// partners picks whom to beat to: a fixed number, whatever the fleet's size.
-func (g *gossip) partners(s *kernel.State) []netip.AddrPort {
+// targets picks whom to beat to: a fixed number, whatever the fleet's size.
+func (g *gossip) targets(s *kernel.State) []netip.AddrPort {
 	var hall, silent, other, out []netip.AddrPort
 	for _, h := range g.hosts(s) {
 		m, known := s.Members[h.Name]
@@ -228,26 +228,26 @@
 	if g.crosses(s) {
 		out = g.sample(out, other, 1)
 	}
-	if g.beats%silentEvery == 0 {
+	if g.rounds%silentEvery == 0 {
 		out = g.sample(out, silent, 1)
 	}
-	if len(out) == 0 || g.beats%seedEvery == 0 {
-		out = g.sample(out, g.strangers(s), hallPartners)
+	if len(out) == 0 || g.rounds%seedEvery == 0 {
+		out = g.sample(out, g.unknownSeeds(s), hallPartners)
 	}
 	return out
 }
 
-// crosses tells whether this beat goes to another hall too. Where one host of a
+// crosses reports whether this beat goes to another hall too. Where one host of a
 // hall reads the platform, that one tells the other halls of its own: bytes
 // between halls are dear. A host that has to learn from peers asks there.
 func (g *gossip) crosses(s *kernel.State) bool {
 	if s.FeedDown {
 		return true
 	}
-	if g.kernel.Settings.Adapter != "" && !s.Telling {
-		return g.beats%(otherHallEvery*quietCross) == 0
+	if g.kernel.Settings.Adapter != "" && !s.Announcing {
+		return g.rounds%(otherHallEvery*quietCross) == 0
 	}
-	return g.beats%otherHallEvery == 0
+	return g.rounds%otherHallEvery == 0
 }
 
 // hosts lists the other entry hosts: those of the document, or where the
@@ -266,8 +266,8 @@
 	return out
 }
 
-// strangers lists the seeds that are no members as far as is known.
-func (g *gossip) strangers(s *kernel.State) []netip.AddrPort {
+// unknownSeeds lists the seeds that are no members as far as is known.
+func (g *gossip) unknownSeeds(s *kernel.State) []netip.AddrPort {
 	known := map[netip.AddrPort]bool{g.kernel.Settings.Peer: true}
 	for _, m := range s.Members {
 		known[m.Peer] = true
@@ -288,27 +288,27 @@
 	return out
 }
 
-func (g *gossip) send(to netip.AddrPort, message Beat) {
+func (g *gossip) send(to netip.AddrPort, message Heartbeat) {
 	ctx, cancel := context.WithTimeout(context.Background(), callBound)
 	defer cancel()
-	var reply Beat
-	if err := g.node.callAddress(ctx, to, MethodBeat, message, &reply); err != nil {
+	var reply Heartbeat
+	if err := g.node.callAddress(ctx, to, MethodHeartbeat, message, &reply); err != nil {
 		g.kernel.Log.Debug().Err(err).Msg("heartbeat not answered")
 		return
 	}
 	g.kernel.Do(func(s *kernel.State) { g.take(s, to, &reply) })
 }
 
-// onBeat serves a heartbeat.
-func (g *gossip) onBeat(ctx context.Context, params json.RawMessage) (any, error) {
-	var in Beat
+// onHeartbeat serves a heartbeat.
+func (g *gossip) onHeartbeat(ctx context.Context, params json.RawMessage) (any, error) {
+	var in Heartbeat
 	if err := json.Unmarshal(params, &in); err != nil {
 		return nil, fmt.Errorf("bad heartbeat: %w", err)
 	}
 	if len(in.Members) == 0 || len(in.Members) > beatEntries {
 		return nil, fmt.Errorf("heartbeat of %d members: send 1 to %d", len(in.Members), beatEntries)
 	}
-	out := make(chan Beat, 1)
+	out := make(chan Heartbeat, 1)
 	g.kernel.Do(func(s *kernel.State) {
 		from := in.Members[0].Peer
 		if s.Index != nil && s.Index.Host(in.Members[0].Host) != nil {
@@ -326,7 +326,7 @@
 }
 
 // take learns from a heartbeat or its reply.
-func (g *gossip) take(s *kernel.State, from netip.AddrPort, b *Beat) {
+func (g *gossip) take(s *kernel.State, from netip.AddrPort, b *Heartbeat) {
 	now := g.kernel.Now()
 	g.table.Merge(now, g.declared(s, b.Members))
 	g.update(s, now)
@@ -334,7 +334,7 @@
 		s.PlatformHeard = max(s.PlatformHeard, now-max(b.PlatformAge, 0))
 		g.takeLeaving(s, now, b.Leaving)
 	}
-	s.Told(b.Published, b.Refused)
+	s.NotePublished(b.Published, b.Refused)
 	mine := revision(s)
 	if b.Revision == mine && mine > 0 && b.Digest != s.Index.Digest {
 		metrics.GetOrCreateCounter("loomgap_config_conflicts_total").Inc()
@@ -363,7 +363,7 @@
 	}
 }
 
-// declared gives the entries of hosts of the document, so that what a peer
+// declared returns the entries of hosts of the document, so that what a peer
 // makes up does not fill the memory. Before there is a document all count, and
 // where the platform lists no hosts, all up to a bound.
 func (g *gossip) declared(s *kernel.State, entries []Entry) []Entry {
@@ -396,7 +396,7 @@
 			before := revision(s)
 			g.kernel.Accept(s, text, d.Revision)
 			if revision(s) > before {
-				g.beat(s)
+				g.sendHeartbeats(s)
 			}
 		}
 	})
--- a/tier/peers/listed.go
+++ b/tier/peers/listed.go
@@ -18,7 +18,7 @@
 // maxDirectory bounds the text of a directory that a peer sends.
 const maxDirectory = 8 << 20
 
-// onDirectory gives the listed upstreams to a host that cannot read the
+// onDirectory returns the listed upstreams to a host that cannot read the
 // platform.
 func (g *gossip) onDirectory(context.Context, json.RawMessage) (any, error) {
 	reply := make(chan config.DirectoryChange, 1)
@@ -39,7 +39,7 @@
 	g.kernel.Do(func(s *kernel.State) {
 		g.listing = false
 		// A host that reads the platform itself knows better.
-		if err == nil && (s.FeedDown || !s.Watching) {
+		if err == nil && (s.FeedDown || !s.Reading) {
 			s.List(change)
 			g.kernel.Log.Info().Stringer("Peer", from).Uint64("DirectoryRevision", change.Revision).
 				Int("Upstreams", s.Directory.Size()).Msg("directory learnt from a peer")
--- a/tier/peers/peers_test.go
+++ b/tier/peers/peers_test.go
@@ -97,8 +97,8 @@
 				if j == i || j == dead {
 					continue
 				}
-				all[j].Merge(now, a.Told(now))
-				a.Merge(now, all[j].Told(now))
+				all[j].Merge(now, a.HeartbeatEntries(now))
+				a.Merge(now, all[j].HeartbeatEntries(now))
 			}
 		}
 	}
--- a/tier/peers/rank.go
+++ b/tier/peers/rank.go
@@ -80,7 +80,7 @@
 // watchKey is what hosts are ranked by for reading the platform.
 const watchKey = "watch"
 
-// Watches tells whether this host is among the hosts of its hall that watch.
+// Watches reports whether this host is among the hosts of its hall that watch.
 func Watches(hosts []string, host string, silentTurns int) bool {
 	n := watchersPerHall + min(silentTurns, moreWatchers)
 	ranked := Rank(watchKey, hosts)
--- a/tier/peers/table.go
+++ b/tier/peers/table.go
@@ -125,7 +125,7 @@
 	return silentBeats * t.beat * time.Duration(1+len(t.records)/beatEntries)
 }
 
-// live tells whether a host's beats are heard of.
+// live reports whether a host's beats are heard of.
 func (t *Table) live(now time.Duration, r *record) bool {
 	return now-r.risenAt <= t.silentAfter()
 }
@@ -138,10 +138,10 @@
 	}
 }
 
-// Told gives the entries for one heartbeat: this host, then members that were
+// HeartbeatEntries returns the entries for one heartbeat: this host, then members that were
 // heard of, at random if they are too many. Telling of those heard of last, in
 // part or only, was tried: the oldest news was older then.
-func (t *Table) Told(now time.Duration) []Entry {
+func (t *Table) HeartbeatEntries(now time.Duration) []Entry {
 	heard := make([]*record, 0, len(t.records))
 	for _, r := range t.records {
 		if t.live(now, r) {
--- a/tier/peers/watch.go
+++ b/tier/peers/watch.go
@@ -90,7 +90,7 @@
 	}
 }
 
-// turn tells whether this host watches now.
+// turn reports whether this host watches now.
 func (w *watcher) turn(first bool) bool {
 	v := w.kernel.View()
 	if v.Index == nil {
@@ -100,7 +100,7 @@
 	watching := Watches(w.hosts(v), w.kernel.Settings.Host, silent)
 	if watching != v.Watching {
 		w.kernel.Do(func(s *kernel.State) {
-			s.Watching = watching
+			s.Reading = watching
 			s.Changed()
 		})
 	}
--- a/tier/policy/attempt.go
+++ b/tier/policy/attempt.go
@@ -30,7 +30,7 @@
 	p := &r.parts[i]
 	if p.retryAt > 0 && now >= p.retryAt {
 		p.retryAt = 0
-		return r.start(now, i, out)
+		return r.startAttempt(now, i, out)
 	}
 	if p.hedged || len(p.live) == 0 || r.config.Hedge == config.HedgeNone || !r.repeatable {
 		return out
@@ -48,7 +48,7 @@
 func (r *Run) hedge(now time.Duration, i int, out []Action) []Action {
 	u := r.pick(now, i, true)
 	if u == nil || !u.free() {
-		u = r.again(now, i)
+		u = r.sameUpstream(now, i)
 	}
 	if u == nil {
 		u = r.pick(now, i, false)
@@ -93,8 +93,8 @@
 	}
 }
 
-// again gives the upstream of the shard's one live attempt, if it is fit.
-func (r *Run) again(now time.Duration, i int) *Upstream {
+// sameUpstream returns the upstream of the shard's one live attempt, if it is fit.
+func (r *Run) sameUpstream(now time.Duration, i int) *Upstream {
 	u := r.attempts[r.parts[i].live[0]].upstream
 	if r.routed != nil || !u.free() || !u.fit(now) {
 		return nil
@@ -121,13 +121,13 @@
 	return out
 }
 
-// start gives a shard its first attempt, or its next after a refusal. Where no
+// startAttempt returns a shard its first attempt, or its next after a refusal. Where no
 // slot is free it waits for one at every fit replica, and the first to come is
 // taken: that costs no call.
-func (r *Run) start(now time.Duration, i int, out []Action) []Action {
+func (r *Run) startAttempt(now time.Duration, i int, out []Action) []Action {
 	u := r.pick(now, i, false)
 	if u == nil {
-		r.miss(i, query.ReasonUnreachable)
+		r.markMissing(i, query.ReasonUnreachable)
 		return out
 	}
 	out = r.enter(now, i, u, out)
@@ -175,7 +175,7 @@
 	if !granted && !queued {
 		r.attempts = append(r.attempts, attempt{part: i, upstream: u, phase: phaseDone})
 		if len(p.live) == 0 {
-			r.miss(i, query.ReasonRefused)
+			r.markMissing(i, query.ReasonRefused)
 		}
 		return out
 	}
@@ -213,7 +213,7 @@
 	return r.cancel(i, CallCancelled, out)
 }
 
-func (r *Run) miss(i int, reason query.Reason) {
+func (r *Run) markMissing(i int, reason query.Reason) {
 	p := &r.parts[i]
 	p.reason, p.closed = reason, true
 	r.open--
@@ -246,21 +246,21 @@
 	p := &r.parts[i]
 	if !r.repeatable && !o.NotRun() {
 		r.unknown = true
-		r.miss(i, reasonOf(o))
+		r.markMissing(i, reasonOf(o))
 		return nil
 	}
 	if len(p.live) > 0 {
 		return nil
 	}
-	if !r.mayAsk(i) || !r.mayRetry(now, i, o) {
-		r.miss(i, reasonOf(o))
+	if !r.attemptsLeft(i) || !r.mayRetry(now, i, o) {
+		r.markMissing(i, reasonOf(o))
 		return nil
 	}
 	if r.pick(now, i, true) != nil || o != CallShed && r.pick(now, i, false) != nil {
-		return r.start(now, i, nil)
+		return r.startAttempt(now, i, nil)
 	}
 	if o != CallShed {
-		r.miss(i, reasonOf(o))
+		r.markMissing(i, reasonOf(o))
 		return nil
 	}
 	// No other replica is fit: after a pause a shedding one may take it.
--- a/tier/policy/news_test.go
+++ b/tier/policy/conditions_test.go
@@ -12,7 +12,7 @@
 // is slow. A far host that was told leaves it without a call of its own, and
 // comes back once it is not told of any more.
 func TestConditionsAreToldAndBelieved(t *testing.T) {
-	near := routedFleet(4, Repeats{})
+	near := routedFleet(4, RetryBudget{})
 	pool, _ := near.RoutedPools("Find")
 	finish := func(f *Fleet, name string, took time.Duration) {
 		f.Finish(0, Call{Upstream: f.Find(name), Pool: pool, Outcome: CallOK, Took: took})
@@ -28,9 +28,9 @@
 	assert.Equal(t, len(told), 1)
 	assert.Equal(t, told[0].Upstream, "N1")
 	assert.Assert(t, told[0].Slowness >= 5, "%+v", told)
-	assert.Equal(t, len(near.Conditions(tellFresh+time.Second)), 0, "old knowledge is not told")
+	assert.Equal(t, len(near.Conditions(reportFresh+time.Second)), 0, "old knowledge is not told")
 
-	far := routedFleet(4, Repeats{})
+	far := routedFleet(4, RetryBudget{})
 	first := func(now time.Duration) string {
 		_, actions := routedRun(t, far, now, 2, 2, 1, true)
 		return sends(actions)[1].Upstream.Name
@@ -41,18 +41,18 @@
 	far.TakeConditions(time.Second, "A", nil)
 	assert.Equal(t, first(time.Second), "N1")
 	far.TakeConditions(time.Second, "A", told)
-	assert.Equal(t, first(time.Second+newsLife+1), "N1", "old news are not believed")
+	assert.Equal(t, first(time.Second+conditionLife+1), "N1", "old news are not believed")
 }
 
 // TestWhatIsNotToldOfDoesWell has a host that saw an upstream slow learn from one
 // that sees more of its calls that it does well.
 func TestWhatIsNotToldOfDoesWell(t *testing.T) {
-	f := routedFleet(1, Repeats{})
+	f := routedFleet(1, RetryBudget{})
 	u := f.Find("F0")
 	u.slowness, u.samples, u.sampledAt = 20, 5, 0
 	slowness, _ := u.condition(0)
 	assert.Equal(t, slowness, 20.0)
 	f.TakeConditions(0, "B", nil)
 	slowness, _ = u.condition(0)
-	assert.Equal(t, slowness, float64(tellSlow))
+	assert.Equal(t, slowness, float64(reportSlow))
 }
--- a/tier/policy/fleet.go
+++ b/tier/policy/fleet.go
@@ -9,17 +9,17 @@
 
 // Constants of ejection, slow start and probing.
 const (
-	ejectAfter    = 3
-	ejectFirst    = time.Second
-	restFirst     = 5 * time.Millisecond
-	restLongest   = time.Second
-	ejectLongest  = 30 * time.Second
-	slowFactor    = 3
-	quickHalves   = 3
-	slowLeast     = time.Millisecond
-	warmSamples   = 10
-	probeEvery    = 100 * time.Millisecond
-	latencyWeight = 0.1
+	ejectAfter       = 3
+	ejectFirst       = time.Second
+	shedBackoffFirst = 5 * time.Millisecond
+	shedBackoffMost  = time.Second
+	ejectLongest     = 30 * time.Second
+	slowFactor       = 3
+	quickHalves      = 3
+	slowLeast        = time.Millisecond
+	warmSamples      = 10
+	probeEvery       = 100 * time.Millisecond
+	latencyWeight    = 0.1
 	// latencyLeap bounds how far one sample counts above the smoothed latency,
 	// so that one straggler does not make an upstream slow, but four do.
 	latencyLeap = 4
@@ -36,15 +36,15 @@
 // Fleet holds the upstreams and what all requests of a host share about them.
 // It is safe for concurrent use.
 type Fleet struct {
-	mu        sync.Mutex
-	random    Random
-	upstreams map[string]*Upstream
-	pools     map[string]*Pool
-	classes   map[string]*classState
-	groups    map[string]*group
-	repeats   Repeats
-	// news is what other hosts told of their halls' upstreams.
-	news map[string]*hallNews
+	mu          sync.Mutex
+	random      Random
+	upstreams   map[string]*Upstream
+	pools       map[string]*Pool
+	classes     map[string]*classState
+	groups      map[string]*group
+	retryBudget RetryBudget
+	// conditions holds the reports about the upstreams of other halls, by hall.
+	conditions map[string]*hallConditions
 }
 
 // FleetConfig configures a fleet.
@@ -56,12 +56,12 @@
 // NewFleet makes an empty fleet.
 func NewFleet(c FleetConfig) *Fleet {
 	return &Fleet{
-		random:    c.Random,
-		upstreams: map[string]*Upstream{},
-		pools:     map[string]*Pool{},
-		classes:   map[string]*classState{},
-		groups:    map[string]*group{},
-		news:      map[string]*hallNews{},
+		random:     c.Random,
+		upstreams:  map[string]*Upstream{},
+		pools:      map[string]*Pool{},
+		classes:    map[string]*classState{},
+		groups:     map[string]*group{},
+		conditions: map[string]*hallConditions{},
 	}
 }
 
@@ -98,7 +98,7 @@
 		u.share, u.most, u.leaving = s.Slots, max(s.Most, s.Slots), s.Leaving || u.gone
 		u.listed, u.near, u.hall = s.Listed, s.Near, s.Hall
 		if s.Listed {
-			u.news = f.hallNews(s.Hall)
+			u.reported = f.conditionsOf(s.Hall)
 		}
 		u.borrowed = min(u.borrowed, u.most-u.share)
 		next[s.Name] = u
@@ -108,14 +108,14 @@
 	return granted
 }
 
-// Find gives the upstream of a name; nil if there is none.
+// Find returns the upstream of a name; nil if there is none.
 func (f *Fleet) Find(name string) *Upstream {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.upstreams[name]
 }
 
-// resolve gives the upstreams of names; unknown ones are left out. The fleet is
+// resolve returns the upstreams of names; unknown ones are left out. The fleet is
 // locked.
 func (f *Fleet) resolve(names []string) []*Upstream {
 	out := make([]*Upstream, 0, len(names))
@@ -127,14 +127,14 @@
 	return out
 }
 
-// HallOf gives the data hall of a listed upstream.
+// HallOf returns the data hall of a listed upstream.
 func (f *Fleet) HallOf(u *Upstream) string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return u.hall
 }
 
-// Resolve gives the upstreams of each list of names; unknown ones are left out.
+// Resolve returns the upstreams of each list of names; unknown ones are left out.
 func (f *Fleet) Resolve(names [][]string) [][]*Upstream {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -145,7 +145,7 @@
 	return out
 }
 
-// Pool gives the latency pool of a service, made at first use.
+// Pool returns the latency pool of a service, made at first use.
 func (f *Fleet) Pool(service string) *Pool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -245,7 +245,7 @@
 	Running, Waiting, Slots int
 }
 
-// Finish gives the slot of a call back and learns from its outcome. The
+// Finish returns the slot of a call back and learns from its outcome. The
 // waiters that got a slot are returned, for Deliver.
 func (f *Fleet) Finish(now time.Duration, c Call) []*Waiter {
 	f.mu.Lock()
@@ -258,7 +258,7 @@
 	return c.Upstream.grant(now)
 }
 
-// Free gives an unused slot back.
+// Free returns an unused slot back.
 func (f *Fleet) Free(now time.Duration, u *Upstream) []*Waiter {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -273,7 +273,7 @@
 	u.sent(now)
 }
 
-// Stalled tells whether an upstream answers nobody for the moment, as far as
+// Stalled reports whether an upstream answers nobody for the moment, as far as
 // this host knows from its own calls.
 func (f *Fleet) Stalled(now time.Duration, u *Upstream) bool {
 	f.mu.Lock()
@@ -281,7 +281,7 @@
 	return u.stalled(now)
 }
 
-// Linger tells whether a call that is not wanted any more may go on for a
+// Linger reports whether a call that is not wanted any more may go on for a
 // while; it is then told to Finish as lingering.
 func (f *Fleet) Linger(u *Upstream) bool {
 	f.mu.Lock()
--- a/tier/policy/policy.go
+++ b/tier/policy/policy.go
@@ -51,7 +51,7 @@
 	CallLate CallOutcome = "Late"
 )
 
-// NotRun tells whether the outcome proves that the call did not run.
+// NotRun reports whether the outcome proves that the call did not run.
 func (o CallOutcome) NotRun() bool {
 	switch o {
 	case CallUnreachable, CallShed, CallLeaving, CallNotSent, CallStalled, CallSnapshotGone, CallMoved:
@@ -61,12 +61,12 @@
 	}
 }
 
-// arrived tells whether the call may have reached the upstream.
+// arrived reports whether the call may have reached the upstream.
 func (o CallOutcome) arrived() bool {
 	return o != CallUnreachable && o != CallNotSent && o != CallStalled
 }
 
-// broken tells whether the outcome speaks against the upstream's health.
+// broken reports whether the outcome speaks against the upstream's health.
 func (o CallOutcome) broken() bool {
 	switch o {
 	case CallUnreachable, CallFailed, CallGarbage, CallBroken, CallLate:
@@ -76,7 +76,7 @@
 	}
 }
 
-// answered tells whether the upstream gave an answer of its own.
+// answered reports whether the upstream gave an answer of its own.
 func (o CallOutcome) answered() bool {
 	switch o {
 	case CallOK, CallFailed, CallShed, CallLeaving, CallSnapshotGone, CallMoved:
--- a/tier/policy/pool.go
+++ b/tier/policy/pool.go
@@ -68,7 +68,7 @@
 	clear(p.quantiles)
 }
 
-// Known tells whether there are enough samples to learn from.
+// Known reports whether there are enough samples to learn from.
 func (p *Pool) Known() bool {
 	return p.current.TotalCount()+p.previous.TotalCount() >= poolEnough
 }
--- /dev/null
+++ b/tier/policy/retrybudget.go
@@ -0,0 +1,137 @@
+package policy
+
+import "time"
+
+// Bounds of the repeated calls of routed requests.
+const (
+	// routedSends bounds the sends of one part, those that were turned away
+	// included, so that a group that sheds is not asked for ever.
+	routedSends = 4
+	// retryBudgetShare is the part of the allowed retries that is ever used, since
+	// hosts count in windows of their own.
+	retryBudgetShare = 0.95
+	// drawBelow is the depth below which retries are drawn by chance. There are
+	// many hosts then, and chance evens out.
+	drawBelow = 3.0
+	// retriesAtStart is the part of the depth that a host begins with.
+	retriesAtStart = 0.25
+	// slackByTime is the most of the slack that hosts earn as time passes; the
+	// rest they may save up. In a window no more than the whole is spent: what was
+	// saved up before and what is earned meanwhile.
+	slackByTime = 0.5
+	// leastSaved is how many retries a host is to be able to save up before it
+	// earns any by time: with one, every tenth hedge came too soon after another
+	// where hosts are many (62 in simulated time).
+	leastSaved = 2.0
+)
+
+// RetryBudget bounds the calls beyond the first, hedges and retries, that this
+// host makes at a group.
+type RetryBudget struct {
+	// Ratio is how many retries one request earns.
+	Ratio float64
+	// PerSecond is how many retries are earned by time alone.
+	PerSecond float64
+	// Depth is how many earned retries may be saved up.
+	Depth float64
+}
+
+// ShareRetryBudget returns the part of one of so many hosts in what a group allows in
+// each window: a ratio of its requests, and a slack besides.
+func ShareRetryBudget(ratio, slack float64, window time.Duration, hosts int) RetryBudget {
+	slack *= retryBudgetShare / float64(max(hosts, 1))
+	byTime := 0.0
+	if window > 0 && slack > leastSaved {
+		byTime = min(slackByTime*slack, slack-leastSaved)
+	}
+	out := RetryBudget{Ratio: ratio * retryBudgetShare, Depth: slack - byTime}
+	if byTime > 0 {
+		out.PerSecond = byTime / window.Seconds()
+	}
+	return out
+}
+
+// group is what the requests to one group of upstreams share in one host.
+type group struct {
+	retries budget
+	// filledAt is up to when retries were earned by time.
+	filledAt time.Duration
+}
+
+// SetRetryBudget sets the budget of each group. What is saved up beyond a new
+// depth is lost.
+func (f *Fleet) SetRetryBudget(r RetryBudget) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.retryBudget = r
+	for _, g := range f.groups {
+		g.retries.tokens = min(g.retries.tokens, f.retryBudget.Depth)
+	}
+}
+
+// group returns the state of a group, with what it has earned up to now;
+// the fleet is locked. A group begins with a part of the depth: all hosts may be
+// started again at once, and what they spent before still counts.
+func (f *Fleet) group(now time.Duration, name string) *group {
+	g := f.groups[name]
+	if g == nil {
+		g = &group{retries: budget{f.retryBudget.Depth * retriesAtStart}, filledAt: now}
+		f.groups[name] = g
+	}
+	g.retries.fill(f.retryBudget.PerSecond*(now-g.filledAt).Seconds(), f.retryBudget.Depth)
+	g.filledAt = now
+	return g
+}
+
+// takeRetry takes a retry at a group; the fleet is locked. Where there are so
+// many hosts that none may save up a few retries, chance decides.
+func (f *Fleet) takeRetry(now time.Duration, name string) bool {
+	g := f.group(now, name)
+	if f.retryBudget.Depth < drawBelow {
+		return g.retries.draw(f.random)
+	}
+	return g.retries.take()
+}
+
+// earnRetry lets one request earn its part of the retries at a group; the fleet
+// is locked.
+func (f *Fleet) earnRetry(now time.Duration, name string) {
+	f.group(now, name).retries.fill(f.retryBudget.Ratio, f.retryBudget.Depth)
+}
+
+// earnRetries lets a request earn its part of the retries at its groups.
+func (r *Run) earnRetries(now time.Duration) {
+	for _, n := range r.routed.Groups {
+		r.fleet.earnRetry(now, n)
+	}
+}
+
+// takeHedge takes a hedge of a part from its budget.
+func (r *Run) takeHedge(now time.Duration, i int) bool {
+	if r.routed != nil {
+		return r.attemptsLeft(i) && r.fleet.takeRetry(now, r.routed.Groups[i])
+	}
+	return r.fleet.class(r.class).hedges.take()
+}
+
+// attemptsLeft reports whether a part may go to one more upstream.
+func (r *Run) attemptsLeft(i int) bool {
+	p := &r.parts[i]
+	if r.routed == nil {
+		return p.tries < maxTries
+	}
+	return p.ran < r.routed.MaxAttempts && p.sends < routedSends
+}
+
+// mayRetry takes a retry from the budget. For a request of a class, a call
+// that was shed costs the upstream next to nothing, so only its tries are
+// bounded. A routed request pays for each call that arrived.
+func (r *Run) mayRetry(now time.Duration, i int, o CallOutcome) bool {
+	if r.routed == nil {
+		return o == CallShed || r.fleet.class(r.class).retries.take()
+	}
+	if p := &r.parts[i]; p.arrivals == 0 {
+		return true
+	}
+	return r.fleet.takeRetry(now, r.routed.Groups[i])
+}
--- a/tier/policy/route_test.go
+++ b/tier/policy/route_test.go
@@ -13,9 +13,9 @@
 
 // routedFleet is a fleet of listed upstreams, two for each of some groups; the
 // second of each is far.
-func routedFleet(groups int, repeats Repeats) *Fleet {
+func routedFleet(groups int, repeats RetryBudget) *Fleet {
 	f := NewFleet(FleetConfig{Random: rand.New(rand.NewPCG(1, 2))})
-	f.SetRepeats(repeats)
+	f.SetRetryBudget(repeats)
 	var shares []Share
 	for g := range groups {
 		shares = append(shares,
@@ -96,7 +96,7 @@
 	fleets := make([]*Fleet, hosts)
 	start := func() *Fleet {
 		f := NewFleet(FleetConfig{Random: random})
-		f.SetRepeats(ShareRepeats(ratio, slack*0.9, time.Duration(window)*tickTime, hosts))
+		f.SetRetryBudget(ShareRetryBudget(ratio, slack*0.9, time.Duration(window)*tickTime, hosts))
 		return f
 	}
 	for i := range fleets {
@@ -116,12 +116,12 @@
 				n *= 5
 			}
 			for range n {
-				f.earnRepeat(now, "G")
+				f.earnRetry(now, "G")
 				requests[tick]++
 			}
 			// Idle for some windows, a host has saved up all it may.
 			for want := random.IntN(20); tick%250 < 200 && want > 0; want-- {
-				if f.takeRepeat(now, "G") {
+				if f.takeRetry(now, "G") {
 					repeats[tick]++
 					used++
 				}
@@ -165,7 +165,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			f := routedFleet(1, Repeats{Ratio: 1, Depth: 10})
+			f := routedFleet(1, RetryBudget{Ratio: 1, Depth: 10})
 			r, actions := routedRun(t, f, 0, 1, tt.attempts, 1, tt.repeatable)
 			n := 0
 			for _, o := range tt.outcomes {
@@ -183,7 +183,7 @@
 }
 
 func TestRoutedRunEndsWhenCoverageIsOutOfReach(t *testing.T) {
-	f := routedFleet(4, Repeats{})
+	f := routedFleet(4, RetryBudget{})
 	r, actions := routedRun(t, f, 0, 4, 1, 0.75, true)
 	s := sends(actions)
 	assert.Equal(t, len(s), 4)
@@ -192,7 +192,7 @@
 }
 
 func TestRoutedRunWithoutBudgetDoesNotRepeat(t *testing.T) {
-	f := routedFleet(1, Repeats{})
+	f := routedFleet(1, RetryBudget{})
 	r, actions := routedRun(t, f, 0, 1, 2, 1, true)
 	for now := time.Duration(0); now < time.Second; now = r.Next() {
 		assert.Equal(t, len(sends(r.Wake(now))), 0, "no hedge without a token")
@@ -204,7 +204,7 @@
 // TestStalledUpstreamIsLeft has the near upstream stand still: later requests
 // go to the far one until the near one answers again.
 func TestStalledUpstreamIsLeft(t *testing.T) {
-	f := routedFleet(1, Repeats{Ratio: 1, Depth: 10})
+	f := routedFleet(1, RetryBudget{Ratio: 1, Depth: 10})
 	answer := func(now time.Duration, r *Run, a Action, took time.Duration) {
 		f.Finish(now, Call{Upstream: a.Upstream, Pool: a.Pool, Outcome: CallOK, Took: took})
 		r.Reply(now, a.Attempt, CallOK)
@@ -237,7 +237,7 @@
 // TestOneCallLingers has two calls that lose to their hedges: one of them goes
 // on to show when the upstream answers again.
 func TestOneCallLingers(t *testing.T) {
-	f := routedFleet(1, Repeats{Ratio: 1, Depth: 10})
+	f := routedFleet(1, RetryBudget{Ratio: 1, Depth: 10})
 	lingers := 0
 	for range 2 {
 		r, actions := routedRun(t, f, 0, 1, 2, 1, true)
@@ -259,7 +259,7 @@
 // TestUpstreamThatShedsAPartIsLeft has the near upstream turn away two calls of
 // five, with a good answer between: the far one gets nearly all of the rest.
 func TestUpstreamThatShedsAPartIsLeft(t *testing.T) {
-	f := routedFleet(1, Repeats{Ratio: 1, Depth: 100})
+	f := routedFleet(1, RetryBudget{Ratio: 1, Depth: 100})
 	now, near := time.Duration(0), 0
 	for i := range 200 {
 		now += 20 * time.Millisecond
@@ -285,7 +285,7 @@
 // TestLingeringIsGivenBack has a call end just before it is to linger: the next
 // one may linger.
 func TestLingeringIsGivenBack(t *testing.T) {
-	f := routedFleet(1, Repeats{Ratio: 1, Depth: 100})
+	f := routedFleet(1, RetryBudget{Ratio: 1, Depth: 100})
 	u := f.Find("N0")
 	assert.Assert(t, f.Linger(u))
 	assert.Assert(t, !f.Linger(u), "one lingers at a time")
@@ -298,7 +298,7 @@
 
 // TestNoHedgeToABusyUpstream has the far upstream tell that calls wait there.
 func TestNoHedgeToABusyUpstream(t *testing.T) {
-	f := routedFleet(1, Repeats{Ratio: 1, Depth: 100})
+	f := routedFleet(1, RetryBudget{Ratio: 1, Depth: 100})
 	far := f.Find("F0")
 	far.inUse++
 	f.Finish(0, Call{Upstream: far, Pool: NewPool(), Outcome: CallOK, Took: 100 * time.Millisecond, Load: Load{Running: 2, Waiting: 3, Slots: 2}})
@@ -311,12 +311,12 @@
 // TestOverdueCallsAreHedged has the news of a batch lack one call: that one is
 // hedged at once, and no call of a batch is hedged before it is overdue.
 func TestOverdueCallsAreHedged(t *testing.T) {
-	f := routedFleet(2, Repeats{Ratio: 1, Depth: 100})
+	f := routedFleet(2, RetryBudget{Ratio: 1, Depth: 100})
 	r, actions := routedRun(t, f, 0, 2, 2, 1, true)
 	first := sends(actions)
 	assert.Equal(t, len(first), 2)
 	for _, a := range first {
-		r.Patient(a.Attempt)
+		r.DelayHedge(a.Attempt)
 	}
 	now := first[0].HedgeIn
 	assert.Equal(t, len(sends(r.Wake(now))), 0, "its news may still come")
@@ -330,7 +330,7 @@
 // several times: its upstream is not left for that.
 func TestLostCallsSayNothingOfTheirUpstream(t *testing.T) {
 	for _, o := range []CallOutcome{CallLost, CallNotSent} {
-		f := routedFleet(1, Repeats{})
+		f := routedFleet(1, RetryBudget{})
 		near, _ := f.RoutedPools("Find")
 		u := f.Find("F0")
 		for range 2 * ejectAfter {
@@ -345,10 +345,10 @@
 func TestRepeatsAreEarnedByTime(t *testing.T) {
 	const window = 10 * time.Second
 	f := NewFleet(FleetConfig{Random: rand.New(rand.NewPCG(1, 2))})
-	f.SetRepeats(ShareRepeats(0, 80, window, 8))
+	f.SetRetryBudget(ShareRetryBudget(0, 80, window, 8))
 	spent := 0
 	for now := time.Duration(0); now <= window; now += window / 100 {
-		for f.takeRepeat(now, "G") {
+		for f.takeRetry(now, "G") {
 			spent++
 		}
 	}
--- a/tier/policy/run.go
+++ b/tier/policy/run.go
@@ -135,8 +135,8 @@
 	patience time.Duration
 	admitted bool
 	finished bool
-	// left is true once the caller is gone.
-	left bool
+	// callerGone is true once the caller is gone.
+	callerGone bool
 	// unknown is true once a not-repeatable attempt may have run unseen.
 	unknown bool
 	// calls counts the attempts that were sent.
@@ -184,15 +184,15 @@
 	c.hedges.earn(len(r.parts), r.config.HedgeBudget)
 	c.retries.earn(len(r.parts), retryRatio)
 	if r.routed != nil {
-		r.earnRepeats(now)
+		r.earnRetries(now)
 	}
 	var out []Action
 	for i := range r.parts {
-		out = r.start(now, i, out)
+		out = r.startAttempt(now, i, out)
 		out = r.probe(now, i, out)
 	}
 	r.next = r.nextWake(now)
-	return r.settle(now, out), nil
+	return r.finishIfDone(now, out), nil
 }
 
 // hedgeDelay is after what time a call to an upstream is hedged.
@@ -220,10 +220,10 @@
 		a.phase = phaseDone
 		r.parts[a.part].remove(n)
 		free := []Action{{Kind: ActionFree, Attempt: n, Part: a.part, Upstream: a.upstream}}
-		return r.settle(now, append(free, r.failed(now, a.part, CallLeaving)...))
+		return r.finishIfDone(now, append(free, r.failed(now, a.part, CallLeaving)...))
 	}
 	r.leaveQueues(a.part, n)
-	return r.settle(now, r.send(now, n, nil))
+	return r.finishIfDone(now, r.send(now, n, nil))
 }
 
 // Reply tells what became of a sent attempt. The part may be merged only if
@@ -244,9 +244,9 @@
 	defer r.fleet.mu.Unlock()
 	if o == CallOK {
 		out := []Action{{Kind: ActionTake, Attempt: n, Part: a.part, Upstream: a.upstream}}
-		return r.settle(now, r.include(a.part, out))
+		return r.finishIfDone(now, r.include(a.part, out))
 	}
-	return r.settle(now, r.failed(now, a.part, o))
+	return r.finishIfDone(now, r.failed(now, a.part, o))
 }
 
 // account takes an outcome out of what may have run and arrived.
@@ -277,7 +277,7 @@
 		out = r.wakePart(now, i, out)
 	}
 	r.next = r.nextWake(now)
-	return r.settle(now, out)
+	return r.finishIfDone(now, out)
 }
 
 // Next is when Wake is to be called.
@@ -290,18 +290,18 @@
 	}
 	r.fleet.mu.Lock()
 	defer r.fleet.mu.Unlock()
-	r.left = true
+	r.callerGone = true
 	return r.finish(nil)
 }
 
-// settle finishes the run if it is time.
-func (r *Run) settle(now time.Duration, out []Action) []Action {
+// finishIfDone finishes the run if it is time.
+func (r *Run) finishIfDone(now time.Duration, out []Action) []Action {
 	if r.finished {
 		return out
 	}
 	enough := now >= r.patience && r.included < len(r.parts) &&
 		float64(r.included) >= r.config.Coverage*float64(len(r.parts)) && r.repeatable
-	if r.open == 0 || now >= r.deadline || enough || r.hopeless() {
+	if r.open == 0 || now >= r.deadline || enough || r.coverageUnreachable() {
 		return r.finish(out)
 	}
 	return out
@@ -342,7 +342,7 @@
 			r.unknown = true
 		}
 		out = r.cancel(i, CallLate, out)
-		r.miss(i, query.ReasonLate)
+		r.markMissing(i, query.ReasonLate)
 	}
 	r.fleet.class(r.class).inFlight--
 	r.next = math.MaxInt64
@@ -400,7 +400,7 @@
 	Unknown bool
 }
 
-// Result gives the account of the run after ActionFinish.
+// Result returns the account of the run after ActionFinish.
 func (r *Run) Result() Result {
 	out := Result{Included: r.included, Attempts: r.calls, Unknown: r.unknown, Missing: r.Missing()}
 	for i := range r.parts {
--- a/tier/policy/upstream.go
+++ b/tier/policy/upstream.go
@@ -38,8 +38,8 @@
 	failures     int
 	ejectedUntil time.Duration
 	// sheds counts sheds in a row; until restUntil others are asked first.
-	sheds     int
-	restUntil time.Duration
+	sheds        int
+	backoffUntil time.Duration
 	// slow is true from when its calls take much longer than the pool's until
 	// they are nearly as quick again.
 	slow      bool
@@ -51,9 +51,9 @@
 	// gone is true once another upstream answered at its address; its name
 	// never comes back.
 	gone bool
-	// silentFrom is when the first call was sent that had no answer since the
+	// unansweredSince is when the first call was sent that had no answer since the
 	// last answer came; 0 if none is waited for.
-	silentFrom time.Duration
+	unansweredSince time.Duration
 	// stalledUntil is until when the host near it said that it stalls.
 	stalledUntil time.Duration
 	// lingering is true while a call goes on to show when it answers again.
@@ -62,9 +62,8 @@
 	// calls, for a listed upstream; 0 before the first call. Unlike the latency
 	// it does not depend on which routes' calls it had last.
 	slowness float64
-	// news is what hosts near it told of the upstreams of its hall; nil for an
-	// upstream that is not listed.
-	news *hallNews
+	// reported is the report about its hall; nil for an upstream that is not listed.
+	reported *hallConditions
 	// faults is the smoothed share of calls that brought no answer of use.
 	faults float64
 	// sampledAt is when the latency was last learnt of.
@@ -85,12 +84,12 @@
 	Known bool
 }
 
-// Holds tells whether the window has a snapshot.
+// Holds reports whether the window has a snapshot.
 func (w Window) Holds(snapshot uint64) bool {
 	return w.Known && w.Oldest <= snapshot && snapshot <= w.Newest
 }
 
-// free tells whether a call may start. A cold upstream gets one at a time.
+// free reports whether a call may start. A cold upstream gets one at a time.
 func (u *Upstream) free() bool {
 	limit := u.share + u.borrowed
 	if u.samples < warmSamples && !u.listed {
@@ -124,13 +123,13 @@
 	case c.Outcome == CallStalled:
 		u.stalledUntil = now + stalledFor
 	case c.Outcome.answered():
-		u.silentFrom, u.stalledUntil = 0, 0
+		u.unansweredSince, u.stalledUntil = 0, 0
 		if u.inUse > 1 {
-			u.silentFrom = now
+			u.unansweredSince = now
 		}
 	case u.inUse <= 1 && !c.Elsewhere:
 		// Nobody waits for an answer any more that could tell.
-		u.silentFrom = 0
+		u.unansweredSince = 0
 		u.stalledUntil = now + stalledFor
 	}
 	if c.Load.Slots > 0 {
@@ -141,7 +140,7 @@
 		c.Pool.Record(c.Took)
 		u.observe(c.Took, c.Pool)
 		u.failures, u.sheds = 0, 0
-		u.ejectedUntil, u.restUntil = 0, 0
+		u.ejectedUntil, u.backoffUntil = 0, 0
 	case c.Outcome == CallCancelled:
 		// The call would have taken at least this long: a lower bound.
 		if c.Took > u.latencyOr(c.Pool.Median()) {
@@ -156,7 +155,7 @@
 		u.observe(c.Took, c.Pool)
 		u.fail(now)
 	case c.Outcome == CallShed:
-		u.restUntil = now + min(restFirst<<min(u.sheds, 10), restLongest)
+		u.backoffUntil = now + min(shedBackoffFirst<<min(u.sheds, 10), shedBackoffMost)
 		u.sheds++
 	case c.Outcome == CallLeaving:
 		u.leaving = true
@@ -243,27 +242,27 @@
 
 // sent notes that a call leaves.
 func (u *Upstream) sent(now time.Duration) {
-	if u.silentFrom == 0 {
-		u.silentFrom = now
+	if u.unansweredSince == 0 {
+		u.unansweredSince = now
 	}
 }
 
-// stalled tells whether calls have waited without any answer for much longer
+// stalled reports whether calls have waited without any answer for much longer
 // than they take.
 func (u *Upstream) stalled(now time.Duration) bool {
 	if now < u.stalledUntil {
 		return true
 	}
-	return u.silentFrom > 0 && now-u.silentFrom > max(stalledFactor*u.latency, stalledLeast)
+	return u.unansweredSince > 0 && now-u.unansweredSince > max(stalledFactor*u.latency, stalledLeast)
 }
 
-// busy tells whether the upstream said a moment ago that calls wait for each of
+// busy reports whether the upstream said a moment ago that calls wait for each of
 // its slots: a hedge there would wait too, and have others wait.
 func (u *Upstream) busy(now time.Duration) bool {
 	return u.waiting >= 1 && now-u.waitingAt < loadLife
 }
 
-// linger tells whether a call may linger, and notes it; one does at a time.
+// linger reports whether a call may linger, and notes it; one does at a time.
 func (u *Upstream) linger() bool {
 	if !u.listed || u.lingering || u.waiting > 0 {
 		return false
@@ -272,9 +271,9 @@
 	return true
 }
 
-// fit tells whether nothing speaks against a call now.
+// fit reports whether nothing speaks against a call now.
 func (u *Upstream) fit(now time.Duration) bool {
-	return !u.leaving && !u.slow && now >= u.ejectedUntil && now >= u.restUntil
+	return !u.leaving && !u.slow && now >= u.ejectedUntil && now >= u.backoffUntil
 }
 
 // judge decides whether the upstream is slow. The bound for becoming slow is
--- a/tier/query/cover.go
+++ b/tier/query/cover.go
@@ -63,7 +63,7 @@
 	return c
 }
 
-// Select gives the shards that a question concerns, in order of key.
+// Select returns the shards that a question concerns, in order of key.
 func Select(s *config.Service, names []string) ([]config.Shard, error) {
 	if len(names) == 0 {
 		return s.Shards, nil
--- a/tier/query/merge.go
+++ b/tier/query/merge.go
@@ -37,7 +37,7 @@
 	Limit      int         `json:",omitempty"`
 }
 
-// Question gives the part of a statement that each shard answers.
+// Question returns the part of a statement that each shard answers.
 func (a *Ask) Question() Question {
 	q := Question{Verb: a.Verb, Limit: a.MaxRows()}
 	for _, c := range a.Where {
@@ -49,7 +49,7 @@
 	return q
 }
 
-// Matches tells whether a row meets every condition.
+// Matches reports whether a row meets every condition.
 func (q *Question) Matches(r *Row) bool {
 	for i := range q.Where {
 		if !q.Where[i].holds(r.Value(q.Where[i].Field)) {
@@ -107,7 +107,7 @@
 	}
 }
 
-// Result gives the count and the rows in order.
+// Result returns the count and the rows in order.
 func (m *Merger) Result() (uint64, []Row) {
 	m.cut()
 	return m.count, m.rows
--- a/tier/replay/cases.go
+++ b/tier/replay/cases.go
@@ -55,7 +55,7 @@
 	return c
 }
 
-// pair gives a case under the baseline and under the defaults.
+// pair returns a case under the baseline and under the defaults.
 func pair(name string, c Case) []Case {
 	plain, chosen := c, c
 	plain.Name, chosen.Name = name+", plain", name+", chosen"
--- a/tier/replay/server.go
+++ b/tier/replay/server.go
@@ -64,7 +64,7 @@
 	})
 }
 
-// next gives a free slot to the backlog.
+// next returns a free slot to the backlog.
 func (s *server) next() {
 	s.busy--
 	for len(s.backlog) > 0 && s.busy < s.world.c.Slots {
@@ -105,7 +105,7 @@
 	}
 }
 
-// cancel gives the call up here at once, and at the other end a hop later.
+// cancel returns the call up here at once, and at the other end a hop later.
 func (k *work) cancel(o policy.CallOutcome) {
 	if k.finished {
 		return
--- a/tier/flight/flight.go
+++ b/tier/runner/runner.go
@@ -1,7 +1,7 @@
-// Package flight carries out the decisions of one policy run: it makes the
+// Package runner carries out the decisions of one policy run: it makes the
 // calls that the run asks for, in goroutines of their own, and feeds what
 // became of them back, one event at a time.
-package flight
+package runner
 
 import (
 	"context"
@@ -26,7 +26,7 @@
 	Took time.Duration
 }
 
-// Caller makes the calls of a flight.
+// Caller makes the calls of an execution.
 type Caller[R any] interface {
 	// Call makes one call; it runs in a goroutine of its own, and ends soon
 	// after its context does.
@@ -35,11 +35,11 @@
 	Take(part int, answer R)
 }
 
-// Observer is told of each call that ended. A Caller may implement it; calls
-// of it never overlap.
+// Observer receives each call that ended. A Caller may implement it; calls of it
+// never overlap.
 type Observer[R any] interface {
-	// Ended tells what became of a call. With over the run had its end before,
-	// and the result must not be touched any more.
+	// Ended is called with the outcome of a call. With over the run had its end
+	// before, and the result must not be touched any more.
 	Ended(a policy.Action, reply Reply[R], took time.Duration, over bool)
 }
 
@@ -57,15 +57,14 @@
 // Reporter takes in what becomes of the calls of a batch. It is used by one
 // goroutine.
 type Reporter[R any] interface {
-	// Report tells what became of one call.
+	// Report passes on the outcome of one call.
 	Report(i int, r Reply[R])
-	// Overdue tells that the calls which were not reported are known to be slow,
-	// so that they are hedged now. Before that they wait a while longer for the
-	// news of the batch.
+	// Overdue has the calls that were not reported hedged now, since they are
+	// known to be slow. Until then they wait a while longer than other calls.
 	Overdue()
 }
 
-// Config describes a flight.
+// Config describes an execution.
 type Config[R any] struct {
 	Kernel *kernel.Kernel
 	Caller Caller[R]
@@ -73,11 +72,11 @@
 	Run policy.RunConfig
 }
 
-// Flight is one run being carried out.
-type Flight[R any] struct {
+// Execution is one run being carried out.
+type Execution[R any] struct {
 	kernel *kernel.Kernel
 	caller Caller[R]
-	// observer is nil if the caller wants no news.
+	// observer is nil if the caller does not implement it.
 	observer Observer[R]
 	// batcher is nil if the caller makes each call by itself.
 	batcher  Batcher[R]
@@ -116,9 +115,9 @@
 	ended bool
 }
 
-// New prepares a flight.
-func New[R any](c Config[R]) (*Flight[R], error) {
-	f := &Flight[R]{
+// New prepares an execution.
+func New[R any](c Config[R]) (*Execution[R], error) {
+	f := &Execution[R]{
 		kernel: c.Kernel, caller: c.Caller, deadline: c.Run.Deadline,
 		calls: map[int]*call{}, done: make(chan struct{}),
 	}
@@ -133,11 +132,11 @@
 	return f, nil
 }
 
-// Fly starts the run and waits for its end. A refused request gives a
+// Run starts the run and waits for its end. A refused request gives a
 // *policy.Refusal. The context carries values only: calls are cancelled by the
 // run alone, so that a caller who goes away, told by giveUp, leaves no call
 // without its account.
-func (f *Flight[R]) Fly(ctx context.Context, giveUp <-chan struct{}) (policy.Result, error) {
+func (f *Execution[R]) Run(ctx context.Context, giveUp <-chan struct{}) (policy.Result, error) {
 	f.ctx = context.WithoutCancel(ctx)
 	now := f.kernel.Now()
 	f.mu.Lock()
@@ -164,7 +163,7 @@
 }
 
 // handle passes one event to the run and carries out what it asks for.
-func (f *Flight[R]) handle(event func(now time.Duration) []policy.Action) {
+func (f *Execution[R]) handle(event func(now time.Duration) []policy.Action) {
 	f.mu.Lock()
 	now := f.kernel.Now()
 	granted := f.perform(event(now))
@@ -174,7 +173,7 @@
 }
 
 // schedule brings the timer forward if the run wants to be woken earlier.
-func (f *Flight[R]) schedule(now time.Duration) {
+func (f *Execution[R]) schedule(now time.Duration) {
 	next := f.run.Next()
 	if f.timer != nil && next < f.wakeAt {
 		f.wakeAt = next
@@ -182,20 +181,20 @@
 	}
 }
 
-func (f *Flight[R]) granted(n int) {
+func (f *Execution[R]) granted(n int) {
 	f.handle(func(now time.Duration) []policy.Action { return f.run.Granted(now, n) })
 }
 
-func (f *Flight[R]) wake() {
+func (f *Execution[R]) wake() {
 	f.handle(func(now time.Duration) []policy.Action {
 		f.wakeAt = never
 		return f.run.Wake(now)
 	})
 }
 
-// perform carries actions out; the flight is locked. Waiters that got a slot
+// perform carries actions out; the execution is locked. Waiters that got a slot
 // are to be told after unlocking.
-func (f *Flight[R]) perform(actions []policy.Action) []*policy.Waiter {
+func (f *Execution[R]) perform(actions []policy.Action) []*policy.Waiter {
 	var (
 		granted []*policy.Waiter
 		sends   []policy.Action
@@ -223,9 +222,9 @@
 	return append(granted, f.launch(sends)...)
 }
 
-// launch starts calls; the flight is locked. Waiters that got a slot are to be
+// launch starts calls; the execution is locked. Waiters that got a slot are to be
 // told after unlocking.
-func (f *Flight[R]) launch(sends []policy.Action) (granted []*policy.Waiter) {
+func (f *Execution[R]) launch(sends []policy.Action) (granted []*policy.Waiter) {
 	var batches [][]policy.Action
 	if f.batcher != nil && len(sends) > 0 {
 		batches, sends = f.batcher.Batches(sends)
@@ -239,8 +238,8 @@
 	return granted
 }
 
-// linger lets a call go on for a while; the flight is locked.
-func (f *Flight[R]) linger(a policy.Action) {
+// linger lets a call go on for a while; the execution is locked.
+func (f *Execution[R]) linger(a policy.Action) {
 	c := f.calls[a.Attempt]
 	if c == nil || c.ended {
 		f.kernel.Fleet.Lingered(a.Upstream)
@@ -251,13 +250,13 @@
 }
 
 // giveUp ends a call that lingered.
-func (f *Flight[R]) giveUp(c *call) {
+func (f *Execution[R]) giveUp(c *call) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	c.cancel()
 }
 
-func (f *Flight[R]) send(a policy.Action) {
+func (f *Execution[R]) send(a policy.Action) {
 	ctx, cancel := context.WithCancel(f.ctx)
 	c := &call{cancel: cancel}
 	f.calls[a.Attempt] = c
@@ -266,12 +265,12 @@
 
 // sendBatch starts the calls of a batch. The batch is cancelled once each of
 // its calls was cancelled or has its reply.
-func (f *Flight[R]) sendBatch(batch []policy.Action) (granted []*policy.Waiter) {
+func (f *Execution[R]) sendBatch(batch []policy.Action) (granted []*policy.Waiter) {
 	ctx, cancel := context.WithCancel(f.ctx)
 	left := len(batch)
 	calls := make([]*call, len(batch))
 	for i, a := range batch {
-		// Calls are cancelled with the flight locked.
+		// Calls are cancelled with the execution locked.
 		once := false
 		calls[i] = &call{batched: true, cancel: func() {
 			if once {
@@ -283,7 +282,7 @@
 			}
 		}}
 		f.calls[a.Attempt] = calls[i]
-		f.run.Patient(a.Attempt)
+		f.run.DelayHedge(a.Attempt)
 		granted = append(granted, f.kernel.Fleet.Free(f.kernel.Now(), a.Upstream)...)
 	}
 	go func() {
@@ -294,8 +293,8 @@
 }
 
 // callBatch makes the calls of a batch and reports them.
-func (f *Flight[R]) callBatch(ctx context.Context, batch []policy.Action, calls []*call) {
-	r := &reporter[R]{flight: f, batch: batch, calls: calls, reported: make([]bool, len(batch)), started: f.kernel.Now()}
+func (f *Execution[R]) callBatch(ctx context.Context, batch []policy.Action, calls []*call) {
+	r := &reporter[R]{execution: f, batch: batch, calls: calls, reported: make([]bool, len(batch)), started: f.kernel.Now()}
 	rest := Reply[R]{Outcome: policy.CallNotSent}
 	if f.kernel.Awake() && r.started < f.deadline {
 		f.batcher.CallBatch(ctx, batch, r)
@@ -308,11 +307,11 @@
 
 // reporter reports the calls of one batch.
 type reporter[R any] struct {
-	flight   *Flight[R]
-	batch    []policy.Action
-	calls    []*call
-	reported []bool
-	started  time.Duration
+	execution *Execution[R]
+	batch     []policy.Action
+	calls     []*call
+	reported  []bool
+	started   time.Duration
 }
 
 // Report implements Reporter.
@@ -321,24 +320,24 @@
 		return
 	}
 	r.reported[i] = true
-	r.flight.ended(r.batch[i], r.calls[i], r.started, reply)
+	r.execution.ended(r.batch[i], r.calls[i], r.started, reply)
 }
 
 // Overdue implements Reporter.
 func (r *reporter[R]) Overdue() {
-	r.flight.handle(func(now time.Duration) []policy.Action {
+	r.execution.handle(func(now time.Duration) []policy.Action {
 		var late []int
 		for i, a := range r.batch {
 			if !r.reported[i] {
 				late = append(late, a.Attempt)
 			}
 		}
-		return r.flight.run.Overdue(now, late)
+		return r.execution.run.Overdue(now, late)
 	})
 }
 
 // call makes one upstream call and reports it.
-func (f *Flight[R]) call(ctx context.Context, a policy.Action, c *call) {
+func (f *Execution[R]) call(ctx context.Context, a policy.Action, c *call) {
 	k := f.kernel
 	started := k.Now()
 	reply := Reply[R]{Outcome: policy.CallNotSent}
@@ -350,7 +349,7 @@
 }
 
 // ended accounts for a call and passes what became of it to the run.
-func (f *Flight[R]) ended(a policy.Action, c *call, started time.Duration, reply Reply[R]) {
+func (f *Execution[R]) ended(a policy.Action, c *call, started time.Duration, reply Reply[R]) {
 	k := f.kernel
 	now := k.Now()
 	if reply.Took == 0 {
@@ -377,9 +376,9 @@
 	policy.Deliver(granted)
 }
 
-// settled tells a call that was broken from here from one that broke; the
-// flight is locked.
-func (f *Flight[R]) settled(now time.Duration, c *call, o policy.CallOutcome) policy.CallOutcome {
+// settled distinguishes a call that was cancelled from one that broke; the
+// execution is locked.
+func (f *Execution[R]) settled(now time.Duration, c *call, o policy.CallOutcome) policy.CallOutcome {
 	switch {
 	case o != policy.CallBroken && o != policy.CallLost:
 		return o
--- a/tier/wire/trace.go
+++ b/tier/wire/trace.go
@@ -16,7 +16,7 @@
 // unsampled is the parent of spans that belong to no logged trace.
 var unsampled = trace.NewSpanContext(trace.SpanContextConfig{TraceID: trace.TraceID{1}, SpanID: trace.SpanID{1}, Remote: true})
 
-// TraceOf gives the place of a context in its trace, for another host; empty if
+// TraceOf returns the place of a context in its trace, for another host; empty if
 // the trace is not logged, which spares half of a short message.
 func TraceOf(ctx context.Context) string {
 	if !trace.SpanContextFromContext(ctx).IsSampled() {
--- a/tier/wire/wire.go
+++ b/tier/wire/wire.go
@@ -143,7 +143,7 @@
 	return PackedDocument{Revision: revision, Packed: out.Bytes()}, nil
 }
 
-// Unpack gives the text of a document of at most limit bytes.
+// Unpack returns the text of a document of at most limit bytes.
 func (d *PackedDocument) Unpack(limit int64) (string, error) {
 	z, err := gzip.NewReader(bytes.NewReader(d.Packed))
 	if err != nil {
@@ -208,7 +208,7 @@
 	Trace          string
 }
 
-// RelayReply gives what became of a relayed call.
+// RelayReply returns what became of a relayed call.
 type RelayReply struct {
 	Outcome string
 	Part    PartReply
