refactor: keep what is known of an upstream's stalls in a type of its own

learn did four things in one switch; it is now a step each for stalls, latency, health and borrowing, and the three fields about stalls have their own type and file with their constants.

--- a/tier/policy/fleet.go
+++ b/tier/policy/fleet.go
@@ -270,7 +270,7 @@
 func (f *Fleet) Sent(now time.Duration, u *Upstream) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	u.sent(now)
+	u.stall.sent(now)
 }
 
 // Stalled reports whether an upstream answers nobody for the moment, as far as
@@ -293,7 +293,7 @@
 func (f *Fleet) Lingered(u *Upstream) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	u.lingering = false
+	u.stall.lingering = false
 }
 
 // UpstreamState is a copy of what is known of an upstream, for operators.
--- a/tier/policy/latency.go
+++ b/tier/policy/latency.go
@@ -25,18 +25,8 @@
 	faultCost = 500 * time.Millisecond
 	// loadLife is how long an upstream's word on its queue is believed.
 	loadLife = 300 * time.Millisecond
-	// stalledFactor is how many latencies may pass without any answer before an
-	// upstream is taken to stand still, stalledLeast the least such time.
-	stalledFactor = 2
-	stalledLeast  = 10 * time.Millisecond
-	// stalledFor is how long that is believed without a call that could tell;
-	// pauses of upstreams take some 100 ms.
-	stalledFor = 100 * time.Millisecond
 	// stalledPenalty counts a stalled upstream for slower than any that answers.
 	stalledPenalty = 10.0
-	// LingerFor is how long a call goes on that is not wanted any more, longer
-	// than upstreams pause.
-	LingerFor = 300 * time.Millisecond
 )
 
 // Score implements Chooser.
--- a/tier/policy/upstream.go
+++ b/tier/policy/upstream.go
@@ -51,13 +51,8 @@
 	// gone is true once another upstream answered at its address; its name
 	// never comes back.
 	gone bool
-	// unansweredSince is when the first call was sent that had no answer since the
-	// last answer came; 0 if none is waited for.
-	unansweredSince time.Duration
-	// stalledUntil is until when the host near it said that it stalls.
-	stalledUntil time.Duration
-	// lingering is true while a call goes on to show when it answers again.
-	lingering bool
+	// stall is whether it answers nobody for the moment.
+	stall stall
 	// slowness is the smoothed ratio of its calls' time to the median of like
 	// calls, for a listed upstream; 0 before the first call. Unlike the latency
 	// it does not depend on which routes' calls it had last.
@@ -117,31 +112,41 @@
 // learn updates latency and health from a call.
 func (u *Upstream) learn(now time.Duration, c Call) {
 	u.sampledAt = now
-	u.lingering = u.lingering && !c.Lingering
 	u.count(c.Outcome)
+	u.learnStall(now, c)
+	if c.Load.Slots > 0 {
+		u.waiting, u.waitingAt = float64(c.Load.Waiting)/float64(c.Load.Slots), now
+	}
+	u.learnLatency(c)
+	u.learnHealth(now, c.Outcome)
+	u.judge(c.Pool)
+	u.borrow(c.Outcome)
+}
+
+// learnStall updates whether the upstream stands still.
+func (u *Upstream) learnStall(now time.Duration, c Call) {
+	if c.Lingering {
+		u.stall.lingering = false
+	}
 	switch {
 	case c.Outcome == CallStalled:
-		u.stalledUntil = now + stalledFor
+		u.stall.believe(now)
 	case c.Outcome.answered():
-		u.unansweredSince, u.stalledUntil = 0, 0
-		if u.inUse > 1 {
-			u.unansweredSince = now
-		}
+		u.stall.answered(now, u.inUse > 1)
 	case u.inUse <= 1 && !c.Elsewhere:
 		// Nobody waits for an answer any more that could tell.
-		u.unansweredSince = 0
-		u.stalledUntil = now + stalledFor
-	}
-	if c.Load.Slots > 0 {
-		u.waiting, u.waitingAt = float64(c.Load.Waiting)/float64(c.Load.Slots), now
+		u.stall.unansweredSince = 0
+		u.stall.believe(now)
 	}
-	switch {
-	case c.Outcome == CallOK:
+}
+
+// learnLatency takes in how long a call took, or took at least.
+func (u *Upstream) learnLatency(c Call) {
+	switch c.Outcome {
+	case CallOK:
 		c.Pool.Record(c.Took)
 		u.observe(c.Took, c.Pool)
-		u.failures, u.sheds = 0, 0
-		u.ejectedUntil, u.backoffUntil = 0, 0
-	case c.Outcome == CallCancelled:
+	case CallCancelled:
 		// The call would have taken at least this long: a lower bound.
 		if c.Took > u.latencyOr(c.Pool.Median()) {
 			u.observe(c.Took, c.Pool)
@@ -151,21 +156,28 @@
 			// quantiles sink, and hedges come ever earlier.
 			c.Pool.Record(c.Took)
 		}
-	case c.Outcome == CallLate:
+	case CallLate:
 		u.observe(c.Took, c.Pool)
-		u.fail(now)
-	case c.Outcome == CallShed:
+	default:
+	}
+}
+
+// learnHealth updates ejection, backoff and the signs of leaving.
+func (u *Upstream) learnHealth(now time.Duration, o CallOutcome) {
+	switch {
+	case o == CallOK:
+		u.failures, u.sheds = 0, 0
+		u.ejectedUntil, u.backoffUntil = 0, 0
+	case o == CallShed:
 		u.backoffUntil = now + min(shedBackoffFirst<<min(u.sheds, 10), shedBackoffMost)
 		u.sheds++
-	case c.Outcome == CallLeaving:
+	case o == CallLeaving:
 		u.leaving = true
-	case c.Outcome == CallMoved && u.listed:
+	case o == CallMoved && u.listed:
 		u.leaving, u.gone = true, true
-	case c.Outcome.broken():
+	case o.broken():
 		u.fail(now)
 	}
-	u.judge(c.Pool)
-	u.borrow(c.Outcome)
 }
 
 // count takes an outcome into the share of faults; those that say nothing of
@@ -240,21 +252,9 @@
 	return u.latency
 }
 
-// sent notes that a call leaves.
-func (u *Upstream) sent(now time.Duration) {
-	if u.unansweredSince == 0 {
-		u.unansweredSince = now
-	}
-}
-
 // stalled reports whether calls have waited without any answer for much longer
 // than they take.
-func (u *Upstream) stalled(now time.Duration) bool {
-	if now < u.stalledUntil {
-		return true
-	}
-	return u.unansweredSince > 0 && now-u.unansweredSince > max(stalledFactor*u.latency, stalledLeast)
-}
+func (u *Upstream) stalled(now time.Duration) bool { return u.stall.holds(now, u.latency) }
 
 // busy reports whether the upstream said a moment ago that calls wait for each of
 // its slots: a hedge there would wait too, and have others wait.
@@ -264,10 +264,10 @@
 
 // linger reports whether a call may linger, and notes it; one does at a time.
 func (u *Upstream) linger() bool {
-	if !u.listed || u.lingering || u.waiting > 0 {
+	if !u.listed || u.stall.lingering || u.waiting > 0 {
 		return false
 	}
-	u.lingering = true
+	u.stall.lingering = true
 	return true
 }
 
