--- a/tier/pass/batch.go
+++ b/tier/pass/batch.go
@@ -57,9 +57,6 @@
 // begun is a batch on its way.
 type begun struct {
 	host string
-	// floor and basis spare records that cannot be in the answer any more.
-	floor []byte
-	basis []*answer
 }
 
 func (r *relaying) begin(attempt int, b begun) {
@@ -107,12 +104,7 @@
 			apart = append(apart, calls...)
 			continue
 		}
-		b := begun{host: host}
-		if calls[0].HedgeIn == 0 {
-			// Most parts are here when one is hedged.
-			b.floor, b.basis = q.parts.floor(q.route.Gather.Top)
-		}
-		q.relaying.begin(calls[0].Attempt, b)
+		q.relaying.begin(calls[0].Attempt, begun{host: host})
 		batches = append(batches, calls)
 	}
 	return batches, apart
@@ -137,7 +129,7 @@
 		due = started + way + hedgesDue
 	}
 	e.relays.sent(host, due)
-	in.Floor, in.Trace = b.floor, wire.TraceOf(ctx)
+	in.Trace = wire.TraceOf(ctx)
 	progress, forget := e.batches.open(in.ID)
 	defer forget()
 	s := &sentBatch{request: q, calls: batch, in: in, begun: b, started: started, due: due, roundTrip: way, to: to}
@@ -255,7 +247,7 @@
 func (s *sentBatch) report(g *GatherReply) {
 	fleet := s.request.engine.kernel.Fleet
 	fleet.TakeConditions(s.request.engine.kernel.Now(), s.hall(), g.Conditions)
-	block := &block{records: g.Records, stamps: map[int]string{}, basis: s.begun.basis}
+	block := &block{records: g.Records, stamps: map[int]string{}}
 	if g.Cut > 0 {
 		block.rest = &omitted{host: s.begun.host, at: RecordsRequest{ID: s.in.ID, Cut: g.Cut}}
 	}
--- a/tier/pass/gather_test.go
+++ b/tier/pass/gather_test.go
@@ -325,45 +325,6 @@
 	}
 }
 
-// TestFloorLeavesOutOnlyWhatIsNotNeeded has some parts here and others come with
-// a floor; the answer is that of all parts without one.
-func TestFloorLeavesOutOnlyWhatIsNotNeeded(t *testing.T) {
-	const top = 15
-	of := func(shard int) *answer {
-		h := http.Header{}
-		h.Set(names.Stamp, fmt.Sprint("s", shard))
-		return &answer{header: h, body: []byte(part(shard))}
-	}
-	var g gathered
-	floor, basis := g.floor(top)
-	assert.Assert(t, floor == nil && basis == nil, "nothing is known yet")
-	for i := range 4 {
-		g.take(i, of(i))
-	}
-	floor, basis = g.floor(top)
-	assert.Equal(t, len(basis), 4)
-	m := merger{top: top, floor: floor}
-	m.add([]byte(part(4)))
-	m.add([]byte(part(5)))
-	b := &block{records: m.result(), stamps: map[int]string{4: "b4", 5: "b5"}, basis: basis}
-	assert.Assert(t, len(b.records) < 10*recordBytes, "%d bytes", len(b.records))
-	g.take(4, &answer{block: b})
-	records, stamps := g.merge(top, names.Stamp)
-	assert.Equal(t, string(records), greatest(top, 0, 1, 2, 3, 4, 5))
-	assert.Equal(t, len(stamps), 6)
-
-	// A larger block replaces a part of the basis: what came with the floor is of
-	// no use then.
-	whole := merger{top: top}
-	for _, p := range []int{0, 6, 7} {
-		whole.add([]byte(part(p)))
-	}
-	g.take(6, &answer{block: &block{records: whole.result(), stamps: map[int]string{0: "w0", 6: "w6", 7: "w7"}}})
-	records, stamps = g.merge(top, names.Stamp)
-	assert.Equal(t, string(records), greatest(top, 0, 1, 2, 3, 6, 7))
-	assert.Equal(t, len(stamps), 6)
-}
-
 func FuzzMerge(f *testing.F) {
 	f.Add([]byte("0123456789abcdefrest"), 1)
 	f.Add(bytes.Repeat([]byte("x"), 200), 3)
--- a/tier/pass/merge.go
+++ b/tier/pass/merge.go
@@ -10,9 +10,7 @@
 
 // merger keeps the greatest records of the parts added.
 type merger struct {
-	top int
-	// floor is a record below which none is wanted; nil for none.
-	floor   []byte
+	top     int
 	records [][]byte
 }
 
@@ -35,9 +33,6 @@
 func (m *merger) cut() {
 	slices.SortFunc(m.records, func(a, b []byte) int { return bytes.Compare(b, a) })
 	keep := min(len(m.records), m.top)
-	for keep > 0 && bytes.Compare(m.records[keep-1], m.floor) < 0 {
-		keep--
-	}
 	clear(m.records[keep:])
 	m.records = m.records[:keep]
 }
@@ -48,9 +43,6 @@
 	records []byte
 	// stamps are the proofs of the parts, by number of the part.
 	stamps map[int]string
-	// basis are the answers from which the floor was taken below which records
-	// were left out. The block is of use only beside all of them.
-	basis []*answer
 	// rest tells where the least records are that were not sent; nil if all were.
 	rest *omitted
 }
@@ -84,27 +76,6 @@
 	}
 }
 
-// floor returns the least of the greatest records of what is here, and the answers
-// that it is from; nil while there are too few records. A record below it cannot
-// be in the answer.
-func (g *gathered) floor(top int) (record []byte, basis []*answer) {
-	m := merger{top: top}
-	blocks, single := g.choose()
-	for _, b := range blocks {
-		m.add(b.records)
-		basis = append(basis, &answer{block: b})
-	}
-	for _, a := range single {
-		m.add(a.body)
-		basis = append(basis, a)
-	}
-	m.cut()
-	if len(m.records) < top {
-		return nil, nil
-	}
-	return m.records[top-1], basis
-}
-
 // lacking lists the blocks of the answer of which records that were not sent may
 // belong to it.
 func (g *gathered) lacking(top int) []*block {
@@ -129,39 +100,9 @@
 	g.blocks = slices.DeleteFunc(g.blocks, func(other *block) bool { return other == b })
 }
 
-// choose returns what makes the answer. A block whose basis is not in it is left
-// out, and what is left is chosen from again.
-func (g *gathered) choose() (blocks []*block, single map[int]*answer) {
-	for {
-		blocks, single = g.disjoint()
-		i := slices.IndexFunc(blocks, func(b *block) bool { return !supported(b, blocks, single) })
-		if i < 0 {
-			return blocks, single
-		}
-		g.blocks = slices.DeleteFunc(g.blocks, func(b *block) bool { return b == blocks[i] })
-	}
-}
-
-// supported reports whether all that a block's floor was taken from is chosen.
-func supported(b *block, blocks []*block, single map[int]*answer) bool {
-	for _, a := range b.basis {
-		if a.block != nil && slices.Contains(blocks, a.block) {
-			continue
-		}
-		found := false
-		for _, s := range single {
-			found = found || s == a
-		}
-		if !found {
-			return false
-		}
-	}
-	return true
-}
-
-// disjoint returns blocks with no part in common, the largest first, and the
+// choose returns blocks with no part in common, the largest first, and the
 // single parts that no block has.
-func (g *gathered) disjoint() (blocks []*block, single map[int]*answer) {
+func (g *gathered) choose() (blocks []*block, single map[int]*answer) {
 	slices.SortStableFunc(g.blocks, func(a, b *block) int { return len(b.stamps) - len(a.stamps) })
 	in := map[int]bool{}
 	for _, b := range g.blocks {
--- a/tier/pass/relay.go
+++ b/tier/pass/relay.go
@@ -70,8 +70,6 @@
 	// with 0 for Of none are.
 	Top int
 	Of  int `json:",omitempty"`
-	// Floor is a record below which none is wanted; empty for none.
-	Floor []byte `json:",omitempty"`
 	// FirstMillis is when the first answer is due, 0 if any call that ends is to be
 	// told of; DeadlineMillis is when the calls end; both from now.
 	FirstMillis, DeadlineMillis int64
@@ -181,7 +179,7 @@
 	if err := json.Unmarshal(params, &in); err != nil {
 		return nil, fmt.Errorf("bad gather: %w", err)
 	}
-	if len(in.Upstreams) == 0 || len(in.Upstreams) > maxGathered || in.Top < 1 || len(in.Floor)%recordBytes != 0 {
+	if len(in.Upstreams) == 0 || len(in.Upstreams) > maxGathered || in.Top < 1 {
 		return nil, fmt.Errorf("bad gather: %d upstreams, top %d: send 1 to %d, and a top of 1 or more", len(in.Upstreams), in.Top, maxGathered)
 	}
 	e.kernel.InFlight.Add(1)
@@ -213,7 +211,7 @@
 	b := &batch{
 		engine: e, in: in, deadline: now + left, cancel: cancel,
 		begun: now, due: now + min(time.Duration(in.FirstMillis)*time.Millisecond, left),
-		merger: merger{top: in.Top, floor: in.Floor}, open: len(in.Upstreams), calls: map[int]*relayedCall{},
+		merger: merger{top: in.Top}, open: len(in.Upstreams), calls: map[int]*relayedCall{},
 		finished: make(chan struct{}), changed: make(chan struct{}, 1),
 	}
 	e.relayed.mu.Lock()
