--- a/tier/policy/attempt.go
+++ b/tier/policy/attempt.go
@@ -71,8 +71,6 @@
 	HedgeNoUpstream HedgeObstacle = "NoUpstream"
 	// HedgeNoSlot means that this host's share of the other upstream is in use.
 	HedgeNoSlot HedgeObstacle = "NoSlot"
-	// HedgeQueue means that calls wait in the other upstream's own queue.
-	HedgeQueue HedgeObstacle = "Queue"
 	// HedgeNoBudget means that the budget of repeated calls is spent.
 	HedgeNoBudget HedgeObstacle = "NoBudget"
 )
@@ -84,8 +82,6 @@
 		return HedgeNoUpstream
 	case !u.free():
 		return HedgeNoSlot
-	case u.busy(now):
-		return HedgeQueue
 	case !r.takeHedge(now, i):
 		return HedgeNoBudget
 	default:
--- a/tier/policy/upstream.go
+++ b/tier/policy/upstream.go
@@ -256,12 +256,6 @@
 // than they take.
 func (u *Upstream) stalled(now time.Duration) bool { return u.stall.holds(now, u.latency) }
 
-// busy reports whether the upstream said a moment ago that calls wait for each of
-// its slots: a hedge there would wait too, and have others wait.
-func (u *Upstream) busy(now time.Duration) bool {
-	return u.waiting >= 1 && now-u.waitingAt < loadLife
-}
-
 // linger reports whether a call may linger, and notes it; one does at a time.
 func (u *Upstream) linger() bool {
 	if !u.listed || u.stall.lingering || u.waiting > 0 {
