--- a/loomd/settings.go
+++ b/loomd/settings.go
@@ -85,8 +85,7 @@
 	f.DurationVar(&s.LeavingHold, "LeavingHold", 2*time.Minute, "how long an upstream counts as leaving after its last sign")
 	f.StringVar(&s.Adapter, "Adapter", "", "`name` of the platform's adapter; empty for loomgap's own protocols")
 	f.Float64Var(&s.RetryBudget.Ratio, "RetryRatio", 0.2, "share of routed requests that may be repeated")
-	f.Float64Var(&s.RetryBudget.Slack, "RetrySlack", 50, "`calls` that may be repeated besides, by all hosts in one -RetryWindow")
-	f.DurationVar(&s.RetryBudget.Window, "RetryWindow", 10*time.Second, "span in which repeats are counted")
+	f.Float64Var(&s.RetryBudget.Slack, "RetrySlack", 50, "`calls` that may be repeated besides, by all hosts within the span that the platform counts in")
 	f.IntVar(&s.LogRate, "LogRate", 200, "most log lines a second about single requests")
 	f.Float64Var(&s.TraceRatio, "TraceRatio", 0, "share of requests whose spans are logged, 0 to 1")
 }
@@ -148,7 +147,6 @@
 		{s.LeavingHold >= time.Second && s.LeavingHold <= time.Hour, "LeavingHold", "out of range", "use 1s to 1h"},
 		{s.RetryBudget.Ratio >= 0 && s.RetryBudget.Ratio <= 1, "RetryRatio", "out of range", "use 0 to 1"},
 		{s.RetryBudget.Slack >= 0, "RetrySlack", "out of range", "use 0 or more"},
-		{s.RetryBudget.Window >= time.Second, "RetryWindow", "out of range", "use 1s or more"},
 		{s.LogRate >= 1, "LogRate", "out of range", "use 1 or more"},
 		{s.TraceRatio >= 0 && s.TraceRatio <= 1, "TraceRatio", "out of range", "use 0 to 1"},
 	}
--- a/tier/kernel/state.go
+++ b/tier/kernel/state.go
@@ -78,14 +78,12 @@
 }
 
 // RetryBudget bounds the calls beyond the first that a group of upstreams gets from
-// all hosts together, within any span of Window.
+// all hosts together, within the span that the platform counts in.
 type RetryBudget struct {
 	// Ratio is the part of the requests that may be repeated.
 	Ratio float64
 	// Slack is how many retries are allowed besides.
 	Slack float64
-	// Window is the span that is looked at.
-	Window time.Duration
 }
 
 // Member is another entry host, as believed.
--- a/tier/pass/engine.go
+++ b/tier/pass/engine.go
@@ -134,7 +134,7 @@
 		return
 	}
 	e.basis = next
-	e.kernel.Fleet.SetRetryBudget(policy.ShareRetryBudget(next.retryBudget.Ratio, next.retryBudget.Slack*slackShare, next.retryBudget.Window, next.known))
+	e.kernel.Fleet.SetRetryBudget(policy.ShareRetryBudget(next.retryBudget.Ratio, next.retryBudget.Slack*slackShare, next.known))
 	old, links := *e.links.Load(), map[string]*link{}
 	var shares []policy.Share
 	for _, l := range v.Directory.All() {
--- a/tier/policy/attempt.go
+++ b/tier/policy/attempt.go
@@ -54,7 +54,7 @@
 		u = r.pick(now, i, false)
 	}
 	p := &r.parts[i]
-	p.unhedged = r.hedgeObstacle(now, i, u)
+	p.unhedged = r.hedgeObstacle(i, u)
 	if p.unhedged != "" {
 		return out
 	}
@@ -76,13 +76,13 @@
 )
 
 // hedgeObstacle takes a hedge of a part from its budget, or says why not.
-func (r *Run) hedgeObstacle(now time.Duration, i int, u *Upstream) HedgeObstacle {
+func (r *Run) hedgeObstacle(i int, u *Upstream) HedgeObstacle {
 	switch {
 	case u == nil:
 		return HedgeNoUpstream
 	case !u.free():
 		return HedgeNoSlot
-	case !r.takeHedge(now, i):
+	case !r.takeHedge(i):
 		return HedgeNoBudget
 	default:
 		return ""
@@ -248,7 +248,7 @@
 	if len(p.live) > 0 {
 		return nil
 	}
-	if !r.attemptsLeft(i) || !r.mayRetry(now, i, o) {
+	if !r.attemptsLeft(i) || !r.mayRetry(i, o) {
 		r.markMissing(i, reasonOf(o))
 		return nil
 	}
--- a/tier/policy/retrybudget.go
+++ b/tier/policy/retrybudget.go
@@ -1,7 +1,5 @@
 package policy
 
-import "time"
-
 // Bounds of the repeated calls of routed requests.
 const (
 	// routedSends bounds the sends of one part, those that were turned away
@@ -15,14 +13,6 @@
 	drawBelow = 3.0
 	// retriesAtStart is the part of the depth that a host begins with.
 	retriesAtStart = 0.25
-	// slackByTime is the most of the slack that hosts earn as time passes; the
-	// rest they may save up. In a window no more than the whole is spent: what was
-	// saved up before and what is earned meanwhile.
-	slackByTime = 0.5
-	// leastSaved is how many retries a host is to be able to save up before it
-	// earns any by time: with one, every tenth hedge came too soon after another
-	// where hosts are many (62 in simulated time).
-	leastSaved = 2.0
 )
 
 // RetryBudget bounds the calls beyond the first, hedges and retries, that this
@@ -30,32 +20,19 @@
 type RetryBudget struct {
 	// Ratio is how many retries one request earns.
 	Ratio float64
-	// PerSecond is how many retries are earned by time alone.
-	PerSecond float64
 	// Depth is how many earned retries may be saved up.
 	Depth float64
 }
 
-// ShareRetryBudget returns the part of one of so many hosts in what a group allows in
-// each window: a ratio of its requests, and a slack besides.
-func ShareRetryBudget(ratio, slack float64, window time.Duration, hosts int) RetryBudget {
-	slack *= retryBudgetShare / float64(max(hosts, 1))
-	byTime := 0.0
-	if window > 0 && slack > leastSaved {
-		byTime = min(slackByTime*slack, slack-leastSaved)
-	}
-	out := RetryBudget{Ratio: ratio * retryBudgetShare, Depth: slack - byTime}
-	if byTime > 0 {
-		out.PerSecond = byTime / window.Seconds()
-	}
-	return out
+// ShareRetryBudget returns one host's part of what a group allows in each window:
+// a ratio of its requests, and a slack besides.
+func ShareRetryBudget(ratio, slack float64, hosts int) RetryBudget {
+	return RetryBudget{Ratio: ratio * retryBudgetShare, Depth: slack * retryBudgetShare / float64(max(hosts, 1))}
 }
 
 // group is what the requests to one group of upstreams share in one host.
 type group struct {
 	retries budget
-	// filledAt is up to when retries were earned by time.
-	filledAt time.Duration
 }
 
 // SetRetryBudget sets the budget of each group. What is saved up beyond a new
@@ -69,24 +46,22 @@
 	}
 }
 
-// group returns the state of a group, with what it has earned up to now;
-// the fleet is locked. A group begins with a part of the depth: all hosts may be
-// started again at once, and what they spent before still counts.
-func (f *Fleet) group(now time.Duration, name string) *group {
+// group returns the state of a group; the fleet is locked. A group begins with a
+// part of the depth: all hosts may be started again at once, and what they spent
+// before still counts.
+func (f *Fleet) group(name string) *group {
 	g := f.groups[name]
 	if g == nil {
-		g = &group{retries: budget{f.retryBudget.Depth * retriesAtStart}, filledAt: now}
+		g = &group{retries: budget{f.retryBudget.Depth * retriesAtStart}}
 		f.groups[name] = g
 	}
-	g.retries.fill(f.retryBudget.PerSecond*(now-g.filledAt).Seconds(), f.retryBudget.Depth)
-	g.filledAt = now
 	return g
 }
 
 // takeRetry takes a retry at a group; the fleet is locked. Where there are so
 // many hosts that none may save up a few retries, chance decides.
-func (f *Fleet) takeRetry(now time.Duration, name string) bool {
-	g := f.group(now, name)
+func (f *Fleet) takeRetry(name string) bool {
+	g := f.group(name)
 	if f.retryBudget.Depth < drawBelow {
 		return g.retries.draw(f.random)
 	}
@@ -95,21 +70,21 @@
 
 // earnRetry lets one request earn its part of the retries at a group; the fleet
 // is locked.
-func (f *Fleet) earnRetry(now time.Duration, name string) {
-	f.group(now, name).retries.fill(f.retryBudget.Ratio, f.retryBudget.Depth)
+func (f *Fleet) earnRetry(name string) {
+	f.group(name).retries.fill(f.retryBudget.Ratio, f.retryBudget.Depth)
 }
 
 // earnRetries lets a request earn its part of the retries at its groups.
-func (r *Run) earnRetries(now time.Duration) {
+func (r *Run) earnRetries() {
 	for _, n := range r.routed.Groups {
-		r.fleet.earnRetry(now, n)
+		r.fleet.earnRetry(n)
 	}
 }
 
 // takeHedge takes a hedge of a part from its budget.
-func (r *Run) takeHedge(now time.Duration, i int) bool {
+func (r *Run) takeHedge(i int) bool {
 	if r.routed != nil {
-		return r.attemptsLeft(i) && r.fleet.takeRetry(now, r.routed.Groups[i])
+		return r.attemptsLeft(i) && r.fleet.takeRetry(r.routed.Groups[i])
 	}
 	return r.fleet.class(r.class).hedges.take()
 }
@@ -126,12 +101,12 @@
 // mayRetry takes a retry from the budget. For a request of a class, a call
 // that was shed costs the upstream next to nothing, so only its tries are
 // bounded. A routed request pays for each call that arrived.
-func (r *Run) mayRetry(now time.Duration, i int, o CallOutcome) bool {
+func (r *Run) mayRetry(i int, o CallOutcome) bool {
 	if r.routed == nil {
 		return o == CallShed || r.fleet.class(r.class).retries.take()
 	}
 	if p := &r.parts[i]; p.arrivals == 0 {
 		return true
 	}
-	return r.fleet.takeRetry(now, r.routed.Groups[i])
+	return r.fleet.takeRetry(r.routed.Groups[i])
 }
--- a/tier/policy/run.go
+++ b/tier/policy/run.go
@@ -184,7 +184,7 @@
 	c.hedges.earn(len(r.parts), r.config.HedgeBudget)
 	c.retries.earn(len(r.parts), retryRatio)
 	if r.routed != nil {
-		r.earnRetries(now)
+		r.earnRetries()
 	}
 	var out []Action
 	for i := range r.parts {
