feat: learn how many calls an upstream takes from connections that it resets

Shares are fixed; what an upstream takes at the moment is not known to anybody. Change: a new connection that is reset before any answer lowers the limit of this host's calls there to one less than are under way, 2 at least; it grows by one for each four times the limit in calls that go well. Calls beyond it wait or go elsewhere. Test: TestLimitIsLearntFromResets.

--- a/tier/pass/call.go
+++ b/tier/pass/call.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"loomgap/tier/kernel"
@@ -65,12 +66,16 @@
 	// sent is false if it is certain that no byte left.
 	sent bool
 	err  error
+	// crowded is true if a new connection was reset before any answer.
+	crowded bool
 }
 
 // call makes a call and tells what it means. One that was cancelled before it
 // left, while its connection was being made, says nothing of the upstream.
 func (l *link) call(ctx context.Context, c *call, gathered bool) runner.Reply[*answer] {
-	out := judge(c.headers, l.do(ctx, c), gathered)
+	r := l.do(ctx, c)
+	out := judge(c.headers, r, gathered)
+	out.Crowded = r.crowded
 	if out.Outcome == policy.CallUnreachable && ctx.Err() != nil {
 		out.Outcome = policy.CallNotSent
 	}
@@ -95,7 +100,7 @@
 		if err != nil && k.reused && l.now()-started >= silentBound {
 			l.closeIdleBefore(started)
 		}
-		return result{answer: a, sent: true, err: err}
+		return result{answer: a, sent: true, err: err, crowded: !k.reused && errors.Is(err, syscall.ECONNRESET)}
 	}
 	l.put(k)
 	return result{answer: a, sent: true, err: err}
--- a/tier/pass/relay.go
+++ b/tier/pass/relay.go
@@ -249,7 +249,7 @@
 			now := k.Now()
 			near, _ := k.Fleet.RoutedPools(b.in.Route)
 			policy.Deliver(k.Fleet.Finish(now, policy.Call{
-				Upstream: u, Pool: near, Outcome: reply.Outcome, Took: now - started, Load: reply.Load,
+				Upstream: u, Pool: near, Outcome: reply.Outcome, Took: now - started, Load: reply.Load, Crowded: reply.Crowded,
 				Lingering: b.release(i, c),
 			}))
 		default:
--- a/tier/policy/fleet.go
+++ b/tier/policy/fleet.go
@@ -238,6 +238,9 @@
 	Elsewhere bool
 	// Lingering is true for a call that went on though it was not wanted.
 	Lingering bool
+	// Crowded is true for a call whose new connection was reset before any answer:
+	// the upstream may have as many connections as it takes.
+	Crowded bool
 }
 
 // Load is an upstream's own word on its work.
--- a/tier/policy/route_test.go
+++ b/tier/policy/route_test.go
@@ -344,3 +344,41 @@
 	}
 	assert.Equal(t, spend(), int(depth))
 }
+
+// TestLimitIsLearntFromResets has an upstream reset new connections while this host
+// has several calls there: it gets fewer at a time, and more again as calls go well.
+func TestLimitIsLearntFromResets(t *testing.T) {
+	f := NewFleet(FleetConfig{Random: rand.New(rand.NewPCG(1, 2))})
+	f.Apply(0, []Share{{Name: "U", Slots: 6, Listed: true, Near: true}})
+	u, p := f.Find("U"), NewPool()
+	enter := func() int {
+		n := 0
+		for u.free() {
+			u.inUse++
+			n++
+		}
+		return n
+	}
+	assert.Equal(t, enter(), 6)
+	f.Finish(0, Call{Upstream: u, Pool: p, Outcome: CallBroken, Crowded: true})
+	assert.Equal(t, enter(), 0, "five are under way")
+	finish := func(calls int) {
+		for range calls {
+			f.Finish(0, Call{Upstream: u, Pool: p, Outcome: CallOK, Took: time.Millisecond})
+		}
+	}
+	finish(5)
+	assert.Equal(t, enter(), 5)
+	finish(5)
+	for range 5 * limitGrowth {
+		u.inUse++
+		finish(1)
+	}
+	assert.Equal(t, enter(), 6, "the limit has grown")
+	for range 20 {
+		f.Finish(0, Call{Upstream: u, Pool: p, Outcome: CallBroken, Crowded: true})
+		u.inUse++
+	}
+	u.inUse = 0
+	assert.Equal(t, enter(), 5)
+}
--- a/tier/policy/upstream.go
+++ b/tier/policy/upstream.go
@@ -51,6 +51,10 @@
 	// gone is true once another upstream answered at its address; its name
 	// never comes back.
 	gone bool
+	// limit is how many calls it takes from this host, as learnt from connections
+	// that it reset; 0 for no limit. goodCalls counts those that went well since
+	// limit last changed.
+	limit, goodCalls int
 	// stall is whether it answers nobody for the moment.
 	stall stall
 	// slowness is the smoothed ratio of its calls' time to the median of like
@@ -90,6 +94,9 @@
 	if u.samples < warmSamples && !u.listed {
 		limit = min(limit, 1)
 	}
+	if u.limit > 0 {
+		limit = min(limit, u.limit)
+	}
 	return u.inUse < limit
 }
 
@@ -113,6 +120,7 @@
 func (u *Upstream) learn(now time.Duration, c Call) {
 	u.sampledAt = now
 	u.count(c.Outcome)
+	u.adaptLimit(c)
 	u.learnStall(now, c)
 	if c.Load.Slots > 0 {
 		u.waiting, u.waitingAt = float64(c.Load.Waiting)/float64(c.Load.Slots), now
@@ -180,6 +188,33 @@
 	}
 }
 
+// Constants of the limit that is learnt from connections that were reset.
+const (
+	// limitLeast is the least limit, limitGrowth how many times the limit in calls
+	// must go well until it grows by one.
+	limitLeast  = 2
+	limitGrowth = 4
+)
+
+// adaptLimit lowers the limit of calls when a new connection is reset, and raises
+// it by one while calls go well: additive increase, multiplicative decrease by
+// what was in use.
+func (u *Upstream) adaptLimit(c Call) {
+	switch {
+	case c.Crowded && u.listed:
+		u.limit, u.goodCalls = max(u.inUse-1, limitLeast), 0
+	case c.Outcome == CallOK && u.limit > 0:
+		u.goodCalls++
+		if u.goodCalls < limitGrowth*u.limit {
+			return
+		}
+		u.limit, u.goodCalls = u.limit+1, 0
+		if u.limit >= u.share+u.borrowed {
+			u.limit = 0
+		}
+	}
+}
+
 // count takes an outcome into the share of faults; those that say nothing of
 // the upstream leave it as it is.
 func (u *Upstream) count(o CallOutcome) {
--- a/tier/runner/runner.go
+++ b/tier/runner/runner.go
@@ -21,6 +21,8 @@
 	Load policy.Load
 	// Part is what was answered; its zero value if nothing was.
 	Part R
+	// Crowded is true if a new connection was reset before any answer.
+	Crowded bool
 	// Took is how long the call alone took, where that is known better than by
 	// the time until the reply; 0 if it is not.
 	Took time.Duration
@@ -367,7 +369,7 @@
 	countCall(reply.Outcome)
 	granted := k.Fleet.Finish(now, policy.Call{
 		Upstream: a.Upstream, Pool: a.Pool, Outcome: reply.Outcome, Took: reply.Took, Load: reply.Load,
-		Elsewhere: c.batched, Lingering: lingering,
+		Elsewhere: c.batched, Lingering: lingering, Crowded: reply.Crowded && !c.batched,
 	})
 	f.handle(func(now time.Duration) []policy.Action {
 		f.reply = reply.Part
