--- a/tier/pass/batch.go
+++ b/tier/pass/batch.go
@@ -47,30 +47,28 @@
 // relaying is which hosts make calls for one request.
 type relaying struct {
 	mu sync.Mutex
-	// begun are the batches, by number of the batch's first attempt.
-	begun map[int]begun
+	// hosts are those that make the calls of a batch, by number of the batch's
+	// first attempt.
+	hosts map[int]string
 	// outstanding counts the batches that a host has not answered. A hedge must not
 	// wait for the same host as the call that it hedges.
 	outstanding map[string]int
 }
 
-// begun is a batch on its way.
-type begun struct {
-	host string
-}
-
-func (r *relaying) begin(attempt int, b begun) {
-	if r.begun == nil {
-		r.begun, r.outstanding = map[int]begun{}, map[string]int{}
+// begin notes a batch that goes to a host; it is used with mu held.
+func (r *relaying) begin(attempt int, host string) {
+	if r.hosts == nil {
+		r.hosts, r.outstanding = map[int]string{}, map[string]int{}
 	}
-	r.begun[attempt] = b
-	r.outstanding[b.host]++
+	r.hosts[attempt] = host
+	r.outstanding[host]++
 }
 
-func (r *relaying) of(attempt int) begun {
+// hostOf returns the host that a batch goes to.
+func (r *relaying) hostOf(attempt int) string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.begun[attempt]
+	return r.hosts[attempt]
 }
 
 func (r *relaying) answered(host string) {
@@ -104,7 +102,7 @@
 			apart = append(apart, calls...)
 			continue
 		}
-		q.relaying.begin(calls[0].Attempt, begun{host: host})
+		q.relaying.begin(calls[0].Attempt, host)
 		batches = append(batches, calls)
 	}
 	return batches, apart
@@ -114,25 +112,24 @@
 func (q *request) CallBatch(ctx context.Context, batch []policy.Action, to runner.Reporter[*answer]) {
 	e := q.engine
 	k := e.kernel
-	b := q.relaying.of(batch[0].Attempt)
-	host := b.host
+	host := q.relaying.hostOf(batch[0].Attempt)
 	ctx, span := k.Tracer.Start(ctx, "relay", trace.WithSpanKind(trace.SpanKindClient))
 	defer span.End()
 	if span.IsRecording() {
 		span.SetAttributes(attribute.String("Relay", host), attribute.Int("Calls", len(batch)))
 	}
 	started := k.Now()
-	way := e.relays.roundTrip(host)
-	in := q.gatherRequest(batch, way)
-	due := started + way + time.Duration(in.FirstMillis)*time.Millisecond
+	roundTrip := e.relays.roundTrip(host)
+	in := q.gatherRequest(batch, roundTrip)
+	due := started + roundTrip + time.Duration(in.FirstMillis)*time.Millisecond
 	if in.FirstMillis == 0 {
-		due = started + way + hedgesDue
+		due = started + roundTrip + hedgesDue
 	}
 	e.relays.sent(host, due)
 	in.Trace = wire.TraceOf(ctx)
 	progress, forget := e.batches.open(in.ID)
 	defer forget()
-	s := &sentBatch{request: q, calls: batch, in: in, begun: b, started: started, due: due, roundTrip: way, to: to}
+	s := &sentBatch{request: q, calls: batch, in: in, host: host, started: started, due: due, roundTrip: roundTrip, to: to}
 	answered := make(chan error, 1)
 	go func() { answered <- e.callRelay(ctx, host, MethodGather, in, &s.last, q.deadline) }()
 	for {
@@ -152,7 +149,7 @@
 	request *request
 	calls   []policy.Action
 	in      *GatherRequest
-	begun   begun
+	host    string
 	// started is when it was sent, due when the first sign of it is due.
 	started, due time.Duration
 	// roundTrip is how long a message takes there and back, as far as is known.
@@ -192,8 +189,8 @@
 	now := e.kernel.Now()
 	held := time.Duration(g.HeldMicros) * time.Microsecond
 	s.roundTrip = max(now-s.started-held, time.Microsecond)
-	e.relays.answered(s.begun.host, s.hall(), now, s.roundTrip)
-	s.request.relaying.answered(s.begun.host)
+	e.relays.answered(s.host, s.hall(), now, s.roundTrip)
+	s.request.relaying.answered(s.host)
 }
 
 // finish takes the answer in, or that there is none.
@@ -220,7 +217,7 @@
 // fail reports the calls of a batch without an answer. That says nothing of the
 // upstreams.
 func (s *sentBatch) fail(ctx context.Context, err error) {
-	q, host := s.request, s.begun.host
+	q, host := s.request, s.host
 	e := q.engine
 	outcome := policy.CallLost
 	if unreached(err) && !s.heard {
@@ -249,7 +246,7 @@
 	fleet.TakeConditions(s.request.engine.kernel.Now(), s.hall(), g.Conditions)
 	block := &block{records: g.Records, stamps: map[int]string{}}
 	if g.Cut > 0 {
-		block.rest = &omitted{host: s.begun.host, at: RecordsRequest{ID: s.in.ID, Cut: g.Cut}}
+		block.rest = &omitted{host: s.host, at: RecordsRequest{ID: s.in.ID, Cut: g.Cut}}
 	}
 	ended := slices.DeleteFunc(g.Ended, func(c GatheredCall) bool { return c.Index < 0 || c.Index >= len(s.calls) })
 	for _, c := range ended {
@@ -305,12 +302,12 @@
 
 // gatherRequest describes a batch for the host that makes its calls. The first
 // answer is to be here before the calls that it lacks are hedged.
-func (q *request) gatherRequest(batch []policy.Action, way time.Duration) *GatherRequest {
+func (q *request) gatherRequest(batch []policy.Action, roundTrip time.Duration) *GatherRequest {
 	now := q.engine.kernel.Now()
 	in := &GatherRequest{
 		ID:    q.engine.batches.name(),
 		Route: q.route.Name, RequestID: q.id, Method: q.method, Head: string(q.head), Body: q.body, Top: q.route.Gather.Top,
-		FirstMillis:    q.firstDue(batch, way).Milliseconds(),
+		FirstMillis:    q.firstDue(batch, roundTrip).Milliseconds(),
 		DeadlineMillis: (q.deadline - now).Milliseconds(),
 	}
 	if !q.engine.wholeRecords(q.route.Name) {
@@ -324,7 +321,7 @@
 
 // firstDue is in what time the first answer for a batch is wanted: before its
 // calls are hedged. Hedges are not hedged again: each that ends is told of.
-func (q *request) firstDue(batch []policy.Action, way time.Duration) time.Duration {
+func (q *request) firstDue(batch []policy.Action, roundTrip time.Duration) time.Duration {
 	due := q.begun + time.Duration(q.class.Patience) - q.engine.kernel.Now()
 	for _, a := range batch {
 		if a.HedgeIn == 0 {
@@ -332,7 +329,7 @@
 		}
 		due = min(due, a.HedgeIn)
 	}
-	return max(due-way-gatherReserve, gatherLeast)
+	return max(due-roundTrip-gatherReserve, gatherLeast)
 }
 
 // callRelay calls another host and gives up with the context or the deadline.
--- a/tier/pass/hosts.go
+++ b/tier/pass/hosts.go
@@ -66,7 +66,7 @@
 // a certain request; empty if there is none that answers. Of those that owe
 // alike, all hosts take the same one: it sees most calls to its upstreams, so it
 // learns soon how they do.
-func (r *relays) choose(v *kernel.View, hall string, now time.Duration, owing map[string]int) string {
+func (r *relays) choose(v *kernel.View, hall string, now time.Duration, outstanding map[string]int) string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if now < r.hall(hall).backoff.until {
@@ -74,7 +74,7 @@
 	}
 	var names []string
 	for n, m := range v.Members {
-		if m.Live && !m.Leaving && m.Hall == hall && m.Peer.IsValid() && owing[n] == 0 && r.answers(n, now) {
+		if m.Live && !m.Leaving && m.Hall == hall && m.Peer.IsValid() && outstanding[n] == 0 && r.answers(n, now) {
 			names = append(names, n)
 		}
 	}
@@ -119,15 +119,15 @@
 }
 
 // answered notes an answer and how long the message took there and back.
-func (r *relays) answered(host, hall string, now, way time.Duration) {
+func (r *relays) answered(host, hall string, now, roundTrip time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s := r.state(host)
-	s.closeOne(now)
+	s.batchEnded(now)
 	s.backoff = backoff{}
 	*r.hall(hall) = hallState{}
-	if s.roundTrip == 0 || way < s.roundTrip {
-		s.roundTrip = way
+	if s.roundTrip == 0 || roundTrip < s.roundTrip {
+		s.roundTrip = roundTrip
 	}
 }
 
@@ -138,7 +138,7 @@
 	defer r.mu.Unlock()
 	s := r.state(host)
 	dueAt := s.dueAt
-	s.closeOne(now)
+	s.batchEnded(now)
 	if !late {
 		if s.open > 0 {
 			s.dueAt = dueAt
@@ -156,7 +156,7 @@
 	}
 }
 
-func (s *relayState) closeOne(now time.Duration) {
+func (s *relayState) batchEnded(now time.Duration) {
 	s.open--
 	s.dueAt = 0
 	if s.open > 0 {
--- a/tier/policy/attempt.go
+++ b/tier/policy/attempt.go
@@ -48,7 +48,7 @@
 func (r *Run) hedge(now time.Duration, i int, out []Action) []Action {
 	u := r.pick(now, i, true)
 	if u == nil || !u.free() {
-		u = r.sameUpstream(now, i)
+		u = r.sameAgain(now, i)
 	}
 	if u == nil {
 		u = r.pick(now, i, false)
@@ -71,7 +71,8 @@
 	HedgeNoUpstream HedgeObstacle = "NoUpstream"
 	// HedgeNoSlot means that this host's share of the other upstream is in use.
 	HedgeNoSlot HedgeObstacle = "NoSlot"
-	// HedgeNoBudget means that the budget of repeated calls is spent.
+	// HedgeNoBudget means that the retry budget is spent, or that no further
+	// attempt is allowed.
 	HedgeNoBudget HedgeObstacle = "NoBudget"
 )
 
@@ -89,8 +90,8 @@
 	}
 }
 
-// sameUpstream returns the upstream of the shard's one live attempt, if it is fit.
-func (r *Run) sameUpstream(now time.Duration, i int) *Upstream {
+// sameAgain returns the upstream of the shard's one live attempt, if it is fit.
+func (r *Run) sameAgain(now time.Duration, i int) *Upstream {
 	u := r.attempts[r.parts[i].live[0]].upstream
 	if r.routed != nil || !u.free() || !u.fit(now) {
 		return nil
