test: hold the routed policy to be ahead of the plain one at any size, in virtual time

The replay could play requests of a class only. It plays gathers of a route too: listed upstreams near and far, pauses, the retry budget, lingering calls.

--- a/tier/replay/replay.go
+++ b/tier/replay/replay.go
@@ -69,7 +69,9 @@
 	// ShedEvery makes one upstream in so many refuse all calls, whatever its
 	// health endpoint says.
 	ShedEvery int
-	Loads     []Load
+	// Routed has the requests be gathers of a route; nil for those of a class.
+	Routed *Routed
+	Loads  []Load
 }
 
 type event struct {
@@ -126,7 +128,7 @@
 // Run replays a case.
 func Run(c Case) (*Report, error) {
 	w := &world{c: c, random: rand.New(rand.NewPCG(c.Seed, 42)), indices: map[string]int{}}
-	for i := range c.Shards {
+	for i := range c.upstreams() {
 		w.upstreams = append(w.upstreams, newServer(w, i))
 		w.indices[upstreamName(i)] = i
 	}
@@ -180,6 +182,10 @@
 
 func newHost(w *world, index int) *host {
 	h := &host{world: w, index: index, fleet: policy.NewFleet(policy.FleetConfig{Random: w.random})}
+	if w.c.Routed != nil {
+		h.joinRouted()
+		return h
+	}
 	var shares []policy.Share
 	for i := range w.c.Shards {
 		s := policy.Share{Name: upstreamName(i), Slots: w.share(index, i)}
@@ -231,6 +237,10 @@
 			names[i] = append(names[i], upstreamName((first+i+r)%w.c.Shards))
 		}
 	}
+	if w.c.Routed != nil {
+		h.requestRouted(load)
+		return
+	}
 	replicas, snapshot := h.fleet.Plan(names)
 	f := &flight{host: h, load: load, begun: w.now, calls: map[int]*work{}, shards: l.Shards}
 	if w.now >= w.c.Warm {
@@ -244,6 +254,12 @@
 	if err != nil {
 		panic(err) // the case names a plug-in that is not there
 	}
+	f.begin(run)
+}
+
+// begin starts a run.
+func (f *flight) begin(run *policy.Run) {
+	w := f.host.world
 	f.run = run
 	actions, err := run.Begin(w.now)
 	if err != nil {
@@ -279,6 +295,8 @@
 			f.send(a)
 		case policy.ActionCancel:
 			f.calls[a.Attempt].cancel(a.Outcome)
+		case policy.ActionLinger:
+			f.calls[a.Attempt].linger(a.Outcome, a.For)
 		case policy.ActionFree:
 			policy.Deliver(f.host.fleet.Free(w.now, a.Upstream))
 		case policy.ActionFinish:
@@ -298,10 +316,15 @@
 	w := f.host.world
 	index := w.indices[a.Upstream.Name]
 	sent := w.now
-	k := &work{world: w, server: w.upstreams[index], hop: w.c.Hop}
+	k := &work{world: w, server: w.upstreams[index], hop: f.host.hop(index)}
+	pool := f.host.pool
+	if w.c.Routed != nil {
+		pool = a.Pool
+		f.host.fleet.Sent(sent, a.Upstream)
+	}
 	k.done = func(o policy.CallOutcome) {
 		policy.Deliver(f.host.fleet.Finish(w.now, policy.Call{
-			Upstream: a.Upstream, Pool: f.host.pool, Outcome: o, Took: w.now - sent,
+			Upstream: a.Upstream, Pool: pool, Outcome: o, Took: w.now - sent, Lingering: k.lingering,
 		}))
 		f.perform(f.run.Reply(w.now, a.Attempt, o))
 	}
--- a/tier/replay/report.go
+++ b/tier/replay/report.go
@@ -20,6 +20,10 @@
 	// Asked and Included count parts, Attempts the calls made for them.
 	Asked, Included, Attempts int
 	latency                   *hdrhistogram.Histogram
+	// Objective is when an answer counts in full, Earned the sum of what answers
+	// within it earn, for routed requests.
+	Objective time.Duration
+	Earned    float64
 }
 
 const longestMicros = 60_000_000
@@ -43,6 +47,10 @@
 	t.Asked += shards
 	t.Included += r.Included
 	t.Attempts += r.Attempts
+	if took <= t.Objective {
+		share := float64(r.Included) / float64(shards)
+		t.Earned += share * share
+	}
 	if r.Included == shards {
 		t.Complete++
 	}
--- a/tier/replay/server.go
+++ b/tier/replay/server.go
@@ -41,6 +41,8 @@
 	case s.lost():
 		// It never answers; the caller gives up in the end.
 	case k.cancelled:
+	case s.pausedFor() > 0:
+		s.world.after(s.pausedFor(), func() { s.arrive(k) })
 	case every(s.world.c.ShedEvery, s.index):
 		k.reply(policy.CallShed)
 	case s.busy < s.world.c.Slots:
@@ -84,6 +86,8 @@
 	working   bool
 	cancelled bool
 	finished  bool
+	// lingering is true once the call goes on though it is not wanted.
+	lingering bool
 	// inner is the call that the owner makes for a relayed one.
 	inner *work
 	// done reports the outcome to the calling host, once.
