--- a/loomfake/soak_test.go
+++ b/loomfake/soak_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"path/filepath"
@@ -33,18 +34,22 @@
 		seeds = append(seeds, f.seed)
 	}
 	for _, seed := range seeds {
-		s, cleanUp, err := newSoak(soakConfig{
-			Seed: seed, For: 4 * time.Second, Daemon: filepath.Join(programs, "loomd"), Hosts: 2, Callers: 6, Shards: 4, Dir: t.TempDir(),
-		})
-		assert.NilError(t, err)
-		err = s.run(t.Context())
-		cleanUp()
-		assert.NilError(t, err)
-		if broken := s.check(); len(broken) > 0 {
-			t.Fatalf("seed %d:\n%s", seed, strings.Join(broken, "\n"))
-		}
-		assert.Assert(t, len(s.asked) > 0)
+		t.Run(fmt.Sprint("Seed", seed), func(t *testing.T) { soakOnce(t, seed) })
+	}
+}
+
+func soakOnce(t *testing.T, seed uint64) {
+	s, cleanUp, err := newSoak(soakConfig{
+		Seed: seed, For: 4 * time.Second, Daemon: filepath.Join(programs, "loomd"), Hosts: 2, Callers: 6, Shards: 4, Dir: t.TempDir(),
+	})
+	assert.NilError(t, err)
+	err = s.run(t.Context())
+	cleanUp()
+	assert.NilError(t, err)
+	if broken := s.check(); len(broken) > 0 {
+		t.Fatalf("seed %d:\n%s", seed, strings.Join(broken, "\n"))
 	}
+	assert.Assert(t, len(s.asked) > 0)
 }
 
 // soaked is a soak as it is after its run, with one gather of two shards and
