--- a/tier/config/directory.go
+++ b/tier/config/directory.go
@@ -31,7 +31,7 @@
 type Directory struct {
 	// Revision is the platform's revision up to which the directory is whole.
 	Revision uint64
-	// removed returns for names that were removed the revision of the removal, so
+	// removed holds for names that were removed the revision of the removal, so
 	// that an older listing of the same name does not bring it back.
 	removed map[string]uint64
 	listed  map[string]Listing
--- a/tier/entry/serve.go
+++ b/tier/entry/serve.go
@@ -203,7 +203,7 @@
 // StatusCode implements goahttp.Statuser.
 func (f *faultBody) StatusCode() int { return f.status }
 
-// fault returns an error its body: the service's own have kind and remedy, those
+// fault gives an error its body: the service's own have kind and remedy, those
 // of the generated decoder get them here.
 func fault(_ context.Context, err error) goahttp.Statuser {
 	var own *entrygen.Fault
--- a/tier/kernel/push.go
+++ b/tier/kernel/push.go
@@ -13,7 +13,7 @@
 
 type pushKey struct{}
 
-// WithPush returns the handler of a call a way to tell its caller something before
+// WithPush gives the handler of a call a way to tell its caller something before
 // the answer.
 func WithPush(ctx context.Context, push PushFunc) context.Context {
 	return context.WithValue(ctx, pushKey{}, push)
--- a/tier/kernel/state.go
+++ b/tier/kernel/state.go
@@ -138,9 +138,9 @@
 	// Returned gives for each upstream when it was last said to be back; older
 	// signs of leaving do not count.
 	Returned map[string]time.Duration
-	// Reading reports whether this host watches the platform.
+	// Reading is true while this host reads the platform.
 	Reading bool
-	// Announcing reports whether this host tells its hall what is published: what it
+	// Announcing is true while this host announces to its hall what is published: what it
 	// reads itself, or hears from a reader in another hall.
 	Announcing bool
 	// PlatformHeard is when the hall last heard the platform.
--- a/tier/pass/answer.go
+++ b/tier/pass/answer.go
@@ -29,7 +29,7 @@
 	outcomeTooLarge = "TooLarge"
 )
 
-// answerSingle returns the answer of one upstream.
+// answerSingle sends the caller the answer of one upstream.
 func (q *request) answerSingle(w http.ResponseWriter, r *policy.Result) {
 	a := q.single
 	if a == nil {
@@ -52,7 +52,7 @@
 	}
 }
 
-// answerGathered returns the merged answer, if it covers enough.
+// answerGathered sends the caller the merged answer, if it covers enough.
 func (q *request) answerGathered(ctx context.Context, w http.ResponseWriter, r *policy.Result) {
 	q.complete(ctx)
 	total := len(q.plan.groups)
--- a/tier/pass/batch.go
+++ b/tier/pass/batch.go
@@ -22,7 +22,7 @@
 const (
 	// relaySilent is how long the first sign of a host may be late until others
 	// are asked first, and relayBackoff how long it is left alone then: twice as long
-	// each time until it answers, relayRestMost at most. Each try of a host that
+	// each time until it answers, relayBackoffMost at most. Each try of a host that
 	// is cut off costs the calls of a batch.
 	relaySilent      = 100 * time.Millisecond
 	relayBackoff     = 2 * time.Second
@@ -272,7 +272,7 @@
 	byID sync.Map
 }
 
-// name returns a batch a name of its own.
+// name returns a name for a batch that no other has.
 func (s *sentBatches) name() string { return s.prefix + strconv.FormatUint(s.count.Add(1), 36) }
 
 // open returns what is told of a batch until it is forgotten.
--- a/tier/peers/announce.go
+++ b/tier/peers/announce.go
@@ -41,8 +41,8 @@
 	announceBound = time.Second
 )
 
-// errStaleNews is a platform that has not answered for some time.
-var errStaleNews = errors.New("no answer for some time")
+// errStaleSource is a platform that has not answered for some time.
+var errStaleSource = errors.New("no answer for some time")
 
 // Announcement says what is published: the reader of the platform sends it to its
 // own hall and to one host of each other hall, which passes it on to its hall.
@@ -115,7 +115,7 @@
 	}
 	if news.Lost && s.Reading {
 		// The read under way may take longer still to fail.
-		lost(t.kernel, s, errStaleNews)
+		lost(t.kernel, s, errStaleSource)
 	}
 	changed := news.Directory != t.announced.Digest() || news.Revision != t.revision
 	if (!changed || news.Lost) && now-t.announcedAt < announceEvery/2 {
@@ -159,7 +159,7 @@
 	defer cancel()
 	var none struct{}
 	if err := t.kernel.Peers.Call(ctx, host, MethodAnnounce, n, &none); err != nil {
-		t.kernel.Log.Debug().Err(err).Str("Peer", host).Msg("news not told")
+		t.kernel.Log.Debug().Err(err).Str("Peer", host).Msg("announcement not sent")
 	}
 }
 
@@ -167,10 +167,10 @@
 func (g *gossip) onAnnouncement(_ context.Context, params json.RawMessage) (any, error) {
 	var n Announcement
 	if err := json.Unmarshal(params, &n); err != nil {
-		return nil, fmt.Errorf("bad news: %w", err)
+		return nil, fmt.Errorf("bad announcement: %w", err)
 	}
 	if !n.Peer.IsValid() {
-		return nil, fmt.Errorf("bad news: host %q tells no address", n.Host)
+		return nil, fmt.Errorf("bad announcement: host %q tells no address", n.Host)
 	}
 	g.kernel.Do(func(s *kernel.State) { g.takeAnnouncement(s, &n) })
 	return struct{}{}, nil
--- a/tier/peers/gossip.go
+++ b/tier/peers/gossip.go
@@ -38,7 +38,7 @@
 	// seedEvery is how many beats pass between beats to a seed that is not
 	// known as a member: a host that was cut off finds the others again.
 	seedEvery = 5
-	// startInterval and quickBeats are how often and how many times a host beats at
+	// startInterval and startHeartbeats are how often and how many times a host beats at
 	// its start, when it knows nobody: all hosts may have been started at once.
 	startInterval   = 200 * time.Millisecond
 	startHeartbeats = 8
--- a/tier/peers/listed.go
+++ b/tier/peers/listed.go
@@ -18,7 +18,7 @@
 // maxDirectory bounds the text of a directory that a peer sends.
 const maxDirectory = 8 << 20
 
-// onDirectory returns the listed upstreams to a host that cannot read the
+// onDirectory gives the listed upstreams to a host that cannot read the
 // platform.
 func (g *gossip) onDirectory(context.Context, json.RawMessage) (any, error) {
 	reply := make(chan config.DirectoryChange, 1)
--- a/tier/policy/attempt.go
+++ b/tier/policy/attempt.go
@@ -118,9 +118,9 @@
 	return out
 }
 
-// startAttempt returns a shard its first attempt, or its next after a refusal. Where no
-// slot is free it waits for one at every fit replica, and the first to come is
-// taken: that costs no call.
+// startAttempt gives a shard its first attempt, or its next after a refusal.
+// Where no slot is free it waits for one at every fit replica, and the first to
+// come is taken: that costs no call.
 func (r *Run) startAttempt(now time.Duration, i int, out []Action) []Action {
 	u := r.pick(now, i, false)
 	if u == nil {
--- a/tier/policy/fleet.go
+++ b/tier/policy/fleet.go
@@ -248,7 +248,7 @@
 	Running, Waiting, Slots int
 }
 
-// Finish returns the slot of a call back and learns from its outcome. The
+// Finish gives the slot of a call back and learns from its outcome. The
 // waiters that got a slot are returned, for Deliver.
 func (f *Fleet) Finish(now time.Duration, c Call) []*Waiter {
 	f.mu.Lock()
@@ -261,7 +261,7 @@
 	return c.Upstream.grant(now)
 }
 
-// Free returns an unused slot back.
+// Free gives an unused slot back.
 func (f *Fleet) Free(now time.Duration, u *Upstream) []*Waiter {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/tier/policy/upstream.go
+++ b/tier/policy/upstream.go
@@ -37,7 +37,7 @@
 	// failures counts failures in a row.
 	failures     int
 	ejectedUntil time.Duration
-	// sheds counts sheds in a row; until restUntil others are asked first.
+	// sheds counts sheds in a row; until backoffUntil others are asked first.
 	sheds        int
 	backoffUntil time.Duration
 	// slow is true from when its calls take much longer than the pool's until
@@ -197,8 +197,7 @@
 )
 
 // adaptLimit lowers the limit of calls when a new connection is reset, and raises
-// it by one while calls go well: additive increase, multiplicative decrease by
-// what was in use.
+// it by one while calls go well.
 func (u *Upstream) adaptLimit(c Call) {
 	switch {
 	case c.Crowded && u.listed:
--- a/tier/query/grammar.go
+++ b/tier/query/grammar.go
@@ -83,7 +83,7 @@
 	Fields  []*Assignment `parser:"'set' @@ ( ',' @@ )*"`
 }
 
-// Assignment returns a field a value.
+// Assignment gives a field a value.
 type Assignment struct {
 	Field string `parser:"@Word '='"`
 	Value string `parser:"@( Text | Duration | Number | Word )"`
--- a/tier/replay/server.go
+++ b/tier/replay/server.go
@@ -66,7 +66,7 @@
 	})
 }
 
-// next returns a free slot to the backlog.
+// next gives a free slot to the backlog.
 func (s *server) next() {
 	s.busy--
 	for len(s.backlog) > 0 && s.busy < s.world.c.Slots {
@@ -109,7 +109,7 @@
 	}
 }
 
-// cancel returns the call up here at once, and at the other end a hop later.
+// cancel gives the call up here at once, and at the other end a hop later.
 func (k *work) cancel(o policy.CallOutcome) {
 	if k.finished {
 		return
