refactor: one piece of code where the change had written two

gathered.merge and lacking merged the same answers each by itself: merged serves both. The replay built a routed request's run beside that of a class: newFlight and begin serve both, and the pool is the action's own for both. The type group had one field left after its time went: the fleet holds the tokens of each group. Run.Missing is not called outside.

--- a/tier/pass/merge.go
+++ b/tier/pass/merge.go
@@ -76,17 +76,23 @@
 	}
 }
 
-// lacking lists the blocks of the answer of which records that were not sent may
-// belong to it.
-func (g *gathered) lacking(top int) []*block {
-	m := merger{top: top}
-	blocks, single := g.choose()
+// merged merges what makes the answer, and returns that too.
+func (g *gathered) merged(top int) (m merger, blocks []*block, single map[int]*answer) {
+	m = merger{top: top}
+	blocks, single = g.choose()
 	for _, b := range blocks {
 		m.add(b.records)
 	}
 	for _, a := range single {
 		m.add(a.body)
 	}
+	return m, blocks, single
+}
+
+// lacking lists the blocks of the answer of which records that were not sent may
+// belong to it.
+func (g *gathered) lacking(top int) []*block {
+	m, blocks, _ := g.merged(top)
 	m.cut()
 	var least []byte
 	if len(m.records) == top {
@@ -134,16 +140,13 @@
 
 // merge returns the greatest records and the stamps of the parts they are from.
 func (g *gathered) merge(top int, stampHeader string) (records []byte, stamps []string) {
-	m := merger{top: top}
-	blocks, single := g.choose()
+	m, blocks, single := g.merged(top)
 	for _, b := range blocks {
-		m.add(b.records)
 		for _, s := range b.stamps {
 			stamps = append(stamps, s)
 		}
 	}
 	for _, a := range single {
-		m.add(a.body)
 		stamps = append(stamps, a.header.Get(stampHeader))
 	}
 	return m.result(), stamps
--- a/tier/policy/fleet.go
+++ b/tier/policy/fleet.go
@@ -36,12 +36,13 @@
 // Fleet holds the upstreams and what all requests of a host share about them.
 // It is safe for concurrent use.
 type Fleet struct {
-	mu          sync.Mutex
-	random      Random
-	upstreams   map[string]*Upstream
-	pools       map[string]*Pool
-	classes     map[string]*classState
-	groups      map[string]*group
+	mu        sync.Mutex
+	random    Random
+	upstreams map[string]*Upstream
+	pools     map[string]*Pool
+	classes   map[string]*classState
+	// retries holds the tokens of each group of a routed request.
+	retries     map[string]*budget
 	retryBudget RetryBudget
 	// conditions holds the reports about the upstreams of other halls, by hall.
 	conditions map[string]*hallConditions
@@ -60,7 +61,7 @@
 		upstreams:  map[string]*Upstream{},
 		pools:      map[string]*Pool{},
 		classes:    map[string]*classState{},
-		groups:     map[string]*group{},
+		retries:    map[string]*budget{},
 		conditions: map[string]*hallConditions{},
 	}
 }
--- a/tier/policy/retrybudget.go
+++ b/tier/policy/retrybudget.go
@@ -30,48 +30,43 @@
 	return RetryBudget{Ratio: ratio * retryBudgetShare, Depth: slack * retryBudgetShare / float64(max(hosts, 1))}
 }
 
-// group is what the requests to one group of upstreams share in one host.
-type group struct {
-	retries budget
-}
-
 // SetRetryBudget sets the budget of each group. What is saved up beyond a new
 // depth is lost.
 func (f *Fleet) SetRetryBudget(r RetryBudget) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.retryBudget = r
-	for _, g := range f.groups {
-		g.retries.tokens = min(g.retries.tokens, f.retryBudget.Depth)
+	for _, b := range f.retries {
+		b.tokens = min(b.tokens, f.retryBudget.Depth)
 	}
 }
 
-// group returns the state of a group; the fleet is locked. A group begins with a
-// part of the depth: all hosts may be started again at once, and what they spent
+// retriesOf returns the tokens of a group; the fleet is locked. A group begins with
+// a part of the depth: all hosts may be started again at once, and what they spent
 // before still counts.
-func (f *Fleet) group(name string) *group {
-	g := f.groups[name]
-	if g == nil {
-		g = &group{retries: budget{f.retryBudget.Depth * retriesAtStart}}
-		f.groups[name] = g
+func (f *Fleet) retriesOf(group string) *budget {
+	b := f.retries[group]
+	if b == nil {
+		b = &budget{f.retryBudget.Depth * retriesAtStart}
+		f.retries[group] = b
 	}
-	return g
+	return b
 }
 
 // takeRetry takes a retry at a group; the fleet is locked. Where there are so
 // many hosts that none may save up a few retries, chance decides.
-func (f *Fleet) takeRetry(name string) bool {
-	g := f.group(name)
+func (f *Fleet) takeRetry(group string) bool {
+	b := f.retriesOf(group)
 	if f.retryBudget.Depth < drawBelow {
-		return g.retries.draw(f.random)
+		return b.draw(f.random)
 	}
-	return g.retries.take()
+	return b.take()
 }
 
 // earnRetry lets one request earn its part of the retries at a group; the fleet
 // is locked.
-func (f *Fleet) earnRetry(name string) {
-	f.group(name).retries.fill(f.retryBudget.Ratio, f.retryBudget.Depth)
+func (f *Fleet) earnRetry(group string) {
+	f.retriesOf(group).fill(f.retryBudget.Ratio, f.retryBudget.Depth)
 }
 
 // earnRetries lets a request earn its part of the retries at its groups.
--- a/tier/policy/run.go
+++ b/tier/policy/run.go
@@ -371,8 +371,8 @@
 	Unhedged HedgeObstacle
 }
 
-// Missing lists the parts that a finished run has no answer for.
-func (r *Run) Missing() []Missing {
+// missing lists the parts that a finished run has no answer for.
+func (r *Run) missing() []Missing {
 	var out []Missing
 	for i := range r.parts {
 		p := &r.parts[i]
@@ -402,7 +402,7 @@
 
 // Result returns the account of the run after ActionFinish.
 func (r *Run) Result() Result {
-	out := Result{Included: r.included, Attempts: r.calls, Unknown: r.unknown, Missing: r.Missing()}
+	out := Result{Included: r.included, Attempts: r.calls, Unknown: r.unknown, Missing: r.missing()}
 	for i := range r.parts {
 		out.Reasons = append(out.Reasons, r.parts[i].reason)
 		out.Ran += r.parts[i].ran
--- a/tier/replay/replay.go
+++ b/tier/replay/replay.go
@@ -137,6 +137,9 @@
 	}
 	for i := range c.Loads {
 		w.tallies = append(w.tallies, newTally(&c.Loads[i]))
+		if c.Routed != nil {
+			w.tallies[i].Objective = time.Duration(c.Routed.Route.Objective)
+		}
 		if err := w.arrive(i); err != nil {
 			return nil, err
 		}
@@ -242,24 +245,30 @@
 		return
 	}
 	replicas, snapshot := h.fleet.Plan(names)
-	f := &flight{host: h, load: load, begun: w.now, calls: map[int]*work{}, shards: l.Shards}
-	if w.now >= w.c.Warm {
-		f.tally = w.tallies[load]
-	}
-	run, err := policy.NewRun(policy.RunConfig{
-		Fleet: h.fleet, Pool: h.pool, Class: &l.Class, Replicas: replicas, Snapshot: snapshot, Repeatable: true,
+	h.newFlight(load, l.Shards).begin(policy.RunConfig{
+		Pool: h.pool, Class: &l.Class, Replicas: replicas, Snapshot: snapshot,
 		Deadline: w.now + time.Duration(l.Class.Deadline-l.Class.Margin),
-		Granted:  func(n int) { w.after(0, func() { f.perform(f.run.Granted(w.now, n)) }) },
 	})
-	if err != nil {
-		panic(err) // the case names a plug-in that is not there
+}
+
+func (h *host) newFlight(load, shards int) *flight {
+	w := h.world
+	f := &flight{host: h, load: load, begun: w.now, calls: map[int]*work{}, shards: shards}
+	if w.now >= w.c.Warm {
+		f.tally = w.tallies[load]
 	}
-	f.begin(run)
+	return f
 }
 
-// begin starts a run.
-func (f *flight) begin(run *policy.Run) {
+// begin starts the run of a request that may be repeated.
+func (f *flight) begin(c policy.RunConfig) {
 	w := f.host.world
+	c.Fleet, c.Repeatable = f.host.fleet, true
+	c.Granted = func(n int) { w.after(0, func() { f.perform(f.run.Granted(w.now, n)) }) }
+	run, err := policy.NewRun(c)
+	if err != nil {
+		panic(err) // the case names a plug-in that is not there
+	}
 	f.run = run
 	actions, err := run.Begin(w.now)
 	if err != nil {
@@ -317,14 +326,10 @@
 	index := w.indices[a.Upstream.Name]
 	sent := w.now
 	k := &work{world: w, server: w.upstreams[index], hop: f.host.hop(index)}
-	pool := f.host.pool
-	if w.c.Routed != nil {
-		pool = a.Pool
-		f.host.fleet.Sent(sent, a.Upstream)
-	}
+	f.host.fleet.Sent(sent, a.Upstream)
 	k.done = func(o policy.CallOutcome) {
 		policy.Deliver(f.host.fleet.Finish(w.now, policy.Call{
-			Upstream: a.Upstream, Pool: pool, Outcome: o, Took: w.now - sent, Lingering: k.lingering,
+			Upstream: a.Upstream, Pool: a.Pool, Outcome: o, Took: w.now - sent, Lingering: k.lingering,
 		}))
 		f.perform(f.run.Reply(w.now, a.Attempt, o))
 	}
--- a/tier/replay/routed.go
+++ b/tier/replay/routed.go
@@ -80,24 +80,14 @@
 			names[i] = append(names[i], upstreamName(i*w.c.Replicas+r))
 		}
 	}
-	f := &flight{host: h, load: load, begun: w.now, calls: map[int]*work{}, shards: w.c.Shards}
-	if w.now >= w.c.Warm {
-		f.tally = w.tallies[load]
-		f.tally.Objective = time.Duration(c.Route.Objective)
-	}
 	near, far := h.fleet.RoutedPools(c.Route.Name)
-	run, err := policy.NewRun(policy.RunConfig{
-		Fleet: h.fleet, Pool: near, Class: &class, Replicas: h.fleet.Resolve(names), Repeatable: true,
+	h.newFlight(load, w.c.Shards).begin(policy.RunConfig{
+		Pool: near, Class: &class, Replicas: h.fleet.Resolve(names),
 		Deadline: w.now + time.Duration(c.Route.TimeLimit),
 		Routed: &policy.Routed{
 			Groups: groups, FarPool: far, MaxAttempts: c.Route.MaxAttempts, Objective: time.Duration(c.Route.Objective),
 		},
-		Granted: func(n int) { w.after(0, func() { f.perform(f.run.Granted(w.now, n)) }) },
 	})
-	if err != nil {
-		panic(err) // the case names a plug-in that is not there
-	}
-	f.begin(run)
 }
 
 // pausedFor is how much longer an upstream pauses. Each pauses at times of its own.
