refactor: finish renames that were done by half

State.Reading was View.Watching still; the type batches stood beside a field batches of another type (relayedBatches now); the receiver of Execution was f, for the flight it once was; the set of hosts to connect ahead was met. The dictionary of frames has the field Conditions under its present name again, not Worse: messages with conditions compress as before that rename. No decision changes; tests of pass, peers, kernel and entry pass.

--- a/tier/entry/ops.go
+++ b/tier/entry/ops.go
@@ -75,7 +75,7 @@
 	v, now := k.View(), k.Now()
 	out := &opsgen.StatusResult{
 		Host: k.Settings.Host, Hall: k.Settings.Hall, Incarnation: k.Settings.Incarnation, State: string(k.Phase()),
-		Refused: v.Refused, PlatformSilentMillis: (now - v.PlatformHeard).Milliseconds(), Watching: v.Watching,
+		Refused: v.Refused, PlatformSilentMillis: (now - v.PlatformHeard).Milliseconds(), Watching: v.Reading,
 		InFlight: k.InFlight.Load(), Members: []*opsgen.Member{}, Upstreams: []*opsgen.UpstreamStatus{},
 	}
 	if v.Index != nil {
--- a/tier/kernel/state.go
+++ b/tier/kernel/state.go
@@ -230,7 +230,7 @@
 	Directory     *config.Directory
 	Members       map[string]Member
 	Leaving       map[string]bool
-	Watching      bool
+	Reading       bool
 	PlatformHeard time.Duration
 	Pauses        int
 	Confirmed     bool
@@ -240,7 +240,7 @@
 	return &View{
 		Index: s.Index, Published: s.Published, Newest: s.Newest, Refused: s.Refused, Directory: s.Directory,
 		Members: maps.Clone(s.Members), Leaving: s.leaving(),
-		Watching: s.Reading, PlatformHeard: s.PlatformHeard, Pauses: s.Pauses, Confirmed: s.Confirmed,
+		Reading: s.Reading, PlatformHeard: s.PlatformHeard, Pauses: s.Pauses, Confirmed: s.Confirmed,
 	}
 }
 
--- a/tier/pass/engine.go
+++ b/tier/pass/engine.go
@@ -55,7 +55,7 @@
 	// relays are the hosts that make calls for this one, relayed the calls that
 	// this host makes for others.
 	relays  relays
-	relayed batches
+	relayed relayedBatches
 	// batches are those that relays make the calls of.
 	batches sentBatches
 	// whole holds for each route until when all records are asked for.
@@ -85,7 +85,7 @@
 func NewEngine(k *kernel.Kernel, h kernel.Headers) (*Engine, func()) {
 	e := &Engine{
 		kernel: k, headers: h, configured: make(chan struct{}),
-		relays: newRelays(), relayed: batches{batches: map[string]*batch{}},
+		relays: newRelays(), relayed: relayedBatches{batches: map[string]*batch{}},
 		batches: sentBatches{prefix: strconv.FormatUint(rand.Uint64()>>batchPrefixSpare, 36) + "-"},
 	}
 	e.serveRelay()
@@ -189,17 +189,17 @@
 			halls[m.Hall] = append(halls[m.Hall], n)
 		}
 	}
-	met := map[string]bool{}
+	next := map[string]bool{}
 	for _, hosts := range halls {
 		slices.Sort(hosts)
 		for _, h := range hosts[:min(preconnectHosts, len(hosts))] {
-			met[h] = true
+			next[h] = true
 			if !e.preconnected[h] {
 				go e.connect(h)
 			}
 		}
 	}
-	e.preconnected = met
+	e.preconnected = next
 }
 
 func (e *Engine) connect(host string) {
--- a/tier/pass/relay.go
+++ b/tier/pass/relay.go
@@ -122,8 +122,8 @@
 	errStopped = errors.New("batch was stopped")
 )
 
-// batches holds the batches of other hosts that have calls under way.
-type batches struct {
+// relayedBatches holds the relayedBatches of other hosts that have calls under way.
+type relayedBatches struct {
 	mu      sync.Mutex
 	batches map[string]*batch
 }
@@ -421,7 +421,7 @@
 	}
 }
 
-func (r *batches) find(id string) (*batch, error) {
+func (r *relayedBatches) find(id string) (*batch, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if b := r.batches[id]; b != nil {
@@ -430,7 +430,7 @@
 	return nil, fmt.Errorf("%w: %q ended or was never begun", errNoBatch, id)
 }
 
-func (r *batches) drop(id string) {
+func (r *relayedBatches) drop(id string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	delete(r.batches, id)
--- a/tier/pass/relay_test.go
+++ b/tier/pass/relay_test.go
@@ -24,7 +24,7 @@
 	})
 	t.Cleanup(closeKernel)
 	return &batch{
-		engine: &Engine{kernel: k, relayed: batches{batches: map[string]*batch{}}}, in: &GatherRequest{ID: "B"},
+		engine: &Engine{kernel: k, relayed: relayedBatches{batches: map[string]*batch{}}}, in: &GatherRequest{ID: "B"},
 		due: due, deadline: deadline, cancel: func() {}, merger: merger{top: 1}, open: calls,
 		calls: map[int]*relayedCall{}, finished: make(chan struct{}), changed: make(chan struct{}, 1),
 	}
--- a/tier/peers/codec.go
+++ b/tier/peers/codec.go
@@ -29,7 +29,7 @@
 var dictionary = []byte(`"Host":"","Incarnation":"","Counter":,"Revision":,"Hall":"","Peer":"0.0.0.0:0","Digest":"","Published":,` +
 	`"PlatformAge":,"Directory":,"DirectoryRevision":,"Leaving":true,{"Members":[{"Host":"front-hall-","Incarnation":"18` +
 	`HTTP/1.1\r\nHost: .example\r\nUser-Agent: \r\nAccept: */*\r\nAccept-Encoding: \r\nContent-Length: \r\n` +
-	`"Outcome":"Cancelled","Outcome":"Broken","Outcome":"Shed","Outcome":"Stalled","Worse":[{"Upstream":"i-","Slowness":},"FaultPercent":` +
+	`"Outcome":"Cancelled","Outcome":"Broken","Outcome":"Shed","Outcome":"Stalled","Conditions":[{"Upstream":"i-","Slowness":},"FaultPercent":` +
 	`"HeldMicros":,"Records":"","Open":,"Due":true,` +
 	`{"jsonrpc":"2.0","id":,"result":{"Ended":[{"Index":0,"Stamp":"","TookMicros":},{"Index":1,"Stamp":"` +
 	`{"method":"Gather","params":{"ID":"","Route":"r-","RequestID":"","Method":"GET","Head":"GET /` +
--- a/tier/peers/watch.go
+++ b/tier/peers/watch.go
@@ -98,7 +98,7 @@
 	}
 	silent := int((w.kernel.Now() - v.PlatformHeard) / (w.kernel.Settings.WatchWait + silentTurn))
 	watching := Watches(w.hosts(v), w.kernel.Settings.Host, silent)
-	if watching != v.Watching {
+	if watching != v.Reading {
 		w.kernel.Do(func(s *kernel.State) {
 			s.Reading = watching
 			s.Changed()
--- a/tier/runner/runner.go
+++ b/tier/runner/runner.go
@@ -119,84 +119,84 @@
 
 // New prepares an execution.
 func New[R any](c Config[R]) (*Execution[R], error) {
-	f := &Execution[R]{
+	e := &Execution[R]{
 		kernel: c.Kernel, caller: c.Caller, deadline: c.Run.Deadline,
 		calls: map[int]*call{}, done: make(chan struct{}),
 	}
-	f.batcher, _ = c.Caller.(Batcher[R])
-	f.observer, _ = c.Caller.(Observer[R])
-	c.Run.Granted = f.granted
+	e.batcher, _ = c.Caller.(Batcher[R])
+	e.observer, _ = c.Caller.(Observer[R])
+	c.Run.Granted = e.granted
 	r, err := policy.NewRun(c.Run)
 	if err != nil {
 		return nil, err
 	}
-	f.run = r
-	return f, nil
+	e.run = r
+	return e, nil
 }
 
 // Run starts the run and waits for its end. A refused request gives a
 // *policy.Refusal. The context carries values only: calls are cancelled by the
 // run alone, so that a caller who goes away, told by giveUp, leaves no call
 // without its account.
-func (f *Execution[R]) Run(ctx context.Context, giveUp <-chan struct{}) (policy.Result, error) {
-	f.ctx = context.WithoutCancel(ctx)
-	now := f.kernel.Now()
-	f.mu.Lock()
-	actions, err := f.run.Begin(now)
+func (e *Execution[R]) Run(ctx context.Context, giveUp <-chan struct{}) (policy.Result, error) {
+	e.ctx = context.WithoutCancel(ctx)
+	now := e.kernel.Now()
+	e.mu.Lock()
+	actions, err := e.run.Begin(now)
 	if err != nil {
-		f.mu.Unlock()
+		e.mu.Unlock()
 		return policy.Result{}, err
 	}
-	f.wakeAt = f.run.Next()
-	f.timer = time.AfterFunc(f.wakeAt-now, f.wake)
-	granted := f.perform(actions)
-	f.mu.Unlock()
+	e.wakeAt = e.run.Next()
+	e.timer = time.AfterFunc(e.wakeAt-now, e.wake)
+	granted := e.perform(actions)
+	e.mu.Unlock()
 	policy.Deliver(granted)
 	select {
-	case <-f.done:
+	case <-e.done:
 	case <-giveUp:
-		f.handle(func(time.Duration) []policy.Action { return f.run.GiveUp() })
-		<-f.done
+		e.handle(func(time.Duration) []policy.Action { return e.run.GiveUp() })
+		<-e.done
 	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.timer.Stop()
-	return f.run.Result(), nil
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.timer.Stop()
+	return e.run.Result(), nil
 }
 
 // handle passes one event to the run and carries out what it asks for.
-func (f *Execution[R]) handle(event func(now time.Duration) []policy.Action) {
-	f.mu.Lock()
-	now := f.kernel.Now()
-	granted := f.perform(event(now))
-	f.schedule(now)
-	f.mu.Unlock()
+func (e *Execution[R]) handle(event func(now time.Duration) []policy.Action) {
+	e.mu.Lock()
+	now := e.kernel.Now()
+	granted := e.perform(event(now))
+	e.schedule(now)
+	e.mu.Unlock()
 	policy.Deliver(granted)
 }
 
 // schedule brings the timer forward if the run wants to be woken earlier.
-func (f *Execution[R]) schedule(now time.Duration) {
-	next := f.run.Next()
-	if f.timer != nil && next < f.wakeAt {
-		f.wakeAt = next
-		f.timer.Reset(max(next-now, 0))
+func (e *Execution[R]) schedule(now time.Duration) {
+	next := e.run.Next()
+	if e.timer != nil && next < e.wakeAt {
+		e.wakeAt = next
+		e.timer.Reset(max(next-now, 0))
 	}
 }
 
-func (f *Execution[R]) granted(n int) {
-	f.handle(func(now time.Duration) []policy.Action { return f.run.Granted(now, n) })
+func (e *Execution[R]) granted(n int) {
+	e.handle(func(now time.Duration) []policy.Action { return e.run.Granted(now, n) })
 }
 
-func (f *Execution[R]) wake() {
-	f.handle(func(now time.Duration) []policy.Action {
-		f.wakeAt = never
-		return f.run.Wake(now)
+func (e *Execution[R]) wake() {
+	e.handle(func(now time.Duration) []policy.Action {
+		e.wakeAt = never
+		return e.run.Wake(now)
 	})
 }
 
 // perform carries actions out; the execution is locked. Waiters that got a slot
 // are to be told after unlocking.
-func (f *Execution[R]) perform(actions []policy.Action) []*policy.Waiter {
+func (e *Execution[R]) perform(actions []policy.Action) []*policy.Waiter {
 	var (
 		granted []*policy.Waiter
 		sends   []policy.Action
@@ -206,69 +206,69 @@
 		case policy.ActionSend:
 			sends = append(sends, a)
 		case policy.ActionCancel:
-			if c := f.calls[a.Attempt]; c != nil {
+			if c := e.calls[a.Attempt]; c != nil {
 				c.outcome = a.Outcome
 				c.cancel()
 			}
 		case policy.ActionLinger:
-			f.linger(a)
+			e.linger(a)
 		case policy.ActionTake:
-			f.caller.Take(a.Part, f.reply)
+			e.caller.Take(a.Part, e.reply)
 		case policy.ActionFree:
-			granted = append(granted, f.kernel.Fleet.Free(f.kernel.Now(), a.Upstream)...)
+			granted = append(granted, e.kernel.Fleet.Free(e.kernel.Now(), a.Upstream)...)
 		case policy.ActionFinish:
-			f.over = true
-			close(f.done)
+			e.over = true
+			close(e.done)
 		}
 	}
-	return append(granted, f.launch(sends)...)
+	return append(granted, e.launch(sends)...)
 }
 
 // launch starts calls; the execution is locked. Waiters that got a slot are to be
 // told after unlocking.
-func (f *Execution[R]) launch(sends []policy.Action) (granted []*policy.Waiter) {
+func (e *Execution[R]) launch(sends []policy.Action) (granted []*policy.Waiter) {
 	var batches [][]policy.Action
-	if f.batcher != nil && len(sends) > 0 {
-		batches, sends = f.batcher.Batches(sends)
+	if e.batcher != nil && len(sends) > 0 {
+		batches, sends = e.batcher.Batches(sends)
 	}
 	for _, a := range sends {
-		f.send(a)
+		e.send(a)
 	}
 	for _, b := range batches {
-		granted = append(granted, f.sendBatch(b)...)
+		granted = append(granted, e.sendBatch(b)...)
 	}
 	return granted
 }
 
 // linger lets a call go on for a while; the execution is locked.
-func (f *Execution[R]) linger(a policy.Action) {
-	c := f.calls[a.Attempt]
+func (e *Execution[R]) linger(a policy.Action) {
+	c := e.calls[a.Attempt]
 	if c == nil || c.ended {
-		f.kernel.Fleet.Lingered(a.Upstream)
+		e.kernel.Fleet.Lingered(a.Upstream)
 		return
 	}
 	c.outcome, c.lingering = a.Outcome, true
-	time.AfterFunc(a.For, func() { f.giveUp(c) })
+	time.AfterFunc(a.For, func() { e.giveUp(c) })
 }
 
 // giveUp ends a call that lingered.
-func (f *Execution[R]) giveUp(c *call) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
+func (e *Execution[R]) giveUp(c *call) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	c.cancel()
 }
 
-func (f *Execution[R]) send(a policy.Action) {
-	ctx, cancel := context.WithCancel(f.ctx)
+func (e *Execution[R]) send(a policy.Action) {
+	ctx, cancel := context.WithCancel(e.ctx)
 	c := &call{cancel: cancel}
-	f.calls[a.Attempt] = c
-	go f.call(ctx, a, c)
+	e.calls[a.Attempt] = c
+	go e.call(ctx, a, c)
 }
 
 // sendBatch starts the calls of a batch. The batch is cancelled once each of
 // its calls was cancelled or has its reply.
-func (f *Execution[R]) sendBatch(batch []policy.Action) (granted []*policy.Waiter) {
-	ctx, cancel := context.WithCancel(f.ctx)
+func (e *Execution[R]) sendBatch(batch []policy.Action) (granted []*policy.Waiter) {
+	ctx, cancel := context.WithCancel(e.ctx)
 	left := len(batch)
 	calls := make([]*call, len(batch))
 	for i, a := range batch {
@@ -283,23 +283,23 @@
 				cancel()
 			}
 		}}
-		f.calls[a.Attempt] = calls[i]
-		f.run.DelayHedge(a.Attempt)
-		granted = append(granted, f.kernel.Fleet.Free(f.kernel.Now(), a.Upstream)...)
+		e.calls[a.Attempt] = calls[i]
+		e.run.DelayHedge(a.Attempt)
+		granted = append(granted, e.kernel.Fleet.Free(e.kernel.Now(), a.Upstream)...)
 	}
 	go func() {
 		defer cancel()
-		f.callBatch(ctx, batch, calls)
+		e.callBatch(ctx, batch, calls)
 	}()
 	return granted
 }
 
 // callBatch makes the calls of a batch and reports them.
-func (f *Execution[R]) callBatch(ctx context.Context, batch []policy.Action, calls []*call) {
-	r := &reporter[R]{execution: f, batch: batch, calls: calls, reported: make([]bool, len(batch)), started: f.kernel.Now()}
+func (e *Execution[R]) callBatch(ctx context.Context, batch []policy.Action, calls []*call) {
+	r := &reporter[R]{execution: e, batch: batch, calls: calls, reported: make([]bool, len(batch)), started: e.kernel.Now()}
 	rest := Reply[R]{Outcome: policy.CallNotSent}
-	if f.kernel.Awake() && r.started < f.deadline {
-		f.batcher.CallBatch(ctx, batch, r)
+	if e.kernel.Awake() && r.started < e.deadline {
+		e.batcher.CallBatch(ctx, batch, r)
 		rest.Outcome = policy.CallLost
 	}
 	for i := range batch {
@@ -339,54 +339,54 @@
 }
 
 // call makes one upstream call and reports it.
-func (f *Execution[R]) call(ctx context.Context, a policy.Action, c *call) {
-	k := f.kernel
+func (e *Execution[R]) call(ctx context.Context, a policy.Action, c *call) {
+	k := e.kernel
 	started := k.Now()
 	reply := Reply[R]{Outcome: policy.CallNotSent}
-	if k.Awake() && started < f.deadline {
+	if k.Awake() && started < e.deadline {
 		k.Fleet.Sent(started, a.Upstream)
-		reply = f.caller.Call(ctx, a)
+		reply = e.caller.Call(ctx, a)
 	}
-	f.ended(a, c, started, reply)
+	e.ended(a, c, started, reply)
 }
 
 // ended accounts for a call and passes what became of it to the run.
-func (f *Execution[R]) ended(a policy.Action, c *call, started time.Duration, reply Reply[R]) {
-	k := f.kernel
+func (e *Execution[R]) ended(a policy.Action, c *call, started time.Duration, reply Reply[R]) {
+	k := e.kernel
 	now := k.Now()
 	if reply.Took == 0 {
 		reply.Took = now - started
 	}
-	f.mu.Lock()
+	e.mu.Lock()
 	c.cancel()
 	c.ended = true
 	lingering := c.lingering
-	reply.Outcome = f.settled(now, c, reply.Outcome)
-	if f.observer != nil {
-		f.observer.Ended(a, reply, now-started, f.over)
+	reply.Outcome = e.settled(now, c, reply.Outcome)
+	if e.observer != nil {
+		e.observer.Ended(a, reply, now-started, e.over)
 	}
-	f.mu.Unlock()
+	e.mu.Unlock()
 	countCall(reply.Outcome)
 	granted := k.Fleet.Finish(now, policy.Call{
 		Upstream: a.Upstream, Pool: a.Pool, Outcome: reply.Outcome, Took: reply.Took, Load: reply.Load,
 		Elsewhere: c.batched, Lingering: lingering, Crowded: reply.Crowded && !c.batched,
 	})
-	f.handle(func(now time.Duration) []policy.Action {
-		f.reply = reply.Part
-		return f.run.Reply(now, a.Attempt, reply.Outcome)
+	e.handle(func(now time.Duration) []policy.Action {
+		e.reply = reply.Part
+		return e.run.Reply(now, a.Attempt, reply.Outcome)
 	})
 	policy.Deliver(granted)
 }
 
 // settled distinguishes a call that was cancelled from one that broke; the
 // execution is locked.
-func (f *Execution[R]) settled(now time.Duration, c *call, o policy.CallOutcome) policy.CallOutcome {
+func (e *Execution[R]) settled(now time.Duration, c *call, o policy.CallOutcome) policy.CallOutcome {
 	switch {
 	case o != policy.CallBroken && o != policy.CallLost:
 		return o
 	case c.outcome != "":
 		return c.outcome
-	case now >= f.deadline:
+	case now >= e.deadline:
 		return policy.CallLate
 	}
 	return o
