fix: a starting host without a directory announces nothing

Ruled out: every other pair of what a start knows and lacks, by a test over all 128 combinations; only this one failed. A panic of the control thread now leaves a line that names what was known.

--- a/loomd/serve.go
+++ b/loomd/serve.go
@@ -50,7 +50,7 @@
 func (c *serveCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	log, flush := newLog(os.Stdout)
 	defer flush()
-	if err := c.run(ctx, f, log); err != nil {
+	if err := c.run(ctx, f, log, flush); err != nil {
 		log.Error().Err(err).Msg("daemon not run")
 		// Whoever started it by hand looks here.
 		fmt.Fprintln(os.Stderr, "loomd: "+err.Error())
@@ -59,7 +59,7 @@
 	return subcommands.ExitSuccess
 }
 
-func (c *serveCommand) run(ctx context.Context, f *flag.FlagSet, log zerolog.Logger) error {
+func (c *serveCommand) run(ctx context.Context, f *flag.FlagSet, log zerolog.Logger, flush func()) error {
 	o := originOf(f, c.file)
 	if err := fromEnvironment(f, c.file); err != nil {
 		return err
@@ -73,7 +73,7 @@
 	}
 	log = log.Level(level).With().Str("Host", c.settings.Host).Logger()
 	c.settings.Incarnation = incarnation(time.Now())
-	return serve(ctx, c.settings, o, log)
+	return serve(ctx, c.settings, o, log, flush)
 }
 
 // incarnation names this process. A later process of the host has a larger
@@ -83,13 +83,13 @@
 }
 
 // serve runs the pipeline and waits for a planned stop.
-func serve(ctx context.Context, s kernel.Settings, o origin, log zerolog.Logger) error {
+func serve(ctx context.Context, s kernel.Settings, o origin, log zerolog.Logger, flush func()) error {
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	tracer, closeTracer := newTracer(s.TraceRatio, log)
 	defer closeTracer()
 	k, closeKernel := kernel.New(kernel.Config{
-		Settings: s, Log: log, Tracer: tracer, Started: time.Now(),
+		Settings: s, Log: log, Tracer: tracer, Started: time.Now(), FlushLog: flush,
 		Fleet: policy.NewFleet(policy.FleetConfig{Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}),
 	})
 	defer closeKernel()
--- a/tier/kernel/kernel.go
+++ b/tier/kernel/kernel.go
@@ -101,6 +101,8 @@
 	phase    atomic.Value
 	handlers sync.Map
 	watchers []func(*View)
+	// flushLog writes the lines that the log holds back; nil for none.
+	flushLog func()
 	stopping chan struct{}
 	stopOnce sync.Once
 	// refused counts how often a stopping host told that it is not ready.
@@ -115,6 +117,8 @@
 	Fleet    *policy.Fleet
 	// Started is the origin of Now.
 	Started time.Time
+	// FlushLog writes the lines that the log holds back; nil if it holds none.
+	FlushLog func()
 }
 
 // New makes a kernel and starts its control thread. The clean-up function
@@ -124,6 +128,7 @@
 		Settings: c.Settings, Log: c.Log, Tracer: c.Tracer, Fleet: c.Fleet,
 		Decisions: c.Log.Sample(newRateSampler(c.Settings.LogRate)),
 		started:   c.Started,
+		flushLog:  c.FlushLog,
 		jobs:      make(chan func(*State), jobBacklog),
 		stopping:  make(chan struct{}),
 	}
@@ -237,6 +242,7 @@
 
 // control is the control thread.
 func (k *Kernel) control(ctx context.Context, s *State) {
+	defer k.reportPanic(s)
 	tick := time.NewTicker(pulseEvery)
 	defer tick.Stop()
 	for {
@@ -253,6 +259,23 @@
 	}
 }
 
+// reportPanic logs what the control thread knew when it failed, and lets the
+// process end: without this line an operator has a stack trace and not the
+// state that led to it.
+func (k *Kernel) reportPanic(s *State) {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	k.Log.Error().Interface("Cause", cause).Bool("Document", s.Index != nil).Bool("Directory", s.Directory != nil).
+		Int("Members", len(s.Members)).Bool("Reading", s.Reading).Bool("Announcing", s.Announcing).
+		Bool("FeedDown", s.FeedDown).Dur("SourceAt", s.SourceAt).Dur("Age", k.Now()).Msg("control thread failed")
+	if k.flushLog != nil {
+		k.flushLog()
+	}
+	panic(cause)
+}
+
 // beat notes that the process runs. After a pause the state is marked so that
 // members heard before the pause are not trusted.
 func (k *Kernel) beat(s *State) {
--- a/tier/kernel/kernel_test.go
+++ b/tier/kernel/kernel_test.go
@@ -173,3 +173,22 @@
 		})
 	}
 }
+
+// TestPanicOfControlThreadIsLogged has a panic tell what was known, before the
+// process ends.
+func TestPanicOfControlThreadIsLogged(t *testing.T) {
+	var line strings.Builder
+	flushed := false
+	k := &Kernel{Log: zerolog.New(&line), started: time.Now(), flushLog: func() { flushed = true }}
+	s := newState()
+	s.Announcing = true
+	func() {
+		defer func() { assert.Equal(t, recover(), "broken") }()
+		defer k.reportPanic(s)
+		panic("broken")
+	}()
+	assert.Assert(t, flushed)
+	for _, want := range []string{`"Cause":"broken"`, `"Announcing":true`, `"Directory":false`, "control thread failed"} {
+		assert.Assert(t, strings.Contains(line.String(), want), line.String())
+	}
+}
--- a/tier/peers/announce.go
+++ b/tier/peers/announce.go
@@ -105,7 +105,9 @@
 // the control thread.
 func (t *announcer) announce(s *kernel.State) {
 	now := t.kernel.Now()
-	if !s.Announcing || s.SourceAt == 0 {
+	// A host that starts may hear of a source before it has the directory: what
+	// it has not got it cannot announce.
+	if !s.Announcing || s.SourceAt == 0 || s.Directory == nil {
 		return
 	}
 	news := Announcement{
--- /dev/null
+++ b/tier/peers/start_test.go
@@ -0,0 +1,78 @@
+package peers
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"loomgap/tier/config"
+	"loomgap/tier/kernel"
+)
+
+// known is what a starting host knows. The fields may become true in any order,
+// since they come from the platform, from other hosts and from callers.
+type known struct {
+	announcing, reading, source, directory, document, member, feedDown bool
+}
+
+// combination returns the n-th combination of what may be known.
+func combination(n int) known {
+	has := func(bit int) bool { return n>>bit&1 == 1 }
+	return known{has(0), has(1), has(2), has(3), has(4), has(5), has(6)}
+}
+
+const combinations = 1 << 7
+
+// state makes the control state of a host that knows so much.
+func (n known) state() *kernel.State {
+	s := &kernel.State{
+		Members:     map[string]kernel.Member{},
+		HallSources: map[string]kernel.SourceSign{}, OtherSources: map[string]kernel.SourceSign{},
+		Announcing: n.announcing, Reading: n.reading, FeedDown: n.feedDown,
+	}
+	if n.source {
+		s.SourceAt = time.Millisecond
+	}
+	if n.directory {
+		s.Directory, _ = s.Directory.With(&config.DirectoryChange{Revision: 1})
+	}
+	if n.document {
+		s.Index = &config.Index{Revision: 7, Document: &config.Document{}}
+	}
+	if n.member {
+		s.Members["Mate"] = kernel.Member{Host: "Mate", Hall: "A", Live: true}
+	}
+	return s
+}
+
+// TestStartingHostSurvivesWhatItLacks has a host announce, hear an announcement
+// and send a heartbeat in every state that a start can pass through.
+func TestStartingHostSurvivesWhatItLacks(t *testing.T) {
+	for i := range combinations {
+		n := combination(i)
+		t.Run(fmt.Sprintf("%+v", n), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				k := newsKernel(t, "Self")
+				k.Peers = &toldPeers{}
+				time.Sleep(time.Second)
+				s := n.state()
+				tl := &announcer{kernel: k}
+				tl.announce(s)
+				g := &gossip{
+					kernel: k, listing: true, fetching: true,
+					table: NewTable(TableConfig{Host: "Self", Beat: time.Second}),
+				}
+				g.message(s, k.Now())
+				g.takeAnnouncement(s, &Announcement{Host: "Other", Hall: "B", Age: time.Millisecond, Revision: 7, DirectoryRevision: 1})
+				tl.announce(s)
+				rolesOf(k, s)
+				synctest.Wait()
+				told := k.Peers.(*toldPeers).hosts["Mate"]
+				assert.Assert(t, !told || n.directory, "a host without a directory announced one")
+			})
+		})
+	}
+}
