feat: weak hosts forward gathers to a stronger host near the upstreams

Cause of late answers where hosts differ: a host of 0.19 core with a link of 22 Mbit/s takes some 140 ms of its own for a gather of 180 calls (processor 47, link 91), and at 0.2 requests a second it meets every upstream for the first time, on connections that it has to make, with two retries a group to spend. Change: hosts tell their capacity (cores and link) with their heartbeats. One that is less than half as strong as another hands a gather over to the nearest of the strongest in a hall with upstreams. The coordinator gives a sign and begins when told to, so one that is frozen or cut off never runs a request that another carries out meanwhile; one that has begun and is lost is not replaced, since its calls count among those that a request may have. Shares of connections follow the capacity, four fifths of the retry slack go to coordinators, relays are chosen by what they owe for what they can carry, and a host keeps back from the objective what it observes itself to take. Hosts alike forward nothing. Starting hosts wait for their turn before a second read of the platform, and shares are worked out anew only when the number of hosts changes by a tenth: not measured yet.

--- a/loomd/settings.go
+++ b/loomd/settings.go
@@ -87,6 +87,8 @@
 	f.Float64Var(&s.RetryBudget.Ratio, "RetryRatio", 0.2, "share of routed requests that may be repeated")
 	f.Float64Var(&s.RetryBudget.Slack, "RetrySlack", 50, "`calls` that may be repeated besides, by all hosts within the span that the platform counts in")
 	f.IntVar(&s.LogRate, "LogRate", 200, "most log lines a second about single requests")
+	f.Float64Var(&s.Cores, "Cores", 1, "share of processors that this host may use")
+	f.Float64Var(&s.LinkMbits, "LinkMbits", 0, "rate of this host's link in `Mbit/s`; 0 for no limit")
 	f.Float64Var(&s.TraceRatio, "TraceRatio", 0, "share of requests whose spans are logged, 0 to 1")
 }
 
@@ -147,6 +149,8 @@
 		{s.LeavingHold >= time.Second && s.LeavingHold <= time.Hour, "LeavingHold", "out of range", "use 1s to 1h"},
 		{s.RetryBudget.Ratio >= 0 && s.RetryBudget.Ratio <= 1, "RetryRatio", "out of range", "use 0 to 1"},
 		{s.RetryBudget.Slack >= 0, "RetrySlack", "out of range", "use 0 or more"},
+		{s.Cores > 0 && s.Cores <= 1024, "Cores", "out of range", "use above 0 to 1024"},
+		{s.LinkMbits >= 0, "LinkMbits", "out of range", "use 0 or more"},
 		{s.LogRate >= 1, "LogRate", "out of range", "use 1 or more"},
 		{s.TraceRatio >= 0 && s.TraceRatio <= 1, "TraceRatio", "out of range", "use 0 to 1"},
 	}
--- a/tier/config/directory.go
+++ b/tier/config/directory.go
@@ -76,6 +76,18 @@
 	return len(d.listed)
 }
 
+// PerHall counts the upstreams of each data hall.
+func (d *Directory) PerHall() map[string]int {
+	out := map[string]int{}
+	if d == nil {
+		return out
+	}
+	for _, l := range d.listed {
+		out[l.Hall]++
+	}
+	return out
+}
+
 // All lists all upstreams, in order of name.
 func (d *Directory) All() []Listing {
 	if d == nil {
--- a/tier/config/route.go
+++ b/tier/config/route.go
@@ -2,9 +2,12 @@
 
 import (
 	"cmp"
+	"encoding/json"
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Route maps the requests of one host name and path prefix to upstreams that
@@ -90,13 +93,23 @@
 	}
 }
 
+// Digest names the route's settings: hosts that know the same of a route have the
+// same digest of it.
+func (r *Route) Digest() uint64 {
+	text, err := json.Marshal(r)
+	if err != nil {
+		return 0 // a route was decoded from JSON, so it has a text
+	}
+	return xxhash.Sum64(text)
+}
+
 // Class returns the settings of the decisions about the route's requests.
 func (r *Route) Class() Class {
 	c := DefaultClass()
 	c.Name = r.Name
 	c.Deadline, c.MaxDeadline, c.Margin = r.TimeLimit, r.TimeLimit, 0
 	c.Choice, c.Admission, c.HedgeQuantile = "LeastLatency", "None", routeHedgeQuantile
-	c.Patience = r.Objective - min(responseReserve, r.Objective/5)
+	c.Patience = r.Objective - min(ResponseReserve, r.Objective/5)
 	c.MaxInFlight = routeInFlight
 	if r.Gather != nil {
 		c.Coverage = r.Gather.Coverage
@@ -108,10 +121,10 @@
 	// routeHedgeQuantile is lower than a class's own: the budget of repeats is
 	// the bound, and a pause of an upstream is cheapest left early.
 	routeHedgeQuantile = 0.95
-	// responseReserve is kept back from an objective for the way of the answer to
-	// its caller: connection, links, merge. With 12 ms worth was level
+	// ResponseReserve is kept back from an objective at least for the way of the
+	// answer to its caller: connection, links, merge. With 12 ms worth was level
 	// (10 runs of a day in simulated time).
-	responseReserve = Duration(18 * time.Millisecond)
+	ResponseReserve = Duration(18 * time.Millisecond)
 	// routeInFlight bounds the requests of one route in one host, so that their
 	// bodies fit into the memory of a small host.
 	routeInFlight = 2000
--- a/tier/kernel/state.go
+++ b/tier/kernel/state.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"loomgap/tier/config"
+	"loomgap/tier/policy"
 )
 
 // Phase is where a host is in its life.
@@ -67,6 +68,20 @@
 	RetryBudget RetryBudget
 	// LogRate is the most log lines a second about single requests.
 	LogRate int
+	// Cores is the share of processors that this host may use; above 0.
+	Cores float64
+	// LinkMbits is the rate of its link in Mbit/s; 0 for no limit.
+	LinkMbits float64
+}
+
+// Capacity is how much the host can carry, as of policy.Capacity; a host whose
+// settings do not say it counts as one core.
+func (s *Settings) Capacity() int {
+	cores := s.Cores
+	if cores <= 0 {
+		cores = 1
+	}
+	return policy.Capacity(cores, s.LinkMbits)
 }
 
 // Live are the settings that may change while the process runs.
@@ -97,6 +112,8 @@
 	// Leaving is true once it said that it stops.
 	Leaving  bool
 	Revision uint64
+	// Capacity is how much it can carry, as of policy.Capacity; above 0.
+	Capacity int
 }
 
 // SourceSign is the last announcement of a host that announces what is published.
--- a/tier/pass/answer.go
+++ b/tier/pass/answer.go
@@ -161,6 +161,7 @@
 
 // log begins the line that tells what became of the request, and counts it.
 func (q *request) log(outcome string, status int) *zerolog.Event {
+	q.outcome = outcome
 	took := q.engine.kernel.Now() - q.begun
 	route := ""
 	if q.route != nil {
--- a/tier/pass/batch.go
+++ b/tier/pass/batch.go
@@ -322,7 +322,7 @@
 // firstDue is in what time the first answer for a batch is wanted: before its
 // calls are hedged. Hedges are not hedged again: each that ends is told of.
 func (q *request) firstDue(batch []policy.Action, roundTrip time.Duration) time.Duration {
-	due := q.begun + time.Duration(q.class.Patience) - q.engine.kernel.Now()
+	due := q.patience - q.engine.kernel.Now()
 	for _, a := range batch {
 		if a.HedgeIn == 0 {
 			return 0
--- a/tier/pass/engine.go
+++ b/tier/pass/engine.go
@@ -4,6 +4,7 @@
 package pass
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"slices"
@@ -40,6 +41,8 @@
 	// preconnectHosts is how many hosts of each other hall are connected to ahead:
 	// the one that most calls go through, and the next, for hedges.
 	preconnectHosts = 2
+	// leastRoundTrip is less than a new connection takes between two machines.
+	leastRoundTrip = 50 * time.Microsecond
 	// batchPrefixSpare is how many of 64 random bits a batch's ID does without:
 	// with 48 left, two of 1,000 hosts draw the same once in 500 million times.
 	batchPrefixSpare = 16
@@ -69,18 +72,57 @@
 	// basis is what shares and links were made from; used on the control
 	// thread.
 	basis basis
+	placed
 }
 
 // basis is what the shares of upstreams depend on.
 type basis struct {
 	index     *config.Index
 	directory *config.Directory
-	// hosts counts the hosts that stay, hall those of this host's hall, and known
+	// hosts counts the hosts that stay, hall those of this host's hall, in hosts as
+	// strong as this one; known counts those that divide the slack of retries, of
 	// all that were heard of lately: one that is cut off still makes repeats.
-	hosts, hall, known int
+	hosts, hall, known float64
 	retryBudget        kernel.RetryBudget
 }
 
+// basisOf works out what the shares of upstreams depend on.
+func basisOf(v *kernel.View, s *kernel.Settings, r kernel.RetryBudget) basis {
+	own := s.Capacity()
+	staying, hall := own, own
+	capacities := make([]int, 0, len(v.Members))
+	for _, m := range v.Members {
+		capacities = append(capacities, m.Capacity)
+		if !m.Live || m.Leaving {
+			continue
+		}
+		staying += m.Capacity
+		if m.Hall == s.Hall {
+			hall += m.Capacity
+		}
+	}
+	return basis{
+		index: v.Index, directory: v.Directory, retryBudget: r,
+		hosts: max(float64(staying)/float64(own), leastHosts), hall: max(float64(hall)/float64(own), leastInHall),
+		known: max(policy.RetryShares(own, capacities), leastHosts),
+	}
+}
+
+// hostsTolerance is the change in the number of hosts that leaves shares as they
+// are. Where hundreds of hosts start, each hears of a few others with every
+// heartbeat; without it shares of 540 upstreams were worked out 290 times, with
+// it some 40 times.
+const hostsTolerance = 0.1
+
+// like reports whether shares worked out from either differ by little.
+func (b *basis) like(o *basis) bool {
+	return b.index == o.index && b.directory == o.directory && b.retryBudget == o.retryBudget &&
+		similar(b.hosts, o.hosts) && similar(b.hall, o.hall) && similar(b.known, o.known)
+}
+
+// similar reports whether two numbers of hosts differ by little.
+func similar(a, b float64) bool { return max(a, b) <= (1+hostsTolerance)*min(a, b) }
+
 // NewEngine makes an engine that follows the kernel's views.
 func NewEngine(k *kernel.Kernel, h kernel.Headers) (*Engine, func()) {
 	e := &Engine{
@@ -88,7 +130,9 @@
 		relays: newRelays(), relayed: relayedBatches{batches: map[string]*batch{}},
 		batches: sentBatches{prefix: strconv.FormatUint(rand.Uint64()>>batchPrefixSpare, 36) + "-"},
 	}
+	e.times = forwardTimes{firstSign: forwardFirstSign, silent: forwardSilent}
 	e.serveRelay()
+	e.serveForwarded()
 	e.links.Store(&map[string]*link{})
 	k.OnView(e.follow)
 	done := make(chan struct{})
@@ -124,13 +168,10 @@
 		return
 	}
 	defer e.configuredOnce.Do(func() { close(e.configured) })
+	e.place(v)
 	e.preconnect(v)
-	next := basis{
-		index: v.Index, directory: v.Directory, retryBudget: e.kernel.Live().RetryBudget,
-		hosts: max(v.Staying(), leastHosts), hall: max(len(v.Hall(&e.kernel.Settings)), leastInHall),
-		known: max(1+len(v.Members), leastHosts),
-	}
-	if next == e.basis {
+	next := basisOf(v, &e.kernel.Settings, e.kernel.Live().RetryBudget)
+	if next.like(&e.basis) {
 		return
 	}
 	e.basis = next
@@ -180,33 +221,69 @@
 	}
 }
 
-// preconnect connects to the hosts that calls to other halls will go through, so that
-// the first of them does not wait; it runs on the control thread.
+// preconnect connects to the hosts that calls and requests will go through, so
+// that the first of them does not wait; it runs on the control thread.
 func (e *Engine) preconnect(v *kernel.View) {
-	halls := map[string][]string{}
-	for n, m := range v.Members {
-		if m.Live && !m.Leaving && m.Hall != e.kernel.Settings.Hall && m.Peer.IsValid() {
-			halls[m.Hall] = append(halls[m.Hall], n)
-		}
-	}
 	next := map[string]bool{}
-	for _, hosts := range halls {
-		slices.Sort(hosts)
-		for _, h := range hosts[:min(preconnectHosts, len(hosts))] {
-			next[h] = true
-			if !e.preconnected[h] {
-				go e.connect(h)
-			}
+	for _, h := range e.preconnectTo(v) {
+		next[h] = true
+		if !e.preconnected[h] {
+			go e.connect(h, v.Members[h].Hall)
 		}
 	}
 	e.preconnected = next
 }
 
-func (e *Engine) connect(host string) {
+// preconnectTo lists the hosts to connect to ahead: the strongest of each other
+// hall; for a host that forwards requests the coordinators of its hall, and where
+// that has none, one of each hall that has, which shows the nearest of them.
+func (e *Engine) preconnectTo(v *kernel.View) []string {
+	s := &e.kernel.Settings
+	self := policy.Candidate{Host: s.Host, Hall: s.Hall, Capacity: s.Capacity()}
+	coordinators := policy.Coordinators(self, e.placement.Load().candidates)
+	most := preconnectHosts
+	if len(coordinators) == 0 {
+		coordinators = othersByStrength(v, s.Hall)
+	} else if coordinators[0].Hall != s.Hall {
+		most = 1
+	}
+	var out []string
+	taken := map[string]int{}
+	for _, c := range coordinators {
+		if taken[c.Hall] == most || most == preconnectHosts && coordinators[0].Hall == s.Hall && c.Hall != s.Hall {
+			continue
+		}
+		taken[c.Hall]++
+		out = append(out, c.Host)
+	}
+	return out
+}
+
+// othersByStrength lists the live hosts of other halls, the strongest first.
+func othersByStrength(v *kernel.View, hall string) []policy.Candidate {
+	var out []policy.Candidate
+	for n, m := range v.Members {
+		if m.Live && !m.Leaving && m.Hall != hall && m.Peer.IsValid() {
+			out = append(out, policy.Candidate{Host: n, Hall: m.Hall, Capacity: m.Capacity})
+		}
+	}
+	slices.SortFunc(out, func(a, b policy.Candidate) int {
+		return cmp.Or(cmp.Compare(b.Capacity, a.Capacity), cmp.Compare(a.Host, b.Host))
+	})
+	return out
+}
+
+func (e *Engine) connect(host, hall string) {
 	ctx, cancel := context.WithTimeout(context.Background(), dialBound)
 	defer cancel()
+	started := e.kernel.Now()
 	if err := e.kernel.Peers.Connect(ctx, host); err != nil {
 		e.kernel.Log.Info().Err(err).Str("Peer", host).Msg("not connected to a host of another hall")
+		return
+	}
+	// A connection that was there already took no time.
+	if took := e.kernel.Now() - started; took >= leastRoundTrip {
+		e.relays.observe(hall, took)
 	}
 }
 
@@ -223,7 +300,7 @@
 		part, hosts = farConnections, max(b.hosts-b.hall, 1)
 	}
 	return policy.Share{
-		Name: l.Name, Slots: max(int(burstShare*part*float64(connections))/hosts, 1), Leaving: l.Leaving,
+		Name: l.Name, Slots: max(int(burstShare*part*float64(connections)/hosts), 1), Leaving: l.Leaving,
 		Listed: true, Hall: l.Hall, Near: near,
 	}
 }
--- a/tier/pass/host_test.go
+++ b/tier/pass/host_test.go
@@ -224,6 +224,8 @@
 	log        io.Writer
 	// age is that of the process; 0 for a minute.
 	age time.Duration
+	// cores is the share of processors; 0 for one.
+	cores float64
 }
 
 func newHost(t testing.TB, c hostConfig) *host {
@@ -238,7 +240,7 @@
 		log = zerolog.New(c.log)
 	}
 	k, stop := kernel.New(kernel.Config{
-		Settings: kernel.Settings{Host: c.name, Hall: c.hall, Incarnation: "1", Adapter: "Test", RetryBudget: c.repeats},
+		Settings: kernel.Settings{Host: c.name, Hall: c.hall, Incarnation: "1", Adapter: "Test", RetryBudget: c.repeats, Cores: c.cores},
 		Log:      log, Tracer: noop.NewTracerProvider().Tracer(""), Started: time.Now().Add(-c.age),
 		Fleet: policy.NewFleet(policy.FleetConfig{Random: rand.New(rand.NewPCG(1, 2))}),
 	})
@@ -287,7 +289,7 @@
 func (h *host) member(o *host) {
 	h.do(func(s *kernel.State) {
 		n := o.kernel.Settings.Host
-		s.Members[n] = kernel.Member{Host: n, Hall: o.kernel.Settings.Hall, Peer: netip.MustParseAddrPort("127.0.0.1:1"), Live: true}
+		s.Members[n] = kernel.Member{Host: n, Hall: o.kernel.Settings.Hall, Peer: netip.MustParseAddrPort("127.0.0.1:1"), Live: true, Capacity: o.kernel.Settings.Capacity()}
 		s.Changed()
 	})
 }
@@ -331,6 +333,8 @@
 	cut, mute map[string]bool
 	// broken are methods that no host can be reached for.
 	broken map[string]bool
+	// pushes is how many pushes arrive, the first ones; below 0 for all.
+	pushes int
 	calls  map[string]int
 	// met are the hosts that were connected to ahead.
 	met []string
@@ -339,7 +343,7 @@
 }
 
 func newCable() *cable {
-	return &cable{hosts: map[string]*host{}, cut: map[string]bool{}, mute: map[string]bool{}, calls: map[string]int{}}
+	return &cable{pushes: -1, hosts: map[string]*host{}, cut: map[string]bool{}, mute: map[string]bool{}, calls: map[string]int{}}
 }
 
 func (w *cable) handler(to, method string) (kernel.Handler, bool, error) {
@@ -399,6 +403,15 @@
 
 // push tells the sender something before the answer.
 func (w *cable) push(method string, params any) error {
+	w.mu.Lock()
+	lost := w.pushes == 0
+	if w.pushes > 0 {
+		w.pushes--
+	}
+	w.mu.Unlock()
+	if lost {
+		return nil
+	}
 	text, err := json.Marshal(params)
 	if err != nil {
 		return err
--- a/tier/pass/hosts.go
+++ b/tier/pass/hosts.go
@@ -28,6 +28,9 @@
 	silent  int
 	last    string
 	backoff backoff
+	// roundTrip is the least time that a message took there and back; 0 if it is
+	// not known.
+	roundTrip time.Duration
 }
 
 // backoff is how long something that does not answer is left alone: twice as long
@@ -62,7 +65,8 @@
 	return s
 }
 
-// choose returns the live host of a hall that owes the fewest answers, and none to
+// choose returns the live host of a hall that owes the fewest answers for what it
+// can carry, and none to
 // a certain request; empty if there is none that answers. Of those that owe
 // alike, all hosts take the same one: it sees most calls to its upstreams, so it
 // learns soon how they do.
@@ -82,10 +86,16 @@
 		return ""
 	}
 	return slices.MinFunc(names, func(a, b string) int {
-		return cmp.Or(cmp.Compare(r.state(a).open, r.state(b).open), cmp.Compare(a, b))
+		return cmp.Or(
+			cmp.Compare(load(r.state(a).open, v.Members[a].Capacity), load(r.state(b).open, v.Members[b].Capacity)),
+			cmp.Compare(a, b),
+		)
 	})
 }
 
+// load is what a host owes for what it can carry, with one batch more.
+func load(open, capacity int) float64 { return float64(open+1) / float64(max(capacity, 1)) }
+
 func (r *relays) hall(name string) *hallState {
 	h := r.halls[name]
 	if h == nil {
@@ -125,10 +135,36 @@
 	s := r.state(host)
 	s.batchEnded(now)
 	s.backoff = backoff{}
-	*r.hall(hall) = hallState{}
-	if s.roundTrip == 0 || roundTrip < s.roundTrip {
-		s.roundTrip = roundTrip
+	h := r.hall(hall)
+	*h = hallState{roundTrip: least(h.roundTrip, roundTrip)}
+	s.roundTrip = least(s.roundTrip, roundTrip)
+}
+
+// least returns the lesser of two times; 0 stands for none.
+func least(a, b time.Duration) time.Duration {
+	if a == 0 || b > 0 && b < a {
+		return b
+	}
+	return a
+}
+
+// observe notes how long a connection to a host of a hall took.
+func (r *relays) observe(hall string, roundTrip time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	h := r.hall(hall)
+	h.roundTrip = least(h.roundTrip, roundTrip)
+}
+
+// decline notes that a host did not take a request. One that stops is left
+// alone; one that knows another configuration will soon know this one.
+func (r *relays) decline(host string, now time.Duration, why Decline) {
+	if why != DeclineStopping {
+		return
 	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.state(host).backoff.begin(now)
 }
 
 // unanswered notes a batch without an answer; with late the first sign was due
--- a/tier/pass/serve.go
+++ b/tier/pass/serve.go
@@ -55,15 +55,22 @@
 	plan   plan
 	// begun is when the request was read, deadline when its answer is due.
 	begun, deadline time.Duration
-	head            []byte
-	method          string
-	body            []byte
+	// patience is when an answer that covers enough is given, decidedAt when the
+	// run had its end; 0 before.
+	patience, decidedAt time.Duration
+	head                []byte
+	method              string
+	body                []byte
 
 	// single is the answer that was taken, failure the last failure that an
 	// upstream answered with; both for a request to one group.
 	single, failure *answer
 	parts           gathered
 	relaying        relaying
+	// hostName and path are what the route was found by.
+	hostName, path string
+	// outcome is the last that was logged.
+	outcome string
 	// callerGone is true once the caller is gone.
 	callerGone atomic.Bool
 	// sends counts the calls sent for each part.
@@ -95,7 +102,8 @@
 	if !strings.HasPrefix(path, "/") {
 		path = r.URL.EscapedPath()
 	}
-	q.route, q.class = q.view.Index.Route(hostOnly(r.Host), path)
+	q.hostName, q.path = hostOnly(r.Host), path
+	q.route, q.class = q.view.Index.Route(q.hostName, q.path)
 	switch {
 	case q.route == nil:
 		q.reject(w, http.StatusNotFound, outcomeNoRoute, "no route for "+r.Host+path)
@@ -107,7 +115,21 @@
 	if !q.read(w, r) {
 		return
 	}
-	q.serve(w, r)
+	ctx := wire.TraceFrom(r.Context(), r.Header)
+	if !q.forward(ctx, w) {
+		q.serve(ctx, w)
+		q.noteTail()
+	}
+	if r.Context().Err() != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// noteTail observes how long the answer took to make and write.
+func (q *request) noteTail() {
+	if q.decidedAt > 0 {
+		q.engine.margins.observeTail(q.engine.kernel.Now() - q.decidedAt)
+	}
 }
 
 // hostOnly takes the port off a Host header.
@@ -153,15 +175,21 @@
 	return true
 }
 
-// serve carries the request out and answers it.
-func (q *request) serve(w http.ResponseWriter, r *http.Request) {
+// serve carries the request out and answers it; a caller that is gone gets no
+// answer.
+func (q *request) serve(ctx context.Context, w http.ResponseWriter) {
+	if ctx.Err() != nil {
+		q.log(outcomeGivenUp, 0).Msg("request given up by its caller")
+		return
+	}
 	q.plan = q.engine.plan(q.view, q.route)
 	if q.plan.reachable == 0 || float64(q.plan.reachable) < q.class.Coverage*float64(len(q.plan.groups)) {
 		q.refuse(w, "too few groups have an upstream", retryNoUpstream)
 		return
 	}
 	q.sends = make([]int, len(q.plan.groups))
-	ctx, span := q.engine.kernel.Tracer.Start(wire.TraceFrom(r.Context(), r.Header), "route")
+	caller := ctx
+	ctx, span := q.engine.kernel.Tracer.Start(ctx, "route")
 	defer span.End()
 	if span.IsRecording() {
 		span.SetAttributes(attribute.String("RequestID", q.id), attribute.String("Route", q.route.Name))
@@ -174,9 +202,8 @@
 	case err != nil:
 		q.engine.kernel.Log.Error().Err(err).Str("RequestID", q.id).Msg("request not carried out")
 		q.refuse(w, "internal error", retryNoUpstream)
-	case r.Context().Err() != nil:
+	case caller.Err() != nil:
 		q.log(outcomeGivenUp, 0).Int("Ran", result.Ran).Msg("request given up by its caller")
-		panic(http.ErrAbortHandler)
 	case q.route.Gather != nil:
 		q.answerGathered(ctx, w, &result)
 	default:
@@ -184,17 +211,28 @@
 	}
 }
 
+// classOf returns the route's class with the patience that is left, at the start
+// of the run, for a request that began before at another host, and whose answer
+// takes this host long to write.
+func (q *request) classOf(spent time.Duration) *config.Class {
+	q.patience = q.begun + time.Duration(q.class.Patience) - q.engine.margins.beyondReserve()
+	c := *q.class
+	c.Patience = config.Duration(max(q.patience-q.begun-spent, 0))
+	return &c
+}
+
 func (q *request) run(ctx context.Context) (policy.Result, error) {
 	k := q.engine.kernel
 	near, far := k.Fleet.RoutedPools(q.route.Name)
+	spent := k.Now() - q.begun
 	f, err := runner.New(runner.Config[*answer]{
 		Kernel: k, Caller: q,
 		Run: policy.RunConfig{
-			Fleet: k.Fleet, Pool: near, Class: q.class, Deadline: q.deadline,
+			Fleet: k.Fleet, Pool: near, Class: q.classOf(spent), Deadline: q.deadline,
 			Replicas: q.plan.replicas, Repeatable: q.route.Repeatable,
 			Routed: &policy.Routed{
 				Groups: q.plan.groups, FarPool: far, MaxAttempts: q.route.MaxAttempts,
-				Objective: time.Duration(q.route.Objective), Hall: q.plan.hall,
+				Objective: max(time.Duration(q.route.Objective)-spent, 0), Hall: q.plan.hall,
 			},
 		},
 	})
@@ -203,7 +241,9 @@
 	}
 	stop := context.AfterFunc(ctx, func() { q.callerGone.Store(true) })
 	defer stop()
-	return f.Run(ctx, ctx.Done())
+	result, err := f.Run(ctx, ctx.Done())
+	q.decidedAt = f.DecidedAt()
+	return result, err
 }
 
 // Call implements runner.Caller.
--- a/tier/peers/announce.go
+++ b/tier/peers/announce.go
@@ -32,6 +32,13 @@
 	// failedReadersMost is how many hosts of a hall, or halls, try to read a platform
 	// that does not answer: it may turn some hosts away and serve others.
 	failedReadersMost = 3
+	// firstTurnLeast and firstTurnSpread are the ages from which on hosts that
+	// start read the platform beyond their first read, an old one that costs a
+	// tenth: later than hosts have met (three heartbeats), earlier than a change is
+	// due. Without it each of 295 hosts that start together asked the platform
+	// whether its first read was old, some 295 calls a start.
+	firstTurnLeast  = 300 * time.Millisecond
+	firstTurnSpread = 1200 * time.Millisecond
 	// sourceStale is how old a reader's last read may be: a reader that does not
 	// hear the platform is no reader.
 	sourceStale = 1800 * time.Millisecond
@@ -217,10 +224,19 @@
 	if s.Directory == nil {
 		return true, true
 	}
+	if k.Now() < firstTurn(k.Settings.Host) {
+		return false, false
+	}
 	tells = leads(k, s.HallSources)
 	return tells, tells && leads(k, s.OtherSources)
 }
 
+// firstTurn is the age from which on a host may read the platform beyond its first
+// read. The one whose turn comes first tells the others before theirs comes.
+func firstTurn(host string) time.Duration {
+	return firstTurnLeast + time.Duration(xxhash.Sum64String("start "+host)%uint64(firstTurnSpread))
+}
+
 // leads reports whether this host is first among those that tell, as far as it
 // heard of them: if none that ranks before it has told a moment ago that it hears
 // the platform, and few try in vain.
--- a/tier/peers/gossip.go
+++ b/tier/peers/gossip.go
@@ -107,7 +107,7 @@
 		Beat: k.Settings.Beat, Random: rand.New(seed),
 	}
 	if k.Settings.Adapter != "" {
-		table.Hall, table.Peer = k.Settings.Hall, k.Settings.Peer
+		table.Hall, table.Peer, table.Capacity = k.Settings.Hall, k.Settings.Peer, k.Settings.Capacity()
 	}
 	g := &gossip{kernel: k, node: n, random: rand.New(seed), table: NewTable(table)}
 	k.Handle(MethodHeartbeat, g.onHeartbeat)
@@ -425,7 +425,7 @@
 	for _, m := range g.table.Members(now) {
 		k := kernel.Member{
 			Host: m.Host, Incarnation: m.Incarnation, Live: m.Live,
-			Leaving: m.Leaving, Revision: m.Revision, Hall: m.Hall, Peer: m.Peer,
+			Leaving: m.Leaving, Revision: m.Revision, Hall: m.Hall, Peer: m.Peer, Capacity: cmp.Or(m.Capacity, g.kernel.Settings.Capacity()),
 		}
 		if s.Index != nil {
 			if h := s.Index.Host(m.Host); h != nil {
--- a/tier/peers/table.go
+++ b/tier/peers/table.go
@@ -38,6 +38,8 @@
 	// Hall and Peer tell where the host is, if no document says it.
 	Hall string         `json:",omitempty"`
 	Peer netip.AddrPort `json:",omitzero"`
+	// Capacity is how much it can carry, as of policy.Capacity; 0 if it did not say.
+	Capacity int `json:",omitempty"`
 }
 
 type record struct {
@@ -59,16 +61,18 @@
 type TableConfig struct {
 	Host, Incarnation string
 	// Hall and Peer are told to others, if no document says them.
-	Hall   string
-	Peer   netip.AddrPort
-	Beat   time.Duration
-	Random policy.Random
+	Hall string
+	Peer netip.AddrPort
+	// Capacity is told to others.
+	Capacity int
+	Beat     time.Duration
+	Random   policy.Random
 }
 
 // NewTable makes a table that knows only its own host.
 func NewTable(c TableConfig) *Table {
 	return &Table{
-		self:    Entry{Host: c.Host, Incarnation: c.Incarnation, Hall: c.Hall, Peer: c.Peer},
+		self:    Entry{Host: c.Host, Incarnation: c.Incarnation, Hall: c.Hall, Peer: c.Peer, Capacity: c.Capacity},
 		beat:    c.Beat,
 		random:  c.Random,
 		records: map[string]*record{},
--- a/tier/policy/pool.go
+++ b/tier/policy/pool.go
@@ -70,9 +70,12 @@
 
 // Known reports whether there are enough samples to learn from.
 func (p *Pool) Known() bool {
-	return p.current.TotalCount()+p.previous.TotalCount() >= poolEnough
+	return p.Count() >= poolEnough
 }
 
+// Count is how many samples are looked at.
+func (p *Pool) Count() int64 { return p.current.TotalCount() + p.previous.TotalCount() }
+
 // Median is the middle latency, or a fixed guess while little is known.
 func (p *Pool) Median() time.Duration {
 	if !p.Known() {
--- a/tier/policy/retrybudget.go
+++ b/tier/policy/retrybudget.go
@@ -25,9 +25,9 @@
 }
 
 // ShareRetryBudget returns one host's part of what a group allows in each window:
-// a ratio of its requests, and a slack besides.
-func ShareRetryBudget(ratio, slack float64, hosts int) RetryBudget {
-	return RetryBudget{Ratio: ratio * retryBudgetShare, Depth: slack * retryBudgetShare / float64(max(hosts, 1))}
+// a ratio of its requests, and a slack besides that so many hosts divide.
+func ShareRetryBudget(ratio, slack, hosts float64) RetryBudget {
+	return RetryBudget{Ratio: ratio * retryBudgetShare, Depth: slack * retryBudgetShare / max(hosts, 1)}
 }
 
 // SetRetryBudget sets the budget of each group. What is saved up beyond a new
--- a/tier/policy/route_test.go
+++ b/tier/policy/route_test.go
@@ -93,7 +93,7 @@
 	fleets := make([]*Fleet, hosts)
 	start := func() *Fleet {
 		f := NewFleet(FleetConfig{Random: random})
-		f.SetRetryBudget(ShareRetryBudget(ratio, slack*0.9, hosts))
+		f.SetRetryBudget(ShareRetryBudget(ratio, slack*0.9, float64(hosts)))
 		return f
 	}
 	for i := range fleets {
--- a/tier/replay/routed.go
+++ b/tier/replay/routed.go
@@ -64,7 +64,7 @@
 			Hall: hall, Near: hall == c.Routed.hall(h.index),
 		})
 	}
-	h.fleet.SetRetryBudget(policy.ShareRetryBudget(c.Routed.Ratio, c.Routed.Slack, c.Hosts))
+	h.fleet.SetRetryBudget(policy.ShareRetryBudget(c.Routed.Ratio, c.Routed.Slack, float64(c.Hosts)))
 	h.fleet.Apply(0, shares)
 }
 
--- a/tier/runner/runner.go
+++ b/tier/runner/runner.go
@@ -89,8 +89,9 @@
 	run *policy.Run
 	// reply is what the event being handled brought.
 	reply R
-	// over is true once the run has its end.
-	over bool
+	// over is true once the run has its end, decidedAt is when that was.
+	over      bool
+	decidedAt time.Duration
 	// calls holds how to cancel each sent attempt.
 	calls map[int]*call
 	timer *time.Timer
@@ -164,6 +165,14 @@
 	return e.run.Result(), nil
 }
 
+// DecidedAt is when the run had its end, after Run has returned: what follows is
+// the making of the answer.
+func (e *Execution[R]) DecidedAt() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.decidedAt
+}
+
 // handle passes one event to the run and carries out what it asks for.
 func (e *Execution[R]) handle(event func(now time.Duration) []policy.Action) {
 	e.mu.Lock()
@@ -217,7 +226,7 @@
 		case policy.ActionFree:
 			granted = append(granted, e.kernel.Fleet.Free(e.kernel.Now(), a.Upstream)...)
 		case policy.ActionFinish:
-			e.over = true
+			e.over, e.decidedAt = true, e.kernel.Now()
 			close(e.done)
 		}
 	}
