fix: a reader that the platform turns away is not taken for the reader again

Cause: a host's word on how old its news are counted what it had heard from other halls. One that ranks first and is turned away by the platform therefore seemed to read again as soon as another read for it: the others stopped, and 1.8 s later all were without news once more (62 hosts, a third of them turned away for 9 s: listings 1.8 s old while a sixth of the upstreams were replaced). Change: other halls hear of a host's own last read only.

--- a/tier/kernel/state.go
+++ b/tier/kernel/state.go
@@ -168,6 +168,8 @@
 	// SourceAt is when what this host tells was read from the platform, by itself
 	// or by the reader that it heard it from; 0 for never.
 	SourceAt time.Duration
+	// ReadAt is when this host last read the platform itself; 0 for never.
+	ReadAt time.Duration
 	// HallSources holds what was last heard from each host that tells this hall, and
 	// OtherSources the same of those in other halls that read the platform.
 	HallSources, OtherSources map[string]SourceSign
--- a/tier/peers/announce.go
+++ b/tier/peers/announce.go
@@ -21,9 +21,10 @@
 const (
 	// announceEvery is how often a reader announces if nothing changes.
 	announceEvery = 400 * time.Millisecond
-	// sourceStale is how old a reader's last read may be: a reader that does not
-	// hear the platform is no reader.
-	sourceStale = 1800 * time.Millisecond
+	// slowAnswer is how much longer than a watch waits the answer of a platform that
+	// hears its readers may take: one that is 60 times slower than its 4 ms, and a
+	// busy host.
+	slowAnswer = 500 * time.Millisecond
 	// listAgain is how long a host waits until it fetches the whole list again.
 	listAgain = 500 * time.Millisecond
 	// announceBound is how long telling one host may take.
@@ -33,6 +34,10 @@
 // errStaleSource is a platform that has not answered for some time.
 var errStaleSource = errors.New("no answer for some time")
 
+// staleAfter is how old a reader's last read may be: a reader that does not hear
+// the platform is no reader.
+func staleAfter(s *kernel.Settings) time.Duration { return s.WatchWait + slowAnswer }
+
 // Announcement says what is published: the reader of the platform sends it to its
 // own hall and to one host of each other hall, which passes it on to its hall.
 type Announcement struct {
@@ -99,9 +104,10 @@
 	if !s.Announcing || s.SourceAt == 0 || s.Directory == nil {
 		return
 	}
+	stale := staleAfter(&t.kernel.Settings)
 	news := Announcement{
 		Host: t.kernel.Settings.Host, Peer: t.kernel.Settings.Peer, Hall: t.kernel.Settings.Hall,
-		Age: now - s.SourceAt, Lost: now-s.SourceAt > sourceStale,
+		Age: now - s.SourceAt, Lost: now-s.SourceAt > stale,
 		Revision: revision(s), Directory: s.Directory.Digest(), DirectoryRevision: s.Directory.Revision,
 	}
 	if news.Lost && s.Reading {
@@ -117,33 +123,41 @@
 		news.Change = &change
 	}
 	t.announced, t.revision, t.announcedAt = s.Directory, news.Revision, now
-	for _, n := range t.recipients(s) {
+	hall, readers := t.recipients(s)
+	for _, n := range hall {
+		go t.send(n, news)
+	}
+	// Other halls rely on this host only for what it reads itself. One that the
+	// platform turns away, and that goes by what others read, would be taken for
+	// the reader again and again.
+	news.Age = now - s.ReadAt
+	news.Lost = s.ReadAt == 0 || news.Age > stale
+	for _, n := range readers {
 		go t.send(n, news)
 	}
 }
 
-// recipients lists whom this host announces to: its hall, and if it reads the
-// platform itself, the first host of each other hall.
-func (t *announcer) recipients(s *kernel.State) []string {
-	var out []string
+// recipients lists whom this host announces to: its hall, and if it is to read
+// the platform, the first host of each other hall.
+func (t *announcer) recipients(s *kernel.State) (hall, readers []string) {
 	others := map[string][]string{}
 	for n, m := range s.Members {
 		switch {
 		case !m.Live || m.Leaving:
 		case m.Hall == t.kernel.Settings.Hall:
-			out = append(out, n)
+			hall = append(hall, n)
 		default:
 			others[m.Hall] = append(others[m.Hall], n)
 		}
 	}
 	if !s.Reading {
-		return out
+		return hall, nil
 	}
 	r := newReaders(s, &t.kernel.Settings)
 	for _, hosts := range others {
-		out = append(out, slices.MinFunc(hosts, r.compare))
+		readers = append(readers, slices.MinFunc(hosts, r.compare))
 	}
-	return out
+	return hall, readers
 }
 
 func (t *announcer) send(host string, n Announcement) {
@@ -172,7 +186,7 @@
 // fetched whole.
 func (g *gossip) takeAnnouncement(s *kernel.State, n *Announcement) {
 	now := g.kernel.Now()
-	isLost := n.Lost || n.Age > sourceStale
+	isLost := n.Lost || n.Age > staleAfter(&g.kernel.Settings)
 	if n.Hall == g.kernel.Settings.Hall {
 		s.HallSources[n.Host] = s.HallSources[n.Host].Next(now, isLost)
 	} else {
--- a/tier/peers/announce_test.go
+++ b/tier/peers/announce_test.go
@@ -1,6 +1,7 @@
 package peers
 
 import (
+	"context"
 	"fmt"
 	"maps"
 	"slices"
@@ -190,9 +191,13 @@
 			s.Members[n] = kernel.Member{Host: n, Hall: hall, Live: true, Leaving: i == 1}
 		}
 		tl := &announcer{kernel: k}
-		assert.Equal(t, len(tl.recipients(s)), 3+2)
+		hall, readers := tl.recipients(s)
+		assert.Equal(t, len(hall), 3)
+		assert.Equal(t, len(readers), 2)
 		s.Reading = false
-		assert.Equal(t, len(tl.recipients(s)), 3)
+		hall, readers = tl.recipients(s)
+		assert.Equal(t, len(hall), 3)
+		assert.Equal(t, len(readers), 0)
 	})
 }
 
@@ -259,3 +264,45 @@
 	}
 	assert.DeepEqual(t, listedNames(lacking), []string{"U1", "U2", "U3"})
 }
+
+// sentNews keeps the last announcement to each host.
+type sentNews struct {
+	toldPeers
+	last map[string]Announcement
+}
+
+// Call implements kernel.PeerCaller.
+func (p *sentNews) Call(_ context.Context, host, _ string, params, _ any) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.last[host] = params.(Announcement)
+	return nil
+}
+
+// TestReaderThatIsTurnedAwaySaysSo has the host that ranks first hear from other
+// halls what is published while the platform turns it away: its own hall hears
+// fresh news from it, other halls do not take it for a reader.
+func TestReaderThatIsTurnedAwaySaysSo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		k := newsKernel(t, "Self")
+		k.Settings.WatchWait = time.Second
+		sent := &sentNews{last: map[string]Announcement{}}
+		k.Peers = sent
+		time.Sleep(time.Minute)
+		s := &kernel.State{Reading: true, Announcing: true, SourceAt: k.Now() - 100*time.Millisecond, Members: map[string]kernel.Member{}}
+		s.Directory, _ = s.Directory.With(&config.DirectoryChange{Revision: 1})
+		s.Members["Mate"] = kernel.Member{Host: "Mate", Hall: "A", Live: true}
+		s.Members["Other"] = kernel.Member{Host: "Other", Hall: "B", Live: true}
+		announce := func() {
+			time.Sleep(announceEvery)
+			(&announcer{kernel: k}).announce(s)
+			synctest.Wait()
+		}
+		announce()
+		assert.Assert(t, !sent.last["Mate"].Lost)
+		assert.Assert(t, sent.last["Other"].Lost)
+		s.ReadAt = k.Now()
+		announce()
+		assert.Assert(t, !sent.last["Other"].Lost)
+	})
+}
--- a/tier/peers/feed.go
+++ b/tier/peers/feed.go
@@ -167,6 +167,9 @@
 	return f.source.Watch(ctx, f.revision, wait)
 }
 
+// stale is how long after its last read the host does not hear the platform.
+func (f *feed) stale() time.Duration { return staleAfter(&f.kernel.Settings) }
+
 // failed notes a read that failed and waits before the next.
 func (f *feed) failed(ctx context.Context, err error) {
 	if errors.Is(err, kernel.ErrHistoryGone) {
@@ -178,7 +181,7 @@
 	if f.failingSince == 0 {
 		f.failingSince = now
 	}
-	if now-f.failingSince >= awayAfter || now-f.heardAt > sourceStale {
+	if now-f.failingSince >= awayAfter || now-f.heardAt > f.stale() {
 		f.kernel.Do(func(s *kernel.State) { lost(f.kernel, s, err) })
 	}
 	f.pause = min(max(2*f.pause, feedRetry), feedRetryMost)
@@ -202,7 +205,7 @@
 		f.kernel.Log.Error().Err(err).Msg("entry of the platform not understood, left out")
 		metrics.GetOrCreateCounter("loomgap_platform_entries_refused_total").Inc()
 	}
-	away := f.failingSince > 0 && (now-f.failingSince >= awayAfter || now-f.heardAt > sourceStale)
+	away := f.failingSince > 0 && (now-f.failingSince >= awayAfter || now-f.heardAt > f.stale())
 	f.heardAt = now
 	f.failingSince, f.pause, f.exact = 0, 0, false
 	if p.Directory.Whole {
@@ -227,8 +230,8 @@
 // install runs on the control thread while the feed waits.
 func (f *feed) install(s *kernel.State, p *kernel.Published, now time.Duration, away bool) {
 	// If others heard the platform all the while, nothing lapsed.
-	away = away && now-s.PlatformHeard > sourceStale
-	s.PlatformHeard, s.SourceAt = now, now
+	away = away && now-s.PlatformHeard > f.stale()
+	s.PlatformHeard, s.SourceAt, s.ReadAt = now, now, now
 	if s.FeedDown {
 		s.FeedDown = false
 		f.kernel.Log.Info().Uint64("DirectoryRevision", p.Revision).Msg("platform regained")
--- a/tier/peers/feed_test.go
+++ b/tier/peers/feed_test.go
@@ -290,7 +290,7 @@
 		go (&announcer{kernel: k}).loop(ctx)
 		settle(announceEvery + time.Millisecond)
 		assert.Assert(t, told.count() > 0)
-		settle(sourceStale)
+		settle(staleAfter(&k.Settings))
 		before := told.count()
 		settle(time.Second)
 		assert.Equal(t, told.count(), before)
