fix: what changed is not taken for a directory

Cause: a host that starts may hear a change, announced by another, before its first read. Older than the coordinators; more likely since a host announces at once when it takes over. Test: the starting host announces nothing until it has a whole directory; failed before.

--- a/loomfake/soak_test.go
+++ b/loomfake/soak_test.go
@@ -5,7 +5,9 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -47,11 +49,32 @@
 	cleanUp()
 	assert.NilError(t, err)
 	if broken := s.check(); len(broken) > 0 {
+		for _, h := range s.hosts {
+			t.Logf("%s:\n%s", h.name, controlLines(t, h.log))
+		}
 		t.Fatalf("seed %d:\n%s", seed, strings.Join(broken, "\n"))
 	}
 	assert.Assert(t, len(s.asked) > 0)
 }
 
+// controlMessages are the log lines that tell how a daemon follows what is
+// published.
+var controlMessages = []string{
+	"daemon started", "daemon stops", "turn to read the platform", "platform lost", "platform regained", "history is gone",
+	"document", "directory", "process was paused", "connection to peer is silent",
+}
+
+// controlLines returns those lines of a daemon's log, so that a soak that fails once
+// can be traced: the log itself goes with the test.
+func controlLines(t *testing.T, file string) string {
+	text, err := os.ReadFile(file)
+	assert.NilError(t, err)
+	lines := slices.DeleteFunc(strings.Split(string(text), "\n"), func(l string) bool {
+		return !slices.ContainsFunc(controlMessages, func(m string) bool { return strings.Contains(l, m) })
+	})
+	return strings.Join(lines, "\n")
+}
+
 // soaked is a soak as it is after its run, with one gather of two shards and
 // nothing wrong.
 func soaked() *soak {
--- a/tier/pass/engine.go
+++ b/tier/pass/engine.go
@@ -72,7 +72,7 @@
 	// basis is what shares and links were made from; used on the control
 	// thread.
 	basis basis
-	placed
+	forwarder
 }
 
 // basis is what the shares of upstreams depend on.
--- a/tier/pass/forward.go
+++ b/tier/pass/forward.go
@@ -75,19 +75,19 @@
 	return out
 }
 
-// coordinator picks the host that is to carry a request out; empty for this one.
-func (e *Engine) coordinator(tried map[string]bool) string {
+// coordinator picks the host that is to carry a request out; false for this one.
+func (e *Engine) coordinator(tried map[string]bool) (policy.Candidate, bool) {
 	p := e.placement.Load()
 	if p == nil {
-		return ""
+		return policy.Candidate{}, false
 	}
 	s := &e.kernel.Settings
 	self := policy.Candidate{Host: s.Host, Hall: s.Hall, Capacity: s.Capacity()}
 	best := policy.Coordinators(self, e.relays.reachable(p.candidates, e.kernel.Now(), tried))
 	if len(best) == 0 {
-		return ""
+		return policy.Candidate{}, false
 	}
-	return best[0].Host
+	return best[0], true
 }
 
 // reachable returns the candidates that answer, with what is known of them.
@@ -115,22 +115,22 @@
 	}
 	tried := map[string]bool{}
 	for range forwardTries {
-		host := q.engine.coordinator(tried)
-		if host == "" {
+		to, ok := q.engine.coordinator(tried)
+		if !ok {
 			return false
 		}
-		tried[host] = true
-		f := &forwarded{request: q, host: host, hall: q.view.Members[host].Hall}
+		tried[to.Host] = true
+		f := &forwarded{request: q, host: to.Host, hall: to.Hall}
 		answer := f.carryOut(ctx)
 		switch {
 		case ctx.Err() != nil:
-			q.log(outcomeGivenUp, 0).Str("Coordinator", host).Msg("request given up by its caller")
+			q.log(outcomeGivenUp, 0).Str("Coordinator", to.Host).Msg("request given up by its caller")
 			return true
 		case answer != nil:
 			q.writeForwarded(w, f, answer)
 			return true
 		case f.begun:
-			q.log(outcomeUnknown, http.StatusBadGateway).Str("Coordinator", host).Msg("coordinator lost")
+			q.log(outcomeUnknown, http.StatusBadGateway).Str("Coordinator", to.Host).Msg("coordinator lost")
 			http.Error(w, "no answer: "+outcomeUnknown, http.StatusBadGateway)
 			return true
 		}
@@ -320,8 +320,10 @@
 	e.placement.Store(newPlacement(v, &e.kernel.Settings, e.served))
 }
 
-// placed is the part of an engine that forwards requests.
-type placed struct {
+// forwarder is the part of an engine that hands requests over to coordinators, and
+// carries them out for other hosts.
+type forwarder struct {
+	// placement is nil until there is a view to make it from.
 	placement atomic.Pointer[placement]
 	forwards  forwards
 	margins   margins
--- a/tier/peers/announce.go
+++ b/tier/peers/announce.go
@@ -194,7 +194,10 @@
 		s.SourceAt = max(s.SourceAt, now-max(n.Age, 0))
 	}
 	s.PlatformHeard = max(s.PlatformHeard, now-max(n.Age, 0))
-	if n.Change != nil {
+	// What changed is no directory: a host that has none yet would have a few
+	// upstreams at a high revision, and those that fetch its whole directory would
+	// take all others for removed.
+	if n.Change != nil && (s.Directory != nil || n.Change.Whole) {
 		s.List(n.Change)
 	}
 	// A change may be applied to a list with holes, so what is listed then is
--- a/tier/peers/start_test.go
+++ b/tier/peers/start_test.go
@@ -76,3 +76,32 @@
 		})
 	}
 }
+
+// TestChangeIsNoDirectory has a starting host hear what changed before it has read
+// anything, and its mate hear from it: the mate keeps what it lists.
+func TestChangeIsNoDirectory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		listing := func(name string, revision uint64) config.Listing {
+			return config.Listing{Name: name, Group: "G", Hall: "A", Slots: 1, Revision: revision}
+		}
+		k := newsKernel(t, "Starting")
+		told := &sentNews{last: map[string]Announcement{}}
+		k.Peers = told
+		time.Sleep(time.Second)
+		starting := combination(0).state()
+		starting.Announcing = true
+		starting.Members["Mate"] = kernel.Member{Host: "Mate", Hall: "A", Live: true}
+		g := &gossip{kernel: k, listing: true, fetching: true}
+		change := &config.DirectoryChange{Revision: 9, Listed: []config.Listing{listing("U9", 9)}}
+		g.takeAnnouncement(starting, &Announcement{Host: "Reader", Hall: "B", DirectoryRevision: 9, Directory: 1, Change: change})
+		(&announcer{kernel: k}).announce(starting)
+		synctest.Wait()
+		_, announced := told.last["Mate"]
+		assert.Assert(t, !announced, "a host without a directory announced one")
+		assert.Equal(t, starting.Directory.Whole().Revision, uint64(0), "it would give others a directory of one upstream")
+
+		whole := &config.DirectoryChange{Revision: 9, Whole: true, Listed: []config.Listing{listing("U1", 1), listing("U9", 9)}}
+		g.takeAnnouncement(starting, &Announcement{Host: "Reader", Hall: "B", DirectoryRevision: 9, Directory: 1, Change: whole})
+		assert.Equal(t, starting.Directory.Size(), 2)
+	})
+}
