--- a/tier/pass/engine.go
+++ b/tier/pass/engine.go
@@ -241,20 +241,25 @@
 	s := &e.kernel.Settings
 	self := policy.Candidate{Host: s.Host, Hall: s.Hall, Capacity: s.Capacity()}
 	coordinators := policy.Coordinators(self, e.placement.Load().candidates)
-	most := preconnectHosts
-	if len(coordinators) == 0 {
-		coordinators = othersByStrength(v, s.Hall)
-	} else if coordinators[0].Hall != s.Hall {
-		most = 1
+	switch {
+	case len(coordinators) == 0:
+		return firstOfHalls(othersByStrength(v, s.Hall), preconnectHosts)
+	case coordinators[0].Hall != s.Hall:
+		return firstOfHalls(coordinators, 1)
 	}
+	elsewhere := func(c policy.Candidate) bool { return c.Hall != s.Hall }
+	return firstOfHalls(slices.DeleteFunc(coordinators, elsewhere), preconnectHosts)
+}
+
+// firstOfHalls returns the first hosts of each hall, at most so many of one.
+func firstOfHalls(all []policy.Candidate, most int) []string {
 	var out []string
 	taken := map[string]int{}
-	for _, c := range coordinators {
-		if taken[c.Hall] == most || most == preconnectHosts && coordinators[0].Hall == s.Hall && c.Hall != s.Hall {
-			continue
+	for _, c := range all {
+		if taken[c.Hall] < most {
+			taken[c.Hall]++
+			out = append(out, c.Host)
 		}
-		taken[c.Hall]++
-		out = append(out, c.Host)
 	}
 	return out
 }
