--- a/tier/peers/announce.go
+++ b/tier/peers/announce.go
@@ -72,17 +72,17 @@
 }
 
 // follow announces what changed in a new view; it runs on the control thread.
-func (t *announcer) follow(v *kernel.View) {
-	if v.Directory == t.seen && v.Index == t.seenIndex {
+func (a *announcer) follow(v *kernel.View) {
+	if v.Directory == a.seen && v.Index == a.seenIndex {
 		return
 	}
-	t.seen, t.seenIndex = v.Directory, v.Index
+	a.seen, a.seenIndex = v.Directory, v.Index
 	// The control thread does not wait for a place among its own jobs.
-	go t.kernel.Do(t.announce)
+	go a.kernel.Do(a.announce)
 }
 
 // loop announces at regular times, until the context ends.
-func (t *announcer) loop(ctx context.Context) {
+func (a *announcer) loop(ctx context.Context) {
 	tick := time.NewTicker(announceEvery)
 	defer tick.Stop()
 	for {
@@ -90,42 +90,42 @@
 		case <-ctx.Done():
 			return
 		case <-tick.C:
-			t.kernel.Do(t.announce)
+			a.kernel.Do(a.announce)
 		}
 	}
 }
 
 // announce sends an announcement if something changed or it is time; it runs on
 // the control thread.
-func (t *announcer) announce(s *kernel.State) {
-	now := t.kernel.Now()
+func (a *announcer) announce(s *kernel.State) {
+	now := a.kernel.Now()
 	// A host that starts may hear of a source before it has the directory: what
 	// it has not got it cannot announce.
 	if !s.Announcing || s.SourceAt == 0 || s.Directory == nil {
 		return
 	}
-	stale := staleAfter(&t.kernel.Settings)
+	stale := staleAfter(&a.kernel.Settings)
 	news := Announcement{
-		Host: t.kernel.Settings.Host, Peer: t.kernel.Settings.Peer, Hall: t.kernel.Settings.Hall,
+		Host: a.kernel.Settings.Host, Peer: a.kernel.Settings.Peer, Hall: a.kernel.Settings.Hall,
 		Age: now - s.SourceAt, Lost: now-s.SourceAt > stale,
 		Revision: revision(s), Directory: s.Directory.Digest(), DirectoryRevision: s.Directory.Revision,
 	}
 	if news.Lost && s.Reading {
 		// The read under way may take longer still to fail.
-		lost(t.kernel, s, errStaleSource)
+		lost(a.kernel, s, errStaleSource)
 	}
-	changed := news.Directory != t.announced.Digest() || news.Revision != t.revision
-	if (!changed || news.Lost) && now-t.announcedAt < announceEvery/2 {
+	changed := news.Directory != a.announced.Digest() || news.Revision != a.revision
+	if (!changed || news.Lost) && now-a.announcedAt < announceEvery/2 {
 		return
 	}
-	if news.Directory != t.announced.Digest() {
-		change := s.Directory.Since(t.announced)
+	if news.Directory != a.announced.Digest() {
+		change := s.Directory.Since(a.announced)
 		news.Change = &change
 	}
-	t.announced, t.revision, t.announcedAt = s.Directory, news.Revision, now
-	hall, readers := t.recipients(s)
+	a.announced, a.revision, a.announcedAt = s.Directory, news.Revision, now
+	hall, readers := a.recipients(s)
 	for _, n := range hall {
-		go t.send(n, news)
+		go a.send(n, news)
 	}
 	// Other halls rely on this host only for what it reads itself. One that the
 	// platform turns away, and that goes by what others read, would be taken for
@@ -133,18 +133,18 @@
 	news.Age = now - s.ReadAt
 	news.Lost = s.ReadAt == 0 || news.Age > stale
 	for _, n := range readers {
-		go t.send(n, news)
+		go a.send(n, news)
 	}
 }
 
 // recipients lists whom this host announces to: its hall, and if it is to read
 // the platform, the first host of each other hall.
-func (t *announcer) recipients(s *kernel.State) (hall, readers []string) {
+func (a *announcer) recipients(s *kernel.State) (hall, readers []string) {
 	others := map[string][]string{}
 	for n, m := range s.Members {
 		switch {
 		case !m.Live || m.Leaving:
-		case m.Hall == t.kernel.Settings.Hall:
+		case m.Hall == a.kernel.Settings.Hall:
 			hall = append(hall, n)
 		default:
 			others[m.Hall] = append(others[m.Hall], n)
@@ -153,19 +153,19 @@
 	if !s.Reading {
 		return hall, nil
 	}
-	r := newReaders(s, &t.kernel.Settings)
+	r := newReaders(s, &a.kernel.Settings)
 	for _, hosts := range others {
 		readers = append(readers, slices.MinFunc(hosts, r.compare))
 	}
 	return hall, readers
 }
 
-func (t *announcer) send(host string, n Announcement) {
+func (a *announcer) send(host string, n Announcement) {
 	ctx, cancel := context.WithTimeout(context.Background(), announceBound)
 	defer cancel()
 	var none struct{}
-	if err := t.kernel.Peers.Call(ctx, host, MethodAnnounce, n, &none); err != nil {
-		t.kernel.Log.Debug().Err(err).Str("Peer", host).Msg("announcement not sent")
+	if err := a.kernel.Peers.Call(ctx, host, MethodAnnounce, n, &none); err != nil {
+		a.kernel.Log.Debug().Err(err).Str("Peer", host).Msg("announcement not sent")
 	}
 }
 
--- a/tier/peers/feed.go
+++ b/tier/peers/feed.go
@@ -59,13 +59,13 @@
 	}
 	source, closeSource := a.Open(k.Settings.Platform)
 	ctx, cancel := context.WithCancel(ctx)
-	f := &feed{kernel: k, source: source, teller: &announcer{kernel: k}}
+	f := &feed{kernel: k, source: source, announcer: &announcer{kernel: k}}
 	k.Do(func(s *kernel.State) { s.FeedDown = true })
 	// What is heard from another hall's reader is told on at once.
-	k.OnView(f.teller.follow)
+	k.OnView(f.announcer.follow)
 	done := make(chan struct{}, 2)
 	go func() { f.loop(ctx); done <- struct{}{} }()
-	go func() { f.teller.loop(ctx); done <- struct{}{} }()
+	go func() { f.announcer.loop(ctx); done <- struct{}{} }()
 	return func() {
 		cancel()
 		<-done
@@ -79,8 +79,8 @@
 type feed struct {
 	kernel *kernel.Kernel
 	source kernel.Source
-	// teller tells the hall what was read; nil to tell nobody.
-	teller *announcer
+	// announcer announces what was read; nil to announce nothing.
+	announcer *announcer
 	// revision is up to where everything was read; 0 for nothing yet.
 	revision uint64
 	// exact is true if the next whole read must not be an old one.
@@ -137,9 +137,9 @@
 			s.Changed()
 			f.kernel.Log.Info().Bool("Tells", tells).Bool("Reads", reads).
 				Int64("PlatformAgeMillis", (f.kernel.Now() - s.PlatformHeard).Milliseconds()).Msg("turn to read the platform")
-			if f.teller != nil {
+			if f.announcer != nil {
 				// Those that rank behind must not take over too.
-				f.teller.announce(s)
+				f.announcer.announce(s)
 			}
 		}
 		if !reads {
@@ -256,8 +256,8 @@
 		f.kernel.Log.Info().Uint64("DirectoryRevision", p.Revision).Int("Listed", len(change.Listed)).
 			Int("Removed", len(change.Removed)).Int("Upstreams", s.Directory.Size()).Msg("directory changed")
 	}
-	if f.teller != nil {
-		f.teller.announce(s)
+	if f.announcer != nil {
+		f.announcer.announce(s)
 	}
 }
 
--- a/tier/peers/refused_test.go
+++ b/tier/peers/refused_test.go
@@ -115,10 +115,10 @@
 				}
 			}
 		})
-		r := &feed{kernel: k, source: &sourceOf{fleet: f, host: host}, teller: &announcer{kernel: k}}
-		k.OnView(r.teller.follow)
+		r := &feed{kernel: k, source: &sourceOf{fleet: f, host: host}, announcer: &announcer{kernel: k}}
+		k.OnView(r.announcer.follow)
 		go r.loop(ctx)
-		go r.teller.loop(ctx)
+		go r.announcer.loop(ctx)
 	}
 	return f
 }
