refactor: one wait for requests in flight, one decoding of a request's name

The stop of routed requests had written the loop again that the stop of a class's requests has: both call kernel.AwaitIdle now, and its test moved there with its assertions. Three handlers of coordinators decoded the same message, and four log lines began alike. Ruled out: one decoding with relay.go's messages, whose bounds and errors differ.

--- a/tier/entry/serve.go
+++ b/tier/entry/serve.go
@@ -133,10 +133,9 @@
 
 // drain waits until nothing is in flight, or for a bound.
 func (e *Engine) drain(bound time.Duration) {
-	const pause = 5 * time.Millisecond
-	for end := e.kernel.Now() + bound; e.kernel.InFlight.Load() > 0 && e.kernel.Now() < end; {
-		time.Sleep(pause)
-	}
+	ctx, cancel := context.WithTimeout(context.Background(), bound)
+	defer cancel()
+	e.kernel.AwaitIdle(ctx)
 }
 
 // service implements the generated interface.
--- a/tier/kernel/kernel.go
+++ b/tier/kernel/kernel.go
@@ -28,6 +28,8 @@
 	pauseBound = time.Second
 	// settleLook is how often a stopping host looks whether it was asked.
 	settleLook = 20 * time.Millisecond
+	// inFlightLook is how often a stopping host looks whether requests are in flight.
+	inFlightLook = 5 * time.Millisecond
 )
 
 // ErrNoPlugin is wrapped when a pipeline names a plug-in nobody registered.
@@ -240,6 +242,22 @@
 	k.Log.Info().Int64("Asked", k.refused.Load()).Dur("Took", k.Now()-began).Msg("no more requests taken")
 }
 
+// AwaitIdle waits until no request is in flight, those included that are carried
+// out for other hosts; false if the context ended before. It prevents a planned
+// stop from cutting requests whose callers are at another host.
+func (k *Kernel) AwaitIdle(ctx context.Context) bool {
+	tick := time.NewTicker(inFlightLook)
+	defer tick.Stop()
+	for k.InFlight.Load() > 0 {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-tick.C:
+		}
+	}
+	return true
+}
+
 // control is the control thread.
 func (k *Kernel) control(ctx context.Context, s *State) {
 	defer k.reportPanic(s)
--- a/tier/kernel/kernel_test.go
+++ b/tier/kernel/kernel_test.go
@@ -1,6 +1,7 @@
 package kernel
 
 import (
+	"context"
 	"math/rand/v2"
 	"os"
 	"strings"
@@ -192,3 +193,34 @@
 		assert.Assert(t, strings.Contains(line.String(), want), line.String())
 	}
 }
+
+// TestStopWaitsForRequestsOfOtherHosts has a host stop while it carries a request
+// out for another one, and another that does not end in time.
+func TestStopWaitsForRequestsOfOtherHosts(t *testing.T) {
+	tests := []struct {
+		name   string
+		endsIn time.Duration
+		want   bool
+	}{
+		{"nothing in flight", 0, true},
+		{"ends in time", time.Second, true},
+		{"does not end", time.Hour, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				k := &Kernel{}
+				ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+				defer cancel()
+				if tt.endsIn > 0 {
+					k.InFlight.Add(1)
+					timer := time.AfterFunc(tt.endsIn, func() { k.InFlight.Add(-1) })
+					defer timer.Stop()
+				}
+				started := time.Now()
+				assert.Equal(t, k.AwaitIdle(ctx), tt.want)
+				assert.Assert(t, time.Since(started) <= min(tt.endsIn+inFlightLook, 3*time.Second))
+			})
+		})
+	}
+}
--- a/tier/pass/coord.go
+++ b/tier/pass/coord.go
@@ -215,19 +215,28 @@
 	}
 }
 
-func (e *Engine) onForwardSign(_ context.Context, params json.RawMessage) (any, error) {
+// decodeSign reads the name of a request.
+func decodeSign(params json.RawMessage) (ForwardSign, error) {
 	var in ForwardSign
 	if err := json.Unmarshal(params, &in); err != nil {
-		return nil, fmt.Errorf("bad sign: %w", err)
+		return in, fmt.Errorf("bad name of a forwarded request: %w", err)
+	}
+	return in, nil
+}
+
+func (e *Engine) onForwardSign(_ context.Context, params json.RawMessage) (any, error) {
+	in, err := decodeSign(params)
+	if err != nil {
+		return nil, err
 	}
 	e.forwards.sign(in.ID)
 	return struct{}{}, nil
 }
 
 func (e *Engine) onForwardBegin(_ context.Context, params json.RawMessage) (any, error) {
-	var in ForwardSign
-	if err := json.Unmarshal(params, &in); err != nil {
-		return nil, fmt.Errorf("bad begin: %w", err)
+	in, err := decodeSign(params)
+	if err != nil {
+		return nil, err
 	}
 	r := e.carried.find(in.ID)
 	if r == nil {
@@ -238,9 +247,9 @@
 }
 
 func (e *Engine) onForwardStop(_ context.Context, params json.RawMessage) (any, error) {
-	var in ForwardSign
-	if err := json.Unmarshal(params, &in); err != nil {
-		return nil, fmt.Errorf("bad stop: %w", err)
+	in, err := decodeSign(params)
+	if err != nil {
+		return nil, err
 	}
 	e.carried.stop(in.ID)
 	return struct{}{}, nil
--- a/tier/pass/forward.go
+++ b/tier/pass/forward.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rs/zerolog"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
 
@@ -201,6 +202,11 @@
 	}
 }
 
+// log begins a line about the request at its coordinator.
+func (f *forwarded) log() *zerolog.Event {
+	return f.request.engine.kernel.Decisions.Info().Str("RequestID", f.request.id).Str("Coordinator", f.host)
+}
+
 // begin tells the coordinator to begin when it has given its first sign. That
 // costs a round trip, and one that is frozen or cut off never begins a request
 // that another host carries out meanwhile.
@@ -211,7 +217,7 @@
 	f.noteSign(0)
 	e := f.request.engine
 	if err := e.kernel.Peers.Notify(ctx, f.host, MethodForwardBegin, ForwardSign{ID: id}); err != nil {
-		e.kernel.Decisions.Info().Str("RequestID", f.request.id).Str("Coordinator", f.host).Err(err).Msg("coordinator not told to begin")
+		f.log().Err(err).Msg("coordinator not told to begin")
 		// Some of the message may have arrived.
 		f.begun = !unreached(err)
 		return false
@@ -239,15 +245,13 @@
 		if !f.heard {
 			e.relays.unanswered(f.host, f.hall, e.kernel.Now(), true)
 		}
-		e.kernel.Decisions.Info().Str("RequestID", f.request.id).Str("Coordinator", f.host).
-			Bool("Begun", f.begun).Err(err).Msg("request not answered by a coordinator")
+		f.log().Bool("Begun", f.begun).Err(err).Msg("request not answered by a coordinator")
 		return nil
 	}
 	f.noteSign(time.Duration(f.reply.HeldMicros) * time.Microsecond)
 	if f.reply.Declined != "" {
 		e.relays.decline(f.host, e.kernel.Now(), f.reply.Declined)
-		e.kernel.Decisions.Info().Str("RequestID", f.request.id).Str("Coordinator", f.host).
-			Str("Declined", string(f.reply.Declined)).Msg("request declined by a coordinator")
+		f.log().Str("Declined", string(f.reply.Declined)).Msg("request declined by a coordinator")
 		return nil
 	}
 	return &f.reply
@@ -260,8 +264,7 @@
 		e.relays.unanswered(f.host, f.hall, e.kernel.Now(), !callerGone)
 	}
 	if !callerGone {
-		e.kernel.Decisions.Info().Str("RequestID", f.request.id).Str("Coordinator", f.host).
-			Bool("Begun", f.begun).Msg("coordinator is silent")
+		f.log().Bool("Begun", f.begun).Msg("coordinator is silent")
 	}
 	go e.stopForwarded(f.host, id, f.request.id)
 }
--- a/tier/pass/forward_test.go
+++ b/tier/pass/forward_test.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -183,34 +182,3 @@
 	}
 	assert.Equal(t, w.called(MethodForward), 0)
 }
-
-// TestStopWaitsForRequestsOfOtherHosts has a host stop while it carries a request
-// out for another one, and another that does not end in time.
-func TestStopWaitsForRequestsOfOtherHosts(t *testing.T) {
-	tests := []struct {
-		name   string
-		endsIn time.Duration
-		want   bool
-	}{
-		{"nothing in flight", 0, true},
-		{"ends in time", time.Second, true},
-		{"does not end", time.Hour, false},
-	}
-	for _, tt := range tests {
-		t.Run(tt.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				k := &kernel.Kernel{}
-				ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
-				defer cancel()
-				if tt.endsIn > 0 {
-					k.InFlight.Add(1)
-					timer := time.AfterFunc(tt.endsIn, func() { k.InFlight.Add(-1) })
-					defer timer.Stop()
-				}
-				started := time.Now()
-				assert.Equal(t, awaitOthers(ctx, k), tt.want)
-				assert.Assert(t, time.Since(started) <= min(tt.endsIn+inFlightLook, 3*time.Second))
-			})
-		})
-	}
-}
--- a/tier/pass/hosts.go
+++ b/tier/pass/hosts.go
@@ -66,8 +66,7 @@
 }
 
 // choose returns the live host of a hall that owes the fewest answers for what it
-// can carry, and none to
-// a certain request; empty if there is none that answers. Of those that owe
+// can carry, and none to a certain request; empty if there is none that answers. Of those that owe
 // alike, all hosts take the same one: it sees most calls to its upstreams, so it
 // learns soon how they do.
 func (r *relays) choose(v *kernel.View, hall string, now time.Duration, outstanding map[string]int) string {
--- a/tier/pass/plugin.go
+++ b/tier/pass/plugin.go
@@ -59,32 +59,13 @@
 			k.Log.Warn().Err(err).Int64("InFlight", k.InFlight.Load()).Msg("stop with requests in flight")
 			_ = s.Close()
 		}
-		if !awaitOthers(ctx, k) {
+		if !k.AwaitIdle(ctx) {
 			k.Log.Warn().Int64("InFlight", k.InFlight.Load()).Msg("stop with requests of other hosts in flight")
 		}
 		closeEngine()
 	}, nil
 }
 
-// inFlightLook is how often a stopping host looks whether requests are in flight.
-const inFlightLook = 10 * time.Millisecond
-
-// awaitOthers waits until no request is in flight, those included that are carried
-// out for other hosts; false if the context ended before. It prevents a planned
-// stop from cutting requests whose callers are at another host.
-func awaitOthers(ctx context.Context, k *kernel.Kernel) bool {
-	tick := time.NewTicker(inFlightLook)
-	defer tick.Stop()
-	for k.InFlight.Load() > 0 {
-		select {
-		case <-ctx.Done():
-			return false
-		case <-tick.C:
-		}
-	}
-	return true
-}
-
 // ready makes the host ready once it knows documents and upstreams, and that
 // they are no older than what the platform or a peer has.
 func ready(k *kernel.Kernel, v *kernel.View) {
