refactor: one list of live hosts, and no code that nothing calls

Hosts were described as candidates by two loops over the members, this host itself twice, behind a type of one field: liveHosts and Engine.self serve both now. A check for this host among the others was needless, since members are the others. Tests of tier and its linter pass; behaviour unchanged.

--- a/tier/config/directory.go
+++ b/tier/config/directory.go
@@ -72,15 +72,6 @@
 	return d.groups[name]
 }
 
-// Lists reports whether an upstream is listed.
-func (d *Directory) Lists(name string) bool {
-	if d == nil {
-		return false
-	}
-	_, listed := d.listed[name]
-	return listed
-}
-
 // Size is how many upstreams are listed.
 func (d *Directory) Size() int {
 	if d == nil {
--- a/tier/kernel/state.go
+++ b/tier/kernel/state.go
@@ -263,17 +263,6 @@
 	}
 }
 
-// Staying counts the live entry hosts that stay, this one included.
-func (v *View) Staying() int {
-	n := 1
-	for _, m := range v.Members {
-		if m.Live && !m.Leaving {
-			n++
-		}
-	}
-	return n
-}
-
 // Hall lists the live entry hosts of a hall that stay, this one included.
 func (v *View) Hall(s *Settings) []string {
 	out := []string{s.Host}
--- a/tier/pass/engine.go
+++ b/tier/pass/engine.go
@@ -238,16 +238,15 @@
 // hall; for a host that forwards requests the coordinators of its hall, and where
 // that has none, one of each hall that has, which shows the nearest of them.
 func (e *Engine) preconnectTo(v *kernel.View) []string {
-	s := &e.kernel.Settings
-	self := policy.Candidate{Host: s.Host, Hall: s.Hall, Capacity: s.Capacity()}
-	coordinators := policy.Coordinators(self, e.placement.Load().candidates)
+	self := e.self()
+	coordinators := policy.Coordinators(self, *e.candidates.Load())
 	switch {
 	case len(coordinators) == 0:
-		return firstOfHalls(othersByStrength(v, s.Hall), preconnectHosts)
-	case coordinators[0].Hall != s.Hall:
+		return firstOfHalls(othersByStrength(v, self.Hall), preconnectHosts)
+	case coordinators[0].Hall != self.Hall:
 		return firstOfHalls(coordinators, 1)
 	}
-	elsewhere := func(c policy.Candidate) bool { return c.Hall != s.Hall }
+	elsewhere := func(c policy.Candidate) bool { return c.Hall != self.Hall }
 	return firstOfHalls(slices.DeleteFunc(coordinators, elsewhere), preconnectHosts)
 }
 
@@ -266,12 +265,7 @@
 
 // othersByStrength lists the live hosts of other halls, the strongest first.
 func othersByStrength(v *kernel.View, hall string) []policy.Candidate {
-	var out []policy.Candidate
-	for n, m := range v.Members {
-		if m.Live && !m.Leaving && m.Hall != hall && m.Peer.IsValid() {
-			out = append(out, policy.Candidate{Host: n, Hall: m.Hall, Capacity: m.Capacity})
-		}
-	}
+	out := liveHosts(v, func(other string) bool { return other != hall })
 	slices.SortFunc(out, func(a, b policy.Candidate) int {
 		return cmp.Or(cmp.Compare(b.Capacity, a.Capacity), cmp.Compare(a.Host, b.Host))
 	})
--- a/tier/pass/forward.go
+++ b/tier/pass/forward.go
@@ -43,25 +43,6 @@
 	firstSign, silent time.Duration
 }
 
-// placement is what a host knows of the others to choose a coordinator from. It
-// does not change.
-type placement struct {
-	// candidates are the live hosts, of halls that have the upstreams of gathers.
-	candidates []policy.Candidate
-}
-
-// newPlacement lists the hosts that may carry gathers out, of the halls that
-// list many upstreams.
-func newPlacement(v *kernel.View, s *kernel.Settings, served map[string]bool) *placement {
-	p := &placement{}
-	for n, m := range v.Members {
-		if m.Live && !m.Leaving && m.Peer.IsValid() && served[m.Hall] && n != s.Host {
-			p.candidates = append(p.candidates, policy.Candidate{Host: n, Hall: m.Hall, Capacity: m.Capacity})
-		}
-	}
-	return p
-}
-
 // hallsWithUpstreams names the halls that list many upstreams.
 func hallsWithUpstreams(d *config.Directory) map[string]bool {
 	listed := d.PerHall()
@@ -78,19 +59,34 @@
 
 // coordinator picks the host that is to carry a request out; false for this one.
 func (e *Engine) coordinator(tried map[string]bool) (policy.Candidate, bool) {
-	p := e.placement.Load()
-	if p == nil {
+	all := e.candidates.Load()
+	if all == nil {
 		return policy.Candidate{}, false
 	}
-	s := &e.kernel.Settings
-	self := policy.Candidate{Host: s.Host, Hall: s.Hall, Capacity: s.Capacity()}
-	best := policy.Coordinators(self, e.relays.reachable(p.candidates, e.kernel.Now(), tried))
+	best := policy.Coordinators(e.self(), e.relays.reachable(*all, e.kernel.Now(), tried))
 	if len(best) == 0 {
 		return policy.Candidate{}, false
 	}
 	return best[0], true
 }
 
+// self describes this host as a candidate.
+func (e *Engine) self() policy.Candidate {
+	s := &e.kernel.Settings
+	return policy.Candidate{Host: s.Host, Hall: s.Hall, Capacity: s.Capacity()}
+}
+
+// liveHosts describes the other live hosts that stay, of some halls.
+func liveHosts(v *kernel.View, of func(hall string) bool) []policy.Candidate {
+	var out []policy.Candidate
+	for n, m := range v.Members {
+		if m.Live && !m.Leaving && m.Peer.IsValid() && of(m.Hall) {
+			out = append(out, policy.Candidate{Host: n, Hall: m.Hall, Capacity: m.Capacity})
+		}
+	}
+	return out
+}
+
 // reachable returns the candidates that answer, with what is known of them.
 func (r *relays) reachable(all []policy.Candidate, now time.Duration, tried map[string]bool) []policy.Candidate {
 	r.mu.Lock()
@@ -320,17 +316,19 @@
 	if v.Directory != e.servedIn {
 		e.servedIn, e.served = v.Directory, hallsWithUpstreams(v.Directory)
 	}
-	e.placement.Store(newPlacement(v, &e.kernel.Settings, e.served))
+	all := liveHosts(v, func(hall string) bool { return e.served[hall] })
+	e.candidates.Store(&all)
 }
 
 // forwarder is the part of an engine that hands requests over to coordinators, and
 // carries them out for other hosts.
 type forwarder struct {
-	// placement is nil until there is a view to make it from.
-	placement atomic.Pointer[placement]
-	forwards  forwards
-	margins   margins
-	times     forwardTimes
+	// candidates are the live hosts, of halls that have the upstreams of gathers; nil
+	// until there is a view to take them from. They are not changed.
+	candidates atomic.Pointer[[]policy.Candidate]
+	forwards   forwards
+	margins    margins
+	times      forwardTimes
 	// served are the halls with many upstreams in the directory servedIn, which
 	// changes more rarely than the members do; used on the control thread.
 	served   map[string]bool
--- a/tier/peers/refused_test.go
+++ b/tier/peers/refused_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/netip"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -140,7 +141,7 @@
 // knownBy reports whether all hosts list an upstream.
 func (f *fleetOf) knownBy(name string) bool {
 	for _, k := range f.kernels {
-		if !k.View().Directory.Lists(name) {
+		if !slices.Contains(listedNames(k), name) {
 			return false
 		}
 	}
