feat: the directory knows evacuated halls, cold upstreams and regions

Change: a document's routes have Homes, its groups Warmup and ColdRate, each checked; the directory holds evacuated halls by revision as it does listings (any order, twice, whole, with the history forgotten: a property test), and how much longer an upstream is cold, in steps of a second, so that its heartbeats do not all go to all hosts. An evacuation's end is no lapse: it is not held back when the platform returns. Ruled out: evacuations in the document, which the platform writes apart from it; regions in the document, which hosts with other settings would not agree on.

--- a/loomd/settings.go
+++ b/loomd/settings.go
@@ -65,6 +65,19 @@
 	return nil
 }
 
+// regions is a list of halls with their regions, divided by commas.
+type regions config.Regions
+
+// String implements flag.Value.
+func (r *regions) String() string { return config.Regions(*r).String() }
+
+// Set implements flag.Value.
+func (r *regions) Set(v string) error {
+	parsed, err := config.ParseRegions(v)
+	*r = regions(parsed)
+	return err
+}
+
 // bind declares the flags of the daemon.
 func bind(f *flag.FlagSet, s *kernel.Settings) {
 	f.StringVar(&s.Host, "Host", "", "`name` of this host in the document")
@@ -89,6 +102,9 @@
 	f.IntVar(&s.LogRate, "LogRate", 200, "most log lines a second about single requests")
 	f.Float64Var(&s.Cores, "Cores", 1, "share of processors that this host may use")
 	f.Float64Var(&s.LinkMbits, "LinkMbits", 0, "rate of this host's link in `Mbit/s`; 0 for no limit")
+	f.Var((*regions)(&s.Regions), "Regions", "`Hall=Region,...` of the data halls; a hall that is not named is no home of any route")
+	f.Float64Var(&s.ColdFactor, "ColdFactor", 1, "how many times what a cold upstream bears it may get within a second")
+	f.Float64Var(&s.ColdSlack, "ColdSlack", 0, "`requests` that a cold upstream may get within a second besides")
 	f.Float64Var(&s.TraceRatio, "TraceRatio", 0, "share of requests whose spans are logged, 0 to 1")
 }
 
@@ -151,6 +167,8 @@
 		{s.RetryBudget.Slack >= 0, "RetrySlack", "out of range", "use 0 or more"},
 		{s.Cores > 0 && s.Cores <= 1024, "Cores", "out of range", "use above 0 to 1024"},
 		{s.LinkMbits >= 0, "LinkMbits", "out of range", "use 0 or more"},
+		{s.ColdFactor >= 0 && s.ColdFactor <= 100, "ColdFactor", "out of range", "use 0 to 100"},
+		{s.ColdSlack >= 0 && s.ColdSlack <= 1e6, "ColdSlack", "out of range", "use 0 to 1000000"},
 		{s.LogRate >= 1, "LogRate", "out of range", "use 1 or more"},
 		{s.TraceRatio >= 0 && s.TraceRatio <= 1, "TraceRatio", "out of range", "use 0 to 1"},
 	}
--- a/loomd/settings_test.go
+++ b/loomd/settings_test.go
@@ -47,6 +47,10 @@
 		{name: "trace ratio", extra: []string{"-TraceRatio", "2"}, flag: "TraceRatio"},
 		{name: "settles for less than it must", extra: []string{"-Settle", "2s", "-SettleMost", "1s"}, flag: "SettleMost"},
 		{name: "asked too often", extra: []string{"-SettleAsks", "-1"}, flag: "SettleAsks"},
+		{name: "regions", extra: []string{"-Regions", "H1=East,H2=West"}},
+		{name: "region without a hall", env: map[string]string{"LOOMD_REGIONS": "East"}, flag: "Regions"},
+		{name: "cold factor", extra: []string{"-ColdFactor", "-1"}, flag: "ColdFactor"},
+		{name: "cold slack", extra: []string{"-ColdSlack", "-1"}, flag: "ColdSlack"},
 		{name: "stop bound", extra: []string{"-StopBound", "0s"}, flag: "StopBound"},
 	}
 	for _, tt := range tests {
--- a/tier/config/directory.go
+++ b/tier/config/directory.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"slices"
 	"strconv"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -23,6 +24,9 @@
 	Slots int
 	// Leaving tells that it gets no new work.
 	Leaving bool `json:",omitempty"`
+	// Warmup is how much longer it was cold at Revision, when it bears few requests;
+	// 0 for one that has warmed up.
+	Warmup Duration `json:",omitempty"`
 	// Revision is the platform's revision of this entry; above 0.
 	Revision uint64
 }
@@ -40,7 +44,8 @@
 	groups map[string][]Listing
 	// digest is the sum of the hashes of what is listed, so that a change costs
 	// no more than what changed.
-	digest uint64
+	digest      uint64
+	evacuations evacuations
 }
 
 // Removal tells that a name is no longer listed.
@@ -57,6 +62,9 @@
 	Whole   bool `json:",omitempty"`
 	Listed  []Listing
 	Removed []Removal `json:",omitempty"`
+	// Evacuated are the halls that are evacuated, Resumed those that no longer are.
+	Evacuated []Evacuation `json:",omitempty"`
+	Resumed   []Removal    `json:",omitempty"`
 }
 
 // maxRemoved bounds how many removed names are remembered; the oldest are
@@ -72,6 +80,15 @@
 	return d.groups[name]
 }
 
+// Find returns the listing of an upstream; false if it is not listed.
+func (d *Directory) Find(name string) (Listing, bool) {
+	if d == nil {
+		return Listing{}, false
+	}
+	l, listed := d.listed[name]
+	return l, listed
+}
+
 // Size is how many upstreams are listed.
 func (d *Directory) Size() int {
 	if d == nil {
@@ -80,14 +97,16 @@
 	return len(d.listed)
 }
 
-// PerHall counts the upstreams of each data hall.
+// PerHall counts the upstreams of each data hall that is not evacuated.
 func (d *Directory) PerHall() map[string]int {
 	out := map[string]int{}
 	if d == nil {
 		return out
 	}
 	for _, l := range d.listed {
-		out[l.Hall]++
+		if !d.Evacuated(l.Hall) {
+			out[l.Hall]++
+		}
 	}
 	return out
 }
@@ -114,16 +133,17 @@
 	for n, r := range d.removed {
 		out.Removed = append(out.Removed, Removal{Name: n, Revision: r})
 	}
+	d.evacuations.sinceOlder(evacuations{}, &out)
 	return out
 }
 
-// Digest names what is listed. Hosts that know the same of the same upstreams
-// have the same digest.
+// Digest names what is listed, and the halls that are evacuated. Hosts that know
+// the same of the same upstreams and halls have the same digest.
 func (d *Directory) Digest() uint64 {
 	if d == nil {
 		return 0
 	}
-	return d.digest
+	return d.digest + d.evacuations.digest()
 }
 
 // Lacking returns the removals that would make the directory equal to a whole
@@ -161,6 +181,7 @@
 			out.Removed = append(out.Removed, Removal{Name: n, Revision: r})
 		}
 	}
+	d.evacuations.sinceOlder(old.evacuations, &out)
 	return out
 }
 
@@ -173,7 +194,8 @@
 	for _, l := range c.Listed {
 		e.list(l)
 	}
-	if c.Whole && c.Revision >= e.next.Revision {
+	whole := c.Whole && c.Revision >= e.next.Revision
+	if whole {
 		for _, r := range e.next.Lacking(c) {
 			e.remove(r)
 		}
@@ -181,6 +203,8 @@
 	for _, r := range c.Removed {
 		e.remove(r)
 	}
+	evacuated, moved := e.next.evacuations.next(c, whole)
+	e.next.evacuations, e.changed = evacuated, e.changed || moved
 	e.next.Revision = max(e.next.Revision, c.Revision)
 	e.next.forget()
 	return e.finish(), d == nil || e.changed
@@ -202,7 +226,7 @@
 		listed: map[string]Listing{}, removed: map[string]uint64{}, groups: map[string][]Listing{}, digest: emptyDigest,
 	}
 	if d != nil {
-		next.Revision, next.digest = d.Revision, d.digest
+		next.Revision, next.digest, next.evacuations = d.Revision, d.digest, d.evacuations
 		next.listed, next.removed, next.groups = maps.Clone(d.listed), maps.Clone(d.removed), maps.Clone(d.groups)
 	}
 	return &editor{next: next, touched: map[string]bool{}}
@@ -219,8 +243,9 @@
 		e.note(&old, -1)
 	}
 	e.note(&l, 1)
-	old.Revision = l.Revision
-	e.changed = e.changed || old != l
+	rewarmed := old.warmupSteps() != l.warmupSteps()
+	old.Revision, old.Warmup = l.Revision, l.Warmup
+	e.changed = e.changed || rewarmed || old != l
 }
 
 func (e *editor) remove(r Removal) {
@@ -280,9 +305,19 @@
 	text = l.Address.AppendTo(text)
 	text = strconv.AppendInt(append(text, 0), int64(l.Slots), 10)
 	text = strconv.AppendBool(append(text, 0), l.Leaving)
+	if l.Warmup > 0 {
+		text = strconv.AppendInt(append(text, 0), l.warmupSteps(), 10)
+	}
 	return xxhash.Sum64(text)
 }
 
+// warmupStep is how exactly hosts compare how much longer an upstream is cold. It
+// prevents each heartbeat of one that warms up from going to all hosts as a change.
+const warmupStep = Duration(time.Second)
+
+// warmupSteps is how much longer the upstream is cold, in started steps.
+func (l *Listing) warmupSteps() int64 { return int64((l.Warmup + warmupStep - 1) / warmupStep) }
+
 // forget drops the oldest removals beyond the bound.
 func (d *Directory) forget() {
 	if len(d.removed) <= maxRemoved {
--- a/tier/config/directory_test.go
+++ b/tier/config/directory_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 
@@ -121,6 +122,14 @@
 		{"gather that is not repeatable", func(d *Document) { d.Routes[2].Repeatable = false }, KindValue},
 		{"route twice", func(d *Document) { d.Routes[1].Prefix = "/a/" }, KindDuplicate},
 		{"name twice", func(d *Document) { d.Routes[1].Name = "One" }, KindDuplicate},
+		{"homes", func(d *Document) { d.Routes[0].Homes = []string{"East", "West"} }, ""},
+		{"home without a name", func(d *Document) { d.Routes[0].Homes = []string{"East", ""} }, KindValue},
+		{"home twice", func(d *Document) { d.Routes[0].Homes = []string{"East", "East"} }, KindDuplicate},
+		{"cold rate", func(d *Document) { d.Groups[0].Warmup, d.Groups[0].ColdRate = 3e9, 4 }, ""},
+		{"negative cold rate", func(d *Document) { d.Groups[0].ColdRate = -1 }, KindValue},
+		{"cold rate that is no number", func(d *Document) { d.Groups[0].ColdRate = math.NaN() }, KindValue},
+		{"negative warm-up", func(d *Document) { d.Groups[0].Warmup = -1 }, KindValue},
+		{"endless warm-up", func(d *Document) { d.Groups[0].Warmup = maxDeadline + 1 }, KindValue},
 		{"group without connections", func(d *Document) { d.Groups[0].Connections = 0 }, KindValue},
 	}
 	for _, tt := range tests {
--- a/tier/config/index.go
+++ b/tier/config/index.go
@@ -21,6 +21,7 @@
 	hosts     map[string]*Host
 	groups    map[string]*Group
 	routes    routeTable
+	named     map[string]*Route
 }
 
 // Accept decodes and checks a published document.
@@ -44,6 +45,7 @@
 		hosts:     map[string]*Host{},
 		groups:    map[string]*Group{},
 		routes:    newRouteTable(d),
+		named:     map[string]*Route{},
 	}
 	for i := range d.Classes {
 		x.classes[d.Classes[i].Name] = &d.Classes[i]
@@ -60,6 +62,9 @@
 	for i := range d.Groups {
 		x.groups[d.Groups[i].Name] = &d.Groups[i]
 	}
+	for i := range d.Routes {
+		x.named[d.Routes[i].Name] = &d.Routes[i]
+	}
 	return x
 }
 
--- /dev/null
+++ b/tier/config/places_test.go
@@ -0,0 +1,129 @@
+package config
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+func TestParseRegions(t *testing.T) {
+	tests := []struct {
+		text, want string
+		ok         bool
+	}{
+		{"", "", true},
+		{"b=West,a=East", "a=East,b=West", true},
+		{" a=East , b=East", "a=East,b=East", true},
+		{"a=East,a=East", "a=East", true},
+		{"a=East,a=West", "", false},
+		{"a", "", false},
+		{"=East", "", false},
+		{"a=", "", false},
+		{"a=East,", "", false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.text, func(t *testing.T) {
+			r, err := ParseRegions(tt.text)
+			assert.Equal(t, err == nil, tt.ok, "%v", err)
+			assert.Assert(t, tt.ok || errors.Is(err, errRegion))
+			assert.Equal(t, r.String(), tt.want)
+		})
+	}
+}
+
+func TestHallsAtHome(t *testing.T) {
+	r := Regions{"a": "East", "b": "West"}
+	tests := []struct {
+		hall  string
+		homes []string
+		want  bool
+	}{
+		{"a", nil, true},
+		{"unknown", nil, true},
+		{"a", []string{"East"}, true},
+		{"b", []string{"East"}, false},
+		{"b", []string{"East", "West"}, true},
+		{"unknown", []string{"East"}, false},
+		{"unknown", []string{""}, false},
+		{"", []string{""}, false},
+	}
+	for _, tt := range tests {
+		assert.Equal(t, r.IsHome(tt.hall, tt.homes), tt.want, "%s %v", tt.hall, tt.homes)
+	}
+}
+
+// TestEvacuationsInAnyOrder draws a history of evacuations and their ends, and hands
+// it over out of order, twice and with whole directories between: the halls that are
+// evacuated at the end are the same, and one that was taken back never is again.
+func TestEvacuationsInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var inOrder *Directory
+		var history []DirectoryChange
+		for i := range rapid.IntRange(1, 20).Draw(t, "changes") {
+			hall, revision := fmt.Sprint("H", rapid.IntRange(0, 2).Draw(t, "hall")), uint64(i+1)
+			c := DirectoryChange{Revision: revision}
+			if rapid.Bool().Draw(t, "resume") {
+				c.Resumed = []Removal{{Name: hall, Revision: revision}}
+			} else {
+				c.Evacuated = []Evacuation{{Hall: hall, Revision: revision}}
+			}
+			history = append(history, c)
+			inOrder, _ = inOrder.With(&c)
+			if rapid.IntRange(0, 3).Draw(t, "whole") == 0 {
+				whole := inOrder.Whole()
+				whole.Resumed = nil // as a platform that forgot its history lists it
+				history = append(history, whole)
+			}
+		}
+		var mixed *Directory
+		for _, i := range rapid.Permutation(append(indexes(len(history)), indexes(len(history))...)).Draw(t, "order") {
+			before := mixed
+			next, changed := mixed.With(&history[i])
+			assert.Assert(t, changed || before.Digest() == next.Digest())
+			mixed = next
+		}
+		assert.DeepEqual(t, mixed.EvacuatedHalls(), inOrder.EvacuatedHalls())
+		assert.Equal(t, mixed.Digest(), inOrder.Digest())
+		var late *Directory
+		whole := mixed.Whole()
+		late, _ = late.With(&whole)
+		assert.DeepEqual(t, late.EvacuatedHalls(), inOrder.EvacuatedHalls())
+		since := mixed.Since(nil)
+		assert.DeepEqual(t, since, mixed.Whole())
+	})
+}
+
+func TestEvacuationsAreChanges(t *testing.T) {
+	d, _ := (*Directory)(nil).With(&DirectoryChange{Revision: 1, Listed: []Listing{{Name: "U", Group: "G", Hall: "A", Revision: 1}}})
+	e, changed := d.With(&DirectoryChange{Revision: 2, Evacuated: []Evacuation{{Hall: "A", Revision: 2}}})
+	assert.Assert(t, changed && e.Digest() != d.Digest() && e.Evacuated("A") && !d.Evacuated("A"))
+	assert.DeepEqual(t, e.Since(d).Evacuated, []Evacuation{{Hall: "A", Revision: 2}})
+	assert.Equal(t, e.PerHall()["A"], 0)
+	r, changed := e.With(&DirectoryChange{Revision: 3, Resumed: []Removal{{Name: "A", Revision: 3}}})
+	assert.Assert(t, changed && r.Digest() == d.Digest() && !r.Evacuated("A"))
+	assert.DeepEqual(t, r.Since(e).Resumed, []Removal{{Name: "A", Revision: 3}})
+	again, changed := r.With(&DirectoryChange{Revision: 3, Evacuated: []Evacuation{{Hall: "A", Revision: 2}, {Revision: 4}}})
+	assert.Assert(t, !changed && len(again.EvacuatedHalls()) == 0, "an old entry, and one that names no hall")
+}
+
+// TestWarmupIsAChangeBySteps has the heartbeats of a cold upstream change the list
+// only when its warm-up is shorter or longer by a step.
+func TestWarmupIsAChangeBySteps(t *testing.T) {
+	var d *Directory
+	steps := []struct {
+		warmup Duration
+		want   bool
+	}{
+		{2900 * 1e6, true}, {2500 * 1e6, false}, {1400 * 1e6, true}, {3000 * 1e6, true}, {200 * 1e6, true}, {0, true}, {0, false},
+	}
+	for i, s := range steps {
+		before := d.Digest()
+		next, changed := d.With(&DirectoryChange{Revision: uint64(i + 1), Listed: []Listing{{Name: "U", Group: "G", Warmup: s.warmup, Revision: uint64(i + 1)}}})
+		assert.Equal(t, changed, s.want, "step %d", i)
+		assert.Equal(t, next.Digest() != before, s.want, "step %d", i)
+		d = next
+	}
+}
--- a/tier/config/route.go
+++ b/tier/config/route.go
@@ -37,6 +37,9 @@
 	Split []Weighted `json:",omitempty"`
 	// Gather asks one upstream of each of many groups; nil with Group or Split.
 	Gather *Gather `json:",omitempty"`
+	// Homes are the regions in which requests may be carried out and run, none
+	// twice; empty for all regions.
+	Homes []string `json:",omitempty"`
 }
 
 // Weighted is one group of a split.
@@ -64,6 +67,11 @@
 	Connections int
 	// HealthPath is where an upstream tells whether it is well.
 	HealthPath string `json:",omitempty"`
+	// Warmup is how long an upstream is cold after a start during traffic; 0 or more.
+	Warmup Duration `json:",omitempty"`
+	// ColdRate is how many requests a second a cold upstream bears from all hosts
+	// together; 0 for no bound.
+	ColdRate float64 `json:",omitempty"`
 }
 
 // Limits bound what a caller of routes may send.
@@ -143,6 +151,9 @@
 		if d.Groups[i].Connections < 1 {
 			return fault(KindValue, place("/Groups", i, "Connections"), "out of range", "use 1 or more")
 		}
+		if err := checkWarmup(&d.Groups[i], i); err != nil {
+			return err
+		}
 		groups[d.Groups[i].Name] = true
 	}
 	seen := map[string]string{}
@@ -160,6 +171,32 @@
 	return nil
 }
 
+// maxColdRate is more requests a second than one upstream takes.
+const maxColdRate = 1e6
+
+func checkWarmup(g *Group, i int) error {
+	if g.Warmup < 0 || g.Warmup > maxDeadline {
+		return fault(KindValue, place("/Groups", i, "Warmup"), "out of range", "use 0 to 10m")
+	}
+	if g.ColdRate >= 0 && g.ColdRate <= maxColdRate {
+		return nil
+	}
+	return fault(KindValue, place("/Groups", i, "ColdRate"), "out of range", "use 0 for no bound, or up to 1000000 requests a second")
+}
+
+// checkHomes finds regions that have no proper name or stand twice.
+func checkHomes(r *Route, i int) error {
+	for n, h := range r.Homes {
+		if h == "" {
+			return fault(KindValue, place("/Routes", i, "Homes"), "a region without a name", "name a region, or leave Homes out for all regions")
+		}
+		if slices.Contains(r.Homes[:n], h) {
+			return fault(KindDuplicate, place("/Routes", i, "Homes"), "region "+h+" stands twice", "name each region once")
+		}
+	}
+	return nil
+}
+
 func checkRoute(r *Route, groups map[string]bool, i int) error {
 	targets := 0
 	for _, given := range []bool{r.Group != "", len(r.Split) > 0, r.Gather != nil} {
@@ -198,7 +235,7 @@
 			return fault(KindDuplicate, place("/Routes", i, "Group"), "group "+g+" stands twice", "name each group once")
 		}
 	}
-	return nil
+	return checkHomes(r, i)
 }
 
 func weightsOK(split []Weighted) bool {
@@ -251,5 +288,8 @@
 	return nil, nil
 }
 
+// RouteNamed finds a route by name; nil if there is none.
+func (x *Index) RouteNamed(name string) *Route { return x.named[name] }
+
 // Group finds a group by name; nil if there is none.
 func (x *Index) Group(name string) *Group { return x.groups[name] }
--- a/tier/kernel/state.go
+++ b/tier/kernel/state.go
@@ -72,8 +72,17 @@
 	Cores float64
 	// LinkMbits is the rate of its link in Mbit/s; 0 for no limit.
 	LinkMbits float64
+	// Regions says where the data halls lie.
+	Regions config.Regions
+	// ColdFactor and ColdSlack are by how much all hosts together may exceed what a
+	// cold upstream bears within a second: so many times as much, and so many
+	// requests besides.
+	ColdFactor, ColdSlack float64
 }
 
+// Region is the region of this host's data hall; empty if it is not known.
+func (s *Settings) Region() string { return s.Regions[s.Hall] }
+
 // Capacity is how much the host can carry, as of policy.Capacity; a host whose
 // settings do not say it counts as one core.
 func (s *Settings) Capacity() int {
--- a/tier/peers/announce_test.go
+++ b/tier/peers/announce_test.go
@@ -306,3 +306,40 @@
 		assert.Assert(t, !sent.last["Other"].Lost)
 	})
 }
+
+// TestEvacuationIsAnnounced has a reader hear of an evacuation and of its end: its
+// hall is told both at once, and a host that missed them learns them with the whole
+// directory.
+func TestEvacuationIsAnnounced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		k := newsKernel(t, "Self")
+		sent := &sentNews{last: map[string]Announcement{}}
+		k.Peers = sent
+		tl := &announcer{kernel: k}
+		s := &kernel.State{Reading: true, Announcing: true, Members: map[string]kernel.Member{"Mate": {Host: "Mate", Hall: "A", Live: true}}}
+		s.List(&config.DirectoryChange{Revision: 1, Whole: true})
+		mate := &kernel.State{HallSources: map[string]kernel.SourceSign{}, OtherSources: map[string]kernel.SourceSign{}}
+		g := &gossip{kernel: k, listing: true, fetching: true}
+		told := func(c *config.DirectoryChange) *config.Directory {
+			time.Sleep(10 * time.Millisecond)
+			s.List(c)
+			s.SourceAt, s.ReadAt = k.Now(), k.Now()
+			tl.announce(s)
+			synctest.Wait()
+			sent.mu.Lock()
+			defer sent.mu.Unlock()
+			n := sent.last["Mate"]
+			g.takeAnnouncement(mate, &n)
+			return mate.Directory
+		}
+		told(&config.DirectoryChange{Revision: 1, Whole: true})
+		d := told(&config.DirectoryChange{Revision: 2, Evacuated: []config.Evacuation{{Hall: "A", Revision: 2}}})
+		assert.Assert(t, d.Evacuated("A"))
+		d = told(&config.DirectoryChange{Revision: 3, Resumed: []config.Removal{{Name: "A", Revision: 3}}})
+		assert.Assert(t, !d.Evacuated("A"))
+		s.List(&config.DirectoryChange{Revision: 4, Evacuated: []config.Evacuation{{Hall: "B", Revision: 4}}})
+		whole := s.Directory.Whole()
+		mate.List(&whole)
+		assert.DeepEqual(t, mate.Directory.EvacuatedHalls(), []string{"B"})
+	})
+}
--- a/tier/peers/feed.go
+++ b/tier/peers/feed.go
@@ -254,7 +254,8 @@
 	}
 	if s.Directory.Digest() != before {
 		f.kernel.Log.Info().Uint64("DirectoryRevision", p.Revision).Int("Listed", len(change.Listed)).
-			Int("Removed", len(change.Removed)).Int("Upstreams", s.Directory.Size()).Msg("directory changed")
+			Int("Removed", len(change.Removed)).Int("Upstreams", s.Directory.Size()).
+			Strs("Evacuated", s.Directory.EvacuatedHalls()).Msg("directory changed")
 	}
 	if f.announcer != nil {
 		f.announcer.announce(s)
@@ -266,6 +267,8 @@
 	f.lapsed = append(f.lapsed, c.Removed...)
 	if c.Whole {
 		f.lapsed = append(f.lapsed, s.Directory.Lacking(c)...)
+		// What an operator has written does not lapse.
+		c.Resumed = append(c.Resumed, s.Directory.LackingEvacuations(c)...)
 	}
 	if len(f.lapsed) > 0 && f.lapsedDue <= now {
 		f.lapsedDue = now + lapseHold
--- a/tier/peers/feed_test.go
+++ b/tier/peers/feed_test.go
@@ -52,6 +52,12 @@
 		c.Removed[i].Revision = p.revision
 		delete(p.listed, c.Removed[i].Name)
 	}
+	for i := range c.Evacuated {
+		c.Evacuated[i].Revision = p.revision
+	}
+	for i := range c.Resumed {
+		c.Resumed[i].Revision = p.revision
+	}
 	p.changes = append(p.changes, c)
 	close(p.moved)
 	p.moved = make(chan struct{})
@@ -73,6 +79,14 @@
 	p.change(c)
 }
 
+func (p *published) evacuate(hall string) {
+	p.change(config.DirectoryChange{Evacuated: []config.Evacuation{{Hall: hall}}})
+}
+
+func (p *published) resume(hall string) {
+	p.change(config.DirectoryChange{Resumed: []config.Removal{{Name: hall}}})
+}
+
 // Read implements kernel.Source.
 func (p *published) Read(_ context.Context, exact bool) (*kernel.Published, error) {
 	p.mu.Lock()
@@ -92,7 +106,7 @@
 		}
 	}
 	whole := d.Whole()
-	whole.Revision, whole.Removed = upTo, nil
+	whole.Revision, whole.Removed, whole.Resumed = upTo, nil, nil
 	return &kernel.Published{Revision: upTo, Directory: whole}, nil
 }
 
@@ -126,6 +140,8 @@
 		if c.Revision > after {
 			out.Directory.Listed = append(out.Directory.Listed, c.Listed...)
 			out.Directory.Removed = append(out.Directory.Removed, c.Removed...)
+			out.Directory.Evacuated = append(out.Directory.Evacuated, c.Evacuated...)
+			out.Directory.Resumed = append(out.Directory.Resumed, c.Resumed...)
 		}
 	}
 	return out, p.moved, nil
@@ -336,3 +352,41 @@
 
 // Notify implements kernel.PeerCaller.
 func (p *toldPeers) Notify(context.Context, string, string, any) error { return nil }
+
+// TestFeedFollowsEvacuations has a hall evacuated and taken back: by changes, while
+// the platform forgets its history, and while it is away.
+func TestFeedFollowsEvacuations(t *testing.T) {
+	forget := func(p *published) { p.set(func() { p.from = p.revision }) }
+	tests := []struct {
+		name   string
+		before func(p *published)
+		after  func(p *published)
+	}{
+		{"told at once", func(*published) {}, func(*published) {}},
+		{"history forgotten", func(*published) {}, forget},
+		{"platform away", func(p *published) { p.set(func() { p.away = true }); settle(5 * time.Second) }, func(p *published) { p.set(func() { p.away = false }) }},
+		{
+			"platform away, and history forgotten",
+			func(p *published) { p.set(func() { p.away = true }); settle(5 * time.Second) },
+			func(p *published) { forget(p); p.set(func() { p.away = false }) },
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			fed(t, func(p *published, k *kernel.Kernel) {
+				for range 2 {
+					tt.before(p)
+					p.evacuate("A")
+					tt.after(p)
+					settle(2 * time.Second)
+					assert.DeepEqual(t, k.View().Directory.EvacuatedHalls(), []string{"A"})
+					tt.before(p)
+					p.resume("A")
+					tt.after(p)
+					settle(2 * time.Second)
+					assert.Equal(t, len(k.View().Directory.EvacuatedHalls()), 0)
+				}
+			})
+		})
+	}
+}
