feat: requests keep to homes, evacuated halls get nothing, cold upstreams what they bear

Change: policy.Places decides which upstreams a request may be planned for and which hosts may be handed it; pass asks again just before each call is sent, by the newest view, so that what was queued, hedged or sent by a host that knows less is barred too. A cold upstream with a bound belongs to one strong host of its hall, which sends half of what it bears, since a host that was cut off may take itself for the owner as well; gathers of others reach it through that host. Answers say why a part is missing.

--- a/tier/pass/batch.go
+++ b/tier/pass/batch.go
@@ -80,7 +80,7 @@
 // Batches implements runner.Batcher: calls to upstreams of one other hall go
 // together through a host there. Even a single call does: that host has
 // connections to the upstream, and making one from afar takes longer than the
-// call.
+// call. Calls to a cold upstream go through its owner, whatever the hall.
 func (q *request) Batches(sends []policy.Action) (batches [][]policy.Action, apart []policy.Action) {
 	if q.route.Gather == nil {
 		return nil, sends
@@ -88,16 +88,14 @@
 	k := q.engine.kernel
 	q.relaying.mu.Lock()
 	defer q.relaying.mu.Unlock()
-	byHall := map[string][]policy.Action{}
+	now := k.Now()
+	byDestination := map[policy.Destination][]policy.Action{}
 	for _, a := range sends {
-		h := k.Fleet.HallOf(a.Upstream)
-		byHall[h] = append(byHall[h], a)
+		d := k.Fleet.DestinationOf(now, a.Upstream)
+		byDestination[d] = append(byDestination[d], a)
 	}
-	for h, calls := range byHall {
-		host := ""
-		if h != k.Settings.Hall {
-			host = q.engine.relays.choose(q.view, h, k.Now(), q.relaying.outstanding)
-		}
+	for d, calls := range byDestination {
+		host := q.relayTo(d, now)
 		if host == "" {
 			apart = append(apart, calls...)
 			continue
@@ -108,6 +106,22 @@
 	return batches, apart
 }
 
+// relayTo returns the host that is to make calls to a destination; empty if this
+// host is, or if none answers.
+func (q *request) relayTo(d policy.Destination, now time.Duration) string {
+	s := &q.engine.kernel.Settings
+	switch {
+	case d.Owner == s.Host:
+		return ""
+	case d.Owner != "":
+		return q.engine.relays.answering(q.view, d.Owner, now)
+	case d.Hall == s.Hall:
+		return ""
+	default:
+		return q.engine.relays.choose(q.view, d.Hall, now, q.relaying.outstanding)
+	}
+}
+
 // CallBatch implements runner.Batcher.
 func (q *request) CallBatch(ctx context.Context, batch []policy.Action, to runner.Reporter[*answer]) {
 	e := q.engine
--- a/tier/pass/engine.go
+++ b/tier/pass/engine.go
@@ -16,6 +16,7 @@
 	"loomgap/tier/config"
 	"loomgap/tier/kernel"
 	"loomgap/tier/policy"
+	"loomgap/tier/query"
 )
 
 // Shares of what upstreams and groups allow, for one host.
@@ -161,8 +162,7 @@
 	}
 }
 
-// follow sets shares, links and budgets by a new view; it runs on the control
-// thread.
+// follow takes a new view in; it runs on the control thread.
 func (e *Engine) follow(v *kernel.View) {
 	if v.Index == nil || v.Directory == nil {
 		return
@@ -170,6 +170,13 @@
 	defer e.configuredOnce.Do(func() { close(e.configured) })
 	e.place(v)
 	e.preconnect(v)
+	e.followDirectory(v)
+	e.assignCold(v)
+}
+
+// followDirectory sets shares, links and budgets unless what they depend on is
+// like before.
+func (e *Engine) followDirectory(v *kernel.View) {
 	next := basisOf(v, &e.kernel.Settings, e.kernel.Live().RetryBudget)
 	if next.like(&e.basis) {
 		return
@@ -299,8 +306,9 @@
 		part, hosts = farConnections, max(b.hosts-b.hall, 1)
 	}
 	return policy.Share{
-		Name: l.Name, Slots: max(int(burstShare*part*float64(connections)/hosts), 1), Leaving: l.Leaving,
-		Listed: true, Hall: l.Hall, Near: near,
+		Name: l.Name, Slots: max(int(burstShare*part*float64(connections)/hosts), 1),
+		Leaving: l.Leaving || b.directory.Evacuated(l.Hall),
+		Listed:  true, Hall: l.Hall, Near: near, Cold: e.coldOf(l, b),
 	}
 }
 
@@ -322,24 +330,14 @@
 	return s.next()
 }
 
-// usable names the upstreams of a group that may get new work.
-func usable(d *config.Directory, group string) []string {
-	listed := d.Group(group)
-	out := make([]string, 0, len(listed))
-	for i := range listed {
-		if !listed[i].Leaving {
-			out = append(out, listed[i].Name)
-		}
-	}
-	return out
-}
-
 // plan is where the parts of a request may go.
 type plan struct {
 	groups   []string
 	replicas [][]*policy.Upstream
-	// reachable counts the parts that have an upstream at all.
+	// reachable counts the parts that have an upstream at all, absent says for each
+	// other part why it has none.
 	reachable int
+	absent    []query.Reason
 	// hall is the other hall to which calls go that cannot be made in this
 	// host's own; empty if any does.
 	hall string
@@ -348,33 +346,35 @@
 // plan fixes the targets of a request for its whole life.
 func (e *Engine) plan(v *kernel.View, r *config.Route) plan {
 	if r.Gather != nil {
-		return e.planOf(v, r.Gather.Groups)
+		return e.planOf(v, r.Gather.Groups, r.Homes)
 	}
-	return e.planOf(v, []string{e.target(r)})
+	return e.planOf(v, []string{e.target(r)}, r.Homes)
 }
 
-func (e *Engine) planOf(v *kernel.View, groups []string) plan {
-	names := make([][]string, len(groups))
+func (e *Engine) planOf(v *kernel.View, groups, homes []string) plan {
+	names, absent := make([][]string, len(groups)), make([]query.Reason, len(groups))
+	places := e.places(v)
 	for i, g := range groups {
-		names[i] = usable(v.Directory, g)
+		names[i], absent[i] = places.Usable(g, homes)
 	}
-	p := plan{groups: groups, replicas: e.kernel.Fleet.Resolve(names)}
+	p := plan{groups: groups, replicas: e.kernel.Fleet.Resolve(names), absent: absent}
 	for _, us := range p.replicas {
 		if len(us) > 0 {
 			p.reachable++
 		}
 	}
 	if len(groups) > 1 {
-		p.hall = e.hallOf(v.Directory.Group(groups[rand.IntN(len(groups))]))
+		p.hall = e.hallOf(v, names[rand.IntN(len(groups))])
 	}
 	return p
 }
 
-// hallOf returns the hall of any upstream that is not in this host's own hall.
-func (e *Engine) hallOf(listed []config.Listing) string {
-	for _, i := range rand.Perm(len(listed)) {
-		if h := listed[i].Hall; h != e.kernel.Settings.Hall {
-			return h
+// hallOf returns the hall of any of some upstreams that is not in this host's own
+// hall.
+func (e *Engine) hallOf(v *kernel.View, names []string) string {
+	for _, i := range rand.Perm(len(names)) {
+		if l, listed := v.Directory.Find(names[i]); listed && l.Hall != e.kernel.Settings.Hall {
+			return l.Hall
 		}
 	}
 	return ""
--- a/tier/pass/forward.go
+++ b/tier/pass/forward.go
@@ -57,13 +57,15 @@
 	return out
 }
 
-// coordinator picks the host that is to carry a request out; false for this one.
-func (e *Engine) coordinator(tried map[string]bool) (policy.Candidate, bool) {
+// coordinator picks the host that is to carry the request out; false for this one.
+func (q *request) coordinator(tried map[string]bool) (policy.Candidate, bool) {
+	e := q.engine
 	all := e.candidates.Load()
 	if all == nil {
 		return policy.Candidate{}, false
 	}
-	best := policy.Coordinators(e.self(), e.relays.reachable(*all, e.kernel.Now(), tried))
+	carriers := e.places(q.view).Carriers(*all, q.route.Homes)
+	best := policy.Coordinators(e.self(), e.relays.reachable(carriers, e.kernel.Now(), tried))
 	if len(best) == 0 {
 		return policy.Candidate{}, false
 	}
@@ -112,7 +114,7 @@
 	}
 	tried := map[string]bool{}
 	for range forwardTries {
-		to, ok := q.engine.coordinator(tried)
+		to, ok := q.coordinator(tried)
 		if !ok {
 			return false
 		}
--- a/tier/pass/host_test.go
+++ b/tier/pass/host_test.go
@@ -226,6 +226,8 @@
 	age time.Duration
 	// cores is the share of processors; 0 for one.
 	cores float64
+	// regions says where halls lie; none by default.
+	regions config.Regions
 }
 
 func newHost(t testing.TB, c hostConfig) *host {
@@ -240,7 +242,7 @@
 		log = zerolog.New(c.log)
 	}
 	k, stop := kernel.New(kernel.Config{
-		Settings: kernel.Settings{Host: c.name, Hall: c.hall, Incarnation: "1", Adapter: "Test", RetryBudget: c.repeats, Cores: c.cores},
+		Settings: kernel.Settings{Host: c.name, Hall: c.hall, Incarnation: "1", Adapter: "Test", RetryBudget: c.repeats, Cores: c.cores, Regions: c.regions, ColdFactor: 1},
 		Log:      log, Tracer: noop.NewTracerProvider().Tracer(""), Started: time.Now().Add(-c.age),
 		Fleet: policy.NewFleet(policy.FleetConfig{Random: rand.New(rand.NewPCG(1, 2))}),
 	})
--- a/tier/pass/hosts.go
+++ b/tier/pass/hosts.go
@@ -92,6 +92,16 @@
 	})
 }
 
+// answering returns a host if it is live and answers; else an empty name.
+func (r *relays) answering(v *kernel.View, host string, now time.Duration) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if m := v.Members[host]; !m.Live || m.Leaving || !m.Peer.IsValid() || !r.answers(host, now) {
+		return ""
+	}
+	return host
+}
+
 // load is what a host owes for what it can carry, with one batch more.
 func load(open, capacity int) float64 { return float64(open+1) / float64(max(capacity, 1)) }
 
--- /dev/null
+++ b/tier/pass/places_test.go
@@ -0,0 +1,349 @@
+package pass
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"loomgap/tier/config"
+	"loomgap/tier/kernel"
+)
+
+// eastAndWest are the regions of the halls of these tests.
+var eastAndWest = config.Regions{"A": "East", "B": "West"}
+
+// placed is a host in each of two halls, with an upstream of each shard in both.
+type placed struct {
+	east, west *host
+	upstreams  [][]*upstream
+}
+
+// newPlaced joins the hosts; the one in the east can reach the other.
+func newPlaced(t *testing.T, reply func(shard, replica int) replyFunc) *placed {
+	w := newCable()
+	p := &placed{
+		east: newHost(t, hostConfig{name: "East1", hall: "A", peers: w, regions: eastAndWest}),
+		west: newHost(t, hostConfig{name: "West1", hall: "B", peers: w, regions: eastAndWest}),
+	}
+	w.hosts["West1"] = p.west
+	p.upstreams = gatherers(t, p.east, [2]string{"A", "B"}, reply)
+	p.west.do(func(s *kernel.State) {
+		whole := p.east.kernel.View().Directory.Whole()
+		s.List(&whole)
+	})
+	p.east.member(p.west)
+	return p
+}
+
+// placedDoc is a gather of all shards and a route to the first, with homes.
+func placedDoc(homes ...string) config.Document {
+	d := gatherDoc(0.5, 15)
+	d.Routes[0].Homes = homes
+	d.Routes = append(d.Routes, config.Route{
+		Name: "One", HostName: "shop.example", Prefix: "/one/", MaxAttempts: 2,
+		TimeLimit: 2000 * millisecond, Objective: 200 * millisecond, Group: "S0", Homes: homes,
+	})
+	return d
+}
+
+// leastCovered is the same with a gather that one shard is enough for.
+func leastCovered(homes ...string) config.Document {
+	d := placedDoc(homes...)
+	d.Routes[0].Gather.Coverage = 0.1
+	return d
+}
+
+// total counts the calls of all requests in one hall.
+func (p *placed) total(replica int) int {
+	n := 0
+	for _, us := range p.upstreams {
+		n += us[replica].total()
+	}
+	return n
+}
+
+// evacuate tells a host that a hall is evacuated.
+func (h *host) evacuate(hall string) {
+	h.revision++
+	c := config.DirectoryChange{Revision: h.revision, Evacuated: []config.Evacuation{{Hall: hall, Revision: h.revision}}}
+	h.do(func(s *kernel.State) { s.List(&c) })
+}
+
+// resume tells a host that a hall is no longer evacuated.
+func (h *host) resume(hall string) {
+	h.revision++
+	c := config.DirectoryChange{Revision: h.revision, Resumed: []config.Removal{{Name: hall, Revision: h.revision}}}
+	h.do(func(s *kernel.State) { s.List(&c) })
+}
+
+// TestHomesBindEveryCall has the upstreams at home fail in each way that has others
+// asked in their place: none that is not at home ever gets a call.
+func TestHomesBindEveryCall(t *testing.T) {
+	tests := []struct {
+		name   string
+		reply  func(shard int) replyFunc
+		single int
+	}{
+		{"well", func(s int) replyFunc { return good(part(s)) }, http.StatusOK},
+		{"silent", func(s int) replyFunc {
+			if s%2 == 0 {
+				return silent
+			}
+			return good(part(s))
+		}, http.StatusGatewayTimeout},
+		{"shed", func(int) replyFunc { return failing(http.StatusServiceUnavailable, true) }, http.StatusServiceUnavailable},
+		{"fail", func(int) replyFunc { return failing(http.StatusInternalServerError, false) }, http.StatusInternalServerError},
+		{"reset", func(int) replyFunc { return reset }, http.StatusBadGateway},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			p := newPlaced(t, func(s, replica int) replyFunc {
+				if replica == 0 {
+					return tt.reply(s)
+				}
+				return good(part(s))
+			})
+			d := placedDoc("East")
+			p.east.accept(d)
+			p.west.accept(d)
+			p.east.ask(http.MethodGet, "/find/x", "gather", 900, "")
+			r := p.east.ask(http.MethodPost, "/one/x", "single", 900, "an order")
+			assert.NilError(t, r.err)
+			assert.Equal(t, r.status, tt.single, r.body)
+			assert.Equal(t, p.total(1), 0, "calls to upstreams that are not at home")
+			assert.Assert(t, p.total(0) > 0)
+		})
+	}
+}
+
+// TestRequestWithoutAnUpstreamAtHomeIsRefused looks at refusals that are given at
+// once, without a call, and with a time to come back.
+func TestRequestWithoutAnUpstreamAtHomeIsRefused(t *testing.T) {
+	tests := []struct {
+		name   string
+		homes  []string
+		change func(h *host)
+	}{
+		{"no hall in the homes", []string{"North"}, func(*host) {}},
+		{"all halls evacuated", nil, func(h *host) { h.evacuate("A"); h.evacuate("B") }},
+		{"the home evacuated", []string{"East"}, func(h *host) { h.evacuate("A") }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			p := newPlaced(t, func(s, _ int) replyFunc { return good(part(s)) })
+			p.east.accept(placedDoc(tt.homes...))
+			tt.change(p.east)
+			for _, path := range []string{"/find/x", "/one/x"} {
+				r := p.east.ask(http.MethodGet, path, path, 900, "")
+				assert.NilError(t, r.err)
+				assert.Equal(t, r.status, http.StatusServiceUnavailable)
+				after, err := strconv.ParseFloat(r.header.Get("Retry-After"), 64)
+				assert.Assert(t, err == nil && after > 0)
+			}
+			assert.Equal(t, p.total(0)+p.total(1), 0)
+		})
+	}
+}
+
+// TestRelayKeepsWhatItKnowsOfPlaces has a host send calls to a relay that knows of
+// newer homes, or of an evacuation: the relay makes none of them, and the shards are
+// asked elsewhere. With the least coverage, the request is not over before the relay
+// has told of all calls.
+func TestRelayKeepsWhatItKnowsOfPlaces(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(west *host)
+	}{
+		{"homes", func(west *host) { west.accept(leastCovered("East")) }},
+		{"evacuation", func(west *host) { west.accept(leastCovered()); west.evacuate("B") }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			p := newPlaced(t, func(s, _ int) replyFunc { return good(part(s)) })
+			p.east.accept(leastCovered())
+			tt.change(p.west)
+			// Nothing of the east hall can be asked by itself first.
+			p.east.evacuate("A")
+			r := p.east.ask(http.MethodGet, "/find/x", "one", 900, "")
+			assert.NilError(t, r.err)
+			assert.Equal(t, r.status, http.StatusServiceUnavailable, r.body)
+			p.east.resume("A")
+			r = p.east.ask(http.MethodGet, "/find/x", "two", 900, "")
+			assert.Equal(t, r.status, http.StatusOK, r.body)
+			assert.Equal(t, len(stampsOf(r)), shards)
+			assert.Equal(t, p.total(1), 0, "calls that the relay should not have made")
+		})
+	}
+}
+
+// TestEvacuatedHallGetsNothing evacuates a hall and takes it back.
+func TestEvacuatedHallGetsNothing(t *testing.T) {
+	p := newPlaced(t, func(s, _ int) replyFunc { return good(part(s)) })
+	p.east.accept(placedDoc())
+	p.west.accept(placedDoc())
+	p.east.evacuate("A")
+	p.west.evacuate("A")
+	for i := range 5 {
+		r := p.east.ask(http.MethodGet, "/find/x", fmt.Sprint("away", i), 900, "")
+		assert.Equal(t, r.status, http.StatusOK, r.body)
+	}
+	assert.Equal(t, p.total(0), 0)
+	p.east.resume("A")
+	p.east.evacuate("B")
+	r := p.east.ask(http.MethodGet, "/find/x", "back", 900, "")
+	assert.Equal(t, r.status, http.StatusOK, r.body)
+	assert.Equal(t, p.total(0), shards)
+}
+
+// TestEvacuationBindsCallsThatWait has calls wait for the slots of an upstream while
+// its hall is evacuated: none of them goes there afterwards.
+func TestEvacuationBindsCallsThatWait(t *testing.T) {
+	h := newHost(t, hostConfig{name: "H1", hall: "A"})
+	release := make(chan struct{})
+	u := newUpstream(t, "U1", func(u *upstream, c net.Conn, r *http.Request) bool {
+		<-release
+		return good("held")(u, c, r)
+	})
+	h.list("G", "A", u, false)
+	h.accept(config.Document{
+		Groups: []config.Group{{Name: "G", Connections: 1}},
+		Routes: []config.Route{{
+			Name: "One", HostName: "shop.example", Prefix: "/one/", MaxAttempts: 2,
+			TimeLimit: 5000 * millisecond, Objective: 200 * millisecond, Group: "G",
+		}},
+	})
+	var all sync.WaitGroup
+	for i := range 20 {
+		all.Go(func() { h.ask(http.MethodPost, "/one/x", fmt.Sprint(i), 4000, "") })
+	}
+	eventually(t, "one call is there and others wait", func() bool { return u.total() == 1 && h.kernel.Fleet.State(h.kernel.Now())[0].Queued > 0 })
+	h.evacuate("A")
+	close(release)
+	all.Wait()
+	assert.Equal(t, u.total(), 1)
+}
+
+// TestForwardingStaysAtHome has a weak host hand gathers to a strong one of its hall
+// only if the hall is at home.
+func TestForwardingStaysAtHome(t *testing.T) {
+	tests := []struct {
+		homes     []string
+		forwarded bool
+	}{
+		{nil, true}, {[]string{"East"}, true}, {[]string{"West"}, false}, {[]string{"North"}, false},
+	}
+	for _, tt := range tests {
+		t.Run(fmt.Sprint(tt.homes), func(t *testing.T) {
+			f := newForwarding(t, wellReplied)
+			f.weak.kernel.Settings.Regions, f.strong.kernel.Settings.Regions = eastAndWest, eastAndWest
+			d := gatherDoc(0.8, 15)
+			d.Routes[0].Homes = tt.homes
+			f.weak.accept(d)
+			f.strong.accept(d)
+			f.weak.ask(http.MethodGet, "/find/x", "one", 900, "")
+			assert.Equal(t, f.cable.called(MethodForward) > 0, tt.forwarded)
+		})
+	}
+}
+
+// fragile is an upstream that falls over once it gets more requests within a second
+// than it bears, and fails all from then on.
+type fragile struct {
+	bears int
+	mu    sync.Mutex
+	at    []time.Time
+	// fallen is true once it got too much.
+	fallen bool
+}
+
+func (f *fragile) arrive() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	f.at = append(f.at, now)
+	n := 0
+	for _, at := range f.at {
+		if now.Sub(at) < time.Second {
+			n++
+		}
+	}
+	f.fallen = f.fallen || n > f.bears
+	return !f.fallen
+}
+
+func (f *fragile) fell() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.fallen
+}
+
+func (f *fragile) reply(body string) replyFunc {
+	return func(u *upstream, c net.Conn, r *http.Request) bool {
+		if f.arrive() {
+			return good(body)(u, c, r)
+		}
+		return failing(http.StatusInternalServerError, false)(u, c, r)
+	}
+}
+
+// TestColdUpstreamsBearTheirCalls has two hosts of a hall gather from upstreams that
+// are all cold: none gets more within a second than it bears, the calls of both hosts
+// reach them, through the owner, and what they do not bear is left out or refused.
+func TestColdUpstreamsBearTheirCalls(t *testing.T) {
+	const bears = 8
+	var all [shards][2]*fragile
+	w := newCable()
+	hosts := []*host{
+		newHost(t, hostConfig{name: "H1", hall: "A", peers: w, regions: eastAndWest}),
+		newHost(t, hostConfig{name: "H2", hall: "A", peers: w, regions: eastAndWest}),
+	}
+	w.hosts["H1"], w.hosts["H2"] = hosts[0], hosts[1]
+	hosts[0].member(hosts[1])
+	hosts[1].member(hosts[0])
+	gatherers(t, hosts[0], [2]string{"A", "A"}, func(s, r int) replyFunc {
+		all[s][r] = &fragile{bears: bears}
+		return all[s][r].reply(part(s))
+	})
+	d := gatherDoc(0.5, 15)
+	for i := range d.Groups {
+		d.Groups[i].Warmup, d.Groups[i].ColdRate = 60000*millisecond, bears
+	}
+	for _, h := range hosts {
+		h.do(func(s *kernel.State) {
+			cold := hosts[0].kernel.View().Directory.Whole()
+			cold.Revision += 100
+			for i := range cold.Listed {
+				cold.Listed[i].Warmup, cold.Listed[i].Revision = 60000*millisecond, cold.Listed[i].Revision+100
+			}
+			s.List(&cold)
+		})
+		h.accept(d)
+	}
+	served := [2]int{}
+	var mu sync.Mutex
+	var asking sync.WaitGroup
+	for i := range 60 {
+		asking.Go(func() {
+			time.Sleep(time.Duration(i) * 20 * time.Millisecond)
+			r := hosts[i%2].ask(http.MethodGet, "/find/x", fmt.Sprint("r", i), 900, "")
+			mu.Lock()
+			defer mu.Unlock()
+			if r.status == http.StatusOK {
+				served[i%2]++
+			}
+		})
+	}
+	asking.Wait()
+	for s := range all {
+		for r, f := range all[s] {
+			assert.Assert(t, !f.fell(), "upstream %d of shard %d got more than it bears", r, s)
+		}
+	}
+	assert.Assert(t, served[0] > 0 && served[1] > 0, "%v", served)
+}
--- a/tier/pass/relay.go
+++ b/tier/pass/relay.go
@@ -245,7 +245,7 @@
 			started = k.Now()
 			b.holdSlot(c, u)
 			k.Fleet.Sent(started, u)
-			reply = b.exchange(ctx, l, name)
+			reply = b.exchange(ctx, l, u)
 			now := k.Now()
 			near, _ := k.Fleet.RoutedPools(b.in.Route)
 			policy.Deliver(k.Fleet.Finish(now, policy.Call{
@@ -297,23 +297,26 @@
 	}
 }
 
-func (b *batch) exchange(ctx context.Context, l *link, name string) runner.Reply[*answer] {
+func (b *batch) exchange(ctx context.Context, l *link, u *policy.Upstream) runner.Reply[*answer] {
 	k := b.engine.kernel
 	left := b.deadline - k.Now()
 	if left <= 0 || !k.Awake() || ctx.Err() != nil {
 		return runner.Reply[*answer]{Outcome: policy.CallNotSent}
 	}
+	if !b.engine.admits(k.Now(), b.in.Route, b.in.RequestID, u) {
+		return runner.Reply[*answer]{Outcome: policy.CallBarred}
+	}
 	ctx, span := k.Tracer.Start(ctx, "upstream", trace.WithSpanKind(trace.SpanKindClient))
 	defer span.End()
 	out := l.call(ctx, &call{
 		headers: &b.engine.headers, method: b.in.Method, head: []byte(b.in.Head), body: b.in.Body,
-		id: b.in.RequestID, upstream: name, left: left,
+		id: b.in.RequestID, upstream: u.Name, left: left,
 	}, true)
 	if out.Outcome == policy.CallBroken && ctx.Err() != nil {
 		out.Outcome = policy.CallCancelled
 	}
 	if span.IsRecording() {
-		span.SetAttributes(attribute.String("Upstream", name), attribute.String("Outcome", string(out.Outcome)))
+		span.SetAttributes(attribute.String("Upstream", u.Name), attribute.String("Outcome", string(out.Outcome)))
 	}
 	return out
 }
--- a/tier/pass/serve.go
+++ b/tier/pass/serve.go
@@ -233,6 +233,7 @@
 			Routed: &policy.Routed{
 				Groups: q.plan.groups, FarPool: far, MaxAttempts: q.route.MaxAttempts,
 				Objective: max(time.Duration(q.route.Objective)-spent, 0), Hall: q.plan.hall,
+				Relayed: q.route.Gather != nil, Absent: q.plan.absent,
 			},
 		},
 	})
@@ -252,6 +253,9 @@
 	if l == nil {
 		return runner.Reply[*answer]{Outcome: policy.CallUnreachable}
 	}
+	if !q.engine.admits(q.engine.kernel.Now(), q.route.Name, q.id, a.Upstream) {
+		return runner.Reply[*answer]{Outcome: policy.CallBarred}
+	}
 	ctx, span := q.engine.kernel.Tracer.Start(ctx, "upstream", trace.WithSpanKind(trace.SpanKindClient))
 	defer span.End()
 	out := l.call(ctx, &call{
--- a/tier/policy/attempt.go
+++ b/tier/policy/attempt.go
@@ -54,7 +54,7 @@
 		u = r.pick(now, i, false)
 	}
 	p := &r.parts[i]
-	p.unhedged = r.hedgeObstacle(i, u)
+	p.unhedged = r.hedgeObstacle(now, i, u)
 	if p.unhedged != "" {
 		return out
 	}
@@ -71,16 +71,20 @@
 	HedgeNoUpstream HedgeObstacle = "NoUpstream"
 	// HedgeNoSlot means that this host's share of the other upstream is in use.
 	HedgeNoSlot HedgeObstacle = "NoSlot"
+	// HedgeCold means that the other upstream has not warmed up.
+	HedgeCold HedgeObstacle = "Cold"
 	// HedgeNoBudget means that the retry budget is spent, or that no further
 	// attempt is allowed.
 	HedgeNoBudget HedgeObstacle = "NoBudget"
 )
 
 // hedgeObstacle takes a hedge of a part from its budget, or says why not.
-func (r *Run) hedgeObstacle(i int, u *Upstream) HedgeObstacle {
+func (r *Run) hedgeObstacle(now time.Duration, i int, u *Upstream) HedgeObstacle {
 	switch {
 	case u == nil:
 		return HedgeNoUpstream
+	case u.cold.bounded(now):
+		return HedgeCold
 	case !u.free():
 		return HedgeNoSlot
 	case !r.takeHedge(i):
@@ -124,7 +128,7 @@
 func (r *Run) startAttempt(now time.Duration, i int, out []Action) []Action {
 	u := r.pick(now, i, false)
 	if u == nil {
-		r.markMissing(i, query.ReasonUnreachable)
+		r.markMissing(i, r.absence(now, i))
 		return out
 	}
 	out = r.enter(now, i, u, out)
@@ -146,7 +150,7 @@
 	var best *Upstream
 	low := math.Inf(1)
 	for _, u := range p.replicas {
-		if u.leaving || p.hasTried(u) {
+		if u.leaving || p.hasTried(u) || r.coldBarred(now, u) {
 			continue
 		}
 		if r.snapshot > 0 && u.window.Known && !u.window.Holds(r.snapshot) {
@@ -155,13 +159,30 @@
 		if fit && !u.fit(now) {
 			continue
 		}
-		if s := r.chooser.Score(now, u, r.poolOf(u), r.fleet.random) * r.hallFactor(u); s < low {
+		s := r.chooser.Score(now, u, r.poolOf(u), r.fleet.random) * r.hallFactor(u)
+		if u.cold.bounded(now) {
+			s += coldPenalty
+		}
+		if s < low {
 			best, low = u, s
 		}
 	}
 	return best
 }
 
+// absence is why a part has no upstream to ask.
+func (r *Run) absence(now time.Duration, i int) query.Reason {
+	for _, u := range r.parts[i].replicas {
+		if r.coldBarred(now, u) {
+			return query.ReasonCold
+		}
+	}
+	if r.routed != nil && len(r.routed.Absent) > i && r.routed.Absent[i] != "" {
+		return r.routed.Absent[i]
+	}
+	return query.ReasonUnreachable
+}
+
 func (r *Run) enter(now time.Duration, i int, u *Upstream, out []Action) []Action {
 	p := &r.parts[i]
 	n := len(r.attempts)
--- /dev/null
+++ b/tier/policy/cold_test.go
@@ -0,0 +1,201 @@
+package policy
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestColdCalls(t *testing.T) {
+	tests := []struct {
+		rate, factor, slack float64
+		want                int
+	}{
+		{0, 1.5, 5, 0}, {1, 1.5, 5, 6}, {4, 1.5, 5, 11}, {40, 1.5, 5, 65}, {0.1, 1, 0, 1}, {-1, 1.5, 5, 0},
+	}
+	for _, tt := range tests {
+		assert.Equal(t, ColdCalls(tt.rate, tt.factor, tt.slack), tt.want, "%+v", tt)
+	}
+}
+
+// coldFleet is a fleet with one cold upstream of this host's hall.
+func coldFleet(calls int) (*Fleet, *Upstream) {
+	f := NewFleet(FleetConfig{Random: rand.New(rand.NewPCG(1, 2))})
+	share := Share{Name: "U", Slots: 100, Listed: true, Hall: "A", Near: true, Cold: Cold{Left: 10 * time.Second, Revision: 1, Calls: calls}}
+	f.Apply(time.Minute, []Share{share})
+	return f, f.Find("U")
+}
+
+func TestOnlyTheOwnerCallsAColdUpstream(t *testing.T) {
+	f, u := coldFleet(11)
+	now := time.Minute
+	assert.Assert(t, !f.AdmitCold(now, u), "nobody owns it")
+	f.SetColdOwners("Self", map[string]string{"U": "Other"})
+	assert.Assert(t, !f.AdmitCold(now, u))
+	assert.Equal(t, f.DestinationOf(now, u), Destination{Hall: "A", Owner: "Other"})
+	f.SetColdOwners("Self", map[string]string{"U": "Self"})
+	assert.Assert(t, f.AdmitCold(now, u))
+	assert.Assert(t, f.AdmitCold(now+10*time.Second, u), "it has warmed up")
+	assert.Equal(t, f.DestinationOf(now+10*time.Second, u), Destination{Hall: "A"})
+}
+
+// TestOwnerKeepsToWhatAColdUpstreamBears presses an owner: within any second it
+// sends no more than its part of the bound, and as much as that.
+func TestOwnerKeepsToWhatAColdUpstreamBears(t *testing.T) {
+	f, u := coldFleet(11)
+	f.SetColdOwners("Self", map[string]string{"U": "Self"})
+	var sent []time.Duration
+	for now := time.Minute; now < time.Minute+9*time.Second; now += 7 * time.Millisecond {
+		if f.AdmitCold(now, u) {
+			sent = append(sent, now)
+		}
+	}
+	assert.Equal(t, mostWithin(sent, time.Second), 11/coldOwners)
+	assert.Assert(t, len(sent) >= 9*(11/coldOwners)-1, "%d sent", len(sent))
+}
+
+// mostWithin is the largest number of times within any span; they are in order.
+func mostWithin(at []time.Duration, span time.Duration) int {
+	most := 0
+	for i := range at {
+		n := 0
+		for n < len(at)-i && at[i+n] < at[i]+span {
+			n++
+		}
+		most = max(most, n)
+	}
+	return most
+}
+
+func TestColdStateFollowsItsEntry(t *testing.T) {
+	second := time.Second
+	tests := []struct {
+		name string
+		told []Cold
+		want time.Duration
+	}{
+		{"warm", []Cold{{Revision: 1}}, 0},
+		{"cold", []Cold{{Revision: 1, Left: 3 * second}}, 3 * second},
+		{"told twice", []Cold{{Revision: 1, Left: 3 * second}, {Revision: 1, Left: 3 * second}}, 3 * second},
+		{"warm again", []Cold{{Revision: 1, Left: 3 * second}, {Revision: 2}}, second},
+		{"turned cold", []Cold{{Revision: 1}, {Revision: 2, Left: 3 * second}}, 4 * second},
+		{"back from an evacuation", []Cold{{Revision: 1, Evacuated: true}, {Revision: 1, Warmup: 3 * second}}, 4 * second},
+		{"back, and said to be cold for longer", []Cold{{Revision: 1, Evacuated: true}, {Revision: 2, Left: 5 * second, Warmup: 3 * second}}, 6 * second},
+		{"back, then said to be warm", []Cold{{Evacuated: true}, {Warmup: 3 * second}, {Revision: 3, Warmup: 3 * second}}, 2 * second},
+		{"evacuated", []Cold{{Revision: 1}, {Revision: 1, Evacuated: true, Warmup: 3 * second}}, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var c cold
+			for i, told := range tt.told {
+				c.take(time.Duration(i)*second, told)
+			}
+			assert.Equal(t, c.until, tt.want)
+		})
+	}
+}
+
+func TestColdOwnersAreStrongHostsOfTheHall(t *testing.T) {
+	hall := []Candidate{{Host: "Weak1", Capacity: 190}, {Host: "Strong1", Capacity: 800}, {Host: "Weak2", Capacity: 190}, {Host: "Strong2", Capacity: 800}}
+	owned := map[string]int{}
+	for i := range 100 {
+		owner := ColdOwner(fmt.Sprint("U", i), hall)
+		reversed := slices.Clone(hall)
+		slices.Reverse(reversed)
+		assert.Equal(t, ColdOwner(fmt.Sprint("U", i), reversed), owner)
+		owned[owner]++
+	}
+	assert.Assert(t, owned["Strong1"] > 20 && owned["Strong2"] > 20 && owned["Strong1"]+owned["Strong2"] == 100, "%v", owned)
+	assert.Equal(t, ColdOwner("U", nil), "")
+}
+
+// divider says whether a host may send to a cold upstream now.
+type divider interface {
+	admit(host int, now time.Duration) bool
+}
+
+// evenShare gives each host an even part of the bound, saved up to one request.
+type evenShare struct {
+	each   float64
+	tokens []float64
+	at     []time.Duration
+}
+
+func (e *evenShare) admit(host int, now time.Duration) bool {
+	e.tokens[host] = min(e.tokens[host]+e.each*(now-e.at[host]).Seconds(), 1)
+	e.at[host] = now
+	if e.tokens[host] < 1 {
+		return false
+	}
+	e.tokens[host] = 0
+	return true
+}
+
+// byChance lets each request through by chance, so that a third of the bound is
+// used on average at the load that it is told.
+type byChance struct {
+	random *rand.Rand
+	part   float64
+}
+
+func (b *byChance) admit(int, time.Duration) bool { return b.random.Float64() < b.part }
+
+// byOwner is what ColdOwner and AdmitCold do together: any host hands its requests
+// to the owner.
+type byOwner struct {
+	fleet    *Fleet
+	upstream *Upstream
+}
+
+func (b *byOwner) admit(_ int, now time.Duration) bool { return b.fleet.AdmitCold(now, b.upstream) }
+
+// TestWaysToDivideAColdUpstream presses a cold upstream from many hosts with five
+// times what it bears, all at once at first as after a loss of power: the seconds in
+// which it gets too much, and the part of the bound that is used. The owner alone
+// keeps the bound at any number of hosts.
+func TestWaysToDivideAColdUpstream(t *testing.T) {
+	const (
+		bound = 11
+		lasts = 8 * time.Second
+		load  = 5 * bound
+	)
+	for _, hosts := range []int{8, 60, 300, 1000} {
+		ways := map[string]func() divider{
+			"even share": func() divider {
+				e := &evenShare{each: float64(bound) / float64(hosts), tokens: make([]float64, hosts), at: make([]time.Duration, hosts)}
+				for i := range e.tokens {
+					e.tokens[i], e.at[i] = 1, time.Minute
+				}
+				return e
+			},
+			"chance": func() divider {
+				return &byChance{random: rand.New(rand.NewPCG(3, uint64(hosts))), part: bound / 3.0 / load}
+			},
+			"owner": func() divider {
+				f, u := coldFleet(bound)
+				f.SetColdOwners("Self", map[string]string{"U": "Self"})
+				return &byOwner{fleet: f, upstream: u}
+			},
+		}
+		for name, make := range ways {
+			r := rand.New(rand.NewPCG(uint64(hosts), 1))
+			d := make()
+			var sent []time.Duration
+			for now := time.Minute; now < time.Minute+lasts; now += time.Duration(r.ExpFloat64() * float64(time.Second) / load) {
+				if d.admit(r.IntN(hosts), now) {
+					sent = append(sent, now)
+				}
+			}
+			most := mostWithin(sent, coldWindow)
+			used := float64(len(sent)) / lasts.Seconds() / bound
+			t.Logf("%4d hosts, %-10s: at most %2d in a second of %d allowed, %.2f of the bound used", hosts, name, most, bound, used)
+			if name == "owner" {
+				assert.Assert(t, most <= bound/coldOwners && used > 0.4)
+			}
+		}
+	}
+}
--- a/tier/policy/fleet.go
+++ b/tier/policy/fleet.go
@@ -36,8 +36,10 @@
 // Fleet holds the upstreams and what all requests of a host share about them.
 // It is safe for concurrent use.
 type Fleet struct {
-	mu        sync.Mutex
-	random    Random
+	mu     sync.Mutex
+	random Random
+	// self is the name of this host, as SetColdOwners gave it.
+	self      string
 	upstreams map[string]*Upstream
 	pools     map[string]*Pool
 	classes   map[string]*classState
@@ -82,6 +84,8 @@
 	// hall of this host.
 	Hall string
 	Near bool
+	// Cold is what is known of its start.
+	Cold Cold
 }
 
 // Apply sets the shares of all upstreams; one that is not named is forgotten.
@@ -100,6 +104,7 @@
 		u.listed, u.near, u.hall = s.Listed, s.Near, s.Hall
 		if s.Listed {
 			u.reported = f.conditionsOf(s.Hall)
+			u.cold.take(now, s.Cold)
 		}
 		u.borrowed = min(u.borrowed, u.most-u.share)
 		next[s.Name] = u
--- a/tier/policy/policy.go
+++ b/tier/policy/policy.go
@@ -29,6 +29,10 @@
 	CallLeaving CallOutcome = "Leaving"
 	// CallNotSent is a call that this host held back; it did not run.
 	CallNotSent CallOutcome = "NotSent"
+	// CallBarred is a call that was not made because its upstream may get none of
+	// the route at the moment: its hall is evacuated or no home of the route, it
+	// leaves, or it is cold and has had what it bears.
+	CallBarred CallOutcome = "Barred"
 	// CallStalled is a call that was not made because its upstream, as the host
 	// near it knows, answers nobody for the moment.
 	CallStalled CallOutcome = "Stalled"
@@ -54,7 +58,7 @@
 // NotRun reports whether the outcome proves that the call did not run.
 func (o CallOutcome) NotRun() bool {
 	switch o {
-	case CallUnreachable, CallShed, CallLeaving, CallNotSent, CallStalled, CallSnapshotGone, CallMoved:
+	case CallUnreachable, CallShed, CallLeaving, CallNotSent, CallBarred, CallStalled, CallSnapshotGone, CallMoved:
 		return true
 	default:
 		return false
@@ -63,7 +67,7 @@
 
 // arrived reports whether the call may have reached the upstream.
 func (o CallOutcome) arrived() bool {
-	return o != CallUnreachable && o != CallNotSent && o != CallStalled
+	return o != CallUnreachable && o != CallNotSent && o != CallBarred && o != CallStalled
 }
 
 // broken reports whether the outcome speaks against the upstream's health.
--- a/tier/policy/route.go
+++ b/tier/policy/route.go
@@ -1,6 +1,10 @@
 package policy
 
-import "time"
+import (
+	"time"
+
+	"loomgap/tier/query"
+)
 
 // Times of hedges of routed requests.
 const (
@@ -35,6 +39,11 @@
 	Hall string
 	// Objective is the time within which an answer has its full worth.
 	Objective time.Duration
+	// Relayed is true if other hosts can make calls for the run.
+	Relayed bool
+	// Absent holds for each part why none of its upstreams may be asked; empty for
+	// those with an upstream.
+	Absent []query.Reason
 }
 
 // otherHallFactor counts an upstream for slower that is neither near nor in
--- a/tier/policy/upstream.go
+++ b/tier/policy/upstream.go
@@ -57,6 +57,8 @@
 	limit, goodCalls int
 	// stall is whether it answers nobody for the moment.
 	stall stall
+	// cold is whether it bears few calls for the moment.
+	cold cold
 	// slowness is the smoothed ratio of its calls' time to the median of like
 	// calls, for a listed upstream; 0 before the first call. Unlike the latency
 	// it does not depend on which routes' calls it had last.
@@ -301,7 +303,7 @@
 
 // fit reports whether nothing speaks against a call now.
 func (u *Upstream) fit(now time.Duration) bool {
-	return !u.leaving && !u.slow && now >= u.ejectedUntil && now >= u.backoffUntil
+	return !u.leaving && !u.slow && now >= u.ejectedUntil && now >= u.backoffUntil && !u.cold.bounded(now)
 }
 
 // judge decides whether the upstream is slow. The bound for becoming slow is
--- a/tier/query/cover.go
+++ b/tier/query/cover.go
@@ -19,6 +19,12 @@
 	ReasonSnapshotGone Reason = "SnapshotGone"
 	ReasonMoved        Reason = "Moved"
 	ReasonGarbage      Reason = "Garbage"
+	// ReasonEvacuated and ReasonAway mean that the upstreams which are left lie in
+	// evacuated halls, or in regions that are no home of the route; ReasonCold that
+	// they have not warmed up and bear no further call.
+	ReasonEvacuated Reason = "Evacuated"
+	ReasonAway      Reason = "Away"
+	ReasonCold      Reason = "Cold"
 )
 
 // Range is a half-open range of keys.
