--- a/loomfake/soak.go
+++ b/loomfake/soak.go
@@ -29,6 +29,8 @@
 	Callers int
 	// Shards is how many shards a gather has.
 	Shards int
+	// Evacuate has a hall evacuated once the faults have ended.
+	Evacuate bool
 	// Dir is where the logs of the daemons are kept.
 	Dir string
 }
@@ -62,6 +64,7 @@
 	f.IntVar(&c.Hosts, "Hosts", 2, "`number` of entry hosts in each hall")
 	f.IntVar(&c.Callers, "Callers", 12, "`number` of callers")
 	f.IntVar(&c.Shards, "Shards", 5, "`number` of shards")
+	f.BoolVar(&c.Evacuate, "Evacuate", true, "evacuate a hall once the faults have ended")
 	f.StringVar(&c.Dir, "Dir", "", "`directory` for the daemons' logs; empty for a new one that is removed if all is well")
 }
 
--- a/loomfake/soak_test.go
+++ b/loomfake/soak_test.go
@@ -36,13 +36,15 @@
 		seeds = append(seeds, f.seed)
 	}
 	for _, seed := range seeds {
-		t.Run(fmt.Sprint("Seed", seed), func(t *testing.T) { soakOnce(t, seed) })
+		t.Run(fmt.Sprint("Seed", seed), func(t *testing.T) { soakOnce(t, seed, false) })
 	}
+	t.Run("Evacuation", func(t *testing.T) { soakOnce(t, 24, true) })
 }
 
-func soakOnce(t *testing.T, seed uint64) {
+func soakOnce(t *testing.T, seed uint64, evacuate bool) {
 	s, cleanUp, err := newSoak(soakConfig{
 		Seed: seed, For: 4 * time.Second, Daemon: filepath.Join(programs, "loomd"), Hosts: 2, Callers: 6, Shards: 4, Dir: t.TempDir(),
+		Evacuate: evacuate,
 	})
 	assert.NilError(t, err)
 	err = s.run(t.Context())
@@ -178,6 +180,12 @@
 			s.named("single1").leftAt = second
 			s.arrive("single1", "x", 30*second)
 		}},
+		{"evacuated halls", func(s *soak) {
+			s.evacuatedAt = second
+			u := s.named("single1")
+			u.hall = halls[0]
+			s.arrive("single1", "x", 10*second)
+		}},
 		{"repeats", func(s *soak) {
 			for i := range 60 {
 				id := string(rune('A' + i))
--- a/loomfake/soakcheck.go
+++ b/loomfake/soakcheck.go
@@ -48,6 +48,7 @@
 	}
 	c.versions()
 	c.leaving()
+	c.evacuation()
 	c.repeats()
 	c.recovery()
 	return c.broken
@@ -185,6 +186,23 @@
 	}
 }
 
+// evacuation looks for requests that reached an upstream long after its hall was
+// evacuated.
+func (c *checker) evacuation() {
+	if c.soak.evacuatedAt == 0 {
+		return
+	}
+	for _, u := range c.soak.upstreams {
+		if u.hall != halls[0] {
+			continue
+		}
+		for _, a := range u.seen() {
+			late := a.at - c.soak.evacuatedAt
+			c.hold("evacuated halls", late <= soakUntouched, "%s got %s %s after its hall was evacuated", u.Name, a.id, late)
+		}
+	}
+}
+
 // leaving looks for requests that reached an upstream long after it left. A
 // fault of a host or of the store may have kept the news back.
 func (c *checker) leaving() {
--- a/loomfake/soakrun.go
+++ b/loomfake/soakrun.go
@@ -64,6 +64,9 @@
 	s.inject(faults)
 	stopFaults()
 	s.heal()
+	if s.Evacuate {
+		s.evacuate()
+	}
 	sleep(ctx, soakHeal+soakLast)
 	stopCallers()
 	all.Wait()
@@ -389,6 +392,14 @@
 	return func() { s.store.Remove(platform.UpstreamPrefix + u.Name) }
 }
 
+// evacuate asks that the upstreams of the first hall get nothing from now on.
+func (s *soak) evacuate() {
+	s.must(s.store.Put(platform.EvacuationPrefix+halls[0], struct{}{}))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.evacuatedAt = s.now()
+}
+
 // heal ends what may still be wrong. Faults end by themselves; a host that was
 // started while its end was awaited is already there.
 func (s *soak) heal() {
--- a/loomfake/soaksite.go
+++ b/loomfake/soaksite.go
@@ -150,9 +150,11 @@
 	injected  map[string]int
 	// storeTouched is when the store was last disturbed.
 	storeTouched time.Duration
-	asked        []asked
-	checked      map[string]int
-	versions     []version
+	// evacuatedAt is when the first hall was evacuated; 0 for never.
+	evacuatedAt time.Duration
+	asked       []asked
+	checked     map[string]int
+	versions    []version
 }
 
 // version is one published configuration.
