fix: the soak's operator publishes one version after the other

Traced by the daemons' control lines, which a failing soak prints: all hosts stood at revision 33 with the routes of version 4, and one that read the whole store 1.7 s later found revision 33 as well. Ruled out: readers that lost the store, a slow takeover, hosts that did not announce. The new test failed first (50 rounds of eight at a time).

--- a/loomfake/soak_test.go
+++ b/loomfake/soak_test.go
@@ -5,10 +5,13 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptest"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -25,7 +28,7 @@
 }{
 	{4, "a fault on a host that was down already waited for the daemon started since, and never ended"},
 	{10, "as seed 4"},
-	{311, "the check took two requests that were under way at once for one after the other, just as a version came in force"},
+	{311, "the check took two requests that were under way at once for one after the other, just as a version came in force; later, two faults that ended together published the older version last"},
 	{40, "two hosts of the soak were given one port, which was free when each was asked for"},
 }
 
@@ -59,6 +62,31 @@
 	assert.Assert(t, len(s.asked) > 0)
 }
 
+// TestVersionsArePublishedInOrder has faults end together that each publish a
+// configuration: the last one in the store is the newest, with all routes.
+func TestVersionsArePublishedInOrder(t *testing.T) {
+	const together = 8
+	for range 50 {
+		s := soaked()
+		s.store, s.versions, s.routes = mock.NewStore(), nil, 0
+		server := httptest.NewServer(s.store)
+		var all sync.WaitGroup
+		for range together {
+			all.Go(func() { s.must(s.publish()) })
+		}
+		all.Wait()
+		source, closeSource := platform.Open(netip.MustParseAddrPort(server.Listener.Addr().String()))
+		p, err := source.Read(t.Context(), true)
+		closeSource()
+		server.Close()
+		assert.NilError(t, err)
+		assert.Equal(t, len(p.Document.Routes), 3+together)
+		for i, v := range s.versions {
+			assert.Equal(t, v.routes, i+1)
+		}
+	}
+}
+
 // controlMessages are the log lines that tell how a daemon follows what is
 // published.
 var controlMessages = []string{
--- a/loomfake/soaksite.go
+++ b/loomfake/soaksite.go
@@ -142,6 +142,9 @@
 	store   *mock.Store
 	closers []func()
 	hosts   []*soakHost
+	// publishing is held while a configuration is written, so that the versions
+	// come into the store in their order: faults that end together publish together.
+	publishing sync.Mutex
 
 	mu        sync.Mutex
 	upstreams []*soakUpstream
@@ -292,6 +295,8 @@
 // publish writes the configuration with the newest set of shards, and one
 // route more than before, by which hosts are seen to follow.
 func (s *soak) publish() error {
+	s.publishing.Lock()
+	defer s.publishing.Unlock()
 	s.mu.Lock()
 	s.routes++
 	n, set := s.routes, s.sets[len(s.sets)-1]
