feat: operators see evacuated halls, cold upstreams and barred calls

/status and loomctl status tell the host's region, the evacuated halls, and upstreams that are evacuated or cold, with the one host that calls a bounded cold one; loomgap_calls_barred_total counts calls that were not sent, by reason. An upstream of an evacuated hall was shown as Leaving before. The generated code is that of make generate. Tests of tier and loomctl pass; no decision changed.

--- a/loomctl/status.go
+++ b/loomctl/status.go
@@ -48,16 +48,22 @@
 }
 
 func printStatus(s *opsgen.StatusResult) {
-	fmt.Printf("Host %s in hall %s, incarnation %s: %s, %d in flight\n", s.Host, s.Hall, s.Incarnation, s.State, s.InFlight)
+	fmt.Printf("Host %s in hall %s, region %q, incarnation %s: %s, %d in flight\n", s.Host, s.Hall, s.Region, s.Incarnation, s.State, s.InFlight)
 	fmt.Printf("Configuration %d, digest %s; platform silent for %d ms, watching %t\n", s.Revision, s.Digest, s.PlatformSilentMillis, s.Watching)
 	if s.Refused != "" {
 		fmt.Printf("Refused: %s\n", s.Refused)
 	}
+	for _, h := range s.EvacuatedHalls {
+		fmt.Printf("Evacuated: %s\n", h)
+	}
 	for _, m := range s.Members {
 		fmt.Printf("Member %s (%s): %s, configuration %d\n", m.Name, m.Incarnation, m.State, m.Revision)
 	}
 	for _, u := range s.Upstreams {
 		fmt.Printf("Upstream %s: %s, %d of %d slots, %d queued, %d us, snapshots %d to %d\n",
 			u.Name, u.State, u.InUse, u.Share, u.Queued, u.LatencyMicros, u.Oldest, u.Newest)
+		if u.ColdOwner != "" {
+			fmt.Printf("Upstream %s: cold, called by %s alone\n", u.Name, u.ColdOwner)
+		}
 	}
 }
--- a/tier/design/design.go
+++ b/tier/design/design.go
@@ -146,14 +146,15 @@
 // UpstreamStatus is one upstream as this host sees it.
 var UpstreamStatus = Type("UpstreamStatus", func() {
 	Attribute("Name", String)
-	Attribute("State", String, func() { Enum("Live", "Slow", "Ejected", "Leaving") })
+	Attribute("State", String, func() { Enum("Live", "Slow", "Ejected", "Leaving", "Evacuated", "Cold") })
+	Attribute("ColdOwner", String, "Host that makes the calls to it while it is cold and bears a bounded number; empty for any")
 	Attribute("InUse", UInt32, "Slots in use by this host")
 	Attribute("Share", UInt32, "Slots that this host may use")
 	Attribute("Queued", UInt32, "Calls that wait for a slot")
 	Attribute("LatencyMicros", UInt64, "Smoothed latency in microseconds")
 	Attribute("Oldest", UInt64, "Oldest snapshot held")
 	Attribute("Newest", UInt64, "Newest snapshot held")
-	Required("Name", "State", "InUse", "Share", "Queued", "LatencyMicros", "Oldest", "Newest")
+	Required("Name", "State", "ColdOwner", "InUse", "Share", "Queued", "LatencyMicros", "Oldest", "Newest")
 })
 
 var _ = Service("ops", func() {
@@ -165,6 +166,8 @@
 		Result(func() {
 			Attribute("Host", String)
 			Attribute("Hall", String)
+			Attribute("Region", String, "Region of the hall; empty if the settings do not name it")
+			Attribute("EvacuatedHalls", ArrayOf(String), "Halls whose upstreams get nothing")
 			Attribute("Incarnation", String)
 			Attribute("State", String, func() { Enum("Starting", "Ready", "Draining") })
 			Attribute("Revision", UInt64, "Configuration revision in force")
@@ -175,7 +178,7 @@
 			Attribute("InFlight", Int64, "Requests in flight")
 			Attribute("Members", ArrayOf(Member))
 			Attribute("Upstreams", ArrayOf(UpstreamStatus))
-			Required("Host", "Hall", "Incarnation", "State", "Revision", "Digest", "Refused",
+			Required("Host", "Hall", "Region", "EvacuatedHalls", "Incarnation", "State", "Revision", "Digest", "Refused",
 				"PlatformSilentMillis", "Watching", "InFlight", "Members", "Upstreams")
 		})
 		HTTP(func() { GET("/status") })
--- a/tier/entry/ops.go
+++ b/tier/entry/ops.go
@@ -13,6 +13,7 @@
 	"loomgap/tier/gen/http/ops/server"
 	opsgen "loomgap/tier/gen/ops"
 	"loomgap/tier/kernel"
+	"loomgap/tier/policy"
 )
 
 // operators serves operators.
@@ -74,7 +75,7 @@
 	k := s.kernel
 	v, now := k.View(), k.Now()
 	out := &opsgen.StatusResult{
-		Host: k.Settings.Host, Hall: k.Settings.Hall, Incarnation: k.Settings.Incarnation, State: string(k.Phase()),
+		Host: k.Settings.Host, Hall: k.Settings.Hall, Region: k.Settings.Region(), EvacuatedHalls: v.Directory.EvacuatedHalls(), Incarnation: k.Settings.Incarnation, State: string(k.Phase()),
 		Refused: v.Refused, PlatformSilentMillis: (now - v.PlatformHeard).Milliseconds(), Watching: v.Reading,
 		InFlight: k.InFlight.Load(), Members: []*opsgen.Member{}, Upstreams: []*opsgen.UpstreamStatus{},
 	}
@@ -86,15 +87,8 @@
 	}
 	slices.SortFunc(out.Members, func(a, b *opsgen.Member) int { return cmp.Compare(a.Name, b.Name) })
 	for _, u := range k.Fleet.State(now) {
-		state := "Live"
-		if u.Ejected {
-			state = "Ejected"
-		}
-		if u.Leaving {
-			state = "Leaving"
-		}
 		out.Upstreams = append(out.Upstreams, &opsgen.UpstreamStatus{
-			Name: u.Name, State: state, InUse: uint32(max(u.InUse, 0)), Share: uint32(max(u.Share, 0)), Queued: uint32(max(u.Queued, 0)),
+			Name: u.Name, State: upstreamState(&u), ColdOwner: u.ColdOwner, InUse: uint32(max(u.InUse, 0)), Share: uint32(max(u.Share, 0)), Queued: uint32(max(u.Queued, 0)),
 			LatencyMicros: uint64(u.Latency.Microseconds()), Oldest: u.Window.Oldest, Newest: u.Window.Newest,
 		})
 	}
@@ -102,6 +96,23 @@
 	return out, nil
 }
 
+// upstreamState names what matters most of an upstream: an upstream of an evacuated
+// hall gets nothing, whatever else it does.
+func upstreamState(u *policy.UpstreamState) string {
+	switch {
+	case u.Evacuated:
+		return "Evacuated"
+	case u.Leaving:
+		return "Leaving"
+	case u.Ejected:
+		return "Ejected"
+	case u.Cold:
+		return "Cold"
+	default:
+		return "Live"
+	}
+}
+
 func memberState(m *kernel.Member) string {
 	switch {
 	case m.Leaving:
--- a/tier/gen/http/cli/loomd/cli.go
+++ b/tier/gen/http/cli/loomd/cli.go
@@ -31,7 +31,7 @@
 
 // UsageExamples produces an example of a valid invocation of the CLI tool.
 func UsageExamples() string {
-	return os.Args[0] + " " + "entry ask --body '{\n      \"Class\": \"ge7\",\n      \"DeadlineMillis\": 1725229700559401862,\n      \"Statement\": \"l4z\"\n   }'" + "\n" +
+	return os.Args[0] + " " + "entry ask --body '{\n      \"Class\": \"gjq\",\n      \"DeadlineMillis\": 2152007969136238148,\n      \"Statement\": \"e0c\"\n   }'" + "\n" +
 		os.Args[0] + " " + "ops status" + "\n" +
 		""
 }
@@ -220,7 +220,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "entry ask --body '{\n      \"Class\": \"ge7\",\n      \"DeadlineMillis\": 1725229700559401862,\n      \"Statement\": \"l4z\"\n   }'")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "entry ask --body '{\n      \"Class\": \"gjq\",\n      \"DeadlineMillis\": 2152007969136238148,\n      \"Statement\": \"e0c\"\n   }'")
 }
 
 func entryTicketUsage() {
@@ -254,7 +254,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "entry order --body '{\n      \"Class\": \"cg2\",\n      \"DeadlineMillis\": 192590037623725835,\n      \"Statement\": \"u3n\",\n      \"Ticket\": \"htr\"\n   }'")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "entry order --body '{\n      \"Class\": \"tx0\",\n      \"DeadlineMillis\": 4735017815054920427,\n      \"Statement\": \"sd3\",\n      \"Ticket\": \"7vq\"\n   }'")
 }
 
 // opsUsage displays the usage of the ops command and its subcommands.
--- a/tier/gen/http/entry/client/cli.go
+++ b/tier/gen/http/entry/client/cli.go
@@ -23,7 +23,7 @@
 	{
 		err = json.Unmarshal([]byte(entryAskBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"Class\": \"ge7\",\n      \"DeadlineMillis\": 1725229700559401862,\n      \"Statement\": \"l4z\"\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"Class\": \"gjq\",\n      \"DeadlineMillis\": 2152007969136238148,\n      \"Statement\": \"e0c\"\n   }'")
 		}
 		if utf8.RuneCountInString(body.Statement) > 16384 {
 			err = goa.MergeErrors(err, goa.InvalidLengthError("body.Statement", body.Statement, utf8.RuneCountInString(body.Statement), 16384, false))
@@ -52,7 +52,7 @@
 	{
 		err = json.Unmarshal([]byte(entryOrderBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"Class\": \"cg2\",\n      \"DeadlineMillis\": 192590037623725835,\n      \"Statement\": \"u3n\",\n      \"Ticket\": \"htr\"\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"Class\": \"tx0\",\n      \"DeadlineMillis\": 4735017815054920427,\n      \"Statement\": \"sd3\",\n      \"Ticket\": \"7vq\"\n   }'")
 		}
 		if utf8.RuneCountInString(body.Ticket) > 256 {
 			err = goa.MergeErrors(err, goa.InvalidLengthError("body.Ticket", body.Ticket, utf8.RuneCountInString(body.Ticket), 256, false))
--- a/tier/gen/http/ops/client/encode_decode.go
+++ b/tier/gen/http/ops/client/encode_decode.go
@@ -248,6 +248,7 @@
 	res := &ops.UpstreamStatus{
 		Name:          *v.Name,
 		State:         *v.State,
+		ColdOwner:     *v.ColdOwner,
 		InUse:         *v.InUse,
 		Share:         *v.Share,
 		Queued:        *v.Queued,
--- a/tier/gen/http/ops/client/types.go
+++ b/tier/gen/http/ops/client/types.go
@@ -16,10 +16,14 @@
 // StatusResponseBody is the type of the "ops" service "status" endpoint HTTP
 // response body.
 type StatusResponseBody struct {
-	Host        *string `form:"Host,omitempty" json:"Host,omitempty" xml:"Host,omitempty"`
-	Hall        *string `form:"Hall,omitempty" json:"Hall,omitempty" xml:"Hall,omitempty"`
-	Incarnation *string `form:"Incarnation,omitempty" json:"Incarnation,omitempty" xml:"Incarnation,omitempty"`
-	State       *string `form:"State,omitempty" json:"State,omitempty" xml:"State,omitempty"`
+	Host *string `form:"Host,omitempty" json:"Host,omitempty" xml:"Host,omitempty"`
+	Hall *string `form:"Hall,omitempty" json:"Hall,omitempty" xml:"Hall,omitempty"`
+	// Region of the hall; empty if the settings do not name it
+	Region *string `form:"Region,omitempty" json:"Region,omitempty" xml:"Region,omitempty"`
+	// Halls whose upstreams get nothing
+	EvacuatedHalls []string `form:"EvacuatedHalls,omitempty" json:"EvacuatedHalls,omitempty" xml:"EvacuatedHalls,omitempty"`
+	Incarnation    *string  `form:"Incarnation,omitempty" json:"Incarnation,omitempty" xml:"Incarnation,omitempty"`
+	State          *string  `form:"State,omitempty" json:"State,omitempty" xml:"State,omitempty"`
 	// Configuration revision in force
 	Revision *uint64 `form:"Revision,omitempty" json:"Revision,omitempty" xml:"Revision,omitempty"`
 	// Digest of the document in force
@@ -66,6 +70,9 @@
 type UpstreamStatusResponseBody struct {
 	Name  *string `form:"Name,omitempty" json:"Name,omitempty" xml:"Name,omitempty"`
 	State *string `form:"State,omitempty" json:"State,omitempty" xml:"State,omitempty"`
+	// Host that makes the calls to it while it is cold and bears a bounded number;
+	// empty for any
+	ColdOwner *string `form:"ColdOwner,omitempty" json:"ColdOwner,omitempty" xml:"ColdOwner,omitempty"`
 	// Slots in use by this host
 	InUse *uint32 `form:"InUse,omitempty" json:"InUse,omitempty" xml:"InUse,omitempty"`
 	// Slots that this host may use
@@ -86,6 +93,7 @@
 	v := &ops.StatusResult{
 		Host:                 *body.Host,
 		Hall:                 *body.Hall,
+		Region:               *body.Region,
 		Incarnation:          *body.Incarnation,
 		State:                *body.State,
 		Revision:             *body.Revision,
@@ -95,6 +103,10 @@
 		Watching:             *body.Watching,
 		InFlight:             *body.InFlight,
 	}
+	v.EvacuatedHalls = make([]string, len(body.EvacuatedHalls))
+	for i, val := range body.EvacuatedHalls {
+		v.EvacuatedHalls[i] = val
+	}
 	v.Members = make([]*ops.Member, len(body.Members))
 	for i, val := range body.Members {
 		if val == nil {
@@ -145,6 +157,12 @@
 	if body.Hall == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("Hall", "body"))
 	}
+	if body.Region == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("Region", "body"))
+	}
+	if body.EvacuatedHalls == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("EvacuatedHalls", "body"))
+	}
 	if body.Incarnation == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("Incarnation", "body"))
 	}
@@ -255,6 +273,9 @@
 	if body.State == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("State", "body"))
 	}
+	if body.ColdOwner == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ColdOwner", "body"))
+	}
 	if body.InUse == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("InUse", "body"))
 	}
@@ -274,8 +295,8 @@
 		err = goa.MergeErrors(err, goa.MissingFieldError("Newest", "body"))
 	}
 	if body.State != nil {
-		if !(*body.State == "Live" || *body.State == "Slow" || *body.State == "Ejected" || *body.State == "Leaving") {
-			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.State", *body.State, []any{"Live", "Slow", "Ejected", "Leaving"}))
+		if !(*body.State == "Live" || *body.State == "Slow" || *body.State == "Ejected" || *body.State == "Leaving" || *body.State == "Evacuated" || *body.State == "Cold") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.State", *body.State, []any{"Live", "Slow", "Ejected", "Leaving", "Evacuated", "Cold"}))
 		}
 	}
 	return
--- a/tier/gen/http/ops/server/encode_decode.go
+++ b/tier/gen/http/ops/server/encode_decode.go
@@ -107,6 +107,7 @@
 	res := &UpstreamStatusResponseBody{
 		Name:          v.Name,
 		State:         v.State,
+		ColdOwner:     v.ColdOwner,
 		InUse:         v.InUse,
 		Share:         v.Share,
 		Queued:        v.Queued,
--- a/tier/gen/http/ops/server/types.go
+++ b/tier/gen/http/ops/server/types.go
@@ -14,10 +14,14 @@
 // StatusResponseBody is the type of the "ops" service "status" endpoint HTTP
 // response body.
 type StatusResponseBody struct {
-	Host        string `form:"Host" json:"Host" xml:"Host"`
-	Hall        string `form:"Hall" json:"Hall" xml:"Hall"`
-	Incarnation string `form:"Incarnation" json:"Incarnation" xml:"Incarnation"`
-	State       string `form:"State" json:"State" xml:"State"`
+	Host string `form:"Host" json:"Host" xml:"Host"`
+	Hall string `form:"Hall" json:"Hall" xml:"Hall"`
+	// Region of the hall; empty if the settings do not name it
+	Region string `form:"Region" json:"Region" xml:"Region"`
+	// Halls whose upstreams get nothing
+	EvacuatedHalls []string `form:"EvacuatedHalls" json:"EvacuatedHalls" xml:"EvacuatedHalls"`
+	Incarnation    string   `form:"Incarnation" json:"Incarnation" xml:"Incarnation"`
+	State          string   `form:"State" json:"State" xml:"State"`
 	// Configuration revision in force
 	Revision uint64 `form:"Revision" json:"Revision" xml:"Revision"`
 	// Digest of the document in force
@@ -64,6 +68,9 @@
 type UpstreamStatusResponseBody struct {
 	Name  string `form:"Name" json:"Name" xml:"Name"`
 	State string `form:"State" json:"State" xml:"State"`
+	// Host that makes the calls to it while it is cold and bears a bounded number;
+	// empty for any
+	ColdOwner string `form:"ColdOwner" json:"ColdOwner" xml:"ColdOwner"`
 	// Slots in use by this host
 	InUse uint32 `form:"InUse" json:"InUse" xml:"InUse"`
 	// Slots that this host may use
@@ -84,6 +91,7 @@
 	body := &StatusResponseBody{
 		Host:                 res.Host,
 		Hall:                 res.Hall,
+		Region:               res.Region,
 		Incarnation:          res.Incarnation,
 		State:                res.State,
 		Revision:             res.Revision,
@@ -93,6 +101,14 @@
 		Watching:             res.Watching,
 		InFlight:             res.InFlight,
 	}
+	if res.EvacuatedHalls != nil {
+		body.EvacuatedHalls = make([]string, len(res.EvacuatedHalls))
+		for i, val := range res.EvacuatedHalls {
+			body.EvacuatedHalls[i] = val
+		}
+	} else {
+		body.EvacuatedHalls = []string{}
+	}
 	if res.Members != nil {
 		body.Members = make([]*MemberResponseBody, len(res.Members))
 		for i, val := range res.Members {
--- a/tier/gen/ops/service.go
+++ b/tier/gen/ops/service.go
@@ -63,10 +63,14 @@
 
 // StatusResult is the result type of the ops service status method.
 type StatusResult struct {
-	Host        string
-	Hall        string
-	Incarnation string
-	State       string
+	Host string
+	Hall string
+	// Region of the hall; empty if the settings do not name it
+	Region string
+	// Halls whose upstreams get nothing
+	EvacuatedHalls []string
+	Incarnation    string
+	State          string
 	// Configuration revision in force
 	Revision uint64
 	// Digest of the document in force
@@ -86,6 +90,9 @@
 type UpstreamStatus struct {
 	Name  string
 	State string
+	// Host that makes the calls to it while it is cold and bears a bounded number;
+	// empty for any
+	ColdOwner string
 	// Slots in use by this host
 	InUse uint32
 	// Slots that this host may use
--- a/tier/pass/places.go
+++ b/tier/pass/places.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"loomgap/tier/config"
 	"loomgap/tier/kernel"
 	"loomgap/tier/policy"
@@ -40,6 +42,7 @@
 	if reason == "" {
 		return true
 	}
+	metrics.GetOrCreateCounter(`loomgap_calls_barred_total{Reason="` + string(reason) + `"}`).Inc()
 	e.kernel.Decisions.Info().Str("RequestID", request).Str("Upstream", u.Name).
 		Str("Reason", string(reason)).Msg("call barred")
 	return false
--- a/tier/policy/cold.go
+++ b/tier/policy/cold.go
@@ -96,6 +96,14 @@
 // bounded reports whether calls to the upstream are bounded now.
 func (c *cold) bounded(now time.Duration) bool { return c.told.Calls > 0 && now < c.until }
 
+// ownerAt is the host that makes the calls now; empty if any may.
+func (c *cold) ownerAt(now time.Duration) string {
+	if !c.bounded(now) {
+		return ""
+	}
+	return c.owner
+}
+
 // limit is how many calls the owner sends within a second.
 func (c *cold) limit() int { return max(c.told.Calls/coldOwners, 1) }
 
@@ -153,11 +161,7 @@
 func (f *Fleet) DestinationOf(now time.Duration, u *Upstream) Destination {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	out := Destination{Hall: u.hall}
-	if u.cold.bounded(now) {
-		out.Owner = u.cold.owner
-	}
-	return out
+	return Destination{Hall: u.hall, Owner: u.cold.ownerAt(now)}
 }
 
 // AdmitCold reports whether this host may send a call to an upstream now, and
--- a/tier/policy/fleet.go
+++ b/tier/policy/fleet.go
@@ -312,6 +312,10 @@
 	Latency              time.Duration
 	Window               Window
 	Ejected, Leaving     bool
+	// Evacuated is true while its hall is evacuated, Cold while it has not warmed
+	// up; ColdOwner is the host that makes the calls to it then, empty for any.
+	Evacuated, Cold bool
+	ColdOwner       string
 }
 
 // State lists all upstreams.
@@ -323,6 +327,7 @@
 		out = append(out, UpstreamState{
 			Name: u.Name, InUse: u.inUse, Share: u.share, Queued: u.queue.Len(),
 			Latency: u.latency, Window: u.window, Ejected: now < u.ejectedUntil, Leaving: u.leaving,
+			Evacuated: u.cold.told.Evacuated, Cold: now < u.cold.until, ColdOwner: u.cold.ownerAt(now),
 		})
 	}
 	return out
