refactor: shards are named once for a document, one test of callable hosts

The names of all shards were collected again whenever shares were worked out anew, which is some forty times while a host of a large fleet starts: the index of a document holds them now, made when the document is accepted.

--- a/tier/config/index.go
+++ b/tier/config/index.go
@@ -22,6 +22,7 @@
 	groups    map[string]*Group
 	routes    routeTable
 	named     map[string]*Route
+	shards    map[string]bool
 }
 
 // Accept decodes and checks a published document.
@@ -46,6 +47,7 @@
 		groups:    map[string]*Group{},
 		routes:    newRouteTable(d),
 		named:     map[string]*Route{},
+		shards:    d.shards(),
 	}
 	for i := range d.Classes {
 		x.classes[d.Classes[i].Name] = &d.Classes[i]
--- a/tier/config/route.go
+++ b/tier/config/route.go
@@ -111,8 +111,11 @@
 	return xxhash.Sum64(text)
 }
 
-// Shards names the groups that are shards of any route.
-func (d *Document) Shards() map[string]bool {
+// Shards names the groups that are shards of any route. It is not to be changed.
+func (x *Index) Shards() map[string]bool { return x.shards }
+
+// shards names the groups that are shards of any route.
+func (d *Document) shards() map[string]bool {
 	out := map[string]bool{}
 	for i := range d.Routes {
 		if d.Routes[i].Gather == nil {
--- a/tier/kernel/state.go
+++ b/tier/kernel/state.go
@@ -125,6 +125,9 @@
 	Capacity int
 }
 
+// Callable reports whether requests and calls may be handed to the host.
+func (m *Member) Callable() bool { return m.Live && !m.Leaving && m.Peer.IsValid() }
+
 // SourceSign is the last announcement of a host that announces what is published.
 type SourceSign struct {
 	At time.Duration
--- a/tier/pass/engine.go
+++ b/tier/pass/engine.go
@@ -130,7 +130,7 @@
 	ratio, slack := b.retryBudget.Ratio, b.retryBudget.Slack*slackShare
 	return policy.RetryBudgets{
 		Shards: policy.ShareRetryBudget(ratio, slack, b.coordinating), Single: policy.ShareRetryBudget(ratio, slack, b.known),
-		IsShard: b.index.Document.Shards(),
+		IsShard: b.index.Shards(),
 	}
 }
 
--- a/tier/pass/forward.go
+++ b/tier/pass/forward.go
@@ -82,7 +82,7 @@
 func liveHosts(v *kernel.View, of func(hall string) bool) []policy.Candidate {
 	var out []policy.Candidate
 	for n, m := range v.Members {
-		if m.Live && !m.Leaving && m.Peer.IsValid() && of(m.Hall) {
+		if m.Callable() && of(m.Hall) {
 			out = append(out, policy.Candidate{Host: n, Hall: m.Hall, Capacity: m.Capacity})
 		}
 	}
--- a/tier/pass/hosts.go
+++ b/tier/pass/hosts.go
@@ -77,7 +77,7 @@
 	}
 	var names []string
 	for n, m := range v.Members {
-		if m.Live && !m.Leaving && m.Hall == hall && m.Peer.IsValid() && outstanding[n] == 0 && r.answers(n, now) {
+		if m.Callable() && m.Hall == hall && outstanding[n] == 0 && r.answers(n, now) {
 			names = append(names, n)
 		}
 	}
@@ -96,7 +96,7 @@
 func (r *relays) answering(v *kernel.View, host string, now time.Duration) string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if m := v.Members[host]; !m.Live || m.Leaving || !m.Peer.IsValid() || !r.answers(host, now) {
+	if m := v.Members[host]; !m.Callable() || !r.answers(host, now) {
 		return ""
 	}
 	return host
