--- a/tier/pass/serve.go
+++ b/tier/pass/serve.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -61,6 +62,10 @@
 	head                []byte
 	method              string
 	body                []byte
+	// caller is the address that the request came from; the zero value at a host
+	// that carries it out for another. fingerprint is empty until the request is read.
+	caller      netip.Addr
+	fingerprint policy.Fingerprint
 
 	// single is the answer that was taken, failure the last failure that an
 	// upstream answered with; both for a request to one group.
@@ -88,7 +93,7 @@
 	e.kernel.InFlight.Add(1)
 	defer e.kernel.InFlight.Add(-1)
 	e.kernel.Wake()
-	q := &request{engine: e, id: r.Header.Get(e.headers.RequestID), begun: e.kernel.Now(), method: r.Method}
+	q := &request{engine: e, id: r.Header.Get(e.headers.RequestID), begun: e.kernel.Now(), method: r.Method, caller: callerOf(r)}
 	configured := e.awaitConfiguration(r.Context())
 	q.view = e.kernel.View()
 	if e.kernel.Phase() == kernel.PhaseDraining {
@@ -132,6 +137,16 @@
 	}
 }
 
+// callerOf returns the address that a request came from; the zero value if the
+// server does not tell it.
+func callerOf(r *http.Request) netip.Addr {
+	at, err := netip.ParseAddrPort(r.RemoteAddr)
+	if err != nil {
+		return netip.Addr{}
+	}
+	return at.Addr().Unmap()
+}
+
 // hostOnly takes the port off a Host header.
 func hostOnly(host string) string {
 	if h, _, err := net.SplitHostPort(host); err == nil {
@@ -172,6 +187,8 @@
 		q.body = body
 	}
 	q.head = headOf(r, &q.engine.headers, len(q.body))
+	identity := policy.Identity{Caller: q.caller, Method: r.Method, HostName: r.Host, Target: r.RequestURI, Body: q.body}
+	q.fingerprint = identity.Fingerprint()
 	return true
 }
 
