--- a/tier/pass/host_test.go
+++ b/tier/pass/host_test.go
@@ -101,13 +101,13 @@
 		arrivals: map[string]int{}, requests: map[string]*http.Request{}, bodies: map[string]string{},
 	}
 	t.Cleanup(func() { _ = l.Close() })
-	go u.serve()
+	go u.serve(l)
 	return u
 }
 
-func (u *upstream) serve() {
+func (u *upstream) serve(l net.Listener) {
 	for {
-		c, err := u.listener.Accept()
+		c, err := l.Accept()
 		if err != nil {
 			return
 		}
