fix: the same request of another address is the same; nothing is learnt too late

The address is no part of the fingerprint any more. Strikes name their caller: what one caller alone has shown makes the request of others suspected, not refused; an answer to another caller narrows a strike to its own. While nobody has answered a gather it has one hedge under way at a time. A call that lingers tells when its upstream ends. A run ends after two lost calls made alone, also where the upstream takes connections again. Relays let nothing linger that is suspected.

--- a/tier/pass/coord.go
+++ b/tier/pass/coord.go
@@ -44,8 +44,8 @@
 	// Head is the request as it goes to every upstream.
 	Head string
 	Body []byte `json:",omitempty"`
-	// Fingerprint is the same for all repeats of the request.
-	Fingerprint policy.Fingerprint `json:",omitempty"`
+	// Subject is what the request is remembered by if it crashes upstreams.
+	Subject policy.Subject `json:",omitzero"`
 	// SpentMicros is how much of the objective is gone, the way back included;
 	// LeftMillis is how long the caller still waits.
 	SpentMicros, LeftMillis int64
@@ -190,7 +190,7 @@
 	now := e.kernel.Now()
 	q := &request{
 		engine: e, id: in.RequestID, view: e.kernel.View(), method: in.Method, head: []byte(in.Head), body: in.Body,
-		begun: now - max(time.Duration(in.SpentMicros)*time.Microsecond, 0), hostName: in.HostName, path: in.Path, fingerprint: in.Fingerprint,
+		begun: now - max(time.Duration(in.SpentMicros)*time.Microsecond, 0), hostName: in.HostName, path: in.Path, fingerprint: in.Subject.Fingerprint, caller: in.Subject.Caller,
 		deadline: now + time.Duration(in.LeftMillis)*time.Millisecond,
 	}
 	q.route, q.class = q.view.Index.Route(in.HostName, in.Path)
--- a/tier/pass/places.go
+++ b/tier/pass/places.go
@@ -35,8 +35,8 @@
 // admission names what a call belongs to.
 type admission struct {
 	route, request string
-	// fingerprint is empty where the host that planned the call does not tell it.
-	fingerprint policy.Fingerprint
+	// subject is the zero value where the host that planned the call does not tell it.
+	subject policy.Subject
 }
 
 // admits reports whether a call may be sent to an upstream now. Every call is asked
@@ -44,7 +44,7 @@
 func (e *Engine) admits(now time.Duration, a *admission, u *policy.Upstream) bool {
 	reason := e.barrier(a.route, u.Name)
 	// The request may have come to be quarantined since the call was planned.
-	if verdict, _ := e.kernel.Fleet.Judge(now, a.fingerprint); verdict == policy.VerdictQuarantined {
+	if verdict, _ := e.kernel.Fleet.Judge(now, a.subject); verdict == policy.VerdictQuarantined {
 		reason = query.ReasonQuarantined
 	}
 	if reason == "" && !e.kernel.Fleet.AdmitCold(now, u) {
--- a/tier/pass/relay.go
+++ b/tier/pass/relay.go
@@ -65,8 +65,8 @@
 	Body []byte `json:",omitempty"`
 	// Upstreams are called once each.
 	Upstreams []string
-	// Fingerprint is the same for all repeats of the request.
-	Fingerprint policy.Fingerprint `json:",omitempty"`
+	// Subject is what the request is remembered by if it crashes upstreams.
+	Subject policy.Subject `json:",omitzero"`
 	// Alone has the one call be looked into if its connection is lost.
 	Alone bool `json:",omitempty"`
 	// Top is how many records the answer to the caller has, Of how many parts it
@@ -307,7 +307,7 @@
 	if left <= 0 || !k.Awake() || ctx.Err() != nil {
 		return runner.Reply[*answer]{Outcome: policy.CallNotSent}
 	}
-	if !b.engine.admits(k.Now(), &admission{route: b.in.Route, request: b.in.RequestID, fingerprint: b.in.Fingerprint}, u) {
+	if !b.engine.admits(k.Now(), &admission{route: b.in.Route, request: b.in.RequestID, subject: b.in.Subject}, u) {
 		return runner.Reply[*answer]{Outcome: policy.CallBarred}
 	}
 	ctx, span := k.Tracer.Start(ctx, "upstream", trace.WithSpanKind(trace.SpanKindClient))
@@ -454,7 +454,8 @@
 		return nil, err
 	}
 	linger := policy.LingerFor
-	if in.Left {
+	verdict, _ := e.kernel.Fleet.Judge(e.kernel.Now(), b.in.Subject)
+	if in.Left || verdict != policy.VerdictSound {
 		linger = 0
 	}
 	b.stop(linger)
--- a/tier/pass/serve.go
+++ b/tier/pass/serve.go
@@ -62,8 +62,8 @@
 	head                []byte
 	method              string
 	body                []byte
-	// caller is the address that the request came from; the zero value at a host
-	// that carries it out for another. fingerprint is empty until the request is read.
+	// caller is the address that the request came from; the zero value if it is not
+	// known. fingerprint is empty until the request is read.
 	caller      netip.Addr
 	fingerprint policy.Fingerprint
 
@@ -141,7 +141,7 @@
 // and reports whether it did.
 func (q *request) quarantined(w http.ResponseWriter) bool {
 	k := q.engine.kernel
-	verdict, left := k.Fleet.Judge(k.Now(), q.fingerprint)
+	verdict, left := k.Fleet.Judge(k.Now(), q.subject())
 	if verdict != policy.VerdictQuarantined {
 		return false
 	}
@@ -149,6 +149,11 @@
 	return true
 }
 
+// subject is what the request is remembered by if it crashes upstreams.
+func (q *request) subject() policy.Subject {
+	return policy.Subject{Fingerprint: q.fingerprint, Caller: q.caller}
+}
+
 // callerOf returns the address that a request came from; the zero value if the
 // server does not tell it.
 func callerOf(r *http.Request) netip.Addr {
@@ -199,8 +204,8 @@
 		q.body = body
 	}
 	q.head = headOf(r, &q.engine.headers, len(q.body))
-	identity := policy.Identity{Caller: q.caller, Method: r.Method, HostName: r.Host, Target: r.RequestURI, Body: q.body}
-	q.fingerprint = identity.Fingerprint()
+	content := policy.Content{Method: r.Method, HostName: r.Host, Target: r.RequestURI, Body: q.body}
+	q.fingerprint = content.Fingerprint()
 	return true
 }
 
@@ -258,7 +263,7 @@
 		Kernel: k, Caller: q,
 		Run: policy.RunConfig{
 			Fleet: k.Fleet, Pool: near, Class: q.classOf(spent), Deadline: q.deadline,
-			Replicas: q.plan.replicas, Repeatable: q.route.Repeatable, Fingerprint: q.fingerprint,
+			Replicas: q.plan.replicas, Repeatable: q.route.Repeatable, Subject: q.subject(),
 			Routed: &policy.Routed{
 				Groups: q.plan.groups, FarPool: far, MaxAttempts: q.route.MaxAttempts,
 				Objective: max(time.Duration(q.route.Objective)-spent, 0), Hall: q.plan.hall,
@@ -282,7 +287,7 @@
 	if l == nil {
 		return runner.Reply[*answer]{Outcome: policy.CallUnreachable}
 	}
-	if !q.engine.admits(q.engine.kernel.Now(), &admission{route: q.route.Name, request: q.id, fingerprint: q.fingerprint}, a.Upstream) {
+	if !q.engine.admits(q.engine.kernel.Now(), &admission{route: q.route.Name, request: q.id, subject: q.subject()}, a.Upstream) {
 		return runner.Reply[*answer]{Outcome: policy.CallBarred}
 	}
 	ctx, span := q.engine.kernel.Tracer.Start(ctx, "upstream", trace.WithSpanKind(trace.SpanKindClient))
--- a/tier/peers/strikes.go
+++ b/tier/peers/strikes.go
@@ -166,18 +166,18 @@
 // note logs and counts that the strikes of a request have changed.
 func (s *striker) note(c *policy.Charge) {
 	k := s.kernel
-	verdict, left := k.Fleet.Judge(k.Now(), c.Fingerprint)
+	verdict := k.Fleet.Worst(k.Now(), c.Fingerprint)
 	metrics.GetOrCreateCounter(`loomgap_suspects_total{Verdict="` + string(verdict) + `"}`).Inc()
-	var upstreams []string
+	var upstreams, callers []string
 	for _, strike := range c.Strikes {
-		upstreams = append(upstreams, strike.Upstream)
+		upstreams, callers = append(upstreams, strike.Upstream), append(callers, strike.Caller.String())
 	}
 	line := k.Decisions.Info()
 	if verdict == policy.VerdictQuarantined {
 		line = k.Log.Warn()
 	}
 	line.Str("Fingerprint", string(c.Fingerprint)).Str("Verdict", string(verdict)).
-		Strs("Upstreams", upstreams).Int64("LeftMillis", left.Milliseconds()).Msg("strikes of a request changed")
+		Strs("Upstreams", upstreams).Strs("Callers", callers).Msg("strikes of a request changed")
 }
 
 // targets are the hosts that are told of new strikes.
--- a/tier/policy/attempt.go
+++ b/tier/policy/attempt.go
@@ -46,7 +46,7 @@
 // Where no other replica is fit, the same one is asked a second time: a call
 // that straggles says little about the next call to the same upstream.
 func (r *Run) hedge(now time.Duration, i int, out []Action) []Action {
-	if r.doubted() {
+	if r.doubted() || r.unanswered() && r.hedging() {
 		r.parts[i].unhedged = HedgeDoubted
 		return out
 	}
@@ -80,7 +80,8 @@
 	// HedgeNoBudget means that the retry budget is spent, or that no further
 	// attempt is allowed.
 	HedgeNoBudget HedgeObstacle = "NoBudget"
-	// HedgeDoubted means that the request may be one that crashes upstreams.
+	// HedgeDoubted means that the request may be one that crashes upstreams, or that
+	// no upstream has answered it and another call is hedged already.
 	HedgeDoubted HedgeObstacle = "Doubted"
 )
 
--- a/tier/policy/doubt.go
+++ b/tier/policy/doubt.go
@@ -15,6 +15,10 @@
 // upstreams, five seeds, replayed).
 const doubtAfter = 2
 
+// aloneMost is how many connections a doubted run may lose by calls made alone, though
+// the upstreams are there: they may start again faster than is seen.
+const aloneMost = 2
+
 // doubt is what a run knows of whether its request crashes upstreams. Such a request
 // takes an upstream of each shard, and another with each retry. While a run is doubted
 // it has one call at a time, and all others wait until an upstream has answered. It
@@ -23,12 +27,15 @@
 // where the calls under way go on (7 hosts, 20 shards of two upstreams, 20 attempts of
 // the request, five seeds, replayed).
 type doubt struct {
-	// fingerprint is that of the request; where it is empty nothing is doubted.
-	fingerprint Fingerprint
+	// subject is what the request is remembered by; where its fingerprint is empty
+	// nothing is doubted.
+	subject Subject
 	// suspected is true if the request had strikes before.
 	suspected bool
 	// breaks counts the connections lost under the run.
 	breaks int
+	// aloneBreaks counts those lost by calls that were made alone.
+	aloneBreaks int
 	// survived is true once an upstream has answered.
 	survived bool
 	// struck is true once the run has given a strike.
@@ -41,7 +48,7 @@
 // one of them at a time then.
 func (r *Run) doubted() bool {
 	d := &r.doubt
-	return d.fingerprint != "" && !d.survived && (d.suspected || d.breaks >= doubtAfter)
+	return d.subject.Fingerprint != "" && !d.survived && (d.suspected || d.breaks >= doubtAfter)
 }
 
 // underWay reports whether a call of the run is under way, or waits for its slot.
@@ -54,6 +61,26 @@
 	return false
 }
 
+// unanswered reports whether no upstream has answered a gather yet. It has one hedge
+// under way at a time then: calls that all take long are slow for a reason which
+// they share, and other upstreams may share it too. It prevents a request that crashes
+// upstreams a while after they began from ending all replicas of all shards at its
+// first attempt, before the first connection is lost; and where a hall is silent the
+// other hedges follow with the first answer.
+func (r *Run) unanswered() bool {
+	return r.doubt.subject.Fingerprint != "" && !r.doubt.survived && len(r.parts) > 1
+}
+
+// hedging reports whether a hedge is under way.
+func (r *Run) hedging() bool {
+	for i := range r.parts {
+		if p := &r.parts[i]; p.hedged && len(p.live) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // startOrHold starts an attempt of a part, or holds the part while the run is doubted
 // and another call is under way.
 func (r *Run) startOrHold(now time.Duration, i int, out []Action) []Action {
@@ -138,26 +165,45 @@
 
 // survive notes that an upstream has answered: the request crashes none.
 func (r *Run) survive() {
-	if r.doubt.fingerprint == "" || r.doubt.survived {
+	if r.doubt.subject.Fingerprint == "" || r.doubt.survived {
 		return
 	}
 	r.doubt.survived = true
-	r.fleet.quarantine.survived(r.doubt.fingerprint)
+	r.fleet.quarantine.survived(r.doubt.subject)
 }
 
 // broke notes that a connection was lost while the upstream may have run the request,
-// and reports whether the run is to end: the upstream ended, and ran nothing else of it.
+// and reports whether the run is to end: the upstream ended, and ran nothing else of
+// it, or that may be so and has happened before.
 func (r *Run) broke(now time.Duration, a *attempt, o CallOutcome) bool {
 	a.broken = true
 	r.doubt.breaks++
-	if r.doubt.fingerprint == "" || r.doubt.survived {
+	if r.doubt.subject.Fingerprint == "" || r.doubt.survived {
 		return false
 	}
 	crashed := a.alone && o == CallCrashed
 	if crashed || r.doubt.breaks == doubtAfter {
 		r.strike(now, a, crashed)
 	}
-	return crashed
+	if a.alone {
+		r.doubt.aloneBreaks++
+	}
+	return crashed || r.doubt.aloneBreaks >= aloneMost
+}
+
+// witness takes in what became of a call that is not wanted any more. A run may end
+// before any upstream does, where too few shards are left to be asked; without this
+// nothing would be learnt of its request then.
+func (r *Run) witness(now time.Duration, a *attempt, o CallOutcome) {
+	if !o.lost() || r.doubt.subject.Fingerprint == "" || r.doubt.survived {
+		return
+	}
+	r.fleet.mu.Lock()
+	defer r.fleet.mu.Unlock()
+	r.doubt.breaks++
+	if !r.doubt.struck {
+		r.strike(now, a, false)
+	}
 }
 
 // backOff gives up the calls under way of a run that has come to be doubted: they would
@@ -187,7 +233,7 @@
 func (r *Run) strike(now time.Duration, a *attempt, alone bool) {
 	r.doubt.struck = true
 	id := uint64(r.fleet.random.IntN(math.MaxInt))
-	r.fleet.quarantine.strike(now, r.doubt.fingerprint, Strike{ID: id, Alone: alone, Upstream: a.upstream.Name})
+	r.fleet.quarantine.strike(now, r.doubt.subject, Strike{ID: id, Alone: alone, Upstream: a.upstream.Name})
 }
 
 // strikeAtEnd gives the request a strike when the run ends, if all that is known of
@@ -195,7 +241,7 @@
 // more.
 func (r *Run) strikeAtEnd(now time.Duration) {
 	d := &r.doubt
-	if d.fingerprint == "" || d.survived || d.struck || d.breaks == 0 || r.sending() {
+	if d.subject.Fingerprint == "" || d.survived || d.struck || d.breaks == 0 || r.sending() {
 		return
 	}
 	for i := range r.attempts {
--- a/tier/policy/fingerprint.go
+++ b/tier/policy/fingerprint.go
@@ -4,7 +4,6 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
-	"net/netip"
 )
 
 // Bounds of fingerprints.
@@ -18,28 +17,27 @@
 )
 
 // Fingerprint is the same for a request and all its repeats, at whichever host, and
-// differs from those of others. It is empty where it is not known.
+// differs from those of other requests. It is empty where it is not known. The caller's
+// address is no part of it: a caller may have several.
 type Fingerprint string
 
-// Identity is what a caller's request and its repeats have in common.
-type Identity struct {
-	// Caller is the address that the request came from.
-	Caller netip.Addr
+// Content is what a request and its repeats have in common.
+type Content struct {
 	// Method, HostName and Target are of the request line; Target has the query.
 	Method, HostName, Target string
 	Body                     []byte
 }
 
 // Fingerprint returns the fingerprint of the request.
-func (i *Identity) Fingerprint() Fingerprint {
+func (c *Content) Fingerprint() Fingerprint {
 	h := sha256.New()
-	for _, text := range []string{i.Caller.String(), i.Method, i.HostName, i.Target} {
+	for _, text := range []string{c.Method, c.HostName, c.Target} {
 		writeField(h, []byte(text))
 	}
 	var length [8]byte
-	binary.BigEndian.PutUint64(length[:], uint64(len(i.Body)))
+	binary.BigEndian.PutUint64(length[:], uint64(len(c.Body)))
 	writeField(h, length[:])
-	writeField(h, i.Body[:min(len(i.Body), fingerprintBody)])
+	writeField(h, c.Body[:min(len(c.Body), fingerprintBody)])
 	return Fingerprint(hex.EncodeToString(h.Sum(nil)[:fingerprintBytes]))
 }
 
--- a/tier/policy/quarantine.go
+++ b/tier/policy/quarantine.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"net/netip"
 	"slices"
 	"time"
 )
@@ -48,6 +49,16 @@
 	VerdictQuarantined Verdict = "Quarantined"
 )
 
+// Subject is a request as it is remembered: what it asks for, and who asks. What it
+// asks for crashes upstreams, whoever asks, until an answer to another caller shows
+// that it depends on who does.
+type Subject struct {
+	Fingerprint Fingerprint
+	// Caller is the address that the request came from; the zero value if it is not
+	// known.
+	Caller netip.Addr
+}
+
 // Strike is evidence that a request crashes the upstreams that run it: upstreams
 // ended their connections without an answer while they ran it, and none answered it.
 type Strike struct {
@@ -58,8 +69,13 @@
 	Alone bool `json:",omitempty"`
 	// Upstream is the one that ended last.
 	Upstream string
-	// Void is true once an upstream has answered the request all the same.
-	Void bool `json:",omitempty"`
+	// Caller is where the request came from.
+	Caller netip.Addr `json:",omitzero"`
+	// Void is true once an upstream has answered the request to the same caller all
+	// the same, Narrow once one has answered it to another: then the strike counts
+	// for its own caller only.
+	Void   bool `json:",omitempty"`
+	Narrow bool `json:",omitempty"`
 	// Left is how long the strike still counts.
 	Left time.Duration
 }
@@ -95,35 +111,48 @@
 }
 
 // judge returns the verdict, and for how long the request is refused.
-func (q *quarantine) judge(now time.Duration, f Fingerprint) (Verdict, time.Duration) {
-	s := q.suspects[f]
+func (q *quarantine) judge(now time.Duration, of Subject) (Verdict, time.Duration) {
+	s := q.suspects[of.Fingerprint]
 	if s == nil {
 		return VerdictSound, 0
 	}
-	return s.judge(now)
+	return s.judge(now, of.Caller)
 }
 
-func (s *suspect) judge(now time.Duration) (Verdict, time.Duration) {
-	verdict, last := VerdictSound, never
+// judge returns the verdict on the request of a caller. Strikes of one other caller
+// alone do not have it refused.
+func (s *suspect) judge(now time.Duration, caller netip.Addr) (Verdict, time.Duration) {
+	verdict, last, others := VerdictSound, never, true
 	var alone []string
+	var callers []netip.Addr
 	for i := range s.strikes {
 		k := &s.strikes[i]
-		if k.Void || now >= k.until {
+		if !k.counts(now, caller) {
 			continue
 		}
 		verdict = VerdictSuspected
 		if k.Alone {
 			last = max(last, k.until-strikeLife)
-			alone = append(alone, k.Upstream)
+			alone, callers = append(alone, k.Upstream), append(callers, k.Caller)
+			others = others && k.Caller != caller
 		}
 	}
 	slices.Sort(alone)
+	slices.SortFunc(callers, netip.Addr.Compare)
+	if others && len(slices.Compact(callers)) < 2 {
+		return verdict, 0
+	}
 	if left := last + quarantineFor(len(slices.Compact(alone))) - now; left > 0 {
 		return VerdictQuarantined, left
 	}
 	return verdict, 0
 }
 
+// counts reports whether the strike counts for a caller.
+func (k *strike) counts(now time.Duration, caller netip.Addr) bool {
+	return !k.Void && now < k.until && (!k.Narrow || k.Caller == caller)
+}
+
 // quarantineFor is how long after the last strike a request is refused that ended so
 // many upstreams while they ran it alone.
 func quarantineFor(strikes int) time.Duration {
@@ -138,26 +167,34 @@
 }
 
 // strike notes a strike that this host saw.
-func (q *quarantine) strike(now time.Duration, f Fingerprint, k Strike) {
-	k.Left = strikeLife
-	q.merge(now, &Charge{Fingerprint: f, Strikes: []Strike{k}})
+func (q *quarantine) strike(now time.Duration, of Subject, k Strike) {
+	k.Left, k.Caller = strikeLife, of.Caller
+	q.merge(now, &Charge{Fingerprint: of.Fingerprint, Strikes: []Strike{k}})
 }
 
 // survived notes that an upstream has answered the request: what ended others was
-// something else.
-func (q *quarantine) survived(f Fingerprint) {
-	s := q.suspects[f]
+// something else, or depends on the caller.
+func (q *quarantine) survived(of Subject) {
+	s := q.suspects[of.Fingerprint]
 	if s == nil {
 		return
 	}
 	for i := range s.strikes {
-		if !s.strikes[i].Void {
-			s.strikes[i].Void, s.fresh = true, true
-		}
+		k := &s.strikes[i]
+		answered := Strike{Void: k.Caller == of.Caller, Narrow: k.Caller != of.Caller}
+		s.fresh = k.learn(&answered) || s.fresh
 	}
 	q.tell(s)
 }
 
+// learn takes in what answers have shown of the strike, and reports whether that was
+// news.
+func (k *strike) learn(told *Strike) bool {
+	news := told.Void && !k.Void || told.Narrow && !k.Narrow
+	k.Void, k.Narrow = k.Void || told.Void, k.Narrow || told.Narrow
+	return news
+}
+
 // merge takes strikes in.
 func (q *quarantine) merge(now time.Duration, c *Charge) {
 	s := q.suspects[c.Fingerprint]
@@ -184,10 +221,9 @@
 	left := min(k.Left, strikeLife)
 	i := slices.IndexFunc(s.strikes, func(o strike) bool { return o.ID == k.ID })
 	switch {
-	case i >= 0 && k.Void && !s.strikes[i].Void:
-		s.strikes[i].Void = true
-		return true
-	case i >= 0 || left <= 0:
+	case i >= 0:
+		return s.strikes[i].learn(&k)
+	case left <= 0:
 		return false
 	}
 	s.strikes = slices.DeleteFunc(s.strikes, func(o strike) bool { return now >= o.until })
@@ -221,6 +257,21 @@
 	return best
 }
 
+// worst is the verdict for the caller that fares worst.
+func (s *suspect) worst(now time.Duration) Verdict {
+	worst := VerdictSound
+	for i := range s.strikes {
+		switch v, _ := s.judge(now, s.strikes[i].Caller); v {
+		case VerdictQuarantined:
+			return v
+		case VerdictSuspected:
+			worst = v
+		default:
+		}
+	}
+	return worst
+}
+
 // newest is when the last strike ends to count.
 func (s *suspect) newest() time.Duration {
 	last := time.Duration(0)
@@ -249,10 +300,8 @@
 // compare orders requests by how much they matter, the least first.
 func (q *quarantine) compare(now time.Duration, a, b Fingerprint) int {
 	weights := map[Verdict]int{VerdictSound: 0, VerdictSuspected: 1, VerdictQuarantined: 2}
-	va, _ := q.suspects[a].judge(now)
-	vb, _ := q.suspects[b].judge(now)
 	return cmp.Or(
-		cmp.Compare(weights[va], weights[vb]),
+		cmp.Compare(weights[q.suspects[a].worst(now)], weights[q.suspects[b].worst(now)]),
 		cmp.Compare(q.suspects[a].newest(), q.suspects[b].newest()),
 		cmp.Compare(a, b),
 	)
@@ -309,7 +358,7 @@
 }
 
 // Judge returns what is to be done with a request, and for how long it is refused.
-func (f *Fleet) Judge(now time.Duration, of Fingerprint) (Verdict, time.Duration) {
+func (f *Fleet) Judge(now time.Duration, of Subject) (Verdict, time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.quarantine.judge(now, of)
@@ -330,6 +379,16 @@
 	return f.quarantine.charges(now, false)
 }
 
+// Worst returns the verdict on a request for the caller that fares worst.
+func (f *Fleet) Worst(now time.Duration, of Fingerprint) Verdict {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if s := f.quarantine.suspects[of]; s != nil {
+		return s.worst(now)
+	}
+	return VerdictSound
+}
+
 // TakeCharges takes in what another host told.
 func (f *Fleet) TakeCharges(now time.Duration, told []Charge) {
 	f.mu.Lock()
--- a/tier/policy/run.go
+++ b/tier/policy/run.go
@@ -71,9 +71,9 @@
 	Snapshot uint64
 	// Repeatable is false for a request that must run at most once.
 	Repeatable bool
-	// Fingerprint is that of the request; empty if it is never to be suspected of
-	// crashing upstreams.
-	Fingerprint Fingerprint
+	// Subject is what the request is remembered by if it crashes upstreams; the zero
+	// value if it is never to be suspected.
+	Subject Subject
 	// Routed is what a routed request adds; nil for a request of a class.
 	Routed *Routed
 	// Granted is called, with no lock held, when a queued attempt has its slot.
@@ -175,7 +175,7 @@
 		parts:    make([]part, len(c.Replicas)),
 		attempts: make([]attempt, 0, len(c.Replicas)+4),
 		open:     len(c.Replicas),
-		doubt:    doubt{fingerprint: c.Fingerprint},
+		doubt:    doubt{subject: c.Subject},
 	}
 	for i := range r.parts {
 		r.parts[i].replicas = c.Replicas[i]
@@ -188,7 +188,7 @@
 func (r *Run) Begin(now time.Duration) ([]Action, error) {
 	r.fleet.mu.Lock()
 	defer r.fleet.mu.Unlock()
-	verdict, left := r.fleet.quarantine.judge(now, r.doubt.fingerprint)
+	verdict, left := r.fleet.quarantine.judge(now, r.doubt.subject)
 	if verdict == VerdictQuarantined {
 		r.finished = true
 		return nil, &Refusal{Reason: ReasonQuarantined, RetryAfter: left}
@@ -263,6 +263,7 @@
 	p.remove(n)
 	p.account(o)
 	if r.finished || p.closed || a.abandoned {
+		r.witness(now, a, o)
 		return nil
 	}
 	r.fleet.mu.Lock()
--- a/tier/replay/crash.go
+++ b/tier/replay/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"time"
 
 	"loomgap/tier/policy"
@@ -14,11 +15,16 @@
 	// From and Every are when its caller's first attempt comes, and the time between
 	// two that are no repeats; with 0 for Every it never comes.
 	From, Every time.Duration
+	// After is how long after it began an upstream ends, also if the call is given up
+	// meanwhile; 0 for when it would have answered, unless the call is given up.
+	After time.Duration
 	// Down is how long an upstream is away that has ended.
 	Down time.Duration
 	// StormEvery has all upstreams end for reasons of their own, each once in that
 	// time, within StormSpread of each other; 0 for never.
 	StormEvery, StormSpread time.Duration
+	// Callers is how many addresses the request comes from; 0 for one.
+	Callers int
 	// Popular is how many other requests there are, which come again and again; 0 if
 	// none comes twice but for its caller's repeat.
 	Popular int
@@ -53,6 +59,7 @@
 	world       *world
 	load        int
 	fingerprint policy.Fingerprint
+	caller      netip.Addr
 	crashes     bool
 	// again is true for the repeat.
 	again bool
@@ -67,7 +74,7 @@
 			return
 		}
 		w.after(c.Every, next)
-		v := &visit{world: w, fingerprint: "Crash", crashes: true}
+		v := &visit{world: w, fingerprint: "Crash", caller: addressOf(w.random.IntN(max(c.Callers, 1))), crashes: true}
 		v.arrive()
 	}
 	if c.Every > 0 {
@@ -101,7 +108,12 @@
 	if most := w.c.Routed.Crash.Popular; most > 0 {
 		name = w.random.IntN(most)
 	}
-	return &visit{world: w, load: load, fingerprint: policy.Fingerprint(fmt.Sprint("Sound", name))}
+	return &visit{world: w, load: load, fingerprint: policy.Fingerprint(fmt.Sprint("Sound", name)), caller: addressOf(name)}
+}
+
+// addressOf returns the address of a caller.
+func addressOf(n int) netip.Addr {
+	return netip.AddrFrom4([4]byte{10, byte(n >> 16), byte(n >> 8), byte(n)})
 }
 
 func (v *visit) arrive() { v.world.hosts[v.world.random.IntN(len(v.world.hosts))].visited(v) }
@@ -117,17 +129,17 @@
 	}
 }
 
-// identify returns the fingerprint by which hosts remember the request.
-func (v *visit) identify() policy.Fingerprint {
+// subject returns what hosts remember the request by.
+func (v *visit) subject() policy.Subject {
 	if !v.world.c.Routed.Crash.Remember {
-		return ""
+		return policy.Subject{}
 	}
-	return v.fingerprint
+	return policy.Subject{Fingerprint: v.fingerprint, Caller: v.caller}
 }
 
 // visited carries out one attempt of a request.
 func (h *host) visited(v *visit) {
-	if verdict, _ := h.fleet.Judge(h.world.now, v.identify()); verdict == policy.VerdictQuarantined {
+	if verdict, _ := h.fleet.Judge(h.world.now, v.subject()); verdict == policy.VerdictQuarantined {
 		if !v.crashes {
 			h.world.crash.Blamed++
 		}
@@ -169,11 +181,31 @@
 	return policy.CallBroken
 }
 
+// ruin has the upstream end that has begun a call which crashes it.
+func (s *server) ruin(k *work) {
+	c := s.world.c.Routed.Crash
+	if c.After == 0 {
+		s.world.after(s.serviceTime(), func() {
+			if k.working {
+				s.crash()
+			}
+		})
+		return
+	}
+	life := s.lives
+	s.world.after(c.After, func() {
+		if life == s.lives {
+			s.crash()
+		}
+	})
+}
+
 // crash ends the upstream: whatever runs or waits there gets no answer.
 func (s *server) crash() {
 	w := s.world
 	w.crash.Ended++
 	s.down = true
+	s.lives++
 	for _, k := range append(s.running, s.backlog...) {
 		k.working = false
 		k.reply(k.lostOutcome())
--- a/tier/replay/routed.go
+++ b/tier/replay/routed.go
@@ -182,13 +182,13 @@
 	near, far := h.fleet.RoutedPools(c.Route.Name)
 	f := h.newFlight(load, w.c.Shards)
 	f.begun, f.back, f.visit = began, back, v
-	var fingerprint policy.Fingerprint
+	var subject policy.Subject
 	if v != nil {
-		fingerprint = v.identify()
+		subject = v.subject()
 	}
 	f.begin(policy.RunConfig{
-		Fingerprint: fingerprint,
-		Pool:        near, Class: &class, Replicas: h.fleet.Resolve(names),
+		Subject: subject,
+		Pool:    near, Class: &class, Replicas: h.fleet.Resolve(names),
 		Deadline: w.now + time.Duration(c.Route.TimeLimit),
 		Routed: &policy.Routed{
 			Groups: groups, FarPool: far, MaxAttempts: c.Route.MaxAttempts, Objective: max(time.Duration(c.Route.Objective)-spent, 0),
--- a/tier/replay/server.go
+++ b/tier/replay/server.go
@@ -17,6 +17,8 @@
 	running []*work
 	// down is true while the upstream is away.
 	down bool
+	// lives counts how often the upstream has ended.
+	lives int
 }
 
 func newServer(w *world, index int) *server { return &server{world: w, index: index} }
@@ -66,11 +68,7 @@
 	k.working = true
 	s.running = append(s.running, k)
 	if k.crashes {
-		s.world.after(s.serviceTime(), func() {
-			if k.working {
-				s.crash()
-			}
-		})
+		s.ruin(k)
 		return
 	}
 	s.world.after(s.serviceTime(), func() {
