perf: hosts tell each other nothing of a request that they can make out themselves

A relay makes the fingerprint from the head that it has, and only while any request is remembered; a coordinator does so always and is told the caller's address. Questions of a class are remembered by the same fleet, orders are not: each runs once whoever repeats it. What becomes of a call made alone is looked into in one place for both.

--- a/tier/entry/engine.go
+++ b/tier/entry/engine.go
@@ -161,6 +161,9 @@
 	service *config.Service
 	// deadline is when the answer must be given.
 	deadline time.Duration
+	// subject is what a question is remembered by if it crashes upstreams; the zero
+	// value for an order, which runs once whoever repeats it.
+	subject policy.Subject
 }
 
 // hold fixes the configuration and the deadline of a request at its entry.
@@ -216,6 +219,9 @@
 	if err != nil {
 		return nil, err
 	}
+	// The same question of any caller is the same request.
+	content := policy.Content{HostName: ask.Service, Target: in.Statement}
+	h.subject.Fingerprint = content.Fingerprint()
 	e.kernel.InFlight.Add(1)
 	defer e.kernel.InFlight.Add(-1)
 	ctx, span := e.kernel.Tracer.Start(ctx, "ask")
@@ -320,7 +326,7 @@
 		Kernel: e.kernel, Caller: c,
 		Run: policy.RunConfig{
 			Fleet: e.kernel.Fleet, Pool: e.pool(h.service.Name), Class: h.class, Deadline: h.deadline,
-			Replicas: replicas, Snapshot: c.snapshot, Repeatable: repeatable,
+			Replicas: replicas, Snapshot: c.snapshot, Repeatable: repeatable, Subject: h.subject,
 		},
 	})
 	if err != nil {
--- a/tier/entry/upstream.go
+++ b/tier/entry/upstream.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/netip"
 	"net/url"
 	"time"
 
@@ -30,7 +31,7 @@
 
 // caller makes calls to one upstream, over connections of its own.
 type caller struct {
-	address   string
+	address   netip.AddrPort
 	transport *http.Transport
 	urls      map[string]*url.URL
 }
@@ -38,7 +39,7 @@
 func newCaller(u *config.Upstream, connections int) *caller {
 	dialer := &net.Dialer{Timeout: dialBound}
 	c := &caller{
-		address: u.Address.String(),
+		address: u.Address,
 		transport: &http.Transport{
 			DialContext:         dialer.DialContext,
 			DisableCompression:  true,
@@ -49,7 +50,7 @@
 		urls: map[string]*url.URL{},
 	}
 	for _, p := range []string{wire.PathPart, wire.PathPlace, wire.PathStatus} {
-		c.urls[p] = &url.URL{Scheme: "http", Host: c.address, Path: p}
+		c.urls[p] = &url.URL{Scheme: "http", Host: c.address.String(), Path: p}
 	}
 	return c
 }
@@ -71,7 +72,7 @@
 	var out reply
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { out.reached = true }}
 	r := (&http.Request{
-		Method: http.MethodPost, URL: c.urls[path], Host: c.address,
+		Method: http.MethodPost, URL: c.urls[path], Host: c.urls[path].Host,
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 		Header: header, ContentLength: int64(len(body)),
 		Body: io.NopCloser(bytes.NewReader(body)),
--- a/tier/pass/call.go
+++ b/tier/pass/call.go
@@ -28,9 +28,6 @@
 	// eagerBody is the largest body that is written before the answer is read.
 	// A longer one is written besides, since an upstream may answer early.
 	eagerBody = 8 << 10
-	// refusalBound is how long an upstream has to take a connection until it is taken
-	// to have ended: some round trips between regions.
-	refusalBound = 250 * time.Millisecond
 )
 
 // Errors of upstream answers.
@@ -84,25 +81,12 @@
 	if out.Outcome == policy.CallUnreachable && ctx.Err() != nil {
 		out.Outcome = policy.CallNotSent
 	}
-	if c.alone && out.Outcome == policy.CallBroken && ctx.Err() == nil && l.refuses(ctx) {
-		out.Outcome = policy.CallCrashed
+	if c.alone {
+		out.Outcome = runner.LookInto(ctx, out.Outcome, l.address)
 	}
 	return out
 }
 
-// refuses reports whether the upstream takes no connection. It tells an upstream that
-// has ended from one that resets connections, for which no request is to blame.
-func (l *link) refuses(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, refusalBound)
-	defer cancel()
-	k, err := l.dial(ctx)
-	if err != nil {
-		return true
-	}
-	_ = k.Close()
-	return false
-}
-
 // do makes a call on a connection of the link.
 func (l *link) do(ctx context.Context, c *call) result {
 	k, err := l.get(ctx, c.unrepeatable)
--- a/tier/pass/coord.go
+++ b/tier/pass/coord.go
@@ -6,13 +6,13 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"net/netip"
 	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
 	"loomgap/tier/kernel"
-	"loomgap/tier/policy"
 	"loomgap/tier/wire"
 )
 
@@ -44,8 +44,8 @@
 	// Head is the request as it goes to every upstream.
 	Head string
 	Body []byte `json:",omitempty"`
-	// Subject is what the request is remembered by if it crashes upstreams.
-	Subject policy.Subject `json:",omitzero"`
+	// Caller is the address that the request came from.
+	Caller netip.Addr `json:",omitzero"`
 	// SpentMicros is how much of the objective is gone, the way back included;
 	// LeftMillis is how long the caller still waits.
 	SpentMicros, LeftMillis int64
@@ -190,9 +190,11 @@
 	now := e.kernel.Now()
 	q := &request{
 		engine: e, id: in.RequestID, view: e.kernel.View(), method: in.Method, head: []byte(in.Head), body: in.Body,
-		begun: now - max(time.Duration(in.SpentMicros)*time.Microsecond, 0), hostName: in.HostName, path: in.Path, fingerprint: in.Subject.Fingerprint, caller: in.Subject.Caller,
+		begun: now - max(time.Duration(in.SpentMicros)*time.Microsecond, 0), hostName: in.HostName, path: in.Path, caller: in.Caller,
 		deadline: now + time.Duration(in.LeftMillis)*time.Millisecond,
 	}
+	content := contentOf(q.head, q.body)
+	q.fingerprint = content.Fingerprint()
 	q.route, q.class = q.view.Index.Route(in.HostName, in.Path)
 	if q.route == nil || q.route.Digest() != in.Route {
 		return nil, DeclineRoute
--- a/tier/pass/header.go
+++ b/tier/pass/header.go
@@ -7,6 +7,7 @@
 	"strings"
 
 	"loomgap/tier/kernel"
+	"loomgap/tier/policy"
 )
 
 // connectionHeaders pertain to one connection and are not passed on.
@@ -27,6 +28,14 @@
 	}
 }
 
+// contentOf returns what a request asks for, by the head that headOf wrote.
+func contentOf(head, body []byte) policy.Content {
+	line, rest, _ := strings.Cut(string(head), "\r\n")
+	method, line, _ := strings.Cut(line, " ")
+	host, _, _ := strings.Cut(strings.TrimPrefix(rest, "Host: "), "\r\n")
+	return policy.Content{Method: method, Target: strings.TrimSuffix(line, " HTTP/1.1"), HostName: host, Body: body}
+}
+
 // headOf writes the request line and the headers that all upstreams get alike.
 func headOf(r *http.Request, names *kernel.Headers, body int) []byte {
 	h := r.Header.Clone()
--- /dev/null
+++ b/tier/pass/header_test.go
@@ -0,0 +1,21 @@
+package pass
+
+import (
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"loomgap/tier/policy"
+)
+
+// TestContentOfHead reads what a request asks for back from its head, as a relay does.
+func TestContentOfHead(t *testing.T) {
+	for _, target := range []string{"/find/x?page=1&sort=new", "/find/a%20b", "/"} {
+		r := httptest.NewRequest("POST", target, strings.NewReader("body"))
+		r.Host = "shop.example"
+		got := contentOf(headOf(r, &names, 4), []byte("body"))
+		assert.DeepEqual(t, got, policy.Content{Method: "POST", HostName: "shop.example", Target: target, Body: []byte("body")})
+	}
+}
--- a/tier/pass/relay.go
+++ b/tier/pass/relay.go
@@ -65,8 +65,6 @@
 	Body []byte `json:",omitempty"`
 	// Upstreams are called once each.
 	Upstreams []string
-	// Subject is what the request is remembered by if it crashes upstreams.
-	Subject policy.Subject `json:",omitzero"`
 	// Alone has the one call be looked into if its connection is lost.
 	Alone bool `json:",omitempty"`
 	// Top is how many records the answer to the caller has, Of how many parts it
@@ -134,8 +132,12 @@
 
 // batch is a set of calls made for another host.
 type batch struct {
-	engine   *Engine
-	in       *GatherRequest
+	engine *Engine
+	in     *GatherRequest
+	// subject is what the request is remembered by. Its caller is not known here, and
+	// its fingerprint is made from the head: sent along, both would be a tenth of the
+	// bytes between regions.
+	subject  policy.Subject
 	deadline time.Duration
 	cancel   context.CancelFunc
 
@@ -213,7 +215,7 @@
 	ctx, cancel := context.WithTimeout(wire.TraceInto(context.Background(), in.Trace), left)
 	now := e.kernel.Now()
 	b := &batch{
-		engine: e, in: in, deadline: now + left, cancel: cancel,
+		engine: e, in: in, subject: e.subjectOf(in), deadline: now + left, cancel: cancel,
 		begun: now, due: now + min(time.Duration(in.FirstMillis)*time.Millisecond, left),
 		merger: merger{top: in.Top}, open: len(in.Upstreams), calls: map[int]*relayedCall{},
 		finished: make(chan struct{}), changed: make(chan struct{}, 1),
@@ -234,6 +236,16 @@
 	return b
 }
 
+// subjectOf returns what a relayed request is remembered by; the zero value while no
+// request is remembered.
+func (e *Engine) subjectOf(in *GatherRequest) policy.Subject {
+	if !e.kernel.Fleet.HasSuspects() {
+		return policy.Subject{}
+	}
+	content := contentOf([]byte(in.Head), in.Body)
+	return policy.Subject{Fingerprint: content.Fingerprint()}
+}
+
 // call makes one call within this host's slots.
 func (b *batch) call(ctx context.Context, i int, name string, c *relayedCall) {
 	defer c.cancel()
@@ -307,7 +319,7 @@
 	if left <= 0 || !k.Awake() || ctx.Err() != nil {
 		return runner.Reply[*answer]{Outcome: policy.CallNotSent}
 	}
-	if !b.engine.admits(k.Now(), &admission{route: b.in.Route, request: b.in.RequestID, subject: b.in.Subject}, u) {
+	if !b.engine.admits(k.Now(), &admission{route: b.in.Route, request: b.in.RequestID, subject: b.subject}, u) {
 		return runner.Reply[*answer]{Outcome: policy.CallBarred}
 	}
 	ctx, span := k.Tracer.Start(ctx, "upstream", trace.WithSpanKind(trace.SpanKindClient))
@@ -454,7 +466,7 @@
 		return nil, err
 	}
 	linger := policy.LingerFor
-	verdict, _ := e.kernel.Fleet.Judge(e.kernel.Now(), b.in.Subject)
+	verdict, _ := e.kernel.Fleet.Judge(e.kernel.Now(), b.subject)
 	if in.Left || verdict != policy.VerdictSound {
 		linger = 0
 	}
--- a/tier/pass/serve.go
+++ b/tier/pass/serve.go
@@ -204,7 +204,7 @@
 		q.body = body
 	}
 	q.head = headOf(r, &q.engine.headers, len(q.body))
-	content := policy.Content{Method: r.Method, HostName: r.Host, Target: r.RequestURI, Body: q.body}
+	content := contentOf(q.head, q.body)
 	q.fingerprint = content.Fingerprint()
 	return true
 }
--- /dev/null
+++ b/tier/peers/strikes_test.go
@@ -0,0 +1,250 @@
+package peers
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"go.opentelemetry.io/otel/trace/noop"
+	"gotest.tools/v3/assert"
+
+	"loomgap/tier/kernel"
+	"loomgap/tier/policy"
+)
+
+// strikeNet joins hosts in memory; each message takes strikeHop.
+type strikeNet struct {
+	mu       sync.Mutex
+	kernels  map[string]*kernel.Kernel
+	cut      map[string]bool
+	messages int
+	bytes    int
+}
+
+const strikeHop = 8 * time.Millisecond
+
+var _ kernel.PeerCaller = (*strikeNet)(nil)
+
+// Call implements kernel.PeerCaller.
+func (n *strikeNet) Call(ctx context.Context, host, method string, params, result any) error {
+	in, err := json.Marshal(params)
+	if err != nil {
+		return err
+	}
+	n.mu.Lock()
+	n.messages++
+	n.bytes += len(in)
+	to, cut := n.kernels[host], n.cut[host]
+	n.mu.Unlock()
+	if to == nil || cut {
+		return ErrNoPeer
+	}
+	time.Sleep(strikeHop)
+	out, err := to.Handler(method)(ctx, in)
+	if err != nil {
+		return err
+	}
+	text, err := json.Marshal(out)
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(text, result)
+}
+
+// Notify implements kernel.PeerCaller.
+func (n *strikeNet) Notify(ctx context.Context, host, method string, params any) error {
+	var none any
+	return n.Call(ctx, host, method, params, &none)
+}
+
+// Connect implements kernel.PeerCaller.
+func (n *strikeNet) Connect(context.Context, string) error { return nil }
+
+func (n *strikeNet) sent() (messages, bytes int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.messages, n.bytes
+}
+
+// cutOff has a host neither reach others nor be reached, or ends that.
+func (n *strikeNet) cutOff(host string, cut bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut[host] = cut
+}
+
+// newStrikeNet makes hosts of three halls that know each other.
+func newStrikeNet(t *testing.T, hosts int) *strikeNet {
+	n := &strikeNet{kernels: map[string]*kernel.Kernel{}, cut: map[string]bool{}}
+	// Messages on their way end before the test does.
+	t.Cleanup(func() { time.Sleep(time.Second) })
+	members := map[string]kernel.Member{}
+	for i := range hosts {
+		name := fmt.Sprint("H", i)
+		members[name] = kernel.Member{Host: name, Hall: fmt.Sprint("Hall", i%3), Live: true, Peer: netip.MustParseAddrPort("192.0.2.1:1")}
+	}
+	for i := range hosts {
+		n.add(t, i, members)
+	}
+	return n
+}
+
+// add starts host i, which knows some members.
+func (n *strikeNet) add(t *testing.T, i int, members map[string]kernel.Member) *kernel.Kernel {
+	name := fmt.Sprint("H", i)
+	k, stop := kernel.New(kernel.Config{
+		Settings: kernel.Settings{Host: name, Hall: fmt.Sprint("Hall", i%3)}, Log: zerolog.Nop(),
+		Tracer: noop.NewTracerProvider().Tracer(""), Started: time.Now(),
+		Fleet: policy.NewFleet(policy.FleetConfig{Random: rand.New(rand.NewPCG(uint64(i), 1))}),
+	})
+	k.Peers = n
+	stopStrikes := ServeStrikes(k)
+	t.Cleanup(func() {
+		stopStrikes()
+		stop()
+	})
+	k.Do(func(s *kernel.State) {
+		for h, m := range members {
+			if h != name {
+				s.Members[h] = m
+			}
+		}
+		s.Changed()
+	})
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.kernels[name] = k
+	return k
+}
+
+// suspected counts the hosts that suspect or refuse a request.
+func (n *strikeNet) suspected(f policy.Fingerprint) int {
+	count := 0
+	for _, k := range n.kernels {
+		if k.Fleet.Worst(k.Now(), f) != policy.VerdictSound {
+			count++
+		}
+	}
+	return count
+}
+
+// seeStrike has a host see a strike, as if told of it by itself.
+func seeStrike(k *kernel.Kernel, f policy.Fingerprint, id uint64) {
+	k.Fleet.TakeCharges(k.Now(), []policy.Charge{{Fingerprint: f, Strikes: []policy.Strike{{
+		ID: id, Attempt: id, Upstream: "U", Left: time.Hour,
+	}}}})
+}
+
+// TestStrikesReachAllHosts has one host see a strike: all know of it within 100 ms, for
+// some 12 messages of each host, whatever the size of the fleet.
+func TestStrikesReachAllHosts(t *testing.T) {
+	for _, hosts := range []int{2, 7, 60, 300} {
+		t.Run(fmt.Sprint(hosts), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				n := newStrikeNet(t, hosts)
+				time.Sleep(2500 * time.Millisecond)
+				before, _ := n.sent()
+				seeStrike(n.kernels["H0"], "F", 1)
+				time.Sleep(100 * time.Millisecond)
+				messages, bytes := n.sent()
+				assert.Assert(t, n.suspected("F") >= hosts-hosts/50, "%d of %d know", n.suspected("F"), hosts)
+				assert.Assert(t, messages-before <= strikesTargets*hosts, "%d messages", messages-before)
+				t.Logf("%d hosts: %d know after 100 ms, %d messages, %d bytes", hosts, n.suspected("F"), messages-before, bytes)
+				time.Sleep(3 * time.Second)
+				assert.Equal(t, n.suspected("F"), hosts)
+			})
+		})
+	}
+}
+
+// TestManyStrikesCostBoundedBytes has 300 hosts see 3,000 strikes of other requests
+// within a second, as when all upstreams end: what each sends stays below 100 KB a
+// second.
+func TestManyStrikesCostBoundedBytes(t *testing.T) {
+	const hosts = 300
+	synctest.Test(t, func(t *testing.T) {
+		n := newStrikeNet(t, hosts)
+		time.Sleep(2500 * time.Millisecond)
+		_, before := n.sent()
+		id := uint64(0)
+		for range 100 {
+			for i := range hosts / 10 {
+				id++
+				seeStrike(n.kernels[fmt.Sprint("H", (int(id)*7+i)%hosts)], policy.Fingerprint(fmt.Sprintf("%016d", id)), id)
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		messages, bytes := n.sent()
+		each := (bytes - before) / hosts
+		t.Logf("%d messages, %d bytes a second of each host", messages, each)
+		assert.Assert(t, each < 100<<10, "%d bytes a second of each host", each)
+	})
+}
+
+// TestHostThatWasAwayLearnsOfStrikes has a host be cut off, and another start, while a
+// strike is told of: both know of it three seconds after they are back.
+func TestHostThatWasAwayLearnsOfStrikes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newStrikeNet(t, 7)
+		n.cutOff("H3", true)
+		seeStrike(n.kernels["H0"], "F", 1)
+		time.Sleep(time.Second)
+		away := n.kernels["H3"]
+		assert.Equal(t, away.Fleet.Worst(away.Now(), "F"), policy.VerdictSound)
+		n.cutOff("H3", false)
+		members := map[string]kernel.Member{}
+		for h, m := range n.kernels["H0"].View().Members {
+			members[h] = m
+		}
+		started := n.add(t, 7, members)
+		time.Sleep(3 * time.Second)
+		for _, k := range []*kernel.Kernel{away, started} {
+			assert.Equal(t, k.Fleet.Worst(k.Now(), "F"), policy.VerdictSuspected, k.Settings.Host)
+		}
+	})
+}
+
+// TestBadStrikesAreRefused has another host tell what cannot be strikes: nothing of it
+// is taken.
+func TestBadStrikesAreRefused(t *testing.T) {
+	charge := `{"Fingerprint":"F","Strikes":[{"ID":1,"Attempt":1,"Upstream":"U","Left":1000000000}]}`
+	many := func(n int, item string) string {
+		return strings.TrimSuffix(strings.Repeat(item+",", n), ",")
+	}
+	tests := []struct {
+		name, text string
+		good       bool
+	}{
+		{"good", `{"Charges":[` + charge + `]}`, true},
+		{"none", `{}`, true},
+		{"no object", `[]`, false},
+		{"cut off", `{"Charges":[`, false},
+		{"no fingerprint", `{"Charges":[{"Strikes":[]}]}`, false},
+		{"a long fingerprint", `{"Charges":[{"Fingerprint":"` + strings.Repeat("F", fingerprintMost+1) + `"}]}`, false},
+		{"too many requests", `{"Charges":[` + many(policy.ChargesMost+1, charge) + `]}`, false},
+		{"too many strikes", `{"Charges":[{"Fingerprint":"F","Strikes":[` + many(strikesMost+1, `{"ID":1,"Left":1000}`) + `]}]}`, false},
+		{"a caller that is none", `{"Charges":[{"Fingerprint":"F","Strikes":[{"ID":1,"Caller":"nobody"}]}]}`, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				k := newStrikeNet(t, 1).kernels["H0"]
+				_, err := k.Handler(MethodKnownStrikes)(t.Context(), json.RawMessage(tt.text))
+				if tt.good {
+					assert.NilError(t, err)
+					return
+				}
+				assert.ErrorIs(t, err, errBadStrikes)
+				assert.Equal(t, k.Fleet.Worst(k.Now(), "F"), policy.VerdictSound)
+			})
+		})
+	}
+}
--- a/tier/policy/quarantine.go
+++ b/tier/policy/quarantine.go
@@ -362,6 +362,13 @@
 	f.quarantine.onNews = onNews
 }
 
+// HasSuspects reports whether any request is remembered.
+func (f *Fleet) HasSuspects() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.quarantine.suspects) > 0
+}
+
 // Judge returns what is to be done with a request, and for how long it is refused.
 func (f *Fleet) Judge(now time.Duration, of Subject) (Verdict, time.Duration) {
 	f.mu.Lock()
