--- a/tier/pass/crash_test.go
+++ b/tier/pass/crash_test.go
@@ -32,18 +32,25 @@
 	crashGap     = 100 * time.Millisecond
 	// crashDown is how long an upstream is away, less than a gap.
 	crashDown = 30 * time.Millisecond
+	// crashLate is how long some requests run until their upstreams end: longer than
+	// until a call is hedged.
+	crashLate = 60 * time.Millisecond
 	// crashReaching is how many of the attempts may reach upstreams: those that
 	// show what the request does, and some that were on their way meanwhile.
 	crashReaching = 6
 )
 
-// crashable is a stand-in that crashes when it begins to run a marked request, and
-// is back at the same address after crashDown.
+// crashable is a stand-in that crashes when it runs a marked request, and is back at
+// the same address after crashDown. A request marked as late runs for crashLate before,
+// whatever becomes of its call.
 func crashable(s int) replyFunc {
 	return func(u *upstream, c net.Conn, r *http.Request) bool {
 		if !strings.Contains(r.RequestURI, "crash") {
 			return good(part(s))(u, c, r)
 		}
+		if strings.Contains(r.RequestURI, "late") {
+			time.Sleep(crashLate)
+		}
 		u.crash(crashDown)
 		return false
 	}
@@ -163,7 +170,9 @@
 		site       func(t *testing.T) *crashSite
 	}{
 		{"gather", "/find/", alikeSite},
+		{"gather, late", "/find/late/", alikeSite},
 		{"one upstream", "/look/", alikeSite},
+		{"one upstream, late", "/look/late/", alikeSite},
 		{"gather through a relay", "/find/", relayedSite},
 		{"gather at a coordinator", "/find/", forwardedSite},
 	}
