--- a/tier/peers/strikes.go
+++ b/tier/peers/strikes.go
@@ -26,9 +26,9 @@
 
 // Bounds of what hosts tell each other of strikes.
 const (
-	// strikesGap is the least time between two tellings of new strikes, so that a
-	// host sends at most 4 times 16 messages of 3 KB a second, however many upstreams
-	// end. The first of them goes at once, since callers repeat a request within some
+	// strikesGap is the least time between two tellings of new strikes. It bounds what
+	// is sent however many upstreams end: 64 KB a second of each of 300 hosts that see
+	// 3,000 strikes within a second, uncompressed (virtual time). The first of them goes at once, since callers repeat a request within some
 	// 10 ms, and so does one by which a request is refused.
 	strikesGap = 250 * time.Millisecond
 	// strikesInHall and strikesElsewhere are how many hosts of this hall, and of each
@@ -58,16 +58,16 @@
 
 // StrikesMessage tells of strikes.
 type StrikesMessage struct {
-	Charges []policy.Charge
+	Reports []policy.SuspectReport
 }
 
 // check returns what is wrong with a message.
 func (m *StrikesMessage) check() error {
-	if len(m.Charges) > policy.ChargesMost {
-		return fmt.Errorf("%w: %d requests: send %d at most", errBadStrikes, len(m.Charges), policy.ChargesMost)
+	if len(m.Reports) > policy.ReportsMost {
+		return fmt.Errorf("%w: %d requests: send %d at most", errBadStrikes, len(m.Reports), policy.ReportsMost)
 	}
-	for i := range m.Charges {
-		c := &m.Charges[i]
+	for i := range m.Reports {
+		c := &m.Reports[i]
 		if c.Fingerprint == "" || len(c.Fingerprint) > fingerprintMost || len(c.Strikes) > strikesMost {
 			return fmt.Errorf("%w: fingerprint of %d bytes with %d strikes: send 1 to %d bytes and %d strikes at most",
 				errBadStrikes, len(c.Fingerprint), len(c.Strikes), fingerprintMost, strikesMost)
@@ -135,7 +135,7 @@
 			switch {
 			case !started:
 				started = s.start(ctx)
-			case len(s.kernel.Fleet.Charges(s.kernel.Now())) > 0:
+			case len(s.kernel.Fleet.Reports(s.kernel.Now())) > 0:
 				s.exchangeWith(ctx, s.partners(rounds%exchangeElsewhere == 0, 1))
 			}
 		}
@@ -157,24 +157,24 @@
 // push tells other hosts of new strikes.
 func (s *striker) push(ctx context.Context) {
 	k := s.kernel
-	charges := k.Fleet.FreshCharges(k.Now())
-	if len(charges) == 0 {
+	reports := k.Fleet.FreshReports(k.Now())
+	if len(reports) == 0 {
 		return
 	}
-	if len(charges) == policy.ChargesMost {
+	if len(reports) == policy.ReportsMost {
 		s.notify(false) // there may be more
 	}
-	for i := range charges {
-		s.note(&charges[i])
+	for i := range reports {
+		s.note(&reports[i])
 	}
-	m := StrikesMessage{Charges: charges}
+	m := StrikesMessage{Reports: reports}
 	for _, host := range s.targets() {
 		go s.tell(ctx, host, &m)
 	}
 }
 
 // note logs and counts that the strikes of a request have changed.
-func (s *striker) note(c *policy.Charge) {
+func (s *striker) note(c *policy.SuspectReport) {
 	k := s.kernel
 	verdict := k.Fleet.Worst(k.Now(), c.Fingerprint)
 	metrics.GetOrCreateCounter(`loomgap_suspects_total{Verdict="` + string(verdict) + `"}`).Inc()
@@ -251,7 +251,7 @@
 }
 
 func (s *striker) exchangeWith(ctx context.Context, hosts []string) {
-	m := StrikesMessage{Charges: s.kernel.Fleet.Charges(s.kernel.Now())}
+	m := StrikesMessage{Reports: s.kernel.Fleet.Reports(s.kernel.Now())}
 	for _, host := range hosts {
 		go s.exchange(ctx, host, &m)
 	}
@@ -277,7 +277,7 @@
 		return err
 	}
 	k := s.kernel
-	k.Fleet.TakeCharges(k.Now(), m.Charges)
+	k.Fleet.TakeReports(k.Now(), m.Reports)
 	return nil
 }
 
@@ -298,5 +298,5 @@
 	if err := s.decode(params); err != nil {
 		return nil, err
 	}
-	return StrikesMessage{Charges: s.kernel.Fleet.Charges(s.kernel.Now())}, nil
+	return StrikesMessage{Reports: s.kernel.Fleet.Reports(s.kernel.Now())}, nil
 }
--- a/tier/peers/strikes_test.go
+++ b/tier/peers/strikes_test.go
@@ -138,7 +138,7 @@
 
 // seeStrike has a host see a strike, as if told of it by itself.
 func seeStrike(k *kernel.Kernel, f policy.Fingerprint, id uint64) {
-	k.Fleet.TakeCharges(k.Now(), []policy.Charge{{Fingerprint: f, Strikes: []policy.Strike{{
+	k.Fleet.TakeReports(k.Now(), []policy.SuspectReport{{Fingerprint: f, Strikes: []policy.Strike{{
 		ID: id, Attempt: id, Upstream: "U", Left: time.Hour,
 	}}}})
 }
@@ -215,7 +215,7 @@
 // TestBadStrikesAreRefused has another host tell what cannot be strikes: nothing of it
 // is taken.
 func TestBadStrikesAreRefused(t *testing.T) {
-	charge := `{"Fingerprint":"F","Strikes":[{"ID":1,"Attempt":1,"Upstream":"U","Left":1000000000}]}`
+	report := `{"Fingerprint":"F","Strikes":[{"ID":1,"Attempt":1,"Upstream":"U","Left":1000000000}]}`
 	many := func(n int, item string) string {
 		return strings.TrimSuffix(strings.Repeat(item+",", n), ",")
 	}
@@ -223,15 +223,15 @@
 		name, text string
 		good       bool
 	}{
-		{"good", `{"Charges":[` + charge + `]}`, true},
+		{"good", `{"Reports":[` + report + `]}`, true},
 		{"none", `{}`, true},
 		{"no object", `[]`, false},
-		{"cut off", `{"Charges":[`, false},
-		{"no fingerprint", `{"Charges":[{"Strikes":[]}]}`, false},
-		{"a long fingerprint", `{"Charges":[{"Fingerprint":"` + strings.Repeat("F", fingerprintMost+1) + `"}]}`, false},
-		{"too many requests", `{"Charges":[` + many(policy.ChargesMost+1, charge) + `]}`, false},
-		{"too many strikes", `{"Charges":[{"Fingerprint":"F","Strikes":[` + many(strikesMost+1, `{"ID":1,"Left":1000}`) + `]}]}`, false},
-		{"a caller that is none", `{"Charges":[{"Fingerprint":"F","Strikes":[{"ID":1,"Caller":"nobody"}]}]}`, false},
+		{"cut off", `{"Reports":[`, false},
+		{"no fingerprint", `{"Reports":[{"Strikes":[]}]}`, false},
+		{"a long fingerprint", `{"Reports":[{"Fingerprint":"` + strings.Repeat("F", fingerprintMost+1) + `"}]}`, false},
+		{"too many requests", `{"Reports":[` + many(policy.ReportsMost+1, report) + `]}`, false},
+		{"too many strikes", `{"Reports":[{"Fingerprint":"F","Strikes":[` + many(strikesMost+1, `{"ID":1,"Left":1000}`) + `]}]}`, false},
+		{"a caller that is none", `{"Reports":[{"Fingerprint":"F","Strikes":[{"ID":1,"Caller":"nobody"}]}]}`, false},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/tier/policy/doubt.go
+++ b/tier/policy/doubt.go
@@ -218,10 +218,10 @@
 	return out
 }
 
-// witness takes in what became of a call that is not wanted any more. A run may end
+// noteLateCrash takes in what became of a call that is not wanted any more. A run may end
 // before any upstream does, where too few shards are left to be asked; without this
 // nothing would be learnt of its request then.
-func (r *Run) witness(now time.Duration, a *attempt, o CallOutcome) {
+func (r *Run) noteLateCrash(now time.Duration, a *attempt, o CallOutcome) {
 	if o != CallCrashed || r.doubt.subject.Fingerprint == "" || r.doubt.survived {
 		return
 	}
--- a/tier/policy/quarantine.go
+++ b/tier/policy/quarantine.go
@@ -37,9 +37,9 @@
 	strikesMost  = 8
 )
 
-// ChargesMost is the most charges that hosts tell each other at once: 3 KB, less when
+// ReportsMost is the most reports that hosts tell each other at once: 3 KB, less when
 // compressed.
-const ChargesMost = 16
+const ReportsMost = 16
 
 // Verdict is what is to be done with a request.
 type Verdict string
@@ -86,8 +86,8 @@
 	Left time.Duration
 }
 
-// Charge is the strikes of one request, as hosts tell each other.
-type Charge struct {
+// SuspectReport is the strikes of one request, as hosts tell each other.
+type SuspectReport struct {
 	Fingerprint Fingerprint
 	Strikes     []Strike
 }
@@ -192,7 +192,7 @@
 // strike notes a strike that this host saw.
 func (q *quarantine) strike(now time.Duration, of Subject, k Strike) {
 	k.Left, k.Caller = strikeLife, of.Caller
-	q.merge(now, &Charge{Fingerprint: of.Fingerprint, Strikes: []Strike{k}})
+	q.merge(now, &SuspectReport{Fingerprint: of.Fingerprint, Strikes: []Strike{k}})
 }
 
 // survived notes that an upstream has answered the request: what ended others was
@@ -219,7 +219,7 @@
 }
 
 // merge takes strikes in.
-func (q *quarantine) merge(now time.Duration, c *Charge) {
+func (q *quarantine) merge(now time.Duration, c *SuspectReport) {
 	before := VerdictSound
 	if s := q.suspects[c.Fingerprint]; s != nil {
 		before = s.worst(now)
@@ -353,9 +353,9 @@
 	}
 }
 
-// charges lists what is known of requests, what matters most first; with fresh only
+// reports lists what is known of requests, what matters most first; with fresh only
 // what was not listed as fresh before.
-func (q *quarantine) charges(now time.Duration, fresh bool) []Charge {
+func (q *quarantine) reports(now time.Duration, fresh bool) []SuspectReport {
 	var all []Fingerprint
 	for f, s := range q.suspects {
 		if now >= s.newest() {
@@ -367,18 +367,18 @@
 		}
 	}
 	slices.SortFunc(all, func(a, b Fingerprint) int { return q.compare(now, b, a) })
-	var out []Charge
-	for _, f := range all[:min(len(all), ChargesMost)] {
+	var out []SuspectReport
+	for _, f := range all[:min(len(all), ReportsMost)] {
 		s := q.suspects[f]
 		s.fresh = s.fresh && !fresh
-		out = append(out, s.charge(now, f))
+		out = append(out, s.report(now, f))
 	}
 	return out
 }
 
-// charge describes the strikes that still count or are void.
-func (s *suspect) charge(now time.Duration, f Fingerprint) Charge {
-	out := Charge{Fingerprint: f}
+// report describes the strikes that still count or are void.
+func (s *suspect) report(now time.Duration, f Fingerprint) SuspectReport {
+	out := SuspectReport{Fingerprint: f}
 	for i := range s.strikes {
 		k := s.strikes[i].Strike
 		if k.Left = s.strikes[i].until - now; k.Left > 0 {
@@ -411,19 +411,19 @@
 	return f.quarantine.judge(now, of)
 }
 
-// FreshCharges lists what other hosts are to be told now, ChargesMost at most; the
+// FreshReports lists what other hosts are to be told now, ReportsMost at most; the
 // rest is listed next time.
-func (f *Fleet) FreshCharges(now time.Duration) []Charge {
+func (f *Fleet) FreshReports(now time.Duration) []SuspectReport {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.quarantine.charges(now, true)
+	return f.quarantine.reports(now, true)
 }
 
-// Charges lists what is known of the requests that matter most.
-func (f *Fleet) Charges(now time.Duration) []Charge {
+// Reports lists what is known of the requests that matter most.
+func (f *Fleet) Reports(now time.Duration) []SuspectReport {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.quarantine.charges(now, false)
+	return f.quarantine.reports(now, false)
 }
 
 // Worst returns the verdict on a request for the caller that fares worst.
@@ -436,8 +436,8 @@
 	return VerdictSound
 }
 
-// TakeCharges takes in what another host told.
-func (f *Fleet) TakeCharges(now time.Duration, told []Charge) {
+// TakeReports takes in what another host told.
+func (f *Fleet) TakeReports(now time.Duration, told []SuspectReport) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for i := range told {
--- a/tier/policy/quarantine_test.go
+++ b/tier/policy/quarantine_test.go
@@ -59,7 +59,7 @@
 			for i := range tt.strikes {
 				tt.strikes[i].Left = strikeLife
 			}
-			f.TakeCharges(now, []Charge{{Fingerprint: "F", Strikes: tt.strikes}})
+			f.TakeReports(now, []SuspectReport{{Fingerprint: "F", Strikes: tt.strikes}})
 			got, left := f.Judge(now+tt.after, Subject{Fingerprint: "F"})
 			assert.Equal(t, got, tt.want)
 			assert.Equal(t, left, tt.left)
@@ -75,11 +75,11 @@
 	for id, u := range []string{"A", "B"} {
 		f.quarantine.strike(now, Subject{Fingerprint: "F"}, Strike{ID: uint64(id), Attempt: uint64(id), Alone: true, Upstream: u})
 	}
-	before := f.Charges(now)
-	other.TakeCharges(now, before)
+	before := f.Reports(now)
+	other.TakeReports(now, before)
 	f.quarantine.survived(Subject{Fingerprint: "F"})
-	other.TakeCharges(now, f.FreshCharges(now))
-	f.TakeCharges(now, before)
+	other.TakeReports(now, f.FreshReports(now))
+	f.TakeReports(now, before)
 	for _, host := range []*Fleet{f, other} {
 		verdict, _ := host.Judge(now, Subject{Fingerprint: "F"})
 		assert.Equal(t, verdict, VerdictSound)
@@ -104,7 +104,7 @@
 			case 0:
 				h.quarantine.survived(Subject{Fingerprint: f, Caller: rapid.SampledFrom(callers).Draw(t, "caller")})
 			case 1:
-				any().TakeCharges(now, h.Charges(now))
+				any().TakeReports(now, h.Reports(now))
 			default:
 				id++
 				h.quarantine.strike(now, Subject{Fingerprint: f, Caller: rapid.SampledFrom(callers).Draw(t, "caller")}, Strike{ID: id, Attempt: id, Alone: rapid.Bool().Draw(t, "alone"), Upstream: fmt.Sprint("U", id%4)})
@@ -113,7 +113,7 @@
 		for range 2 {
 			for _, from := range hosts {
 				for _, to := range hosts {
-					to.TakeCharges(now, from.Charges(now))
+					to.TakeReports(now, from.Reports(now))
 				}
 			}
 		}
@@ -134,16 +134,16 @@
 	now := time.Minute
 	a.quarantine.strike(now, Subject{Fingerprint: "F"}, Strike{ID: 1, Upstream: "A"})
 	for now < time.Minute+strikeLife {
-		charges := a.Charges(now)
+		reports := a.Reports(now)
 		now += 10 * time.Second
-		b.TakeCharges(now, charges)
-		charges = b.Charges(now)
+		b.TakeReports(now, reports)
+		reports = b.Reports(now)
 		now += 10 * time.Second
-		a.TakeCharges(now, charges)
+		a.TakeReports(now, reports)
 	}
 	now += time.Minute
-	assert.Equal(t, len(a.Charges(now)), 0)
-	assert.Equal(t, len(b.Charges(now)), 0)
+	assert.Equal(t, len(a.Reports(now)), 0)
+	assert.Equal(t, len(b.Reports(now)), 0)
 }
 
 // TestSuspectsAreBounded has more requests suspected than are remembered: one that is
@@ -165,10 +165,10 @@
 	assert.Equal(t, len(f.quarantine.suspects["Quarantined"].strikes), strikesMost)
 	verdict, _ := f.Judge(now, Subject{Fingerprint: "Quarantined"})
 	assert.Equal(t, verdict, VerdictQuarantined)
-	first := f.FreshCharges(now)
-	assert.Equal(t, len(first), ChargesMost)
+	first := f.FreshReports(now)
+	assert.Equal(t, len(first), ReportsMost)
 	assert.Equal(t, first[0].Fingerprint, Fingerprint("Quarantined"))
-	assert.Assert(t, f.FreshCharges(now)[0].Fingerprint != "Quarantined", "told once")
+	assert.Assert(t, f.FreshReports(now)[0].Fingerprint != "Quarantined", "told once")
 }
 
 // TestCallersAreToldApart has a request of two callers be known to crash upstreams, or
--- a/tier/policy/run.go
+++ b/tier/policy/run.go
@@ -260,7 +260,7 @@
 	p.remove(n)
 	p.account(o)
 	if r.finished || p.closed || a.abandoned {
-		r.witness(now, a, o)
+		r.noteLateCrash(now, a, o)
 		return nil
 	}
 	r.fleet.mu.Lock()
--- a/tier/replay/crash.go
+++ b/tier/replay/crash.go
@@ -160,10 +160,10 @@
 	told, planned := -tellGap, false
 	tell := func() {
 		planned, told = false, w.now
-		charges := h.fleet.FreshCharges(w.now)
+		reports := h.fleet.FreshReports(w.now)
 		for _, i := range w.random.Perm(len(w.hosts))[:min(tellHosts, len(w.hosts))] {
 			to := w.hosts[i]
-			w.after(w.c.Routed.FarHop, func() { to.fleet.TakeCharges(w.now, charges) })
+			w.after(w.c.Routed.FarHop, func() { to.fleet.TakeReports(w.now, reports) })
 		}
 	}
 	h.fleet.OnStrikes(func(urgent bool) {
