--- a/tier/peers/strikes.go
+++ b/tier/peers/strikes.go
@@ -28,8 +28,9 @@
 const (
 	// strikesGap is the least time between two tellings of new strikes. It bounds what
 	// is sent however many upstreams end: 64 KB a second of each of 300 hosts that see
-	// 3,000 strikes within a second, uncompressed (virtual time). The first of them goes at once, since callers repeat a request within some
-	// 10 ms, and so does one by which a request is refused.
+	// 3,000 strikes within a second, uncompressed (virtual time). The first goes at
+	// once, since callers repeat a request within some 10 ms, and so does one by which a
+	// request is refused.
 	strikesGap = 250 * time.Millisecond
 	// strikesInHall and strikesElsewhere are how many hosts of this hall, and of each
 	// other, are told of new strikes; whoever hears news tells as many others. With 8
