--- a/tier/policy/doubt.go
+++ b/tier/policy/doubt.go
@@ -12,8 +12,8 @@
 // at once. With 3 or 4 a request that crashes upstreams ends 44 or 60 of them in place
 // of 31, and 0.95 or 0.76 of the others are served in place of 1.00; where upstreams end
 // for other reasons the three are level (7 hosts, 20 shards of two upstreams, five
-// seeds, replayed). Connections that upstreams reset do not count: where they do, days on
-// which answers are broken off serve 0.6 to 1.2 of 100 requests less.
+// seeds, replayed). Connections that upstreams reset do not count: where they did, and
+// upstreams broke off 1 of 100 answers, 0.6 to 1.2 fewer of 100 requests were served.
 const doubtAfter = 2
 
 // Bounds of calls made alone.
