refactor: one rule for a strike's weight, one for a run still open to doubt

Read once more as a newcomer: the condition that a request can be remembered and nobody has answered it stood six times in doubt.go (now doubt.open); two weighings of strikes differed in words only (strike.weight); attempts carried a flag that only told which upstream ended, which the run now names; giving up the calls of a part for later stood twice (putOff), and giving a slot back three times (freeSlot); merge looked its request up four times; a fingerprint wrote the body's length twice, behind an interface that io has.

--- a/tier/policy/attempt.go
+++ b/tier/policy/attempt.go
@@ -40,7 +40,7 @@
 		return out
 	}
 	if a.alone && now-a.sentAt >= aloneFactor*a.hedgeAge && r.doubted() {
-		return r.leaveAlone(now, p.live[0], out)
+		return r.leaveAlone(now, i, out)
 	}
 	return r.hedge(now, i, out)
 }
--- a/tier/policy/doubt.go
+++ b/tier/policy/doubt.go
@@ -40,8 +40,9 @@
 	subject Subject
 	// suspected is true if the request had strikes before.
 	suspected bool
-	// crashes counts the upstreams that ended under the run.
+	// crashes counts the upstreams that ended under the run, ended is the last.
 	crashes int
+	ended   string
 	// left counts the calls made alone that took too long.
 	left int
 	// survived is true once an upstream has answered.
@@ -54,11 +55,15 @@
 	held int
 }
 
+// open reports whether the request may still turn out to crash upstreams: it can be
+// remembered, and none has answered it.
+func (d *doubt) open() bool { return d.subject.Fingerprint != "" && !d.survived }
+
 // doubted reports whether the request may be one that crashes upstreams. It runs at
 // one of them at a time then.
 func (r *Run) doubted() bool {
 	d := &r.doubt
-	return d.subject.Fingerprint != "" && !d.survived && (d.suspected || d.crashes >= doubtAfter)
+	return d.open() && (d.suspected || d.crashes >= doubtAfter)
 }
 
 // underWay reports whether a call of the run is under way, or waits for its slot.
@@ -78,7 +83,7 @@
 // first attempt, before the first connection is lost; and where a hall is silent the
 // other hedges follow with the first answer.
 func (r *Run) unanswered() bool {
-	return r.doubt.subject.Fingerprint != "" && !r.doubt.survived && len(r.parts) > 1
+	return r.doubt.open() && len(r.parts) > 1
 }
 
 // hedging reports whether a hedge is under way.
@@ -178,7 +183,7 @@
 
 // survive notes that an upstream has answered: the request crashes none.
 func (r *Run) survive() {
-	if r.doubt.subject.Fingerprint == "" || r.doubt.survived {
+	if !r.doubt.open() {
 		return
 	}
 	r.doubt.survived = true
@@ -188,33 +193,30 @@
 // crashed notes that an upstream ended while it may have run the request, and reports
 // whether the run is to end: the upstream ran nothing else of it.
 func (r *Run) crashed(now time.Duration, a *attempt) bool {
-	a.crashed = true
-	r.doubt.crashes++
-	if r.doubt.subject.Fingerprint == "" || r.doubt.survived {
+	d := &r.doubt
+	d.crashes++
+	d.ended = a.upstream.Name
+	if !d.open() {
 		return false
 	}
-	if a.alone || r.doubt.crashes == doubtAfter {
-		r.strike(now, a, a.alone)
+	if a.alone || d.crashes == doubtAfter {
+		r.strike(now, a.alone)
 	}
 	return a.alone
 }
 
-// leaveAlone gives up a call made alone that takes too long, so that another is made;
-// after some of these the run ends.
-func (r *Run) leaveAlone(now time.Duration, n int, out []Action) []Action {
-	a := &r.attempts[n]
+// leaveAlone gives up the call of a part, made alone, that takes too long, so that
+// another is made; after some of these the run ends.
+func (r *Run) leaveAlone(now time.Duration, i int, out []Action) []Action {
 	r.doubt.left++
 	if r.doubt.left >= aloneMost {
 		return r.finish(now, out)
 	}
-	a.abandoned = true
-	out = r.cancel(a.part, CallLate, out)
-	if !r.attemptsLeft(a.part) {
-		r.markMissing(a.part, query.ReasonLate)
-		return out
+	if r.attemptsLeft(i) {
+		return r.putOff(i, CallLate, out)
 	}
-	r.parts[a.part].owes = true
-	r.hold(a.part)
+	out = r.cancel(i, CallLate, out)
+	r.markMissing(i, query.ReasonLate)
 	return out
 }
 
@@ -222,14 +224,16 @@
 // before any upstream does, where too few shards are left to be asked; without this
 // nothing would be learnt of its request then.
 func (r *Run) noteLateCrash(now time.Duration, a *attempt, o CallOutcome) {
-	if o != CallCrashed || r.doubt.subject.Fingerprint == "" || r.doubt.survived {
+	d := &r.doubt
+	if o != CallCrashed || !d.open() {
 		return
 	}
 	r.fleet.mu.Lock()
 	defer r.fleet.mu.Unlock()
-	r.doubt.crashes++
-	if !r.doubt.struck {
-		r.strike(now, a, false)
+	d.crashes++
+	d.ended = a.upstream.Name
+	if !d.struck {
+		r.strike(now, false)
 	}
 }
 
@@ -245,24 +249,32 @@
 			continue
 		}
 		for _, n := range p.live {
-			a := &r.attempts[n]
-			a.abandoned = a.phase == phaseSent
-			p.forget(a.upstream)
+			p.forget(r.attempts[n].upstream)
 		}
-		out = r.cancel(i, CallCancelled, out)
-		p.owes = true
-		r.hold(i)
+		out = r.putOff(i, CallCancelled, out)
 	}
 	return out
 }
 
-// strike gives the request a strike.
-func (r *Run) strike(now time.Duration, a *attempt, alone bool) {
+// putOff gives up the calls of a part that is asked once more later.
+func (r *Run) putOff(i int, o CallOutcome, out []Action) []Action {
+	p := &r.parts[i]
+	for _, n := range p.live {
+		r.attempts[n].abandoned = r.attempts[n].phase == phaseSent
+	}
+	out = r.cancel(i, o, out)
+	p.owes = true
+	r.hold(i)
+	return out
+}
+
+// strike gives the request a strike for the upstream that ended last.
+func (r *Run) strike(now time.Duration, alone bool) {
 	d := &r.doubt
 	if !d.struck {
 		d.struck, d.attempt = true, r.fleet.uniqueID()
 	}
-	r.fleet.quarantine.strike(now, d.subject, Strike{ID: r.fleet.uniqueID(), Attempt: d.attempt, Alone: alone, Upstream: a.upstream.Name})
+	r.fleet.quarantine.strike(now, d.subject, Strike{ID: r.fleet.uniqueID(), Attempt: d.attempt, Alone: alone, Upstream: d.ended})
 }
 
 // uniqueID draws a number that no other host draws.
@@ -272,13 +284,7 @@
 // it is that an upstream ended, and no call is under way that might have shown more.
 func (r *Run) strikeAtEnd(now time.Duration) {
 	d := &r.doubt
-	if d.subject.Fingerprint == "" || d.survived || d.struck || d.crashes == 0 || r.sending() {
-		return
-	}
-	for i := range r.attempts {
-		if a := &r.attempts[i]; a.crashed {
-			r.strike(now, a, false)
-			return
-		}
+	if d.open() && !d.struck && d.crashes > 0 && !r.sending() {
+		r.strike(now, false)
 	}
 }
--- a/tier/policy/fingerprint.go
+++ b/tier/policy/fingerprint.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
+	"hash"
 )
 
 // Bounds of fingerprints.
@@ -32,25 +33,17 @@
 func (c *Content) Fingerprint() Fingerprint {
 	h := sha256.New()
 	for _, text := range []string{c.Method, c.HostName, c.Target} {
-		writeField(h, []byte(text))
+		writeField(h, len(text), []byte(text))
 	}
-	var length [8]byte
-	binary.BigEndian.PutUint64(length[:], uint64(len(c.Body)))
-	writeField(h, length[:])
-	writeField(h, c.Body[:min(len(c.Body), fingerprintBody)])
+	writeField(h, len(c.Body), c.Body[:min(len(c.Body), fingerprintBody)])
 	return Fingerprint(hex.EncodeToString(h.Sum(nil)[:fingerprintBytes]))
 }
 
-// hashWriter is the part of a hash that is written to; it takes all.
-type hashWriter interface {
-	Write(p []byte) (int, error)
-}
-
-// writeField writes a field behind its length, so that no two lists of fields
-// give the same bytes.
-func writeField(h hashWriter, field []byte) {
-	var length [8]byte
-	binary.BigEndian.PutUint64(length[:], uint64(len(field)))
-	_, _ = h.Write(length[:])
+// writeField writes a field, or the start of it, behind its whole length, so that no two
+// lists of fields give the same bytes.
+func writeField(h hash.Hash, length int, field []byte) {
+	var prefix [8]byte
+	binary.BigEndian.PutUint64(prefix[:], uint64(length))
+	_, _ = h.Write(prefix[:]) // a hash takes all
 	_, _ = h.Write(field)
 }
--- a/tier/policy/quarantine.go
+++ b/tier/policy/quarantine.go
@@ -220,22 +220,18 @@
 
 // merge takes strikes in.
 func (q *quarantine) merge(now time.Duration, c *SuspectReport) {
-	before := VerdictSound
-	if s := q.suspects[c.Fingerprint]; s != nil {
-		before = s.worst(now)
-	}
-	s := q.suspects[c.Fingerprint]
-	if s == nil {
+	s, known := q.suspects[c.Fingerprint]
+	if !known {
 		s = &suspect{}
 	}
-	news := false
+	before, news := s.worst(now), false
 	for _, k := range c.Strikes {
 		news = s.add(now, k) || news
 	}
 	if !news {
 		return
 	}
-	if q.suspects[c.Fingerprint] == nil {
+	if !known {
 		q.makeRoom(now)
 		q.suspects[c.Fingerprint] = s
 	}
@@ -255,35 +251,38 @@
 	}
 	s.strikes = slices.DeleteFunc(s.strikes, func(o strike) bool { return now >= o.until })
 	if len(s.strikes) >= strikesMost {
-		s.strikes = slices.Delete(s.strikes, s.least(), s.least()+1)
+		i = s.least(now)
+		s.strikes = slices.Delete(s.strikes, i, i+1)
 	}
 	s.strikes = append(s.strikes, strike{Strike: k, until: now + left})
 	return true
 }
 
-// least is the index of the strike that says least: one that is void, then one that
-// is not alone, then the oldest.
-func (s *suspect) least() int {
-	weight := func(k *strike) int {
-		switch {
-		case k.Void:
-			return 0
-		case !k.Alone:
-			return 1
-		default:
-			return 2
-		}
-	}
+// least is the index of the strike that matters least, and of such the oldest.
+func (s *suspect) least(now time.Duration) int {
 	best := 0
 	for i := range s.strikes {
 		a, b := &s.strikes[i], &s.strikes[best]
-		if cmp.Or(cmp.Compare(weight(a), weight(b)), cmp.Compare(a.until, b.until)) < 0 {
+		if cmp.Or(cmp.Compare(a.weight(now), b.weight(now)), cmp.Compare(a.until, b.until)) < 0 {
 			best = i
 		}
 	}
 	return best
 }
 
+// weight is how much a strike matters: most if the upstream ended alone, least if the
+// strike does not count.
+func (k *strike) weight(now time.Duration) int {
+	switch {
+	case k.Void || now >= k.until:
+		return 0
+	case !k.Alone:
+		return 1
+	default:
+		return 2
+	}
+}
+
 // worst is the verdict for the caller that fares worst.
 func (s *suspect) worst(now time.Duration) Verdict {
 	worst := VerdictSound
@@ -330,18 +329,11 @@
 	return cmp.Or(cmp.Compare(x.weight(now), y.weight(now)), cmp.Compare(x.newest(), y.newest()), cmp.Compare(a, b))
 }
 
-// weight is how much a request matters: most if it has ended an upstream alone, least if
-// no strike counts.
+// weight is how much a request matters: as much as the strike that matters most.
 func (s *suspect) weight(now time.Duration) int {
 	out := 0
 	for i := range s.strikes {
-		switch k := &s.strikes[i]; {
-		case k.Void || now >= k.until:
-		case k.Alone:
-			return 2
-		default:
-			out = 1
-		}
+		out = max(out, s.strikes[i].weight(now))
 	}
 	return out
 }
--- a/tier/policy/run.go
+++ b/tier/policy/run.go
@@ -117,9 +117,8 @@
 	hedgeAge time.Duration
 	waiter   *Waiter
 	// alone is true if the run was doubted and had no other call under way when it
-	// was sent; crashed once its upstream ended; abandoned once it was given up
-	// though its part is open.
-	alone, crashed, abandoned bool
+	// was sent; abandoned once it was given up though its part is open.
+	alone, abandoned bool
 }
 
 // Run is the life of one request: events and the time go in, actions come out.
@@ -229,7 +228,7 @@
 	a := &r.attempts[n]
 	if r.finished || a.phase != phaseQueued || r.parts[a.part].closed || now >= r.deadline {
 		a.phase = phaseDone
-		return []Action{{Kind: ActionFree, Attempt: n, Part: a.part, Upstream: a.upstream}}
+		return r.freeSlot(n)
 	}
 	r.fleet.mu.Lock()
 	defer r.fleet.mu.Unlock()
@@ -237,17 +236,21 @@
 		// It began to leave while the attempt waited: nothing new goes there.
 		a.phase = phaseDone
 		r.parts[a.part].remove(n)
-		free := []Action{{Kind: ActionFree, Attempt: n, Part: a.part, Upstream: a.upstream}}
-		return r.finishIfDone(now, append(free, r.failed(now, a.part, CallLeaving)...))
+		return r.finishIfDone(now, append(r.freeSlot(n), r.failed(now, a.part, CallLeaving)...))
 	}
 	if r.holdGranted(n) {
-		free := []Action{{Kind: ActionFree, Attempt: n, Part: a.part, Upstream: a.upstream}}
-		return r.finishIfDone(now, free)
+		return r.finishIfDone(now, r.freeSlot(n))
 	}
 	r.leaveQueues(a.part, n)
 	return r.finishIfDone(now, r.send(now, n, nil))
 }
 
+// freeSlot gives back the slot of an attempt that is not sent.
+func (r *Run) freeSlot(n int) []Action {
+	a := &r.attempts[n]
+	return []Action{{Kind: ActionFree, Attempt: n, Part: a.part, Upstream: a.upstream}}
+}
+
 // Reply tells what became of a sent attempt. The part may be merged only if
 // ActionTake comes back.
 func (r *Run) Reply(now time.Duration, n int, o CallOutcome) []Action {
