refactor: members by hall, samples and mixed histories are made in one place each

What stood twice: members divided into this hall and the others (announcer and strikes: byHall), a sample of a list (gossip and strikes: sample), changes of a directory applied twice in any order (two tests: inAnyOrder, with the same assertions). What could be derived: fingerprint and caller of a request were two fields and a method that joined them (now request.subject); a replayed call knew twice whether it crashes its upstream. Work done twice: each second a host made and sorted its reports only to see whether there are any (HasSuspects), and made them again to send them. Left as it is: the verdict is asked for before a request is handed over and again when its run begins, since a coordinator begins it elsewhere.

--- a/tier/config/directory_test.go
+++ b/tier/config/directory_test.go
@@ -34,13 +34,7 @@
 				history = append(history, whole)
 			}
 		}
-		var mixed *Directory
-		for _, i := range rapid.Permutation(append(indexes(len(history)), indexes(len(history))...)).Draw(t, "order") {
-			before := mixed
-			next, changed := mixed.With(&history[i])
-			assert.Assert(t, changed || before.Digest() == next.Digest())
-			mixed = next
-		}
+		mixed := inAnyOrder(t, history)
 		assert.Equal(t, mixed.Digest(), inOrder.Digest())
 		assert.Equal(t, mixed.Revision, inOrder.Revision)
 	})
@@ -168,3 +162,15 @@
 		assert.ErrorIs(t, err, ErrInvalid, text)
 	}
 }
+
+// inAnyOrder applies each change twice, in any order.
+func inAnyOrder(t *rapid.T, history []DirectoryChange) *Directory {
+	var mixed *Directory
+	for _, i := range rapid.Permutation(append(indexes(len(history)), indexes(len(history))...)).Draw(t, "order") {
+		before := mixed
+		next, changed := mixed.With(&history[i])
+		assert.Assert(t, changed || before.Digest() == next.Digest())
+		mixed = next
+	}
+	return mixed
+}
--- a/tier/config/places_test.go
+++ b/tier/config/places_test.go
@@ -78,13 +78,7 @@
 				history = append(history, whole)
 			}
 		}
-		var mixed *Directory
-		for _, i := range rapid.Permutation(append(indexes(len(history)), indexes(len(history))...)).Draw(t, "order") {
-			before := mixed
-			next, changed := mixed.With(&history[i])
-			assert.Assert(t, changed || before.Digest() == next.Digest())
-			mixed = next
-		}
+		mixed := inAnyOrder(t, history)
 		assert.DeepEqual(t, mixed.EvacuatedHalls(), inOrder.EvacuatedHalls())
 		assert.Equal(t, mixed.Digest(), inOrder.Digest())
 		var late *Directory
--- a/tier/pass/answer.go
+++ b/tier/pass/answer.go
@@ -172,11 +172,11 @@
 	metrics.GetOrCreateHistogram("loomgap_routed_seconds" + labels).Update(took.Seconds())
 	line := q.engine.kernel.Decisions.Info().Str("RequestID", q.id).Str("Route", route).
 		Str("Outcome", outcome).Int("Status", status).Int64("TookMillis", took.Milliseconds())
-	if q.fingerprint != "" {
-		line = line.Str("Fingerprint", string(q.fingerprint))
+	if q.subject.Fingerprint != "" {
+		line = line.Str("Fingerprint", string(q.subject.Fingerprint))
 	}
-	if q.caller.IsValid() {
-		line = line.Str("Caller", q.caller.String())
+	if q.subject.Caller.IsValid() {
+		line = line.Str("Caller", q.subject.Caller.String())
 	}
 	if q.view.Index != nil {
 		line = line.Uint64("Revision", q.view.Index.Revision).
--- a/tier/pass/coord.go
+++ b/tier/pass/coord.go
@@ -13,6 +13,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"loomgap/tier/kernel"
+	"loomgap/tier/policy"
 	"loomgap/tier/wire"
 )
 
@@ -190,11 +191,11 @@
 	now := e.kernel.Now()
 	q := &request{
 		engine: e, id: in.RequestID, view: e.kernel.View(), method: in.Method, head: []byte(in.Head), body: in.Body,
-		begun: now - max(time.Duration(in.SpentMicros)*time.Microsecond, 0), hostName: in.HostName, path: in.Path, caller: in.Caller,
+		begun: now - max(time.Duration(in.SpentMicros)*time.Microsecond, 0), hostName: in.HostName, path: in.Path,
 		deadline: now + time.Duration(in.LeftMillis)*time.Millisecond,
 	}
 	content := contentOf(q.head, q.body)
-	q.fingerprint = content.Fingerprint()
+	q.subject = policy.Subject{Fingerprint: content.Fingerprint(), Caller: in.Caller}
 	q.route, q.class = q.view.Index.Route(in.HostName, in.Path)
 	if q.route == nil || q.route.Digest() != in.Route {
 		return nil, DeclineRoute
--- a/tier/pass/forward.go
+++ b/tier/pass/forward.go
@@ -283,7 +283,7 @@
 	spent := max(now-q.begun, e.margins.aroundCoordinator())
 	return &ForwardRequest{
 		ID: e.batches.name(), RequestID: q.id, HostName: q.hostName, Path: q.path, Route: q.route.Digest(),
-		Method: q.method, Head: string(q.head), Body: q.body, Caller: q.caller,
+		Method: q.method, Head: string(q.head), Body: q.body, Caller: q.subject.Caller,
 		SpentMicros: spent.Microseconds(), LeftMillis: (q.deadline - now).Milliseconds(), Trace: wire.TraceOf(ctx),
 	}
 }
--- a/tier/pass/hosts.go
+++ b/tier/pass/hosts.go
@@ -66,9 +66,9 @@
 }
 
 // choose returns the live host of a hall that owes the fewest answers for what it
-// can carry, and none to a certain request; empty if there is none that answers. Of those that owe
-// alike, all hosts take the same one: it sees most calls to its upstreams, so it
-// learns soon how they do.
+// can carry, and none to a certain request; empty if there is none that answers. Of
+// those that owe alike, all hosts take the same one: it sees most calls to its
+// upstreams, so it learns soon how they do.
 func (r *relays) choose(v *kernel.View, hall string, now time.Duration, outstanding map[string]int) string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/tier/pass/serve.go
+++ b/tier/pass/serve.go
@@ -62,10 +62,9 @@
 	head                []byte
 	method              string
 	body                []byte
-	// caller is the address that the request came from; the zero value if it is not
-	// known. fingerprint is empty until the request is read.
-	caller      netip.Addr
-	fingerprint policy.Fingerprint
+	// subject is what the request is remembered by if it crashes upstreams; its
+	// fingerprint is empty until the request is read.
+	subject policy.Subject
 
 	// single is the answer that was taken, failure the last failure that an
 	// upstream answered with; both for a request to one group.
@@ -93,7 +92,7 @@
 	e.kernel.InFlight.Add(1)
 	defer e.kernel.InFlight.Add(-1)
 	e.kernel.Wake()
-	q := &request{engine: e, id: r.Header.Get(e.headers.RequestID), begun: e.kernel.Now(), method: r.Method, caller: callerOf(r)}
+	q := &request{engine: e, id: r.Header.Get(e.headers.RequestID), begun: e.kernel.Now(), method: r.Method, subject: policy.Subject{Caller: callerOf(r)}}
 	configured := e.awaitConfiguration(r.Context())
 	q.view = e.kernel.View()
 	if e.kernel.Phase() == kernel.PhaseDraining {
@@ -141,7 +140,7 @@
 // and reports whether it did.
 func (q *request) quarantined(w http.ResponseWriter) bool {
 	k := q.engine.kernel
-	verdict, left := k.Fleet.Judge(k.Now(), q.subject())
+	verdict, left := k.Fleet.Judge(k.Now(), q.subject)
 	if verdict != policy.VerdictQuarantined {
 		return false
 	}
@@ -149,11 +148,6 @@
 	return true
 }
 
-// subject is what the request is remembered by if it crashes upstreams.
-func (q *request) subject() policy.Subject {
-	return policy.Subject{Fingerprint: q.fingerprint, Caller: q.caller}
-}
-
 // callerOf returns the address that a request came from; the zero value if the
 // server does not tell it.
 func callerOf(r *http.Request) netip.Addr {
@@ -205,7 +199,7 @@
 	}
 	q.head = headOf(r, &q.engine.headers, len(q.body))
 	content := contentOf(q.head, q.body)
-	q.fingerprint = content.Fingerprint()
+	q.subject.Fingerprint = content.Fingerprint()
 	return true
 }
 
@@ -263,7 +257,7 @@
 		Kernel: k, Caller: q,
 		Run: policy.RunConfig{
 			Fleet: k.Fleet, Pool: near, Class: q.classOf(spent), Deadline: q.deadline,
-			Replicas: q.plan.replicas, Repeatable: q.route.Repeatable, Subject: q.subject(),
+			Replicas: q.plan.replicas, Repeatable: q.route.Repeatable, Subject: q.subject,
 			Routed: &policy.Routed{
 				Groups: q.plan.groups, FarPool: far, MaxAttempts: q.route.MaxAttempts,
 				Objective: max(time.Duration(q.route.Objective)-spent, 0), Hall: q.plan.hall,
@@ -287,7 +281,7 @@
 	if l == nil {
 		return runner.Reply[*answer]{Outcome: policy.CallUnreachable}
 	}
-	if !q.engine.admits(q.engine.kernel.Now(), &admission{route: q.route.Name, request: q.id, subject: q.subject()}, a.Upstream) {
+	if !q.engine.admits(q.engine.kernel.Now(), &admission{route: q.route.Name, request: q.id, subject: q.subject}, a.Upstream) {
 		return runner.Reply[*answer]{Outcome: policy.CallBarred}
 	}
 	ctx, span := q.engine.kernel.Tracer.Start(ctx, "upstream", trace.WithSpanKind(trace.SpanKindClient))
--- a/tier/peers/announce.go
+++ b/tier/peers/announce.go
@@ -137,19 +137,27 @@
 	}
 }
 
-// recipients lists whom this host announces to: its hall, and if it is to read
-// the platform, the first host of each other hall.
-func (a *announcer) recipients(s *kernel.State) (hall, readers []string) {
-	others := map[string][]string{}
-	for n, m := range s.Members {
+// byHall lists the members that a test picks: those of one hall, and those of each
+// other.
+func byHall(members map[string]kernel.Member, hall string, picks func(*kernel.Member) bool) (near []string, far map[string][]string) {
+	far = map[string][]string{}
+	for n, m := range members {
 		switch {
-		case !m.Live || m.Leaving:
-		case m.Hall == a.kernel.Settings.Hall:
-			hall = append(hall, n)
+		case !picks(&m):
+		case m.Hall == hall:
+			near = append(near, n)
 		default:
-			others[m.Hall] = append(others[m.Hall], n)
+			far[m.Hall] = append(far[m.Hall], n)
 		}
 	}
+	return near, far
+}
+
+// recipients lists whom this host announces to: its hall, and if it is to read
+// the platform, the first host of each other hall.
+func (a *announcer) recipients(s *kernel.State) (hall, readers []string) {
+	stays := func(m *kernel.Member) bool { return m.Live && !m.Leaving }
+	hall, others := byHall(s.Members, a.kernel.Settings.Hall, stays)
 	if !s.Reading {
 		return hall, nil
 	}
--- a/tier/peers/gossip.go
+++ b/tier/peers/gossip.go
@@ -284,7 +284,13 @@
 }
 
 func (g *gossip) sample(out, from []netip.AddrPort, n int) []netip.AddrPort {
-	for _, i := range g.random.Perm(len(from))[:min(n, len(from))] {
+	return append(out, sample(g.random.Perm, from, n)...)
+}
+
+// sample returns some of a list, at most so many, as a permutation draws them.
+func sample[T any](perm func(int) []int, from []T, n int) []T {
+	var out []T
+	for _, i := range perm(len(from))[:min(n, len(from))] {
 		out = append(out, from[i])
 	}
 	return out
--- a/tier/peers/strikes.go
+++ b/tier/peers/strikes.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -136,7 +135,7 @@
 			switch {
 			case !started:
 				started = s.start(ctx)
-			case len(s.kernel.Fleet.Reports(s.kernel.Now())) > 0:
+			case s.kernel.Fleet.HasSuspects():
 				s.exchangeWith(ctx, s.partners(rounds%exchangeElsewhere == 0, 1))
 			}
 		}
@@ -194,9 +193,9 @@
 // targets are the hosts that are told of new strikes.
 func (s *striker) targets() []string {
 	near, far := s.others()
-	out := sampleHosts(near, strikesInHall)
+	out := sample(rand.Perm, near, strikesInHall)
 	for _, hosts := range far {
-		out = append(out, sampleHosts(hosts, strikesElsewhere)...)
+		out = append(out, sample(rand.Perm, hosts, strikesElsewhere)...)
 	}
 	return out[:min(len(out), strikesTargets)]
 }
@@ -211,29 +210,12 @@
 	if !elsewhere && len(near) > 0 || len(all) == 0 {
 		all = near
 	}
-	return sampleHosts(all, n)
+	return sample(rand.Perm, all, n)
 }
 
 // others lists the other live hosts of this hall, and those of each other hall.
 func (s *striker) others() (near []string, far map[string][]string) {
-	far = map[string][]string{}
-	for n, m := range s.kernel.View().Members {
-		switch {
-		case !m.Callable():
-		case m.Hall == s.kernel.Settings.Hall:
-			near = append(near, n)
-		default:
-			far[m.Hall] = append(far[m.Hall], n)
-		}
-	}
-	return near, far
-}
-
-// sampleHosts returns some hosts, at most so many, at random.
-func sampleHosts(all []string, n int) []string {
-	out := slices.Clone(all)
-	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
-	return out[:min(n, len(out))]
+	return byHall(s.kernel.View().Members, s.kernel.Settings.Hall, (*kernel.Member).Callable)
 }
 
 func (s *striker) tell(ctx context.Context, host string, m *StrikesMessage) {
--- a/tier/peers/strikes_test.go
+++ b/tier/peers/strikes_test.go
@@ -200,11 +200,7 @@
 		away := n.kernels["H3"]
 		assert.Equal(t, away.Fleet.Worst(away.Now(), "F"), policy.VerdictSound)
 		n.cutOff("H3", false)
-		members := map[string]kernel.Member{}
-		for h, m := range n.kernels["H0"].View().Members {
-			members[h] = m
-		}
-		started := n.add(t, 7, members)
+		started := n.add(t, 7, n.kernels["H0"].View().Members)
 		time.Sleep(3 * time.Second)
 		for _, k := range []*kernel.Kernel{away, started} {
 			assert.Equal(t, k.Fleet.Worst(k.Now(), "F"), policy.VerdictSuspected, k.Settings.Host)
--- a/tier/replay/crash.go
+++ b/tier/replay/crash.go
@@ -131,9 +131,10 @@
 	}
 }
 
-// subject returns what hosts remember the request by.
+// subject returns what hosts remember the request by; the zero value where the visit is
+// not known.
 func (v *visit) subject() policy.Subject {
-	if !v.world.c.Routed.Crash.Remember {
+	if v == nil || !v.world.c.Routed.Crash.Remember {
 		return policy.Subject{}
 	}
 	return policy.Subject{Fingerprint: v.fingerprint, Caller: v.caller}
@@ -214,9 +215,13 @@
 	w.after(w.c.Routed.Crash.Down, func() { s.down = false })
 }
 
+// crashes reports whether upstreams end that run calls of the flight; none if it is
+// nil.
+func (f *flight) crashes() bool { return f != nil && f.visit != nil && f.visit.crashes }
+
 // reached counts an attempt of the request that reaches an upstream, once.
 func (f *flight) reached() {
-	if f.visit == nil || !f.visit.crashes || f.hasReached {
+	if f.hasReached {
 		return
 	}
 	f.hasReached = true
--- a/tier/replay/replay.go
+++ b/tier/replay/replay.go
@@ -356,7 +356,7 @@
 	w := f.host.world
 	index := w.indices[a.Upstream.Name]
 	sent := w.now
-	k := &work{world: w, server: w.upstreams[index], hop: f.host.hop(index), flight: f, crashes: f.visit != nil && f.visit.crashes}
+	k := &work{world: w, server: w.upstreams[index], hop: f.host.hop(index), flight: f}
 	f.host.fleet.Sent(sent, a.Upstream)
 	k.done = func(o policy.CallOutcome) {
 		f.host.work(func() {
--- a/tier/replay/routed.go
+++ b/tier/replay/routed.go
@@ -182,13 +182,8 @@
 	near, far := h.fleet.RoutedPools(c.Route.Name)
 	f := h.newFlight(load, w.c.Shards)
 	f.begun, f.back, f.visit = began, back, v
-	var subject policy.Subject
-	if v != nil {
-		subject = v.subject()
-	}
 	f.begin(policy.RunConfig{
-		Subject: subject,
-		Pool:    near, Class: &class, Replicas: h.fleet.Resolve(names),
+		Pool: near, Class: &class, Replicas: h.fleet.Resolve(names), Subject: v.subject(),
 		Deadline: w.now + time.Duration(c.Route.TimeLimit),
 		Routed: &policy.Routed{
 			Groups: groups, FarPool: far, MaxAttempts: c.Route.MaxAttempts, Objective: max(time.Duration(c.Route.Objective)-spent, 0),
--- a/tier/replay/server.go
+++ b/tier/replay/server.go
@@ -44,7 +44,7 @@
 
 // arrive takes a call in, queues it or sheds it.
 func (s *server) arrive(k *work) {
-	if !s.down && k.flight != nil {
+	if !s.down && k.flight.crashes() {
 		k.flight.reached()
 	}
 	switch {
@@ -70,7 +70,7 @@
 	s.busy++
 	k.working = true
 	s.running = append(s.running, k)
-	if k.crashes {
+	if k.flight.crashes() {
 		s.ruin(k)
 		return
 	}
@@ -106,9 +106,8 @@
 	finished  bool
 	// lingering is true once the call goes on though it is not wanted.
 	lingering bool
-	// crashes is true if the upstream ends when it runs the call, of flight.
-	crashes bool
-	flight  *flight
+	// flight is what the call belongs to; nil for one that an owner makes.
+	flight *flight
 	// inner is the call that the owner makes for a relayed one.
 	inner *work
 	// done reports the outcome to the calling host, once.
