feat: a host logs a document that it passes over

The timeline of the configuration that never came into force left two hypotheses that the logs could not tell apart: the newer document was read and had no effect, or it was not read. A line now says the first, with the revision of the document and the newest one known. No change of logic.

--- a/tier/kernel/document.go
+++ b/tier/kernel/document.go
@@ -53,6 +53,7 @@
 // and valid. It runs on the control thread.
 func (k *Kernel) Accept(s *State, text string, revision uint64) {
 	if revision <= s.Newest {
+		k.logPassedOver(s, revision)
 		return
 	}
 	x, err := config.Accept([]byte(text), revision)
@@ -72,6 +73,7 @@
 // from the revision before. It runs on the control thread.
 func (k *Kernel) AcceptDocument(s *State, d *config.Document, revision uint64) {
 	if revision <= s.Newest {
+		k.logPassedOver(s, revision)
 		return
 	}
 	d.Based = revision - 1
@@ -82,3 +84,11 @@
 	}
 	k.Accept(s, string(text), revision)
 }
+
+// logPassedOver notes a document that is older than the newest one seen. Without it, a
+// change that was read and ignored looks like one that was never read.
+func (k *Kernel) logPassedOver(s *State, revision uint64) {
+	if revision < s.Newest {
+		k.Log.Info().Uint64("Revision", revision).Uint64("Newest", s.Newest).Msg("document passed over")
+	}
+}
