--- a/loomfake/platform.go
+++ b/loomfake/platform.go
@@ -31,7 +31,8 @@
 	return prog.Command{
 		Name: "platform", Synopsis: "run a stand-in of the platform's service",
 		Usage: "loomfake platform -Listen IP:PORT [-File DOCUMENT]\n" +
-			"POST /Publish publishes a document, POST /Fake sets faults, POST /SetLive a line of the live list.\n",
+			"POST /Publish publishes a document, POST /Fake sets faults, POST /SetLive a line of the live list,\n" +
+			"POST /Restore has it come back from a copy.\n",
 		Flags: c.flags, Run: logged(c.run),
 	}
 }
@@ -67,9 +68,19 @@
 	LiveLag config.Duration
 }
 
+// restoring has the platform come back from a copy of itself.
+type restoring struct {
+	// Revision is up to which document the copy was made, Live the live list of then.
+	Revision uint64
+	Live     []wire.LiveEntry `json:",omitzero"`
+}
+
 type publisher struct {
 	// mu guards what follows.
 	mu sync.Mutex
+	// era counts the returns from a copy, from 1; eraFrom is the first revision that it
+	// gives out.
+	era, eraFrom uint64
 	// documents are those published so far; the index is the revision less 1.
 	documents []string
 	// live is the live list by name, version the count of its changes.
@@ -97,7 +108,7 @@
 )
 
 func newPublisher() *publisher {
-	return &publisher{live: map[string]liveLine{}, changed: make(chan struct{})}
+	return &publisher{era: 1, eraFrom: 1, live: map[string]liveLine{}, changed: make(chan struct{})}
 }
 
 func (p *publisher) handler() http.Handler {
@@ -107,6 +118,7 @@
 	m.HandleFunc("POST /Publish", p.onPublish)
 	m.HandleFunc("POST /Fake", posted(p.setFaults))
 	m.HandleFunc("POST /SetLive", posted(p.setLive))
+	m.HandleFunc("POST /Restore", posted(p.restore))
 	return m
 }
 
@@ -124,23 +136,39 @@
 	p.changed = make(chan struct{})
 }
 
-// read serves a long poll: it answers when the number rises above After, or
-// when WaitMillis have passed. A number that is missing or wrong counts as 0.
+// restore has the documents and the live list be those of a copy, and begins the next era.
+func (p *publisher) restore(r restoring) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.documents = p.documents[:min(r.Revision, uint64(len(p.documents)))]
+	p.era, p.eraFrom = p.era+1, uint64(len(p.documents))+1
+	p.live, p.version = map[string]liveLine{}, uint64(len(r.Live))
+	for _, e := range r.Live {
+		p.live[e.Name] = liveLine{state: e.State}
+	}
+	p.wake()
+}
+
+// read serves a long poll: it answers when the number rises above After, when After is of
+// another Era, or when WaitMillis have passed. A number that is missing or wrong counts
+// as 0, and an era that is missing as this one.
 func (p *publisher) read(get func() (uint64, any)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		after, _ := strconv.ParseUint(r.FormValue("After"), 10, 64)
 		wait, _ := strconv.ParseInt(r.FormValue("WaitMillis"), 10, 64)
+		era, _ := strconv.ParseUint(r.FormValue("Era"), 10, 64)
 		end := time.Now().Add(time.Duration(wait) * time.Millisecond)
 		for {
 			p.mu.Lock()
 			down, changed := p.faults.Down, p.changed
+			another := era > 0 && era != p.era
 			n, v := get()
 			p.mu.Unlock()
 			if down {
 				http.Error(w, "down", http.StatusServiceUnavailable)
 				return
 			}
-			if n > after || !time.Now().Before(end) {
+			if n > after || another || !time.Now().Before(end) {
 				write(w, http.StatusOK, v)
 				return
 			}
@@ -161,14 +189,14 @@
 		n = p.faults.Serve
 	}
 	if n == 0 {
-		return 0, wire.DocumentReply{}
+		return 0, wire.DocumentReply{Era: p.era, EraFrom: p.eraFrom}
 	}
-	return n, wire.DocumentReply{Revision: n, Text: p.documents[n-1]}
+	return n, wire.DocumentReply{Era: p.era, EraFrom: p.eraFrom, Revision: n, Text: p.documents[n-1]}
 }
 
 // list returns the version of the live list and the list. It needs mu.
 func (p *publisher) list() (uint64, any) {
-	out := wire.LiveReply{Version: p.version}
+	out := wire.LiveReply{Era: p.era, Version: p.version}
 	for n, l := range p.live {
 		state := l.state
 		if time.Since(l.at) < time.Duration(p.faults.LiveLag) {
--- a/tier/config/bench_test.go
+++ b/tier/config/bench_test.go
@@ -38,7 +38,7 @@
 			b.ReportAllocs()
 			b.ReportMetric(float64(len(text)), "document-bytes")
 			for b.Loop() {
-				_, err := Accept(text, 1)
+				_, err := Accept(text, Edition{Position: Position{Revision: 1}})
 				assert.NilError(b, err)
 			}
 		})
--- a/tier/config/config_test.go
+++ b/tier/config/config_test.go
@@ -20,7 +20,7 @@
 }
 
 func TestAcceptGivesDefaultsAndLooksUp(t *testing.T) {
-	x, err := Accept(good(t), 1)
+	x, err := Accept(good(t), Edition{Position: Position{Revision: 1}})
 	assert.NilError(t, err)
 	assert.Equal(t, x.Class("Search").MaxDeadline, DefaultClass().MaxDeadline)
 	assert.Equal(t, x.Upstream("U2").Slots, 2)
@@ -92,7 +92,7 @@
 	f.Add([]byte(`{"Services": [{"Shards": [{"From": -1}]}]}`))
 	f.Add([]byte("\xff{"))
 	f.Fuzz(func(t *testing.T, text []byte) {
-		x, err := Accept(text, 1)
+		x, err := Accept(text, Edition{Position: Position{Revision: 1}})
 		if err != nil {
 			assert.ErrorIs(t, err, ErrInvalid)
 			return
--- a/tier/config/directory.go
+++ b/tier/config/directory.go
@@ -1,19 +1,22 @@
 package config
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 )
 
-// Directory is the set of listed upstreams at one revision. It does not change;
+// Directory is the set of listed upstreams at one position. It does not change;
 // With makes the next one.
 type Directory struct {
-	// Revision is the platform's revision up to which the directory is whole.
+	// Era and Revision are the platform's position up to which the directory is whole.
+	Era      uint64
 	Revision uint64
-	// removed holds for names that were removed the revision of the removal, so
-	// that an older listing of the same name does not bring it back.
-	removed map[string]uint64
+	// Settled is the last era whose beginning is over: what stands in the platform then
+	// holds, and what is known of earlier eras counts no more. It only rises.
+	Settled uint64
+	// removed holds for names that were removed their removal, so that an older listing
+	// of the same name does not bring it back.
+	removed map[string]Removal
 	listed  map[string]Listing
 	// groups holds what is listed by group, each in order of name.
 	groups map[string][]Listing
@@ -25,14 +28,25 @@
 
 // Removal tells that a name is no longer listed.
 type Removal struct {
-	Name     string
+	Name string
+	// Era and Revision are the platform's position of the removal.
+	Era      uint64 `json:",omitempty"`
 	Revision uint64
+	// Sequence is the last count of its reports that was known of the name; 0 for none.
+	Sequence uint64 `json:",omitempty"`
 }
 
-// DirectoryChange is what changed in the directory up to a revision.
+func (r *Removal) mark() mark {
+	return mark{Position: Position{Era: r.Era, Revision: r.Revision}, sequence: r.Sequence}
+}
+
+// DirectoryChange is what changed in the directory up to a position.
 type DirectoryChange struct {
-	// Revision is the platform's revision after the change.
+	// Era and Revision are the platform's position after the change.
+	Era      uint64 `json:",omitempty"`
 	Revision uint64
+	// Settled is the last era that whoever sends the change knows to be settled.
+	Settled uint64 `json:",omitempty"`
 	// Whole is true if Listed is the whole directory and not a change.
 	Whole   bool `json:",omitempty"`
 	Listed  []Listing
@@ -46,6 +60,31 @@
 // when there are more. Not measured.
 const maxRemoved = 2000
 
+// Position is the platform's position up to which the directory is whole.
+func (d *Directory) Position() Position {
+	d = d.orEmpty()
+	return Position{Era: d.Era, Revision: d.Revision}
+}
+
+// Unsettled reports whether what is known of an earlier era still counts.
+func (d *Directory) Unsettled() bool {
+	d = d.orEmpty()
+	return d.Settled < d.Era
+}
+
+// Position is the platform's position after the change.
+func (c *DirectoryChange) Position() Position { return Position{Era: c.Era, Revision: c.Revision} }
+
+// MarkCopied notes of all entries that they may come from the copy that an era began with.
+func (c *DirectoryChange) MarkCopied() {
+	for i := range c.Listed {
+		c.Listed[i].Copied = true
+	}
+	for i := range c.Evacuated {
+		c.Evacuated[i].Copied = true
+	}
+}
+
 // nothing is what a host knows that has no directory yet. It is not changed.
 var nothing Directory
 
@@ -119,156 +158,44 @@
 	}
 	var out []Removal
 	for n, l := range d.orEmpty().listed {
-		if !names[n] && l.Revision <= c.Revision {
-			out = append(out, Removal{Name: n, Revision: c.Revision})
+		if !names[n] && d.coveredBy(l.mark(), c) {
+			out = append(out, Removal{Name: n, Era: c.Era, Revision: c.Revision})
 		}
 	}
 	return out
 }
 
+// coveredBy reports whether a whole listing would have what is marked m, if it were still
+// there. One of an era that is not settled may lack what lives: its copy is older.
+func (d *Directory) coveredBy(m mark, c *DirectoryChange) bool {
+	settled := max(d.Settled, c.Settled) >= c.Era
+	return m.Compare(c.Position()) <= 0 && (settled || m.sameHistory(c.Position()))
+}
+
 // Since returns what changed from an earlier directory to this one.
 func (d *Directory) Since(old *Directory) DirectoryChange {
 	if old == nil || d == nil {
 		return d.Whole()
 	}
-	out := DirectoryChange{Revision: d.Revision}
+	out := DirectoryChange{Era: d.Era, Revision: d.Revision, Settled: d.Settled}
 	for n, l := range d.listed {
 		if old.listed[n] != l {
 			out.Listed = append(out.Listed, l)
 		}
 	}
-	for _, r := range newer(d.evacuations.since, old.evacuations.since) {
-		out.Evacuated = append(out.Evacuated, Evacuation{Hall: r.Name, Revision: r.Revision})
-	}
-	out.Resumed = newer(d.evacuations.ended, old.evacuations.ended)
-	out.Removed = newer(d.removed, old.removed)
+	out.Evacuated = changed(d.evacuations.since, old.evacuations.since)
+	out.Resumed = changed(d.evacuations.ended, old.evacuations.ended)
+	out.Removed = changed(d.removed, old.removed)
 	return out
 }
 
-// newer lists the names whose revision is not an older one's, in order of name.
-func newer(revisions, older map[string]uint64) []Removal {
-	var out []Removal
-	for n, r := range revisions {
-		if older[n] != r {
-			out = append(out, Removal{Name: n, Revision: r})
+// changed lists what differs from what was known before, in order of name.
+func changed[T comparable](now, before map[string]T) []T {
+	var out []T
+	for _, n := range slices.Sorted(maps.Keys(now)) {
+		if before[n] != now[n] {
+			out = append(out, now[n])
 		}
 	}
-	slices.SortFunc(out, func(a, b Removal) int { return cmp.Compare(a.Name, b.Name) })
 	return out
 }
-
-// With returns the directory after a change. What is older than what is known
-// has no effect, so changes may arrive twice or out of order. A whole listing
-// older than the directory takes nothing away. The second result is false if
-// nothing changed but the revision.
-func (d *Directory) With(c *DirectoryChange) (*Directory, bool) {
-	e := newEditor(d)
-	for _, l := range c.Listed {
-		e.list(l)
-	}
-	whole := c.Whole && c.Revision >= e.next.Revision
-	if whole {
-		for _, r := range e.next.Lacking(c) {
-			e.remove(r)
-		}
-	}
-	for _, r := range c.Removed {
-		e.remove(r)
-	}
-	evacuated, moved := e.next.evacuations.next(c, whole)
-	e.next.evacuations, e.changed = evacuated, e.changed || moved
-	e.next.Revision = max(e.next.Revision, c.Revision)
-	e.next.forget()
-	return e.finish(), d == nil || e.changed
-}
-
-// emptyDigest is the digest of a directory that lists nothing; 0 is that of none.
-const emptyDigest = 1
-
-// forget drops the oldest removals beyond the bound.
-func (d *Directory) forget() {
-	if len(d.removed) <= maxRemoved {
-		return
-	}
-	revisions := slices.Sorted(maps.Values(d.removed))
-	oldest := revisions[len(revisions)-maxRemoved/2]
-	maps.DeleteFunc(d.removed, func(_ string, r uint64) bool { return r < oldest })
-}
-
-// editor makes the next directory from one.
-type editor struct {
-	next *Directory
-	// touched are the groups of which a member changed.
-	touched map[string]bool
-	changed bool
-}
-
-func newEditor(d *Directory) *editor {
-	next := &Directory{
-		listed: map[string]Listing{}, removed: map[string]uint64{}, groups: map[string][]Listing{}, digest: emptyDigest,
-	}
-	if d != nil {
-		next.Revision, next.digest, next.evacuations = d.Revision, d.digest, d.evacuations
-		next.listed, next.removed, next.groups = maps.Clone(d.listed), maps.Clone(d.removed), maps.Clone(d.groups)
-	}
-	return &editor{next: next, touched: map[string]bool{}}
-}
-
-func (e *editor) list(l Listing) {
-	old, known := e.next.listed[l.Name]
-	if known && old.Revision >= l.Revision || e.next.removed[l.Name] >= l.Revision {
-		return
-	}
-	e.next.listed[l.Name] = l
-	delete(e.next.removed, l.Name)
-	if known {
-		e.note(old.Group, -old.hash())
-	}
-	e.note(l.Group, l.hash())
-	rewarmed := old.warmupSteps() != l.warmupSteps()
-	old.Revision, old.Warmup = l.Revision, l.Warmup
-	e.changed = e.changed || rewarmed || old != l
-}
-
-func (e *editor) remove(r Removal) {
-	if e.next.removed[r.Name] >= r.Revision {
-		return
-	}
-	old, known := e.next.listed[r.Name]
-	if known && old.Revision > r.Revision {
-		return
-	}
-	e.next.removed[r.Name] = r.Revision
-	if !known {
-		return
-	}
-	delete(e.next.listed, r.Name)
-	e.note(old.Group, -old.hash())
-	e.changed = true
-}
-
-// note adds the hash of a listing to the digest, or takes it away, and marks the group.
-func (e *editor) note(group string, hash uint64) {
-	e.touched[group] = true
-	e.next.digest += hash
-}
-
-func (e *editor) finish() *Directory {
-	if len(e.touched) == 0 {
-		return e.next
-	}
-	for g := range e.touched {
-		delete(e.next.groups, g)
-	}
-	for _, l := range e.next.listed {
-		if e.touched[l.Group] {
-			e.next.groups[l.Group] = append(e.next.groups[l.Group], l)
-		}
-	}
-	for g := range e.touched {
-		slices.SortFunc(e.next.groups[g], byName)
-	}
-	return e.next
-}
-
-func byName(a, b Listing) int { return cmp.Compare(a.Name, b.Name) }
--- a/tier/config/directory_test.go
+++ b/tier/config/directory_test.go
@@ -72,7 +72,7 @@
 }
 
 func TestRouteIsTheLongestPrefixOfItsHostName(t *testing.T) {
-	x := newIndex(routesDoc(), nil, 1)
+	x := newIndex(routesDoc(), nil, Edition{Position: Position{Revision: 1}})
 	tests := []struct{ host, path, route string }{
 		{"x.example", "/a/c", "One"},
 		{"X.Example", "/a/b/c", "Two"},
--- a/tier/config/evacuation.go
+++ b/tier/config/evacuation.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 
@@ -10,58 +11,100 @@
 // Evacuation says that the upstreams of a hall get no calls until it ends.
 type Evacuation struct {
 	Hall string
-	// Revision is the platform's revision of this entry; above 0.
+	// Era and Revision are the platform's position of this entry; Revision is above 0.
+	Era      uint64 `json:",omitempty"`
 	Revision uint64
+	// Copied is true if the entry may come from the copy that its era began with: the
+	// evacuation may have ended since, in the era before.
+	Copied bool `json:",omitempty"`
 }
 
-// evacuations are the halls evacuated at one revision. They do not change; next
+func (v *Evacuation) mark() mark {
+	return mark{Position: Position{Era: v.Era, Revision: v.Revision}, copied: v.Copied}
+}
+
+// evacuations are the halls evacuated at one position. They do not change; next
 // makes the ones that follow.
 type evacuations struct {
-	// since holds the revision of each evacuation in force, ended that of the last
-	// end of one, so that an older entry of the same hall does not bring it back.
-	since, ended map[string]uint64
+	// since holds each evacuation in force, ended the last end of one, so that an older
+	// entry of the same hall does not bring it back.
+	since map[string]Evacuation
+	ended map[string]Removal
 }
 
 // next returns the evacuations after a change, and whether another set of halls
 // is evacuated then. What is older than what is known has no effect.
-func (e evacuations) next(c *DirectoryChange, whole bool) (evacuations, bool) {
-	if len(c.Evacuated)+len(c.Resumed) == 0 && (!whole || len(e.since) == 0) {
+func (e evacuations) next(c *DirectoryChange, lacking []Removal, by *editor) (evacuations, bool) {
+	if len(c.Evacuated)+len(c.Resumed)+len(lacking) == 0 {
 		return e, false
 	}
-	out := evacuations{since: maps.Clone(e.since), ended: maps.Clone(e.ended)}
-	if out.since == nil {
-		out.since, out.ended = map[string]uint64{}, map[string]uint64{}
-	}
+	out := e.clone()
 	for _, v := range c.Evacuated {
-		if v.Hall != "" && v.Revision > out.ended[v.Hall] {
-			out.since[v.Hall] = max(out.since[v.Hall], v.Revision)
+		v.Copied = v.Copied && v.Era > by.next.Settled
+		if !by.isOutdated(v.mark()) {
+			out.begin(v)
 		}
 	}
-	resumed := c.Resumed
-	if whole {
-		resumed = append(slices.Clone(resumed), out.lacking(c)...)
-	}
-	for _, r := range resumed {
-		out.ended[r.Name] = max(out.ended[r.Name], r.Revision)
-		if out.since[r.Name] <= r.Revision {
-			delete(out.since, r.Name)
+	for _, r := range slices.Concat(c.Resumed, lacking) {
+		if !by.isOutdated(r.mark()) {
+			out.end(r)
 		}
 	}
 	return out, out.digest() != e.digest()
 }
 
-// lacking returns the ends of the evacuations that a whole directory does not
-// have, but of those that are newer than it.
-func (e evacuations) lacking(c *DirectoryChange) []Removal {
-	var out []Removal
-	for hall, since := range e.since {
-		if since <= c.Revision && !slices.ContainsFunc(c.Evacuated, func(v Evacuation) bool { return v.Hall == hall }) {
-			out = append(out, Removal{Name: hall, Revision: c.Revision})
-		}
+func (e evacuations) clone() evacuations {
+	if e.since == nil {
+		return evacuations{since: map[string]Evacuation{}, ended: map[string]Removal{}}
+	}
+	return evacuations{since: maps.Clone(e.since), ended: maps.Clone(e.ended)}
+}
+
+// settled returns the evacuations once an era is settled, as Directory.settle does.
+func (e evacuations) settled(era uint64) evacuations {
+	out := e.clone()
+	for hall, v := range out.since {
+		v.Copied = v.Copied && v.Era > era
+		v.Era = cmp.Or(v.Era, era-1)
+		out.since[hall] = v
+	}
+	for hall, r := range out.ended {
+		r.Era = cmp.Or(r.Era, era-1)
+		out.ended[hall] = r
 	}
 	return out
 }
 
+func (e evacuations) begin(v Evacuation) {
+	if v.Hall == "" {
+		return
+	}
+	if r, ended := e.ended[v.Hall]; ended && !v.mark().replaces(r.mark()) {
+		return
+	}
+	if old, known := e.since[v.Hall]; !known || v.mark().replaces(old.mark()) {
+		e.since[v.Hall] = v
+	}
+}
+
+func (e evacuations) end(r Removal) {
+	if old, known := e.ended[r.Name]; known && !r.mark().replaces(old.mark()) {
+		return
+	}
+	since, evacuated := e.since[r.Name]
+	if evacuated && !r.endsAt(since.mark()) {
+		return
+	}
+	e.ended[r.Name] = r
+	delete(e.since, r.Name)
+}
+
+// endsAt reports whether an end counts against a beginning; at the same position it does.
+func (r *Removal) endsAt(since mark) bool {
+	m := r.mark()
+	return m.replaces(since) || m.Compare(since.Position) == 0
+}
+
 // digest names the evacuated halls; 0 if there is none.
 func (e evacuations) digest() uint64 {
 	sum := uint64(0)
@@ -83,7 +126,15 @@
 }
 
 // LackingEvacuations returns the ends of the evacuations that a whole directory
-// does not have.
+// does not have, but of those that are newer than it.
 func (d *Directory) LackingEvacuations(c *DirectoryChange) []Removal {
-	return d.orEmpty().evacuations.lacking(c)
+	d = d.orEmpty()
+	var out []Removal
+	for hall, v := range d.evacuations.since {
+		listed := slices.ContainsFunc(c.Evacuated, func(v Evacuation) bool { return v.Hall == hall })
+		if !listed && d.coveredBy(v.mark(), c) {
+			out = append(out, Removal{Name: hall, Era: c.Era, Revision: c.Revision})
+		}
+	}
+	return out
 }
--- a/tier/config/index.go
+++ b/tier/config/index.go
@@ -10,8 +10,8 @@
 
 // Index is an accepted document with look-ups. It does not change.
 type Index struct {
-	// Revision is the platform's revision of the document; it only rises.
-	Revision uint64
+	// Edition is how new the document is; its revision is the platform's.
+	Edition
 	// Digest names the bytes of the document.
 	Digest string
 	// Text is the document as published.
@@ -29,20 +29,20 @@
 }
 
 // Accept decodes and checks a published document.
-func Accept(text []byte, revision uint64) (*Index, error) {
+func Accept(text []byte, e Edition) (*Index, error) {
 	d, err := Decode(text)
 	if err != nil {
 		return nil, err
 	}
-	if err := Check(d, revision); err != nil {
+	if err := Check(d, e.Revision); err != nil {
 		return nil, err
 	}
-	return newIndex(d, text, revision), nil
+	return newIndex(d, text, e), nil
 }
 
-func newIndex(d *Document, text []byte, revision uint64) *Index {
+func newIndex(d *Document, text []byte, e Edition) *Index {
 	return &Index{
-		Revision: revision, Digest: digest(text), Text: text, Document: d,
+		Edition: e, Digest: digest(text), Text: text, Document: d,
 		classes:   index(d.Classes),
 		upstreams: index(d.Upstreams),
 		services:  index(d.Services),
--- a/tier/config/listing.go
+++ b/tier/config/listing.go
@@ -24,8 +24,24 @@
 	// Warmup is how much longer it was cold at Revision; a cold upstream can handle only
 	// a few requests per second. 0 for one that has warmed up.
 	Warmup Duration `json:",omitempty"`
-	// Revision is the platform's revision of this entry; above 0.
+	// Era and Revision are the platform's position of this entry; Revision is above 0.
+	Era      uint64 `json:",omitempty"`
 	Revision uint64
+	// Sequence is the upstream's own count of its reports; 0 if it gives none.
+	Sequence uint64 `json:",omitempty"`
+	// Copied is true if the entry may come from the copy that its era began with. The
+	// upstream may have reported since, in the era before.
+	Copied bool `json:",omitempty"`
+}
+
+func (l *Listing) mark() mark {
+	return mark{Position: Position{Era: l.Era, Revision: l.Revision}, sequence: l.Sequence, copied: l.Copied}
+}
+
+// content is the listing without what orders it.
+func (l Listing) content() Listing {
+	l.Era, l.Revision, l.Sequence, l.Copied = 0, 0, 0, false
+	return l
 }
 
 // hash names what is listed, whatever its revision.
--- a/tier/entry/operate.go
+++ b/tier/entry/operate.go
@@ -118,7 +118,7 @@
 
 func (s *opsService) Document(context.Context) (*opsgen.DocumentResult, error) {
 	v := s.kernel.View()
-	out := &opsgen.DocumentResult{Newest: v.Published}
+	out := &opsgen.DocumentResult{Newest: v.Published.Revision}
 	if v.Index != nil {
 		out.Revision, out.Document = v.Index.Revision, string(v.Index.Text)
 	}
--- a/tier/kernel/adapter.go
+++ b/tier/kernel/adapter.go
@@ -15,18 +15,22 @@
 	// ErrHistoryGone is wrapped when a source no longer knows what changed
 	// after a revision: read everything again.
 	ErrHistoryGone = errors.New("history of changes is gone")
+	// ErrEarlierHistory is wrapped by an answer that a source gave before it came back
+	// from a copy: it is not used, and asked for again.
+	ErrEarlierHistory = errors.New("answer of an earlier history")
 	// ErrNoAdapter is wrapped when an adapter is named that nobody registered.
 	ErrNoAdapter = errors.New("no such adapter")
 )
 
 // Published is what a platform publishes, or what of it has changed.
 type Published struct {
-	// Revision is the platform's revision up to which this is whole.
-	Revision uint64
-	// Document is the newest document, nil if it did not change or there is
-	// none yet; DocumentRevision is its revision.
-	Document         *config.Document
-	DocumentRevision uint64
+	// Position is the platform's position up to which this is whole. It orders nothing of
+	// another era.
+	Position config.Position
+	// Document is the newest document, nil if it did not change or there is none yet;
+	// Edition is how new it is.
+	Document *config.Document
+	Edition  config.Edition
 	// Directory is what changed in the directory.
 	Directory config.DirectoryChange
 	// Problems are the errors of entries that could not be understood. These are left
@@ -36,11 +40,14 @@
 
 // Source reads what a platform publishes. It is used by one goroutine.
 type Source interface {
-	// Read returns everything that is published; unless exact, it may be seconds old.
+	// Read returns everything that is published, of one era; unless exact, it may be
+	// seconds old.
 	Read(ctx context.Context, exact bool) (*Published, error)
-	// Watch returns what changed after a revision; if nothing has, it waits for a
-	// change. Its error wraps ErrHistoryGone if only Read can tell what is published.
-	Watch(ctx context.Context, after uint64, wait time.Duration) (*Published, error)
+	// Watch returns what changed after a position; if nothing has, it waits for a
+	// change. Its error wraps ErrHistoryGone if only Read can tell what is published:
+	// also if the platform has come back from a copy, so that the position is of a
+	// history that it no longer has. What it returns is of the era of the position.
+	Watch(ctx context.Context, after config.Position, wait time.Duration) (*Published, error)
 }
 
 // Headers names the HTTP headers that callers, hosts and upstreams exchange.
--- a/tier/kernel/document.go
+++ b/tier/kernel/document.go
@@ -8,15 +8,17 @@
 
 // DocumentState is what a host knows of the published documents.
 type DocumentState struct {
-	// Index is the document in force; nil before the first. Its revision only rises.
+	// Index is the document in force; nil before the first. It is never replaced by one
+	// that is not newer.
 	Index *config.Index
-	// Newest is the highest revision seen, refused ones included; it only rises.
-	Newest uint64
+	// Newest is the newest edition seen, refused ones included; it only gets newer.
+	Newest config.Edition
 	// Refused says why the newest refused document was refused.
 	Refused string
-	// Published is the highest revision seen or reported by a peer; not below
-	// Newest. It takes no part in accepting a document.
-	Published uint64
+	// Published is the latest position of a document that was seen, or that a peer
+	// reports. It takes no part in accepting a document: after the platform came back
+	// from a copy, the document in force may be newer than the one at this position.
+	Published config.Position
 	// Confirmed is true once a peer, or a watch of the platform, has shown that there
 	// is no newer document than the one in force here. Before that a stale platform
 	// could make a host that starts serve an older document than it did before.
@@ -31,16 +33,24 @@
 	return d.Index.Revision
 }
 
+// Edition is how new the document in force is; zero before the first.
+func (d *DocumentState) Edition() config.Edition {
+	if d.Index == nil {
+		return config.Edition{}
+	}
+	return d.Index.Edition
+}
+
 // Confirm notes that there is no newer document than the one in force.
 func (s *State) Confirm() {
 	s.changed = s.changed || !s.Confirmed
 	s.Confirmed = true
 }
 
-// NotePublished notes what a peer reports: the highest revision that it knows, and
-// why it refused that document, if it did.
-func (s *State) NotePublished(published uint64, refused string) {
-	if published <= s.Published {
+// NotePublished notes what a peer reports: the latest position that it knows of a
+// document, and why it refused that document, if it did.
+func (s *State) NotePublished(published config.Position, refused string) {
+	if published.Compare(s.Published) <= 0 {
 		return
 	}
 	s.Published, s.changed = published, true
@@ -51,44 +61,49 @@
 
 // Accept puts a published document in force if it is newer than the one in force
 // and valid. It runs on the control thread.
-func (k *Kernel) Accept(s *State, text string, revision uint64) {
-	if revision <= s.Newest {
-		k.logPassedOver(s, revision)
+func (k *Kernel) Accept(s *State, text string, e config.Edition) {
+	s.NotePublished(e.Position, "")
+	if !e.Newer(s.Newest) {
+		k.logPassedOver(s, e)
 		return
 	}
-	x, err := config.Accept([]byte(text), revision)
-	s.Newest, s.Published = revision, max(revision, s.Published)
+	x, err := config.Accept([]byte(text), e)
+	s.Newest = e
 	s.changed = true
 	if err != nil {
-		s.Refused = fmt.Sprintf("revision %d: %s", revision, err)
-		k.Log.Error().Err(err).Uint64("Revision", revision).Msg("document refused")
+		s.Refused = fmt.Sprintf("revision %d: %s", e.Revision, err)
+		k.Log.Error().Err(err).Uint64("Revision", e.Revision).Msg("document refused")
 		return
 	}
 	s.Index = x
-	k.Log.Info().Uint64("Revision", revision).Str("Digest", x.Digest).Int("Routes", len(x.Document.Routes)).Msg("document in force")
+	k.Log.Info().Uint64("Version", e.Version).Uint64("Era", e.Era).Uint64("Revision", e.Revision).Str("Digest", x.Digest).
+		Int("Routes", len(x.Document.Routes)).Msg("document in force")
 }
 
-// AcceptDocument puts a document in force that an adapter has translated. The
-// platform orders its documents by revision alone, so each is treated as composed
-// from the revision before. It runs on the control thread.
-func (k *Kernel) AcceptDocument(s *State, d *config.Document, revision uint64) {
-	if revision <= s.Newest {
-		k.logPassedOver(s, revision)
+// AcceptDocument puts a document in force that an adapter has translated. What the
+// platform publishes is ordered by its edition alone, so each document is treated as
+// composed from the revision before. It runs on the control thread.
+func (k *Kernel) AcceptDocument(s *State, d *config.Document, e config.Edition) {
+	s.NotePublished(e.Position, "")
+	if !e.Newer(s.Newest) {
+		k.logPassedOver(s, e)
 		return
 	}
-	d.Based = revision - 1
+	d.Based = e.Revision - 1
 	text, err := config.Encode(d)
 	if err != nil {
-		k.Log.Error().Err(err).Uint64("Revision", revision).Msg("document not encoded")
+		k.Log.Error().Err(err).Uint64("Revision", e.Revision).Msg("document not encoded")
 		return
 	}
-	k.Accept(s, string(text), revision)
+	k.Accept(s, string(text), e)
 }
 
 // logPassedOver notes a document that is older than the newest one seen. Without it, a
 // change that was read and ignored looks like one that was never read.
-func (k *Kernel) logPassedOver(s *State, revision uint64) {
-	if revision < s.Newest {
-		k.Log.Info().Uint64("Revision", revision).Uint64("Newest", s.Newest).Msg("document passed over")
+func (k *Kernel) logPassedOver(s *State, e config.Edition) {
+	if s.Newest.Newer(e) {
+		k.Log.Info().Uint64("Version", e.Version).Uint64("Era", e.Era).Uint64("Revision", e.Revision).
+			Uint64("NewestVersion", s.Newest.Version).Uint64("NewestEra", s.Newest.Era).Uint64("Newest", s.Newest.Revision).
+			Msg("document passed over")
 	}
 }
--- a/tier/kernel/kernel_test.go
+++ b/tier/kernel/kernel_test.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
+	"loomgap/tier/config"
 	"loomgap/tier/policy"
 )
 
@@ -51,9 +52,9 @@
 	s := newState()
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			k.Accept(s, tt.text, tt.revision)
+			k.Accept(s, tt.text, config.Edition{Position: config.Position{Revision: tt.revision}})
 			assert.Equal(t, s.Index.Revision, tt.inForce)
-			assert.Equal(t, s.Newest, tt.newest)
+			assert.Equal(t, s.Newest.Revision, tt.newest)
 			assert.Assert(t, strings.Contains(s.Refused, tt.refusedMentioning), s.Refused)
 		})
 	}
@@ -90,11 +91,11 @@
 		k, stop := start(t)
 		defer stop()
 		var seen []uint64
-		k.OnView(func(v *View) { seen = append(seen, v.Published) })
+		k.OnView(func(v *View) { seen = append(seen, v.Published.Revision) })
 		first := k.View()
 		for range 3 {
 			k.Do(func(s *State) {
-				s.Published++
+				s.Published.Revision++
 				s.Members["H2"] = Member{Host: "H2"}
 				s.Changed()
 			})
--- a/tier/pass/host_test.go
+++ b/tier/pass/host_test.go
@@ -280,7 +280,9 @@
 
 func (h *host) accept(d config.Document) {
 	h.revision++
-	h.do(func(s *kernel.State) { h.kernel.AcceptDocument(s, &d, h.revision) })
+	h.do(func(s *kernel.State) {
+		h.kernel.AcceptDocument(s, &d, config.Edition{Position: config.Position{Revision: h.revision}})
+	})
 	assert.Equal(h.t, h.kernel.View().Refused, "")
 }
 
--- a/tier/pass/warmup.go
+++ b/tier/pass/warmup.go
@@ -10,7 +10,7 @@
 
 // coldOf describes an upstream that may not have warmed up.
 func (e *engine) coldOf(l *config.Listing, b *shareBasis) policy.Cold {
-	out := policy.Cold{Remaining: time.Duration(l.Warmup), Revision: l.Revision, Evacuated: b.directory.Evacuated(l.Hall)}
+	out := policy.Cold{Remaining: time.Duration(l.Warmup), Revision: l.Revision, Sequence: l.Sequence, Evacuated: b.directory.Evacuated(l.Hall)}
 	if g := b.index.Group(l.Group); g != nil {
 		s := &e.kernel.Settings
 		out.Warmup, out.Calls = time.Duration(g.Warmup), policy.ColdCalls(g.ColdRate, s.ColdFactor, s.ColdSlack)
--- a/tier/peers/announcement.go
+++ b/tier/peers/announcement.go
@@ -40,23 +40,32 @@
 	// long ago to rely on.
 	Age  time.Duration
 	Lost bool `json:",omitempty"`
-	// Revision is the document in force there, Directory the digest of the
-	// upstreams listed.
+	// Version, Era and Revision name the document in force there, Directory is the digest
+	// of the upstreams listed.
+	Version   uint64 `json:",omitempty"`
+	Era       uint64 `json:",omitempty"`
 	Revision  uint64
 	Directory uint64
-	// DirectoryRevision is the platform's revision up to which it is whole.
+	// DirectoryEra and DirectoryRevision are the platform's position up to which it is
+	// whole.
+	DirectoryEra      uint64 `json:",omitempty"`
 	DirectoryRevision uint64
 	// Change is what changed since the announcement before.
 	Change *config.DirectoryChange `json:",omitempty"`
 }
 
+// edition is how new the document in force at the sender is.
+func (m *announcement) edition() config.Edition {
+	return config.Edition{Version: m.Version, Position: config.Position{Era: m.Era, Revision: m.Revision}}
+}
+
 // announcer announces what this host read or was announced. Its fields are used on the
 // control thread only.
 type announcer struct {
 	kernel *kernel.Kernel
-	// directory and revision (of the document) are what was last announced, at sentAt.
+	// directory and edition (of the document) are what was last announced, at sentAt.
 	directory *config.Directory
-	revision  uint64
+	edition   config.Edition
 	sentAt    time.Duration
 	// viewDirectory and viewIndex are what the last view had.
 	viewDirectory *config.Directory
@@ -106,7 +115,7 @@
 		change := s.Directory.Since(a.directory)
 		m.Change = &change
 	}
-	a.directory, a.revision, a.sentAt = s.Directory, m.Revision, now
+	a.directory, a.edition, a.sentAt = s.Directory, m.edition(), now
 	hall, otherHalls := a.recipients(s)
 	for _, host := range hall {
 		go a.send(host, m)
@@ -123,18 +132,19 @@
 
 // message is the announcement to the own hall, without what changed.
 func (a *announcer) message(s *kernel.State, now time.Duration) announcement {
-	age := now - s.AnnouncedReadAt
+	age, edition := now-s.AnnouncedReadAt, s.Edition()
 	return announcement{
 		Host: a.kernel.Settings.Host, Peer: a.kernel.Settings.Peer, Hall: a.kernel.Settings.Hall,
 		Age: age, Lost: age > staleAfter(&a.kernel.Settings),
-		Revision: s.Revision(), Directory: s.Directory.Digest(), DirectoryRevision: s.Directory.Revision,
+		Version: edition.Version, Era: edition.Era, Revision: edition.Revision,
+		Directory: s.Directory.Digest(), DirectoryEra: s.Directory.Era, DirectoryRevision: s.Directory.Revision,
 	}
 }
 
 // isDue reports whether an announcement is to be sent now: at once if something changed
 // and was read a short while ago, else at regular times.
 func (a *announcer) isDue(m *announcement, now time.Duration) bool {
-	changed := m.Directory != a.directory.Digest() || m.Revision != a.revision
+	changed := m.Directory != a.directory.Digest() || m.edition() != a.edition
 	return changed && !m.Lost || now-a.sentAt >= announceGap
 }
 
@@ -187,10 +197,11 @@
 	}
 	// A change may be applied to a list with holes, so what is listed then is
 	// compared. The sender knows all up to its revision.
-	if m.Directory != s.Directory.Digest() && (s.Directory == nil || m.DirectoryRevision >= s.Directory.Revision) {
-		a.fetches.fetchAnnouncedDirectory(now, m.Peer)
+	at := config.Position{Era: m.DirectoryEra, Revision: m.DirectoryRevision}
+	if m.Directory != s.Directory.Digest() && (s.Directory == nil || at.Compare(s.Directory.Position()) >= 0) {
+		a.fetches.fetchDirectoryAgain(now, m.Peer)
 	}
-	if m.Revision > s.Revision() {
+	if m.edition().Newer(s.Edition()) {
 		a.fetches.fetchDocument(m.Peer)
 	} else if m.Revision > 0 {
 		s.Confirm()
--- a/tier/peers/feed.go
+++ b/tier/peers/feed.go
@@ -56,14 +56,18 @@
 	kernel    *kernel.Kernel
 	source    kernel.Source
 	announcer *announcer
-	// revision is up to where everything was read; 0 for nothing yet.
-	revision uint64
+	// position is up to where everything was read, in one era of the platform; zero for
+	// nothing yet. It only says where to read on.
+	position config.Position
 	// exact is true if the next whole read must not be an old one.
 	exact bool
 	// watched is true once a watch has shown that nothing newer was missed.
 	watched bool
+	// goneAt is when the platform last no longer had the history after position.
+	goneAt  time.Duration
 	outage  outage
 	lapse   lapse
+	restore restore
 }
 
 func (f *feed) loop(ctx context.Context) {
@@ -106,23 +110,34 @@
 }
 
 func (f *feed) next(ctx context.Context) (*kernel.Published, error) {
-	if f.revision == 0 {
+	now := f.kernel.Now()
+	if f.position == (config.Position{}) {
 		return f.source.Read(ctx, f.exact)
 	}
 	if !f.watched {
 		// The first read may have been an old one.
-		return f.source.Watch(ctx, f.revision, 0)
+		return f.source.Watch(ctx, f.position, 0)
+	}
+	if f.restore.begin(now) {
+		return f.source.Read(ctx, true)
 	}
-	return f.source.Watch(ctx, f.revision, f.lapse.wait(f.kernel.Now(), f.kernel.Settings.WatchWait))
+	return f.source.Watch(ctx, f.position, f.restore.wait(now, f.lapse.wait(now, f.kernel.Settings.WatchWait)))
 }
 
 func (f *feed) failed(ctx context.Context, err error) {
+	now := f.kernel.Now()
+	f.restore.failed()
 	if errors.Is(err, kernel.ErrHistoryGone) {
-		f.kernel.Log.Info().Uint64("DirectoryRevision", f.revision).Msg("history is gone, reading everything")
-		f.revision, f.exact = 0, true
+		f.kernel.Log.Info().Err(err).Uint64("DirectoryEra", f.position.Era).Uint64("DirectoryRevision", f.position.Revision).
+			Msg("history is gone, reading everything")
+		f.position, f.exact = config.Position{}, true
+		if f.goneAt > 0 && now-f.goneAt < changePause {
+			// A platform that forgets at once would be read without end.
+			kernel.Sleep(ctx, changePause)
+		}
+		f.goneAt = now
 		return
 	}
-	now := f.kernel.Now()
 	f.outage.failed(now)
 	if f.outage.isAway(now, staleAfter(&f.kernel.Settings)) {
 		f.kernel.Do(func(s *kernel.State) { markFeedDown(f.kernel, s, err) })
@@ -150,13 +165,15 @@
 	away := f.outage.isAway(now, staleAfter(&f.kernel.Settings))
 	f.outage.succeeded(now)
 	f.exact = false
-	if p.Directory.Whole {
-		// It may be an old one; the watch that follows shows.
-		f.revision = 0
+	// A whole read may be an old one; the watch that follows shows.
+	f.watched = !p.Directory.Whole
+	if f.watched {
+		f.position = f.position.Later(p.Position)
+	} else {
+		f.position = p.Position
 	}
-	f.watched = f.revision > 0
-	f.revision = max(f.revision, p.Revision)
 	f.kernel.DoAndWait(func(s *kernel.State) {
+		f.restore.follow(f.kernel, s, p, now)
 		f.install(s, p, now, away)
 		if f.watched {
 			s.Confirm()
@@ -174,10 +191,10 @@
 	s.PlatformReadAt, s.AnnouncedReadAt, s.OwnReadAt = now, now, now
 	if s.FeedDown {
 		s.FeedDown = false
-		f.kernel.Log.Info().Uint64("DirectoryRevision", p.Revision).Msg("platform regained")
+		f.kernel.Log.Info().Uint64("DirectoryEra", p.Position.Era).Uint64("DirectoryRevision", p.Position.Revision).Msg("platform regained")
 	}
 	if p.Document != nil {
-		f.kernel.AcceptDocument(s, p.Document, p.DocumentRevision)
+		f.kernel.AcceptDocument(s, p.Document, p.Edition)
 	}
 	f.applyDirectory(s, p, now)
 	f.announcer.announce(s)
@@ -189,12 +206,15 @@
 	s.Index.DropUnboundWarmups(change.Listed)
 	f.lapse.hold(now, s.Directory, &change)
 	before := s.Directory.Digest()
+	if change.Settled > 0 {
+		logSettled(f.kernel, s, &change)
+	}
 	s.List(&change)
 	if due := f.lapse.release(now); len(due) > 0 {
 		s.List(&config.DirectoryChange{Removed: due})
 	}
 	if s.Directory.Digest() != before {
-		f.kernel.Log.Info().Uint64("DirectoryRevision", p.Revision).Int("Listed", len(change.Listed)).
+		f.kernel.Log.Info().Uint64("DirectoryEra", p.Position.Era).Uint64("DirectoryRevision", p.Position.Revision).Int("Listed", len(change.Listed)).
 			Int("Removed", len(change.Removed)).Int("Upstreams", s.Directory.Size()).
 			Strs("Evacuated", s.Directory.EvacuatedHalls()).Msg("directory changed")
 	}
--- a/tier/peers/feed_test.go
+++ b/tier/peers/feed_test.go
@@ -23,7 +23,9 @@
 
 // published is a platform in memory: a list of changes, each of its revision.
 type published struct {
-	mu       sync.Mutex
+	mu sync.Mutex
+	// era is named in all that is read; 0 for none.
+	era      uint64
 	revision uint64
 	// from is the oldest revision after which changes are known.
 	from    uint64
@@ -44,20 +46,20 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.revision++
-	c.Revision = p.revision
+	c.Era, c.Revision = p.era, p.revision
 	for i := range c.Listed {
-		c.Listed[i].Revision = p.revision
+		c.Listed[i].Era, c.Listed[i].Revision = p.era, p.revision
 		p.listed[c.Listed[i].Name] = c.Listed[i]
 	}
 	for i := range c.Removed {
-		c.Removed[i].Revision = p.revision
+		c.Removed[i].Era, c.Removed[i].Revision = p.era, p.revision
 		delete(p.listed, c.Removed[i].Name)
 	}
 	for i := range c.Evacuated {
-		c.Evacuated[i].Revision = p.revision
+		c.Evacuated[i].Era, c.Evacuated[i].Revision = p.era, p.revision
 	}
 	for i := range c.Resumed {
-		c.Resumed[i].Revision = p.revision
+		c.Resumed[i].Era, c.Resumed[i].Revision = p.era, p.revision
 	}
 	p.changes = append(p.changes, c)
 	close(p.moved)
@@ -107,14 +109,20 @@
 		}
 	}
 	whole := d.Whole()
-	whole.Revision, whole.Removed, whole.Resumed = upTo, nil, nil
-	return &kernel.Published{Revision: upTo, Directory: whole}, nil
+	whole.Era, whole.Revision, whole.Removed, whole.Resumed = p.era, upTo, nil, nil
+	for i := range whole.Listed {
+		whole.Listed[i].Era = p.era
+	}
+	for i := range whole.Evacuated {
+		whole.Evacuated[i].Era = p.era
+	}
+	return &kernel.Published{Position: config.Position{Era: p.era, Revision: upTo}, Directory: whole}, nil
 }
 
 // Watch implements kernel.Source.
-func (p *published) Watch(ctx context.Context, after uint64, wait time.Duration) (*kernel.Published, error) {
+func (p *published) Watch(ctx context.Context, after config.Position, wait time.Duration) (*kernel.Published, error) {
 	out, moved, err := p.since(after)
-	if err != nil || out.Revision > after || wait == 0 {
+	if err != nil || out.Position.Revision > after.Revision || wait == 0 {
 		return out, err
 	}
 	select {
@@ -127,18 +135,20 @@
 	return out, err
 }
 
-func (p *published) since(after uint64) (*kernel.Published, chan struct{}, error) {
+func (p *published) since(after config.Position) (*kernel.Published, chan struct{}, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.away {
 		return nil, nil, errAway
 	}
-	if after < p.from {
+	if after.Revision < p.from || after.Era != p.era {
 		return nil, nil, kernel.ErrHistoryGone
 	}
-	out := &kernel.Published{Revision: p.revision, Directory: config.DirectoryChange{Revision: p.revision}}
+	out := &kernel.Published{
+		Position: config.Position{Era: p.era, Revision: p.revision}, Directory: config.DirectoryChange{Era: p.era, Revision: p.revision},
+	}
 	for _, c := range p.changes {
-		if c.Revision > after {
+		if c.Revision > after.Revision {
 			out.Directory.Listed = append(out.Directory.Listed, c.Listed...)
 			out.Directory.Removed = append(out.Directory.Removed, c.Removed...)
 			out.Directory.Evacuated = append(out.Directory.Evacuated, c.Evacuated...)
@@ -400,7 +410,7 @@
 		t.Run(fmt.Sprint("ColdRate=", rate), func(t *testing.T) {
 			fed(t, func(p *published, k *kernel.Kernel) {
 				k.Do(func(s *kernel.State) {
-					k.AcceptDocument(s, &config.Document{Groups: []config.Group{{Name: "G", Connections: 1, ColdRate: rate}}}, 1)
+					k.AcceptDocument(s, &config.Document{Groups: []config.Group{{Name: "G", Connections: 1, ColdRate: rate}}}, config.Edition{Position: config.Position{Revision: 1}})
 				})
 				cold := func(left time.Duration) {
 					p.change(config.DirectoryChange{Listed: []config.Listing{{
--- a/tier/peers/fetch.go
+++ b/tier/peers/fetch.go
@@ -52,8 +52,9 @@
 	newer func(*kernel.State)
 
 	packing sync.Mutex
-	// packed is the document last sent to a peer; used with packing locked.
-	packed wire.PackedDocument
+	// packed is packedFrom, the document last sent to a peer; used with packing locked.
+	packed     wire.PackedDocument
+	packedFrom *config.Index
 }
 
 func serveFetches(k *kernel.Kernel, n *node, newer func(*kernel.State)) *fetches {
@@ -71,7 +72,7 @@
 	}
 	f.document = true
 	go func() {
-		text, revision, err := f.read(from, methodDocument, config.MaxBytes)
+		text, edition, err := f.read(from, methodDocument, config.MaxBytes)
 		if err != nil {
 			f.kernel.Log.Warn().Err(err).Msg("document not fetched")
 		}
@@ -80,9 +81,9 @@
 			if err != nil {
 				return
 			}
-			before := s.Revision()
-			f.kernel.Accept(s, text, revision)
-			if s.Revision() > before {
+			before := s.Index
+			f.kernel.Accept(s, text, edition)
+			if s.Index != before {
 				f.newer(s)
 			}
 		})
@@ -90,13 +91,14 @@
 }
 
 // read gets a text of at most limit bytes from a peer.
-func (f *fetches) read(from netip.AddrPort, method string, limit int64) (text string, revision uint64, err error) {
+func (f *fetches) read(from netip.AddrPort, method string, limit int64) (text string, edition config.Edition, err error) {
 	var packed wire.PackedDocument
 	if err := f.node.fetch(from, method, &packed); err != nil {
-		return "", 0, err
+		return "", config.Edition{}, err
 	}
 	text, err = packed.Unpack(limit)
-	return text, packed.Revision, err
+	at := config.Position{Era: packed.Era, Revision: packed.Revision}
+	return text, config.Edition{Version: packed.Version, Position: at}, err
 }
 
 func (f *fetches) onDocument(context.Context, json.RawMessage) (any, error) {
@@ -106,12 +108,13 @@
 	}
 	f.packing.Lock()
 	defer f.packing.Unlock()
-	if f.packed.Revision != x.Revision {
+	if f.packedFrom != x {
 		p, err := wire.Pack(x.Revision, x.Text)
 		if err != nil {
 			return nil, err
 		}
-		f.packed = p
+		p.Version, p.Era = x.Version, x.Era
+		f.packed, f.packedFrom = p, x
 	}
 	return f.packed, nil
 }
@@ -130,18 +133,19 @@
 		}
 		f.kernel.Do(func(s *kernel.State) {
 			f.directory = false
-			// A host that reads the platform itself knows better.
-			if err == nil && (s.FeedDown || !s.Reading) {
+			// A host that reads the platform itself knows better, unless the platform
+			// may have come back from a copy that is older than what the peer knows.
+			if err == nil && (s.FeedDown || !s.Reading || s.Directory.Unsettled()) {
 				s.List(change)
-				f.kernel.Log.Info().Stringer("Peer", from).Uint64("DirectoryRevision", change.Revision).
+				f.kernel.Log.Info().Stringer("Peer", from).Uint64("DirectoryEra", change.Era).Uint64("DirectoryRevision", change.Revision).
 					Int("Upstreams", s.Directory.Size()).Msg("directory learnt from a peer")
 			}
 		})
 	}()
 }
 
-// fetchAnnouncedDirectory is fetchDirectory, but not again within directoryAgain.
-func (f *fetches) fetchAnnouncedDirectory(now time.Duration, from netip.AddrPort) {
+// fetchDirectoryAgain is fetchDirectory, but not again within directoryAgain.
+func (f *fetches) fetchDirectoryAgain(now time.Duration, from netip.AddrPort) {
 	if f.directory || f.directoryAt > 0 && now-f.directoryAt < directoryAgain {
 		return
 	}
--- a/tier/peers/heartbeat.go
+++ b/tier/peers/heartbeat.go
@@ -12,6 +12,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"loomgap/tier/config"
 	"loomgap/tier/kernel"
 )
 
@@ -35,25 +36,34 @@
 type heartbeat struct {
 	// Members begins with the sender.
 	Members []memberEntry
-	// Revision and Digest name the document in force.
+	// Version, Era, Revision and Digest name the document in force.
+	Version  uint64 `json:",omitempty"`
+	Era      uint64 `json:",omitempty"`
 	Revision uint64
 	Digest   string
-	// Published is the newest revision known there; Refused is why the newest
-	// refused document was refused.
-	Published uint64
-	Refused   string `json:",omitempty"`
+	// Published, of PublishedEra, is the latest revision known there; Refused is why the
+	// newest refused document was refused.
+	PublishedEra uint64 `json:",omitempty"`
+	Published    uint64
+	Refused      string `json:",omitempty"`
 	// PlatformAge is how long ago the platform was read, as far as the sender knows.
 	PlatformAge time.Duration
 	// Hall is the data hall of the sender.
 	Hall string
-	// Directory is the digest of the listed upstreams, DirectoryRevision the
-	// platform's revision up to which the list is whole.
+	// Directory is the digest of the listed upstreams, DirectoryEra and
+	// DirectoryRevision the platform's position up to which the list is whole.
 	Directory         uint64 `json:",omitempty"`
+	DirectoryEra      uint64 `json:",omitempty"`
 	DirectoryRevision uint64 `json:",omitempty"`
 	// Leaving are upstreams of the hall that are known to leave.
 	Leaving []leavingSign `json:",omitempty"`
 }
 
+// edition is how new the document in force at the sender is.
+func (h *heartbeat) edition() config.Edition {
+	return config.Edition{Version: h.Version, Position: config.Position{Era: h.Era, Revision: h.Revision}}
+}
+
 type leavingSign struct {
 	Upstream string
 	// Age is how long ago the sign was given.
@@ -125,14 +135,14 @@
 
 func (g *gossip) message(s *kernel.State, now time.Duration) heartbeat {
 	h := heartbeat{
-		Members: g.table.entries(now), Revision: s.Revision(), Hall: g.kernel.Settings.Hall,
-		PlatformAge: now - s.PlatformReadAt, Published: s.Published, Refused: s.Refused,
+		Members: g.table.entries(now), Hall: g.kernel.Settings.Hall, PlatformAge: now - s.PlatformReadAt,
+		PublishedEra: s.Published.Era, Published: s.Published.Revision, Refused: s.Refused,
 	}
 	if s.Directory != nil {
-		h.Directory, h.DirectoryRevision = s.Directory.Digest(), s.Directory.Revision
+		h.Directory, h.DirectoryEra, h.DirectoryRevision = s.Directory.Digest(), s.Directory.Era, s.Directory.Revision
 	}
 	if s.Index != nil {
-		h.Digest = s.Index.Digest
+		h.Version, h.Era, h.Revision, h.Digest = s.Index.Version, s.Index.Era, s.Index.Revision, s.Index.Digest
 	}
 	for u, at := range s.Leaving {
 		h.Leaving = append(h.Leaving, leavingSign{Upstream: u, Age: now - at})
@@ -179,28 +189,43 @@
 		s.PlatformReadAt = max(s.PlatformReadAt, now-max(h.PlatformAge, 0))
 		g.learnLeaving(s, now, h.Leaving)
 	}
-	s.NotePublished(h.Published, h.Refused)
-	g.compareRevision(s, h)
+	s.NotePublished(config.Position{Era: h.PublishedEra, Revision: h.Published}, h.Refused)
+	g.compareEdition(s, h)
 	if !from.IsValid() {
 		return
 	}
-	if s.FeedDown && h.Directory != s.Directory.Digest() {
-		g.fetches.fetchDirectory(from)
-	}
-	if h.Revision > s.Revision() {
+	g.compareDirectory(s, now, from, h)
+	if h.edition().Newer(s.Edition()) {
 		g.fetches.fetchDocument(from)
 	}
 }
 
-func (g *gossip) compareRevision(s *kernel.State, h *heartbeat) {
-	if s.Revision() == 0 {
+// compareDirectory fetches the directory of a peer if this host has to learn from peers,
+// or if the two know different eras of the platform's history and what the peer knows
+// counts: it knows the later era, or the later one is not settled yet.
+func (g *gossip) compareDirectory(s *kernel.State, now time.Duration, from netip.AddrPort, h *heartbeat) {
+	if h.Directory == s.Directory.Digest() {
+		return
+	}
+	era := s.Directory.Position().Era
+	switch {
+	case s.FeedDown:
+		g.fetches.fetchDirectory(from)
+	case era == 0 || h.DirectoryEra == 0 || h.DirectoryEra == era:
+	case h.DirectoryEra > era || s.Directory.Unsettled():
+		g.fetches.fetchDirectoryAgain(now, from)
+	}
+}
+
+func (g *gossip) compareEdition(s *kernel.State, h *heartbeat) {
+	if s.Index == nil {
 		return
 	}
-	if h.Revision == s.Revision() && h.Digest != s.Index.Digest {
+	if h.edition() == s.Edition() && h.Digest != s.Index.Digest {
 		metrics.GetOrCreateCounter("loomgap_config_conflicts_total").Inc()
 		g.kernel.Log.Error().Uint64("Revision", h.Revision).Msg("a peer holds another document of the same revision: publish a new revision")
 	}
-	if h.Revision <= s.Revision() {
+	if !h.edition().Newer(s.Edition()) {
 		s.Confirm()
 	}
 }
--- a/tier/peers/refused_test.go
+++ b/tier/peers/refused_test.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
+	"loomgap/tier/config"
 	"loomgap/tier/kernel"
 	"loomgap/tier/policy"
 )
@@ -80,7 +81,7 @@
 
 // Watch implements kernel.Source; a watch under way when the host is turned away
 // ends in vain.
-func (s *sourceOf) Watch(ctx context.Context, after uint64, wait time.Duration) (*kernel.Published, error) {
+func (s *sourceOf) Watch(ctx context.Context, after config.Position, wait time.Duration) (*kernel.Published, error) {
 	if err := s.err(); err != nil {
 		return nil, err
 	}
--- a/tier/peers/start_test.go
+++ b/tier/peers/start_test.go
@@ -42,7 +42,7 @@
 		s.Directory, _ = s.Directory.With(&config.DirectoryChange{Revision: 1})
 	}
 	if n.document {
-		s.Index = &config.Index{Revision: 7, Document: &config.Document{}}
+		s.Index = &config.Index{Edition: config.Edition{Position: config.Position{Revision: 7}}, Document: &config.Document{}}
 	}
 	if n.member {
 		s.Members["Mate"] = kernel.Member{Host: "Mate", Hall: "A", Live: true}
--- a/tier/peers/watch.go
+++ b/tier/peers/watch.go
@@ -75,8 +75,9 @@
 	client *http.Client
 	// listed is the state of each name as last listed; used on the control thread.
 	listed map[string]wire.LiveState
-	// version is the version of the live list last read; used by the loop that reads it.
-	version uint64
+	// document and live are up to where the document and the live list were read. They
+	// only say where to read on; each is used by the loop that reads it.
+	document, live config.Position
 }
 
 // loop reads while this host is one of those that watch; with atStart, also until there
@@ -140,14 +141,17 @@
 	return out
 }
 
-func (w *watcher) get(ctx context.Context, path string, after uint64, out any) error {
+func (w *watcher) get(ctx context.Context, path string, after config.Position, out any) error {
 	wait := w.kernel.Settings.WatchWait
 	if w.kernel.View().Index == nil {
 		wait = 0
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+readBound)
 	defer cancel()
-	url := fmt.Sprintf("http://%s%s?After=%d&WaitMillis=%d", w.kernel.Settings.Platform, path, after, wait.Milliseconds())
+	url := fmt.Sprintf("http://%s%s?After=%d&WaitMillis=%d", w.kernel.Settings.Platform, path, after.Revision, wait.Milliseconds())
+	if after.Era > 0 {
+		url += fmt.Sprintf("&Era=%d", after.Era)
+	}
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return fmt.Errorf("platform request: %w", err)
@@ -165,30 +169,50 @@
 
 func (w *watcher) readDocument(ctx context.Context) error {
 	var d wire.DocumentReply
-	after := w.kernel.View().Newest
-	if err := w.get(ctx, wire.PathDocument, after, &d); err != nil {
+	if err := w.get(ctx, wire.PathDocument, w.document, &d); err != nil {
 		return err
 	}
+	at := config.Position{Era: d.Era, Revision: d.Revision}
+	if before := w.document; at.Compare(before) < 0 {
+		return fmt.Errorf("platform is stale: it serves revision %d of era %d, %d of era %d was seen", at.Revision, at.Era, before.Revision, before.Era)
+	}
+	w.document = at
 	w.kernel.DoAndWait(func(s *kernel.State) {
 		s.PlatformReadAt = w.kernel.Now()
-		w.kernel.Accept(s, d.Text, d.Revision)
+		s.NotePublished(at, "")
+		w.kernel.Accept(s, d.Text, editionOf(&d))
 	})
-	if d.Revision < after {
-		return fmt.Errorf("platform is stale: it serves revision %d, %d was seen", d.Revision, after)
-	}
 	return nil
 }
 
+// editionOf is how new a document is. One from below the first revision of its era is of
+// the era before: the platform came back from a copy that held it.
+func editionOf(d *wire.DocumentReply) config.Edition {
+	at := config.Position{Era: d.Era, Revision: d.Revision}
+	if at.Era > 1 && at.Revision < d.EraFrom {
+		at.Era--
+	}
+	return config.Edition{Position: at}
+}
+
 func (w *watcher) readLive(ctx context.Context) error {
 	var l wire.LiveReply
-	if err := w.get(ctx, wire.PathLive, w.version, &l); err != nil {
+	if err := w.get(ctx, wire.PathLive, w.live, &l); err != nil {
 		return err
 	}
-	if l.Version == w.version {
+	at := config.Position{Era: l.Era, Revision: l.Version}
+	if at == w.live {
 		kernel.Sleep(ctx, readPause)
 	}
-	w.version = l.Version
-	w.kernel.Do(func(s *kernel.State) { w.learnLive(s, l.Entries) })
+	returned := at.Era != w.live.Era
+	w.live = at
+	w.kernel.Do(func(s *kernel.State) {
+		if returned {
+			// The list is a copy: one that it calls live may have begun to leave since.
+			clear(w.listed)
+		}
+		w.learnLive(s, l.Entries)
+	})
 	return nil
 }
 
--- a/tier/policy/cold.go
+++ b/tier/policy/cold.go
@@ -19,8 +19,10 @@
 type Cold struct {
 	// Remaining is how much longer it was cold when its entry of Revision was written.
 	Remaining time.Duration
-	// Revision is that of its entry in the directory.
-	Revision uint64
+	// Revision is that of its entry in the directory, Sequence the upstream's own count
+	// of its reports then. After the platform came back from a copy, another entry may
+	// have the same revision.
+	Revision, Sequence uint64
 	// Warmup is how long it may be cold after its hall was evacuated.
 	Warmup time.Duration
 	// Calls is the most calls that it can handle within a second while it is cold, from
@@ -54,10 +56,15 @@
 	sentAt []time.Duration
 }
 
+// sameEntry reports whether two shares speak of the same entry.
+func (c *Cold) sameEntry(other *Cold) bool {
+	return c.Revision == other.Revision && c.Sequence == other.Sequence
+}
+
 // update records what a share says. An entry that arrives late counts as written just
 // now.
 func (c *cold) update(now time.Duration, entry Cold) {
-	if entry.Revision != c.entry.Revision {
+	if !entry.sameEntry(&c.entry) {
 		c.until = now + entry.Remaining
 	}
 	if c.entry.Evacuated && !entry.Evacuated {
--- a/tier/wire/wire.go
+++ b/tier/wire/wire.go
@@ -135,13 +135,23 @@
 
 // DocumentReply is the platform's newest configuration document.
 type DocumentReply struct {
-	// Revision counts the published documents from 1; it only rises.
+	// Era counts the returns of the platform from an older copy of itself, from 1; 0 if
+	// the platform has none.
+	Era uint64 `json:",omitzero"`
+	// EraFrom is the first revision that the era gave out: what stands below it is of the
+	// era before.
+	EraFrom uint64 `json:",omitzero"`
+	// Revision counts the published documents from 1; it only rises within an era.
 	Revision uint64
 	Text     string
 }
 
 // PackedDocument is a document as one entry host hands it to another.
 type PackedDocument struct {
+	// Version is the number that its author gave the document, Era the one that the
+	// platform gave its history; 0 for none.
+	Version uint64 `json:",omitzero"`
+	Era     uint64 `json:",omitzero"`
 	// Revision is 0 if there is none.
 	Revision uint64
 	// Packed is the text, compressed by gzip.
@@ -194,7 +204,9 @@
 
 // LiveReply is the platform's list; it lags.
 type LiveReply struct {
-	// Version rises with every change of the list.
+	// Era is as in DocumentReply.
+	Era uint64 `json:",omitzero"`
+	// Version rises with every change of the list within an era.
 	Version uint64
 	Entries []LiveEntry
 }
