test: positions, editions and directories across returns of the store

Tables of both orders of arrival, and a drawn history (rapid) in which a store comes back from copies, a reader follows it and other hosts hear late, twice and from one another: no report goes back while an era is unsettled, and all list what the store holds once it is settled.

The table found one fault: a host that had learnt its directory from a host of the version before took no whole listing of a later era at a lower revision. A position that names an era is no longer held back by one that names none.

--- a/tier/config/directory_edit.go
+++ b/tier/config/directory_edit.go
@@ -16,7 +16,7 @@
 		e.list(l)
 	}
 	removed, resumed := c.Removed, []Removal(nil)
-	if c.Whole && c.Position().Compare(e.next.Position()) >= 0 {
+	if c.Whole && !e.next.Position().ahead(c.Position()) {
 		removed = slices.Concat(removed, e.next.Lacking(c))
 		resumed = e.next.LackingEvacuations(c)
 	}
@@ -32,8 +32,12 @@
 
 // moveTo notes up to where the directory is whole, if that is later.
 func (d *Directory) moveTo(at Position) {
-	at = d.Position().Later(at)
-	d.Era, d.Revision = at.Era, at.Revision
+	if d.Era > 0 && at.Era == 0 {
+		return // the revision may be of any era
+	}
+	if !d.Position().ahead(at) {
+		d.Era, d.Revision = at.Era, at.Revision
+	}
 }
 
 // emptyDigest is the digest of a directory that lists nothing; 0 is that of none.
--- a/tier/config/position.go
+++ b/tier/config/position.go
@@ -34,12 +34,10 @@
 	return p.Revision == other.Revision && p.Era > 0 && other.Era == 0
 }
 
-// Later returns the later of two positions.
-func (p Position) Later(other Position) Position {
-	if c := p.Compare(other); c > 0 || c == 0 && p.Era >= other.Era {
-		return p
-	}
-	return other
+// ahead reports whether p is later than other, and other does not name an era that p
+// lacks.
+func (p Position) ahead(other Position) bool {
+	return p.Compare(other) > 0 && (p.Era > 0 || other.Era == 0)
 }
 
 // Edition is how new a document is. Its author's own number orders it, whatever the
--- /dev/null
+++ b/tier/config/position_test.go
@@ -0,0 +1,287 @@
+package config
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+func at(era, revision uint64) Position { return Position{Era: era, Revision: revision} }
+
+func TestPositionsAreOrderedByEraFirst(t *testing.T) {
+	tests := []struct {
+		name string
+		a, b Position
+		want int
+	}{
+		{"same era", at(1, 58), at(1, 54), 1},
+		{"the later era counts, whatever its revision", at(2, 54), at(1, 58), 1},
+		{"the same revision of two eras", at(1, 58), at(2, 58), -1},
+		{"no era named", at(0, 58), at(0, 54), 1},
+		{"one names none", at(2, 54), at(0, 58), -1},
+		{"the same place, once without its era", at(2, 54), at(0, 54), 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			assert.Equal(t, tt.a.Compare(tt.b), tt.want)
+			assert.Equal(t, tt.b.Compare(tt.a), -tt.want)
+		})
+	}
+}
+
+func TestEditionsAreOrderedByTheirAuthorsNumber(t *testing.T) {
+	tests := []struct {
+		name   string
+		a, b   Edition
+		newer  bool
+		behind bool
+	}{
+		{"a later version at a lower revision", Edition{28, at(2, 55)}, Edition{26, at(1, 58)}, true, false},
+		{"an earlier version in a later era", Edition{12, at(2, 54)}, Edition{26, at(1, 58)}, false, true},
+		{"the same version, written again", Edition{26, at(2, 56)}, Edition{26, at(1, 58)}, true, false},
+		{"the same", Edition{26, at(1, 58)}, Edition{26, at(1, 58)}, false, false},
+		{"no versions", Edition{0, at(1, 59)}, Edition{0, at(1, 58)}, true, false},
+		{"from a host that names neither", Edition{0, at(0, 58)}, Edition{26, at(1, 58)}, false, true},
+		{"a change from a host that names neither", Edition{0, at(0, 59)}, Edition{26, at(1, 58)}, true, false},
+		{"the first", Edition{4, at(1, 2)}, Edition{}, true, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			assert.Equal(t, tt.a.Newer(tt.b), tt.newer)
+			assert.Equal(t, tt.b.Newer(tt.a), tt.behind)
+		})
+	}
+}
+
+// listing returns what an upstream reported, its address telling which report it was.
+func listing(name string, p Position, sequence uint64, copied bool) Listing {
+	return Listing{Name: name, Group: "G", Slots: int(sequence), Era: p.Era, Revision: p.Revision, Sequence: sequence, Copied: copied}
+}
+
+// TestCopiedEntriesGiveWayUntilTheirEraIsSettled has a directory of the era before meet
+// what a store holds that came back from a copy. Each case gives what is known, what the
+// copy holds, and what is listed before and after the era is settled.
+func TestCopiedEntriesGiveWayUntilTheirEraIsSettled(t *testing.T) {
+	known := func(c DirectoryChange) *Directory {
+		c.Era, c.Revision = 1, 58
+		d, _ := (*Directory)(nil).With(&c)
+		return d
+	}
+	removed := []Removal{{Name: "U", Era: 1, Revision: 50, Sequence: 7}}
+	tests := []struct {
+		name          string
+		known         DirectoryChange
+		read          []Listing
+		before, after int // slots of U as listed, 0 if it is not
+	}{
+		{"it lacks one that lives", DirectoryChange{Listed: []Listing{listing("U", at(1, 57), 7, false)}}, nil, 7, 0},
+		{"it holds one that is gone", DirectoryChange{Removed: removed}, []Listing{listing("U", at(2, 40), 5, true)}, 0, 5},
+		{"one that is back has reported since", DirectoryChange{Removed: removed}, []Listing{listing("U", at(2, 45), 8, true)}, 8, 8},
+		{"it holds an older report", DirectoryChange{Listed: []Listing{listing("U", at(1, 57), 7, false)}}, []Listing{listing("U", at(2, 40), 5, true)}, 7, 5},
+		{"a later report at a lower revision", DirectoryChange{Listed: []Listing{listing("U", at(1, 57), 7, false)}}, []Listing{listing("U", at(2, 55), 8, true)}, 8, 8},
+		{"a later report at the same revision", DirectoryChange{Listed: []Listing{listing("U", at(1, 57), 7, false)}}, []Listing{listing("U", at(2, 57), 8, true)}, 8, 8},
+		{"the same report", DirectoryChange{Listed: []Listing{listing("U", at(1, 40), 5, false)}}, []Listing{listing("U", at(2, 40), 5, true)}, 5, 5},
+		{"one that nobody knew", DirectoryChange{}, []Listing{listing("U", at(2, 40), 5, true)}, 5, 5},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			slots := func(d *Directory) int {
+				l, _ := d.Find("U")
+				return l.Slots
+			}
+			whole := DirectoryChange{Era: 2, Revision: 55, Whole: true, Listed: tt.read}
+			d, _ := known(tt.known).With(&whole)
+			assert.Equal(t, slots(d), tt.before)
+			assert.Assert(t, d.Unsettled())
+			// In the other order: a host that read the copy first, and then meets one
+			// that knows the era before.
+			late, _ := (*Directory)(nil).With(&whole)
+			old := known(tt.known).Whole()
+			late, _ = late.With(&old)
+			assert.Equal(t, slots(late), tt.before, "the order of arrival does not count")
+			whole.Settled = 2
+			for i := range whole.Listed {
+				whole.Listed[i].Copied = false
+			}
+			settled, _ := d.With(&whole)
+			assert.Equal(t, slots(settled), tt.after)
+			again, changed := settled.With(&old)
+			assert.Assert(t, !changed && slots(again) == tt.after, "the era before counts no more")
+		})
+	}
+}
+
+// TestChangesOfALaterEraCountAtOnce has what is written after the return arrive at
+// revisions that were given out before.
+func TestChangesOfALaterEraCountAtOnce(t *testing.T) {
+	d, _ := (*Directory)(nil).With(&DirectoryChange{
+		Era: 1, Revision: 58, Listed: []Listing{listing("U", at(1, 57), 7, false)}, Removed: []Removal{{Name: "V", Era: 1, Revision: 50, Sequence: 3}},
+		Evacuated: []Evacuation{{Hall: "A", Era: 1, Revision: 51}}, Resumed: []Removal{{Name: "B", Era: 1, Revision: 52}},
+	})
+	d, changed := d.With(&DirectoryChange{
+		Era: 2, Revision: 48, Removed: []Removal{{Name: "U", Era: 2, Revision: 45}}, Listed: []Listing{listing("V", at(2, 46), 4, false)},
+		Resumed: []Removal{{Name: "A", Era: 2, Revision: 47}}, Evacuated: []Evacuation{{Hall: "B", Era: 2, Revision: 48}},
+	})
+	assert.Assert(t, changed)
+	_, gone := d.Find("U")
+	_, back := d.Find("V")
+	assert.Assert(t, !gone && back && !d.Evacuated("A") && d.Evacuated("B"))
+	assert.Equal(t, d.Position(), at(2, 48))
+}
+
+func TestCopiedEvacuationsGiveWayUntilTheirEraIsSettled(t *testing.T) {
+	d, _ := (*Directory)(nil).With(&DirectoryChange{
+		Era: 1, Revision: 58, Evacuated: []Evacuation{{Hall: "Begun", Era: 1, Revision: 51}}, Resumed: []Removal{{Name: "Ended", Era: 1, Revision: 52}},
+	})
+	whole := DirectoryChange{Era: 2, Revision: 48, Whole: true, Evacuated: []Evacuation{{Hall: "Ended", Era: 2, Revision: 40, Copied: true}}}
+	d, _ = d.With(&whole)
+	assert.DeepEqual(t, d.EvacuatedHalls(), []string{"Begun"})
+	whole.Settled, whole.Evacuated[0].Copied = 2, false
+	d, _ = d.With(&whole)
+	assert.DeepEqual(t, d.EvacuatedHalls(), []string{"Ended"})
+}
+
+// TestHostsThatNameNoEra has a host of the version before take part: what it tells is
+// ordered by its revision, as before, and once an era is settled it is known of before.
+func TestHostsThatNameNoEra(t *testing.T) {
+	d, _ := (*Directory)(nil).With(&DirectoryChange{Revision: 58, Listed: []Listing{listing("U", at(0, 57), 0, false), listing("V", at(0, 50), 0, false)}})
+	d, _ = d.With(&DirectoryChange{Era: 1, Revision: 58, Whole: true, Listed: []Listing{listing("U", at(1, 57), 7, true), listing("V", at(1, 50), 3, true)}})
+	l, _ := d.Find("U")
+	assert.Equal(t, l.Era, uint64(1), "the same entry, with its era")
+	d, _ = d.With(&DirectoryChange{Revision: 59, Removed: []Removal{{Name: "V", Revision: 59}}})
+	_, listed := d.Find("V")
+	assert.Assert(t, !listed)
+	d, _ = d.With(&DirectoryChange{Era: 2, Revision: 54, Settled: 2, Whole: true, Listed: []Listing{listing("V", at(2, 50), 3, false)}})
+	_, listed = d.Find("V")
+	assert.Assert(t, listed)
+	assert.Equal(t, d.Size(), 1)
+}
+
+// world is a store with its history, and what its upstreams truly are.
+type world struct {
+	era, revision uint64
+	entries       map[string]Listing
+	counts        map[string]uint64
+	copies        []worldCopy
+	changes       []DirectoryChange
+}
+
+type worldCopy struct {
+	revision uint64
+	entries  map[string]Listing
+}
+
+func (w *world) write(name string, live bool) {
+	w.revision++
+	c := DirectoryChange{Era: w.era, Revision: w.revision}
+	if live {
+		w.counts[name]++
+		l := listing(name, at(w.era, w.revision), w.counts[name], false)
+		w.entries[name] = l
+		c.Listed = []Listing{l}
+	} else {
+		delete(w.entries, name)
+		c.Removed = []Removal{{Name: name, Era: w.era, Revision: w.revision}}
+	}
+	w.changes = append(w.changes, c)
+}
+
+func (w *world) keep() {
+	entries := map[string]Listing{}
+	for n, l := range w.entries {
+		entries[n] = l
+	}
+	w.copies = append(w.copies, worldCopy{w.revision, entries})
+}
+
+func (w *world) restore(c worldCopy) {
+	w.era++
+	w.revision, w.entries = c.revision, map[string]Listing{}
+	for n, l := range c.entries {
+		l.Era = w.era
+		w.entries[n] = l
+	}
+}
+
+// whole reads everything; settled tells whether the era is.
+func (w *world) whole(settled bool) DirectoryChange {
+	c := DirectoryChange{Era: w.era, Revision: w.revision, Whole: true, Listed: []Listing{}}
+	for _, l := range w.entries {
+		c.Listed = append(c.Listed, l)
+	}
+	if settled {
+		c.Settled = w.era
+	} else {
+		c.MarkCopied()
+	}
+	return c
+}
+
+// TestHostsAgreeAfterReturns draws a store that comes back from copies, a host that reads
+// it, and hosts that hear of it late, twice, out of order and from one another. While an
+// era is unsettled, no upstream that stays listed goes back to an older report; once it
+// is settled, all hosts list what the store holds.
+func TestHostsAgreeAfterReturns(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := &world{era: 1, revision: 1, entries: map[string]Listing{}, counts: map[string]uint64{}}
+		hosts := make([]*Directory, 3)
+		hear := func(i int, c DirectoryChange) {
+			before := hosts[i]
+			hosts[i], _ = before.With(&c)
+			if c.Settled == c.Era {
+				return
+			}
+			for n, l := range before.orEmpty().listed {
+				if now, listed := hosts[i].Find(n); listed {
+					assert.Assert(t, now.Sequence >= l.Sequence, "%s went back from report %d to %d", n, l.Sequence, now.Sequence)
+				}
+			}
+		}
+		write := func() {
+			w.write(fmt.Sprint("U", rapid.IntRange(0, 3).Draw(t, "name")), rapid.Bool().Draw(t, "live"))
+		}
+		w.keep()
+		for i := range hosts {
+			hear(i, w.whole(false))
+		}
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			other := rapid.IntRange(1, len(hosts)-1).Draw(t, "host")
+			switch rapid.IntRange(0, 7).Draw(t, "step") {
+			case 0, 1, 2:
+				write()
+				hear(0, w.changes[len(w.changes)-1])
+			case 3:
+				w.keep()
+			case 4:
+				w.restore(rapid.SampledFrom(w.copies).Draw(t, "copy"))
+				for range rapid.IntRange(0, 3).Draw(t, "writes before it is read") {
+					write()
+				}
+				hear(0, w.whole(false))
+			case 5:
+				hear(other, hosts[0].Whole())
+			case 6:
+				if hosts[other].Era != hosts[0].Era {
+					hear(0, hosts[other].Whole())
+				}
+			case 7:
+				if len(w.changes) > 0 {
+					hear(other, rapid.SampledFrom(w.changes).Draw(t, "late"))
+				}
+			}
+		}
+		hear(0, w.whole(true))
+		hear(1, hosts[0].Whole())
+		hear(2, hosts[1].Whole())
+		for i, h := range hosts {
+			assert.Equal(t, h.Digest(), hosts[0].Digest(), "host %d", i)
+			assert.Equal(t, h.Size(), len(w.entries), "host %d: %+v, store %+v", i, h, w.entries)
+			for n, l := range w.entries {
+				now, _ := h.Find(n)
+				assert.Equal(t, now.Slots, l.Slots, n)
+			}
+		}
+	})
+}
--- a/tier/kernel/adapter.go
+++ b/tier/kernel/adapter.go
@@ -46,7 +46,7 @@
 	// Watch returns what changed after a position; if nothing has, it waits for a
 	// change. Its error wraps ErrHistoryGone if only Read can tell what is published:
 	// also if the platform has come back from a copy, so that the position is of a
-	// history that it no longer has. What it returns is of the era of the position.
+	// history that it no longer has. What it returns is of the era of the position, and not before it.
 	Watch(ctx context.Context, after config.Position, wait time.Duration) (*Published, error)
 }
 
--- a/tier/peers/feed.go
+++ b/tier/peers/feed.go
@@ -167,11 +167,7 @@
 	f.exact = false
 	// A whole read may be an old one; the watch that follows shows.
 	f.watched = !p.Directory.Whole
-	if f.watched {
-		f.position = f.position.Later(p.Position)
-	} else {
-		f.position = p.Position
-	}
+	f.position = p.Position
 	f.kernel.DoAndWait(func(s *kernel.State) {
 		f.restore.follow(f.kernel, s, p, now)
 		f.install(s, p, now, away)
--- a/tier/peers/feed_test.go
+++ b/tier/peers/feed_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -30,8 +31,10 @@
 	// from is the oldest revision after which changes are known.
 	from    uint64
 	changes []config.DirectoryChange
-	listed  map[string]config.Listing
-	away    bool
+	// counts are the upstreams' own counts of their reports; a return does not touch
+	// them.
+	counts map[string]uint64
+	away   bool
 	// stale is how many revisions an old read is behind.
 	stale uint64
 	reads []bool
@@ -39,7 +42,7 @@
 }
 
 func newPublished() *published {
-	return &published{listed: map[string]config.Listing{}, moved: make(chan struct{})}
+	return &published{counts: map[string]uint64{}, moved: make(chan struct{})}
 }
 
 func (p *published) change(c config.DirectoryChange) {
@@ -48,12 +51,12 @@
 	p.revision++
 	c.Era, c.Revision = p.era, p.revision
 	for i := range c.Listed {
-		c.Listed[i].Era, c.Listed[i].Revision = p.era, p.revision
-		p.listed[c.Listed[i].Name] = c.Listed[i]
+		name := c.Listed[i].Name
+		p.counts[name]++
+		c.Listed[i].Era, c.Listed[i].Revision, c.Listed[i].Sequence = p.era, p.revision, p.counts[name]
 	}
 	for i := range c.Removed {
 		c.Removed[i].Era, c.Removed[i].Revision = p.era, p.revision
-		delete(p.listed, c.Removed[i].Name)
 	}
 	for i := range c.Evacuated {
 		c.Evacuated[i].Era, c.Evacuated[i].Revision = p.era, p.revision
@@ -66,6 +69,17 @@
 	p.moved = make(chan struct{})
 }
 
+// restore has the platform come back from a copy made at a revision.
+func (p *published) restore(revision uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.era++
+	p.revision = revision
+	p.changes = slices.DeleteFunc(p.changes, func(c config.DirectoryChange) bool { return c.Revision > revision })
+	close(p.moved)
+	p.moved = make(chan struct{})
+}
+
 func (p *published) list(names ...string) {
 	c := config.DirectoryChange{}
 	for _, n := range names {
