test: what a restored store brings about, for the reader, its fleet and the client

They found: a reader paused 300 ms between the whole read and the watch that confirms it, since it still counted as confirmed; a host whose list happened to be the same stayed in the era before (its announcer now tells the era that is settled).

--- a/tier/peers/announcement.go
+++ b/tier/peers/announcement.go
@@ -50,6 +50,8 @@
 	// whole.
 	DirectoryEra      uint64 `json:",omitempty"`
 	DirectoryRevision uint64
+	// DirectorySettled is the last era that is known there to be settled.
+	DirectorySettled uint64 `json:",omitempty"`
 	// Change is what changed since the announcement before.
 	Change *config.DirectoryChange `json:",omitempty"`
 }
@@ -138,6 +140,7 @@
 		Age: age, Lost: age > staleAfter(&a.kernel.Settings),
 		Version: edition.Version, Era: edition.Era, Revision: edition.Revision,
 		Directory: s.Directory.Digest(), DirectoryEra: s.Directory.Era, DirectoryRevision: s.Directory.Revision,
+		DirectorySettled: s.Directory.Settled,
 	}
 }
 
@@ -197,10 +200,7 @@
 	}
 	// A change may be applied to a list with holes, so what is listed then is
 	// compared. The sender knows all up to its revision.
-	at := config.Position{Era: m.DirectoryEra, Revision: m.DirectoryRevision}
-	if m.Directory != s.Directory.Digest() && (s.Directory == nil || at.Compare(s.Directory.Position()) >= 0) {
-		a.fetches.fetchDirectoryAgain(now, m.Peer)
-	}
+	a.compareDirectory(s, m, now)
 	if m.edition().Newer(s.Edition()) {
 		a.fetches.fetchDocument(m.Peer)
 	} else if m.Revision > 0 {
@@ -208,6 +208,22 @@
 	}
 }
 
+// compareDirectory fetches the directory of the sender if it lists something else, and
+// takes over the era of its history if it lists the same.
+func (a *announcementServer) compareDirectory(s *kernel.State, m *announcement, now time.Duration) {
+	at, known := config.Position{Era: m.DirectoryEra, Revision: m.DirectoryRevision}, s.Directory.Position()
+	switch {
+	case s.Directory == nil:
+		a.fetches.fetchDirectoryAgain(now, m.Peer)
+	case m.Directory != s.Directory.Digest():
+		if at.Compare(known) >= 0 {
+			a.fetches.fetchDirectoryAgain(now, m.Peer)
+		}
+	case at.Era > known.Era || m.DirectorySettled > s.Directory.Settled:
+		s.List(&config.DirectoryChange{Era: at.Era, Revision: at.Revision, Settled: m.DirectorySettled})
+	}
+}
+
 func (a *announcementServer) noteAnnouncer(s *kernel.State, m *announcement, now time.Duration) {
 	lost := m.Lost || m.Age > staleAfter(&a.kernel.Settings)
 	readAt := now - max(m.Age, 0)
--- a/tier/peers/feed.go
+++ b/tier/peers/feed.go
@@ -85,9 +85,9 @@
 			f.failed(ctx, err)
 			continue
 		}
-		first := !f.watched
+		confirms := !f.watched
 		f.take(published)
-		if first {
+		if confirms || published.Directory.Whole {
 			continue // the host is not ready before a watch has confirmed the read
 		}
 		if len(published.Directory.Listed)+len(published.Directory.Removed) > 0 || published.Document != nil {
@@ -130,7 +130,7 @@
 	if errors.Is(err, kernel.ErrHistoryGone) {
 		f.kernel.Log.Info().Err(err).Uint64("DirectoryEra", f.position.Era).Uint64("DirectoryRevision", f.position.Revision).
 			Msg("history is gone, reading everything")
-		f.position, f.exact = config.Position{}, true
+		f.position, f.exact, f.watched = config.Position{}, true, false
 		if f.goneAt > 0 && now-f.goneAt < changePause {
 			// A platform that forgets at once would be read without end.
 			kernel.Sleep(ctx, changePause)
--- /dev/null
+++ b/tier/peers/restore_test.go
@@ -0,0 +1,275 @@
+package peers
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"loomgap/tier/config"
+	"loomgap/tier/kernel"
+)
+
+// settleMost is by when an era is settled: the platform is read within retryMost.
+const settleMost = settleAfter + retryMost + time.Second
+
+// report has an upstream report itself.
+func (p *published) report(name string, leaving bool) {
+	p.change(config.DirectoryChange{Listed: []config.Listing{{Name: name, Group: "G", Slots: 1, Leaving: leaving}}})
+}
+
+// now is the platform's revision.
+func (p *published) now() uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.revision
+}
+
+func leavingNames(k *kernel.Kernel) []string {
+	out := []string{}
+	for _, l := range k.View().Directory.All() {
+		if l.Leaving {
+			out = append(out, l.Name)
+		}
+	}
+	return out
+}
+
+// returned runs a test of a feed whose platform names eras from the start.
+func returned(t *testing.T, test func(p *published, k *kernel.Kernel)) {
+	fed(t, func(p *published, k *kernel.Kernel) {
+		p.set(func() {
+			p.era = 1
+			for i := range p.changes {
+				p.changes[i].Era = 1
+			}
+		})
+		settle(2 * settleMost) // until the first era is settled
+		test(p, k)
+	})
+}
+
+// TestFeedKeepsWhatACopyLacks has the platform lose an upstream that lives, which lists
+// itself again late, and one that has ended meanwhile.
+func TestFeedKeepsWhatACopyLacks(t *testing.T) {
+	returned(t, func(p *published, k *kernel.Kernel) {
+		old := p.now()
+		p.list("U3", "U4")
+		settle(time.Second)
+		p.restore(old)
+		settle(2 * time.Second)
+		assert.DeepEqual(t, listedNames(k), []string{"U1", "U2", "U3", "U4"})
+		p.list("U3")
+		settle(settleMost)
+		assert.DeepEqual(t, listedNames(k), []string{"U1", "U2", "U3"})
+	})
+}
+
+// TestFeedDoesNotTakeBackWhatHasLeft has a copy list one upstream that has left and call
+// one ready that leaves: the store drops the first after its silent status reports, and
+// the second says again that it leaves.
+func TestFeedDoesNotTakeBackWhatHasLeft(t *testing.T) {
+	returned(t, func(p *published, k *kernel.Kernel) {
+		old := p.now()
+		p.remove("U1")
+		p.report("U2", true)
+		settle(time.Second)
+		p.restore(old)
+		for range 35 {
+			settle(100 * time.Millisecond)
+			assert.DeepEqual(t, listedNames(k), []string{"U2"})
+			assert.DeepEqual(t, leavingNames(k), []string{"U2"})
+		}
+		p.report("U2", true)
+		p.remove("U1")
+		settle(settleMost)
+		assert.DeepEqual(t, listedNames(k), []string{"U2"})
+		assert.DeepEqual(t, leavingNames(k), []string{"U2"})
+	})
+}
+
+// TestFeedTakesWhatStandsOnceSettled has a copy list an upstream that was taken for gone
+// and lives: the platform still lists it when its silent status reports would have ended
+// its entry.
+func TestFeedTakesWhatStandsOnceSettled(t *testing.T) {
+	returned(t, func(p *published, k *kernel.Kernel) {
+		old := p.now()
+		p.remove("U1")
+		settle(time.Second)
+		p.restore(old)
+		settle(settleMost)
+		assert.DeepEqual(t, listedNames(k), []string{"U1", "U2"})
+	})
+}
+
+// TestFeedTakesChangesAtRevisionsGivenOutAgain has changes of the new history get the
+// revisions that hosts have seen for others: after the first read, and before it.
+func TestFeedTakesChangesAtRevisionsGivenOutAgain(t *testing.T) {
+	for _, name := range []string{"read before they are made", "read after they are made"} {
+		t.Run(name, func(t *testing.T) {
+			returned(t, func(p *published, k *kernel.Kernel) {
+				old := p.now()
+				for range 5 {
+					p.report("U1", false)
+				}
+				settle(time.Second)
+				p.restore(old)
+				if name == "read before they are made" {
+					settle(time.Second)
+				}
+				p.list("U3")
+				p.report("U2", true)
+				settle(time.Second)
+				assert.DeepEqual(t, listedNames(k), []string{"U1", "U2", "U3"})
+				assert.DeepEqual(t, leavingNames(k), []string{"U2"})
+			})
+		})
+	}
+}
+
+// TestFeedMissesNothingWhenTheRevisionIsReachedAgain has the new history pass the revision
+// that the host would read on from, before the host asks.
+func TestFeedMissesNothingWhenTheRevisionIsReachedAgain(t *testing.T) {
+	returned(t, func(p *published, k *kernel.Kernel) {
+		old := p.now()
+		p.report("U1", false)
+		p.set(func() { p.away = true })
+		settle(4 * time.Second)
+		p.restore(old)
+		p.list("U3")
+		for range 5 {
+			p.report("U1", false)
+		}
+		p.set(func() { p.away = false })
+		settle(retryMost + 500*time.Millisecond)
+		assert.DeepEqual(t, listedNames(k), []string{"U1", "U2", "U3"})
+	})
+}
+
+// TestFeedReadsAnewAtOnce has a platform come back: the host reads it whole within its
+// next read, once, and once more when the era is settled.
+func TestFeedReadsAnewAtOnce(t *testing.T) {
+	returned(t, func(p *published, k *kernel.Kernel) {
+		var before int
+		p.set(func() { before = len(p.reads) })
+		old := p.now()
+		p.list("U3")
+		settle(time.Second)
+		p.restore(old)
+		p.list("U4")
+		settle(100 * time.Millisecond)
+		assert.DeepEqual(t, listedNames(k), []string{"U1", "U2", "U3", "U4"})
+		settle(settleMost)
+		p.set(func() { assert.DeepEqual(t, p.reads[before:], []bool{true, true}) })
+	})
+}
+
+// TestFeedFollowsEvacuationsAcrossAReturn has a copy lack an evacuation that began and
+// hold one that ended; each is written again, or is not.
+func TestFeedFollowsEvacuationsAcrossAReturn(t *testing.T) {
+	for _, again := range []bool{true, false} {
+		name := "not written again"
+		if again {
+			name = "written again"
+		}
+		t.Run(name, func(t *testing.T) {
+			returned(t, func(p *published, k *kernel.Kernel) {
+				p.evacuate("Ended")
+				old := p.now()
+				p.resume("Ended")
+				p.evacuate("Begun")
+				settle(time.Second)
+				p.restore(old)
+				settle(3 * time.Second)
+				assert.DeepEqual(t, k.View().Directory.EvacuatedHalls(), []string{"Begun"})
+				want := []string{"Ended"}
+				if again {
+					p.evacuate("Begun")
+					p.resume("Ended")
+					settle(time.Second)
+					want = []string{"Begun"}
+					assert.DeepEqual(t, k.View().Directory.EvacuatedHalls(), want)
+				}
+				settle(settleMost)
+				assert.DeepEqual(t, k.View().Directory.EvacuatedHalls(), want)
+			})
+		})
+	}
+}
+
+// TestFeedFollowsASecondReturn has the platform come back twice before the first return
+// is over, and be away before and after.
+func TestFeedFollowsASecondReturn(t *testing.T) {
+	returned(t, func(p *published, k *kernel.Kernel) {
+		old := p.now()
+		p.remove("U1")
+		p.list("U3")
+		settle(time.Second)
+		p.set(func() { p.away = true })
+		settle(2 * time.Second)
+		p.restore(old)
+		p.set(func() { p.away = false })
+		settle(retryMost + 500*time.Millisecond)
+		assert.DeepEqual(t, listedNames(k), []string{"U2", "U3"})
+		p.list("U4")
+		settle(time.Second)
+		p.set(func() { p.away = true })
+		p.restore(old)
+		settle(3 * time.Second)
+		p.set(func() { p.away = false })
+		settle(retryMost + 500*time.Millisecond)
+		assert.DeepEqual(t, listedNames(k), []string{"U2", "U3", "U4"})
+		p.remove("U1")
+		p.list("U3", "U4")
+		settle(settleMost)
+		assert.DeepEqual(t, listedNames(k), []string{"U2", "U3", "U4"})
+	})
+}
+
+// TestStartingReaderLearnsWhatTheCopyLacks has a host start after the platform came back,
+// read its copy and then meet a host that knows the era before, which announces nothing.
+func TestStartingReaderLearnsWhatTheCopyLacks(t *testing.T) {
+	returned(t, func(p *published, k *kernel.Kernel) {
+		old := p.now()
+		p.remove("U1")
+		p.list("U3")
+		settle(time.Second)
+		knowing := k.View().Directory.Whole()
+		p.restore(old)
+		fresh, _ := (*config.Directory)(nil).With(&config.DirectoryChange{Era: 2, Revision: old, Whole: true})
+		read, err := p.Read(t.Context(), true)
+		assert.NilError(t, err)
+		read.Directory.MarkCopied()
+		fresh, _ = fresh.With(&read.Directory)
+		assert.Assert(t, fresh.Unsettled())
+		fresh, _ = fresh.With(&knowing)
+		assert.Equal(t, fresh.Digest(), k.View().Directory.Digest())
+	})
+}
+
+// TestDocumentWithoutANumberDoesNotGoBack has documents whose author gives no version: one
+// that a copy holds is not put in force, and one that is written after the return is.
+func TestDocumentWithoutANumberDoesNotGoBack(t *testing.T) {
+	k := newHallKernel(t, "Self")
+	done := make(chan struct{})
+	k.Do(func(s *kernel.State) {
+		defer close(done)
+		r := &restore{}
+		read := func(era, revision uint64, whole bool) {
+			at := config.Position{Era: era, Revision: revision}
+			p := &kernel.Published{
+				Position: at, Document: &config.Document{}, Edition: config.Edition{Position: at},
+				Directory: config.DirectoryChange{Era: era, Revision: revision, Whole: whole},
+			}
+			r.follow(k, s, p, k.Now())
+			s.List(&p.Directory)
+			k.AcceptDocument(s, p.Document, p.Edition)
+		}
+		read(2, 58, false)
+		read(3, 54, true)
+		assert.Equal(t, s.Edition().Position, config.Position{Era: 2, Revision: 58})
+		read(3, 55, false)
+		assert.Equal(t, s.Edition().Position, config.Position{Era: 3, Revision: 55})
+	})
+	<-done
+}
--- a/tier/peers/wire_test.go
+++ b/tier/peers/wire_test.go
@@ -96,6 +96,22 @@
 	}
 }
 
+// TestMessagesOfTheVersionBefore reads what hosts sent that knew no eras, and writes it
+// again: whatever they do not know is left out, so that they read what they know.
+func TestMessagesOfTheVersionBefore(t *testing.T) {
+	for name, message := range map[string]any{
+		"heartbeat": &heartbeat{}, "announcement": &announcement{}, "packed-document": &wire.PackedDocument{}, "directory": &config.DirectoryChange{},
+	} {
+		t.Run(name, func(t *testing.T) {
+			text := golden.Get(t, "before/"+name+".json")
+			assert.NilError(t, json.Unmarshal(text, message))
+			again, err := json.MarshalIndent(message, "", "\t")
+			assert.NilError(t, err)
+			assert.Equal(t, string(again)+"\n", string(text))
+		})
+	}
+}
+
 // TestMethodsKeepTheirNames compares the methods that hosts call with their names on
 // the wire.
 func TestMethodsKeepTheirNames(t *testing.T) {
