--- a/loomfake/commands_test.go
+++ b/loomfake/commands_test.go
@@ -60,6 +60,10 @@
 	"live": simple(2, func(s *scene, _ *testscript.TestScript, args []string) error {
 		return call(http.MethodPost, s.platform()+"/SetLive", fmt.Sprintf(`{"Name":%q,"State":%q}`, args[0], args[1]), nil)
 	}),
+	// restore JSON: has the platform come back from a copy.
+	"restore": simple(1, func(s *scene, _ *testscript.TestScript, args []string) error {
+		return call(http.MethodPost, s.platform()+"/Restore", args[0], nil)
+	}),
 	// publish FILE: publishes a document.
 	"publish": simple(1, func(s *scene, ts *testscript.TestScript, args []string) error {
 		return call(http.MethodPost, s.platform()+"/Publish", ts.ReadFile(args[0]), nil)
