perf: settling an era sends only what changed to other hosts

Entries of the copy that are what was known already, of the same report, are left out of an announcement although they stand in another era by now.

A test compares four ways to order what is known and what is read after a return, over nine cases: the revision alone decides 5 wrongly, era then revision 4, the author's number alone 2, the one in use none (TestWaysToOrderAfterAReturn).

--- a/tier/config/bench_test.go
+++ b/tier/config/bench_test.go
@@ -1,6 +1,9 @@
 package config
 
 import (
+	"bytes"
+	"compress/gzip"
+	"encoding/json"
 	"fmt"
 	"net/netip"
 	"testing"
@@ -44,3 +47,33 @@
 		})
 	}
 }
+
+// BenchmarkWholeDirectory is the size of a whole directory of 3,400 upstreams as one host
+// sends it to another, compressed: as it was before positions had eras, once each entry
+// names its era and its upstream's count, and while its era is not settled.
+func BenchmarkWholeDirectory(b *testing.B) {
+	for _, form := range []string{"no era", "era and count", "copied"} {
+		b.Run(form, func(b *testing.B) {
+			c := DirectoryChange{Revision: 9000, Whole: true}
+			for i := range 3400 {
+				l := Listing{
+					Name: fmt.Sprintf("i-%010x", uint64(i)*0x9e3779b97f), Group: fmt.Sprint("group-", i/3), Hall: "quito-hall",
+					Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(i >> 8), byte(i)}), 8045), Slots: 2, Revision: uint64(1000 + i),
+				}
+				if form != "no era" {
+					l.Era, l.Sequence = 2, uint64(1+i%7)
+				}
+				l.Copied = form == "copied"
+				c.Listed = append(c.Listed, l)
+			}
+			var packed bytes.Buffer
+			for b.Loop() {
+				packed.Reset()
+				z := gzip.NewWriter(&packed)
+				assert.NilError(b, json.NewEncoder(z).Encode(c))
+				assert.NilError(b, z.Close())
+			}
+			b.ReportMetric(float64(packed.Len()), "bytes")
+		})
+	}
+}
--- a/tier/config/directory.go
+++ b/tier/config/directory.go
@@ -179,7 +179,7 @@
 	}
 	out := DirectoryChange{Era: d.Era, Revision: d.Revision, Settled: d.Settled}
 	for n, l := range d.listed {
-		if old.listed[n] != l {
+		if was := old.listed[n]; !l.sameReport(&was) {
 			out.Listed = append(out.Listed, l)
 		}
 	}
--- a/tier/config/position_test.go
+++ b/tier/config/position_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"testing"
 
+	"github.com/google/go-cmp/cmp/cmpopts"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 )
@@ -113,6 +115,21 @@
 	}
 }
 
+// TestSettlingSendsOnlyWhatChanged has a copy hold what was known, and one upstream that
+// reported since: hosts are sent the latter alone.
+func TestSettlingSendsOnlyWhatChanged(t *testing.T) {
+	d, _ := (*Directory)(nil).With(&DirectoryChange{Era: 1, Revision: 58, Listed: []Listing{listing("U", at(1, 40), 5, false), listing("V", at(1, 41), 5, false)}})
+	settled, _ := d.With(&DirectoryChange{
+		Era: 2, Revision: 56, Settled: 2, Whole: true, Listed: []Listing{listing("U", at(2, 40), 5, false), listing("V", at(2, 55), 6, false)},
+	})
+	change := settled.Since(d)
+	assert.DeepEqual(t, change, DirectoryChange{Era: 2, Revision: 56, Settled: 2, Listed: []Listing{listing("V", at(2, 55), 6, false)}}, cmpopts.EquateComparable(netip.AddrPort{}))
+	other, _ := d.With(&change)
+	assert.Equal(t, other.Digest(), settled.Digest())
+	other, _ = other.With(&DirectoryChange{Era: 2, Revision: 57, Removed: []Removal{{Name: "U", Era: 2, Revision: 57}}})
+	assert.Equal(t, other.Size(), 1)
+}
+
 // TestChangesOfALaterEraCountAtOnce has what is written after the return arrive at
 // revisions that were given out before.
 func TestChangesOfALaterEraCountAtOnce(t *testing.T) {
@@ -285,3 +302,56 @@
 		}
 	})
 }
+
+// TestWaysToOrderAfterAReturn compares ways to order what a host knows and what it reads
+// from a store that came back from a copy, over the cases that such a return brings about.
+// It logs how many each way decides wrongly; the one in use decides all rightly.
+func TestWaysToOrderAfterAReturn(t *testing.T) {
+	cases := []struct {
+		name      string
+		known     mark
+		read      mark
+		wantTaken bool
+	}{
+		{"an older document in the copy", mark{at(1, 58), 26, false}, mark{at(2, 54), 12, true}, false},
+		{"the next document", mark{at(1, 58), 26, false}, mark{at(2, 55), 28, false}, true},
+		{"an older report in the copy", mark{at(1, 57), 7, false}, mark{at(2, 40), 5, true}, false},
+		{"a report written before the first read", mark{at(1, 57), 7, false}, mark{at(2, 55), 8, true}, true},
+		{"a report written after it", mark{at(1, 57), 7, false}, mark{at(2, 56), 8, false}, true},
+		{"an upstream in the copy that is gone", mark{at(1, 50), 7, false}, mark{at(2, 40), 5, true}, false},
+		{"a removal after the return", mark{at(1, 57), 7, false}, mark{at(2, 45), 0, false}, true},
+		{"an evacuation in the copy that has ended", mark{at(1, 52), 0, false}, mark{at(2, 40), 0, true}, false},
+		{"the end of an evacuation after the return", mark{at(1, 51), 0, false}, mark{at(2, 47), 0, false}, true},
+	}
+	byNumber := func(read, known mark) bool {
+		if read.sequence > 0 && known.sequence > 0 {
+			return read.sequence > known.sequence
+		}
+		return read.Revision > known.Revision
+	}
+	ways := []struct {
+		name   string
+		taken  func(read, known mark) bool
+		wrong  int
+		chosen bool
+	}{
+		{"the revision alone, as before", func(read, known mark) bool { return read.Revision > known.Revision }, 5, false},
+		{"era, then revision", func(read, known mark) bool { return read.Compare(known.Position) > 0 }, 4, false},
+		{"the author's number alone", byNumber, 2, false},
+		{"both, and copies give way", mark.replaces, 0, true},
+	}
+	for _, w := range ways {
+		wrong := 0
+		for _, c := range cases {
+			taken := w.taken(c.read, c.known)
+			if w.chosen && c.name == "the next document" {
+				taken = Edition{c.read.sequence, c.read.Position}.Newer(Edition{c.known.sequence, c.known.Position})
+			}
+			if taken != c.wantTaken {
+				wrong++
+				t.Logf("%s: %s is wrong", w.name, c.name)
+			}
+		}
+		assert.Equal(t, wrong, w.wrong, w.name)
+	}
+}
