test: a closed soak waits for the end of its daemons

TestSoak/Evacuation failed once with "hosts are not ready" after 20 s, and passed in 3 of 3 runs alone and in the whole test. Its logs were gone. A soak that is closed killed its daemons and did not wait; the next one of the same process has the same addresses, so its daemon may find them taken and is not started again: a test of that failed with 3 of 4 daemons still running.

--- a/loomfake/soak_test.go
+++ b/loomfake/soak_test.go
@@ -62,6 +62,24 @@
 	assert.Assert(t, len(s.asked) > 0)
 }
 
+// TestClosedSoakHasNoDaemons has a soak be closed as soon as its daemons run. The next one
+// of the same process gets the same addresses: once, "hosts are not ready" was all that a
+// soak had to say after 20 s, since a daemon of the one before had been killed and was
+// still there when the next was to bind its address.
+func TestClosedSoakHasNoDaemons(t *testing.T) {
+	s, cleanUp, err := newSoak(soakConfig{Seed: 1, Daemon: filepath.Join(programs, "loomd"), Hosts: 2, Shards: 2, Dir: t.TempDir()})
+	assert.NilError(t, err)
+	assert.NilError(t, s.waitReady(t.Context()))
+	cleanUp()
+	for _, h := range s.hosts {
+		select {
+		case <-h.ended:
+		default:
+			t.Errorf("%s still runs", h.name)
+		}
+	}
+}
+
 // TestVersionsArePublishedInOrder has faults end together that each publish a
 // configuration: the last one in the store is the newest, with all routes.
 func TestVersionsArePublishedInOrder(t *testing.T) {
--- a/loomfake/soakhost.go
+++ b/loomfake/soakhost.go
@@ -124,6 +124,16 @@
 	}
 }
 
+// awaitEnd waits until the daemon that was started last has ended.
+func (h *soakHost) awaitEnd() {
+	h.mu.Lock()
+	ended := h.ended
+	h.mu.Unlock()
+	if ended != nil {
+		<-ended
+	}
+}
+
 // restart waits for the end of the daemon of a generation and starts the next,
 // unless another has done so.
 func (h *soakHost) restart(generation int, daemon string) error {
--- a/loomfake/soakrun.go
+++ b/loomfake/soakrun.go
@@ -91,6 +91,10 @@
 		h.signal(syscall.SIGCONT)
 		h.signal(syscall.SIGKILL)
 	}
+	for _, h := range s.hosts {
+		// The next soak of this process has the same addresses.
+		h.awaitEnd()
+	}
 	for _, c := range slices.Backward(s.closers) {
 		c()
 	}
