--- a/tier/config/position_test.go
+++ b/tier/config/position_test.go
@@ -303,53 +303,57 @@
 	})
 }
 
-// TestWaysToOrderAfterAReturn compares ways to order what a host knows and what it reads
-// from a store that came back from a copy, over the cases that such a return brings about.
-// It logs how many each way decides wrongly; the one in use decides all rightly.
+// returnCase is something that a host knows and something that it reads from a store that
+// came back from a copy.
+type returnCase struct {
+	name        string
+	known, read mark
+	// document is true for documents, whose sequence is their version.
+	document bool
+	want     bool
+}
+
+// TestWaysToOrderAfterAReturn compares ways to decide whether what is read replaces what
+// is known, over the cases that a return brings about. It logs what each way decides
+// wrongly; the one in use decides all rightly.
 func TestWaysToOrderAfterAReturn(t *testing.T) {
-	cases := []struct {
-		name      string
-		known     mark
-		read      mark
-		wantTaken bool
-	}{
-		{"an older document in the copy", mark{at(1, 58), 26, false}, mark{at(2, 54), 12, true}, false},
-		{"the next document", mark{at(1, 58), 26, false}, mark{at(2, 55), 28, false}, true},
-		{"an older report in the copy", mark{at(1, 57), 7, false}, mark{at(2, 40), 5, true}, false},
-		{"a report written before the first read", mark{at(1, 57), 7, false}, mark{at(2, 55), 8, true}, true},
-		{"a report written after it", mark{at(1, 57), 7, false}, mark{at(2, 56), 8, false}, true},
-		{"an upstream in the copy that is gone", mark{at(1, 50), 7, false}, mark{at(2, 40), 5, true}, false},
-		{"a removal after the return", mark{at(1, 57), 7, false}, mark{at(2, 45), 0, false}, true},
-		{"an evacuation in the copy that has ended", mark{at(1, 52), 0, false}, mark{at(2, 40), 0, true}, false},
-		{"the end of an evacuation after the return", mark{at(1, 51), 0, false}, mark{at(2, 47), 0, false}, true},
-	}
-	byNumber := func(read, known mark) bool {
-		if read.sequence > 0 && known.sequence > 0 {
-			return read.sequence > known.sequence
-		}
-		return read.Revision > known.Revision
+	cases := []returnCase{
+		{"an older document in the copy", mark{at(1, 58), 26, false}, mark{at(2, 54), 12, true}, true, false},
+		{"the next document", mark{at(1, 58), 26, false}, mark{at(2, 55), 28, false}, true, true},
+		{"an older report in the copy", mark{at(1, 57), 7, false}, mark{at(2, 40), 5, true}, false, false},
+		{"a report written before the first read", mark{at(1, 57), 7, false}, mark{at(2, 55), 8, true}, false, true},
+		{"a report written after it", mark{at(1, 57), 7, false}, mark{at(2, 56), 8, false}, false, true},
+		{"an upstream in the copy that is gone", mark{at(1, 50), 7, false}, mark{at(2, 40), 5, true}, false, false},
+		{"a removal after the return", mark{at(1, 57), 7, false}, mark{at(2, 45), 0, false}, false, true},
+		{"an evacuation in the copy that has ended", mark{at(1, 52), 0, false}, mark{at(2, 40), 0, true}, false, false},
+		{"the end of an evacuation after the return", mark{at(1, 51), 0, false}, mark{at(2, 47), 0, false}, false, true},
 	}
 	ways := []struct {
-		name   string
-		taken  func(read, known mark) bool
-		wrong  int
-		chosen bool
+		name  string
+		takes func(c *returnCase) bool
+		wrong int
 	}{
-		{"the revision alone, as before", func(read, known mark) bool { return read.Revision > known.Revision }, 5, false},
-		{"era, then revision", func(read, known mark) bool { return read.Compare(known.Position) > 0 }, 4, false},
-		{"the author's number alone", byNumber, 2, false},
-		{"both, and copies give way", mark.replaces, 0, true},
+		{"the revision alone, as before", func(c *returnCase) bool { return c.read.Revision > c.known.Revision }, 5},
+		{"era, then revision", func(c *returnCase) bool { return c.read.Compare(c.known.Position) > 0 }, 4},
+		{"the author's number alone", func(c *returnCase) bool {
+			if c.read.sequence > 0 && c.known.sequence > 0 {
+				return c.read.sequence > c.known.sequence
+			}
+			return c.read.Revision > c.known.Revision
+		}, 2},
+		{"both, and copies give way", func(c *returnCase) bool {
+			if c.document {
+				return Edition{c.read.sequence, c.read.Position}.Newer(Edition{c.known.sequence, c.known.Position})
+			}
+			return c.read.replaces(c.known)
+		}, 0},
 	}
 	for _, w := range ways {
 		wrong := 0
-		for _, c := range cases {
-			taken := w.taken(c.read, c.known)
-			if w.chosen && c.name == "the next document" {
-				taken = Edition{c.read.sequence, c.read.Position}.Newer(Edition{c.known.sequence, c.known.Position})
-			}
-			if taken != c.wantTaken {
+		for i := range cases {
+			if w.takes(&cases[i]) != cases[i].want {
 				wrong++
-				t.Logf("%s: %s is wrong", w.name, c.name)
+				t.Logf("%s: %s is wrong", w.name, cases[i].name)
 			}
 		}
 		assert.Equal(t, wrong, w.wrong, w.name)
