fix: what a copy lacks is held for 2.5 s, as after an absence

An upstream that the copy lacks was listed until the era was settled, 5 s; the platform says that one that lives is back within about two seconds and is gone otherwise. The removals that a whole read of another era brings are held by the same rule as those after an absence now, and begin anew with each return. TestFeedKeepsWhatACopyLacks asks for it (U4 was still listed 3 s after the return).

--- a/tier/config/directory.go
+++ b/tier/config/directory.go
@@ -150,15 +150,27 @@
 }
 
 // Lacking returns the removals that would make the directory equal to a whole
-// listing, without those that are newer than it.
+// listing, without those that are newer than it, and those of an earlier era that is not
+// over.
 func (d *Directory) Lacking(c *DirectoryChange) []Removal {
+	return d.missing(c, func(m mark) bool { return d.coveredBy(m, c) })
+}
+
+// Lapsed is Lacking with what is of an earlier era: a copy lacks what started after it,
+// and lists it again soon if it lives.
+func (d *Directory) Lapsed(c *DirectoryChange) []Removal {
+	return d.missing(c, func(m mark) bool { return m.Compare(c.Position()) <= 0 })
+}
+
+// missing returns removals of what a whole listing does not have and should.
+func (d *Directory) missing(c *DirectoryChange, should func(mark) bool) []Removal {
 	names := make(map[string]bool, len(c.Listed))
 	for _, l := range c.Listed {
 		names[l.Name] = true
 	}
 	var out []Removal
 	for n, l := range d.orEmpty().listed {
-		if !names[n] && d.coveredBy(l.mark(), c) {
+		if !names[n] && should(l.mark()) {
 			out = append(out, Removal{Name: n, Era: c.Era, Revision: c.Revision})
 		}
 	}
--- a/tier/peers/feed.go
+++ b/tier/peers/feed.go
@@ -169,7 +169,9 @@
 	f.watched = !p.Directory.Whole
 	f.position = p.Position
 	f.kernel.DoAndWait(func(s *kernel.State) {
-		f.restore.follow(f.kernel, s, p, now)
+		if f.restore.follow(f.kernel, s, p, now) {
+			f.lapse.historyReturned(now)
+		}
 		f.install(s, p, now, away)
 		if f.watched {
 			s.Confirm()
--- a/tier/peers/lapse.go
+++ b/tier/peers/lapse.go
@@ -28,6 +28,10 @@
 
 func (l *lapse) platformReturned(now time.Duration) { l.until = now + lapseLate }
 
+// historyReturned is platformReturned for a platform that came back with another history:
+// what was held for the one before is decided by this one.
+func (l *lapse) historyReturned(now time.Duration) { *l = lapse{until: now + lapseLate} }
+
 // hold takes the removals out of a change of a directory and keeps them, if the
 // platform was away a moment ago. What an operator has written does not lapse, so an
 // evacuation that a whole directory lacks has ended.
@@ -37,7 +41,7 @@
 	}
 	l.removals = append(l.removals, c.Removed...)
 	if c.Whole {
-		l.removals = append(l.removals, d.Lacking(c)...)
+		l.removals = append(l.removals, d.Lapsed(c)...)
 		c.Resumed = append(c.Resumed, d.LackingEvacuations(c)...)
 	}
 	if len(l.removals) > 0 && l.due <= now {
--- a/tier/peers/restore.go
+++ b/tier/peers/restore.go
@@ -13,13 +13,13 @@
 // copy may hold upstreams that have left, lack some that live, and say ready of one that
 // leaves; whoever writes to the platform puts that right within seconds. Until then the
 // era is unsettled: what was read whole counts as copied, and gives way to what is known
-// of the era before (config.Directory). Then the reader reads everything once more, and
-// what stands in the platform holds.
+// of the era before (config.Directory); what the copy lacks is held as after an absence
+// (lapse.go). Then the reader reads everything once more, and what stands in the platform
+// holds.
 
 // settleAfter is how long after a reader first read an era what stands in the platform
 // holds. An upstream that is gone is listed by a copy for three silent status reports of
-// 1.2 s each, and one that lives has listed itself again within two seconds; the rest is
-// a margin for a platform that answers late. Not measured.
+// 1.2 s each; the rest is a margin for a platform that answers late. Not measured.
 const settleAfter = 5 * time.Second
 
 // restore follows the eras of the platform for the host that reads it. All times are
@@ -52,13 +52,16 @@
 }
 
 // follow notes the era of what was read, and marks in it what may come from the copy
-// that the era began with. It runs on the control thread.
-func (r *restore) follow(k *kernel.Kernel, s *kernel.State, p *kernel.Published, now time.Duration) {
-	era := p.Position.Era
+// that the era began with. It reports whether the platform has come back with another
+// history than the one known here. It runs on the control thread.
+func (r *restore) follow(k *kernel.Kernel, s *kernel.State, p *kernel.Published, now time.Duration) (returned bool) {
+	era, known := p.Position.Era, s.Directory.Position()
 	settles := r.settling && era == r.era
 	r.settling = false
 	if era != r.era {
 		r.era, r.settleAt = era, now+settleAfter
+	}
+	if returned = known.Era > 0 && era > known.Era; returned {
 		logReturn(k, s, p.Position)
 	}
 	switch {
@@ -72,6 +75,7 @@
 		p.Directory.MarkCopied()
 		doubtDocument(p)
 	}
+	return returned
 }
 
 // doubtDocument has a document that was read whole count as one of the era before, if its
@@ -86,9 +90,6 @@
 // the one before: until when, and up to where.
 func logReturn(k *kernel.Kernel, s *kernel.State, at config.Position) {
 	known := s.Directory.Position()
-	if known.Era == 0 || at.Era <= known.Era {
-		return
-	}
 	metrics.GetOrCreateCounter("loomgap_platform_returns_total").Inc()
 	k.Log.Warn().Uint64("DirectoryEra", at.Era).Uint64("DirectoryRevision", at.Revision).
 		Uint64("KnownEra", known.Era).Uint64("KnownRevision", known.Revision).
--- a/tier/peers/restore_test.go
+++ b/tier/peers/restore_test.go
@@ -60,6 +60,8 @@
 		settle(2 * time.Second)
 		assert.DeepEqual(t, listedNames(k), []string{"U1", "U2", "U3", "U4"})
 		p.list("U3")
+		settle(time.Second)
+		assert.DeepEqual(t, listedNames(k), []string{"U1", "U2", "U3"}) // lapseHold has passed
 		settle(settleMost)
 		assert.DeepEqual(t, listedNames(k), []string{"U1", "U2", "U3"})
 	})
@@ -212,7 +214,7 @@
 		settle(retryMost + 500*time.Millisecond)
 		assert.DeepEqual(t, listedNames(k), []string{"U2", "U3"})
 		p.list("U4")
-		settle(time.Second)
+		settle(300 * time.Millisecond) // less than lapseHold since the return
 		p.set(func() { p.away = true })
 		p.restore(old)
 		settle(3 * time.Second)
