refactor: the editor of a directory makes its evacuations too

The evacuations asked the editor which entries count; now the editor begins and ends them, as it lists and removes upstreams. No change of behaviour.

--- a/tier/config/directory_edit.go
+++ b/tier/config/directory_edit.go
@@ -23,8 +23,7 @@
 	for _, r := range removed {
 		e.remove(r)
 	}
-	evacuated, moved := e.next.evacuations.next(c, resumed, e)
-	e.next.evacuations, e.changed = evacuated, e.changed || moved
+	e.evacuate(c, resumed)
 	e.next.moveTo(c.Position())
 	e.next.forget()
 	return e.finish(), d == nil || e.changed
@@ -56,8 +55,8 @@
 // editor makes the next directory from one.
 type editor struct {
 	next *Directory
-	// from is the first era that the change counts for: its sender does not know that
-	// the eras before are over.
+	// from is the first era of which entries count: the sender of the change does not
+	// know yet that the eras before are over. 0 if all count.
 	from uint64
 	// touched are the groups of which a member changed.
 	touched map[string]bool
--- a/tier/config/evacuation.go
+++ b/tier/config/evacuation.go
@@ -23,8 +23,8 @@
 	return mark{Position: Position{Era: v.Era, Revision: v.Revision}, copied: v.Copied}
 }
 
-// evacuations are the halls evacuated at one position. They do not change; next
-// makes the ones that follow.
+// evacuations are the halls evacuated at one position. Those of a directory do not
+// change; its editor makes the ones that follow, from a clone.
 type evacuations struct {
 	// since holds each evacuation in force, ended the last end of one, so that an older
 	// entry of the same hall does not bring it back.
@@ -32,25 +32,27 @@
 	ended map[string]Removal
 }
 
-// next returns the evacuations after a change, and whether another set of halls
-// is evacuated then. What is older than what is known has no effect.
-func (e evacuations) next(c *DirectoryChange, lacking []Removal, by *editor) (evacuations, bool) {
+// evacuate makes the evacuations after a change; lacking are the ends of those that it
+// lacks as a whole listing. What is older than what is known has no effect.
+func (e *editor) evacuate(c *DirectoryChange, lacking []Removal) {
 	if len(c.Evacuated)+len(c.Resumed)+len(lacking) == 0 {
-		return e, false
+		return
 	}
-	out := e.clone()
+	before := e.next.evacuations
+	next := before.clone()
 	for _, v := range c.Evacuated {
-		v.Copied = v.Copied && v.Era > by.next.Settled
-		if !by.isOutdated(v.mark()) {
-			out.begin(v)
+		v.Copied = v.Copied && v.Era > e.next.Settled
+		if !e.isOutdated(v.mark()) {
+			next.begin(v)
 		}
 	}
 	for _, r := range slices.Concat(c.Resumed, lacking) {
-		if !by.isOutdated(r.mark()) {
-			out.end(r)
+		if !e.isOutdated(r.mark()) {
+			next.end(r)
 		}
 	}
-	return out, out.digest() != e.digest()
+	e.next.evacuations = next
+	e.changed = e.changed || next.digest() != before.digest()
 }
 
 func (e evacuations) clone() evacuations {
