--- a/tier/peers/feed_test.go
+++ b/tier/peers/feed_test.go
@@ -38,7 +38,9 @@
 	// stale is how many revisions an old read is behind.
 	stale uint64
 	reads []bool
-	moved chan struct{}
+	// watches counts the watches.
+	watches int
+	moved   chan struct{}
 }
 
 func newPublished() *published {
@@ -135,6 +137,7 @@
 
 // Watch implements kernel.Source.
 func (p *published) Watch(ctx context.Context, after config.Position, wait time.Duration) (*kernel.Published, error) {
+	p.set(func() { p.watches++ })
 	out, moved, err := p.since(after)
 	if err != nil || out.Position.Revision > after.Revision || wait == 0 {
 		return out, err
--- a/tier/peers/restore_test.go
+++ b/tier/peers/restore_test.go
@@ -1,7 +1,10 @@
 package peers
 
 import (
+	"context"
+	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -228,6 +231,57 @@
 	})
 }
 
+// TestChangesAfterAReturnReachAllHosts has hosts of two halls follow a platform that is
+// away for two seconds and comes back from a copy. Each change that is made from then on,
+// at revisions given out before, is known to all within the 3 s in which it is due, the
+// first included. The platform is asked for everything by few, and no more often than one
+// host that reads on asks and some that look whether it is back.
+func TestChangesAfterAReturnReachAllHosts(t *testing.T) {
+	const (
+		bound   = 3 * time.Second
+		look    = 50 * time.Millisecond
+		changes = 10
+	)
+	for _, hosts := range []int{4, 16} {
+		t.Run(fmt.Sprint(hosts), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				f := newFleetOf(t, ctx, hosts)
+				p := f.platform
+				p.set(func() { p.era = 1 })
+				time.Sleep(2 * settleMost)
+				old := p.now()
+				for i := range 2 * changes {
+					p.list(fmt.Sprint("Lost", i))
+				}
+				time.Sleep(time.Second)
+				p.set(func() { p.away = true })
+				time.Sleep(2 * time.Second)
+				p.restore(old)
+				var reads, watches int
+				p.set(func() { p.away, reads, watches = false, len(p.reads), p.watches })
+				began := time.Now()
+				for i := range changes {
+					name := fmt.Sprint("New", i)
+					p.list(name)
+					took := time.Duration(0)
+					for ; !f.knownBy(name) && took < 2*bound; took += look {
+						time.Sleep(look)
+					}
+					assert.Check(t, took <= bound, "%s after %s", name, took)
+				}
+				seconds := int(time.Since(began).Seconds()) + 1
+				p.set(func() {
+					assert.Check(t, len(p.reads)-reads <= 2*failedReadersMost+1, "%d whole reads", len(p.reads)-reads)
+					assert.Check(t, p.watches-watches <= 2*2*failedReadersMost+4*seconds, "%d watches in %d s", p.watches-watches, seconds)
+				})
+				cancel()
+				time.Sleep(5 * time.Second)
+			})
+		})
+	}
+}
+
 // TestStartingReaderLearnsWhatTheCopyLacks has a host start after the platform came back,
 // read its copy and then meet a host that knows the era before, which announces nothing.
 func TestStartingReaderLearnsWhatTheCopyLacks(t *testing.T) {
