refactor: one check decides whether a document is newer

Accept and AcceptDocument each noted a document, asked whether it is newer than all seen and logged that it was passed over; on the way of an adapter both did so. One function does now, once. The revision of the document in force had a method of its own beside Edition, used once; it goes. A copy of a slice by slices.Clone.

--- a/loomfake/soakrestore.go
+++ b/loomfake/soakrestore.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"loomgap/platform"
@@ -47,7 +48,7 @@
 // between two reports.
 func (s *soak) writeAgain() {
 	s.mu.Lock()
-	upstreams := append([]*soakUpstream(nil), s.upstreams...)
+	upstreams := slices.Clone(s.upstreams)
 	s.mu.Unlock()
 	for i, u := range upstreams {
 		if i == len(upstreams)/2 {
--- a/tier/kernel/document.go
+++ b/tier/kernel/document.go
@@ -25,14 +25,6 @@
 	Confirmed bool
 }
 
-// Revision is the revision of the document in force; 0 before the first.
-func (d *DocumentState) Revision() uint64 {
-	if d.Index == nil {
-		return 0
-	}
-	return d.Index.Revision
-}
-
 // Edition is how new the document in force is; zero before the first.
 func (d *DocumentState) Edition() config.Edition {
 	if d.Index == nil {
@@ -62,31 +54,16 @@
 // Accept puts a published document in force if it is newer than the one in force
 // and valid. It runs on the control thread.
 func (k *Kernel) Accept(s *State, text string, e config.Edition) {
-	s.NotePublished(e.Position, "")
-	if !e.Newer(s.Newest) {
-		k.logPassedOver(s, e)
-		return
+	if k.isNewer(s, e) {
+		k.accept(s, text, e)
 	}
-	x, err := config.Accept([]byte(text), e)
-	s.Newest = e
-	s.changed = true
-	if err != nil {
-		s.Refused = fmt.Sprintf("revision %d: %s", e.Revision, err)
-		k.Log.Error().Err(err).Uint64("Revision", e.Revision).Msg("document refused")
-		return
-	}
-	s.Index = x
-	k.Log.Info().Uint64("Version", e.Version).Uint64("Era", e.Era).Uint64("Revision", e.Revision).Str("Digest", x.Digest).
-		Int("Routes", len(x.Document.Routes)).Msg("document in force")
 }
 
 // AcceptDocument puts a document in force that an adapter has translated. What the
 // platform publishes is ordered by its edition alone, so each document is treated as
 // composed from the revision before. It runs on the control thread.
 func (k *Kernel) AcceptDocument(s *State, d *config.Document, e config.Edition) {
-	s.NotePublished(e.Position, "")
-	if !e.Newer(s.Newest) {
-		k.logPassedOver(s, e)
+	if !k.isNewer(s, e) {
 		return
 	}
 	d.Based = e.Revision - 1
@@ -95,7 +72,32 @@
 		k.Log.Error().Err(err).Uint64("Revision", e.Revision).Msg("document not encoded")
 		return
 	}
-	k.Accept(s, string(text), e)
+	k.accept(s, string(text), e)
+}
+
+// isNewer notes that a document was seen, and reports whether it is newer than all seen
+// before.
+func (k *Kernel) isNewer(s *State, e config.Edition) bool {
+	s.NotePublished(e.Position, "")
+	newer := e.Newer(s.Newest)
+	if !newer {
+		k.logPassedOver(s, e)
+	}
+	return newer
+}
+
+func (k *Kernel) accept(s *State, text string, e config.Edition) {
+	x, err := config.Accept([]byte(text), e)
+	s.Newest = e
+	s.changed = true
+	if err != nil {
+		s.Refused = fmt.Sprintf("revision %d: %s", e.Revision, err)
+		k.Log.Error().Err(err).Uint64("Revision", e.Revision).Msg("document refused")
+		return
+	}
+	s.Index = x
+	k.Log.Info().Uint64("Version", e.Version).Uint64("Era", e.Era).Uint64("Revision", e.Revision).Str("Digest", x.Digest).
+		Int("Routes", len(x.Document.Routes)).Msg("document in force")
 }
 
 // logPassedOver notes a document that is older than the newest one seen. Without it, a
--- a/tier/peers/heartbeat.go
+++ b/tier/peers/heartbeat.go
@@ -125,7 +125,7 @@
 		g.table.restartSilence(now)
 	}
 	g.sent++
-	g.table.tick(now, s.Revision())
+	g.table.tick(now, s.Edition().Revision)
 	g.updateMembers(s, now)
 	message := g.message(s, now)
 	for _, to := range g.partners(s) {
