perf: a change of the directory costs what it touches, not what is listed

Cause: With cloned three maps of all upstreams, sorted and summed over them, and Since compared all of them, for each change at each host; hosts times upstreams for one upstream that reports something.

Ruled out: a cache of what was sorted (the copy stays), sharded maps (a constant factor).

--- a/tier/config/directory.go
+++ b/tier/config/directory.go
@@ -3,10 +3,13 @@
 import (
 	"maps"
 	"slices"
+
+	"github.com/tidwall/btree"
 )
 
 // Directory is the set of listed upstreams at one position. It does not change;
-// With makes the next one.
+// With makes the next one, which shares with it all that stays the same: a change costs
+// what it touches, whatever is listed.
 type Directory struct {
 	// Era and Revision are the platform's position up to which the directory is whole.
 	Era      uint64
@@ -16,14 +19,18 @@
 	Settled uint64
 	// removed holds for names that were removed their removal, so that an older listing
 	// of the same name does not bring it back.
-	removed map[string]Removal
-	listed  map[string]Listing
-	// groups holds what is listed by group, each in order of name.
-	groups map[string][]Listing
+	removed btree.Map[string, Removal]
+	listed  btree.Map[string, Listing]
+	// groups holds what is listed by group, each in order of name. A slice in it is
+	// never changed.
+	groups btree.Map[string, []Listing]
+	// halls counts what is listed by hall; it is never changed.
+	halls map[string]int
 	// digest is the sum of the hashes of what is listed, so that a change costs
 	// no more than what changed.
 	digest      uint64
 	evacuations evacuations
+	history     history
 }
 
 // Removal tells that a name is no longer listed.
@@ -57,7 +64,7 @@
 }
 
 // maxRemoved bounds how many removed names are remembered; the oldest half is forgotten
-// when there are more. Not measured.
+// when there are more.
 const maxRemoved = 2000
 
 // Position is the platform's position up to which the directory is whole.
@@ -99,24 +106,24 @@
 // Group lists the upstreams of a group, in order of name. The slice is not to
 // be changed.
 func (d *Directory) Group(name string) []Listing {
-	return d.orEmpty().groups[name]
+	group, _ := d.orEmpty().groups.Get(name)
+	return group
 }
 
 // Find returns the listing of an upstream; false if it is not listed.
 func (d *Directory) Find(name string) (Listing, bool) {
-	l, listed := d.orEmpty().listed[name]
-	return l, listed
+	return d.orEmpty().listed.Get(name)
 }
 
 // Size is how many upstreams are listed.
-func (d *Directory) Size() int { return len(d.orEmpty().listed) }
+func (d *Directory) Size() int { return d.orEmpty().listed.Len() }
 
 // PerHall counts the upstreams of each data hall that is not evacuated.
 func (d *Directory) PerHall() map[string]int {
 	out := map[string]int{}
-	for _, l := range d.orEmpty().listed {
-		if !d.Evacuated(l.Hall) {
-			out[l.Hall]++
+	for hall, n := range d.orEmpty().halls {
+		if n > 0 && !d.Evacuated(hall) {
+			out[hall] = n
 		}
 	}
 	return out
@@ -127,9 +134,7 @@
 	if d == nil {
 		return nil
 	}
-	out := slices.AppendSeq(make([]Listing, 0, len(d.listed)), maps.Values(d.listed))
-	slices.SortFunc(out, byName)
-	return out
+	return d.listed.Values()
 }
 
 // Whole returns the directory as a change that brings another host to it.
@@ -169,11 +174,12 @@
 		names[l.Name] = true
 	}
 	var out []Removal
-	for n, l := range d.orEmpty().listed {
+	d.orEmpty().listed.Scan(func(n string, l Listing) bool {
 		if !names[n] && should(l.mark()) {
 			out = append(out, Removal{Name: n, Era: c.Era, Revision: c.Revision})
 		}
-	}
+		return true
+	})
 	return out
 }
 
@@ -184,23 +190,38 @@
 	return m.Compare(c.Position()) <= 0 && (settled || m.sameHistory(c.Position()))
 }
 
-// Since returns what changed from an earlier directory to this one.
+// Since returns what changed from an earlier directory to this one. It costs what
+// changed where Touched knows that, else what is listed.
 func (d *Directory) Since(old *Directory) DirectoryChange {
 	if old == nil || d == nil {
 		return d.Whole()
 	}
 	out := DirectoryChange{Era: d.Era, Revision: d.Revision, Settled: d.Settled}
-	for n, l := range d.listed {
-		if !l.sameReport(old.listed[n]) {
+	names, known := d.Touched(old)
+	if !known {
+		names = slices.Concat(d.listed.Keys(), d.removed.Keys())
+		slices.Sort(names)
+		names = slices.Compact(names)
+	}
+	for _, n := range names {
+		if l, listed := d.listed.Get(n); listed && !l.sameReport(valueOf(&old.listed, n)) {
 			out.Listed = append(out.Listed, l)
 		}
+		if r := valueOf(&d.removed, n); r != valueOf(&old.removed, n) && r.Name != "" {
+			out.Removed = append(out.Removed, r)
+		}
 	}
 	out.Evacuated = changed(d.evacuations.since, old.evacuations.since)
 	out.Resumed = changed(d.evacuations.ended, old.evacuations.ended)
-	out.Removed = changed(d.removed, old.removed)
 	return out
 }
 
+// valueOf is the value of a name; zero if there is none.
+func valueOf[T any](m *btree.Map[string, T], name string) T {
+	v, _ := m.Get(name)
+	return v
+}
+
 // changed lists what differs from what was known before, in order of name.
 func changed[T comparable](now, before map[string]T) []T {
 	var out []T
--- a/tier/config/directory_edit.go
+++ b/tier/config/directory_edit.go
@@ -44,12 +44,14 @@
 
 // forget drops the oldest removals beyond the bound.
 func (d *Directory) forget() {
-	if len(d.removed) <= maxRemoved {
+	if d.removed.Len() <= maxRemoved {
 		return
 	}
-	byAge := slices.SortedFunc(maps.Values(d.removed), func(a, b Removal) int { return a.mark().Compare(b.mark().Position) })
-	oldest := byAge[len(byAge)-maxRemoved/2]
-	maps.DeleteFunc(d.removed, func(_ string, r Removal) bool { return r.mark().Compare(oldest.mark().Position) < 0 })
+	byAge := d.removed.Values()
+	slices.SortFunc(byAge, func(a, b Removal) int { return a.mark().Compare(b.mark().Position) })
+	for _, r := range byAge[:len(byAge)-maxRemoved/2] {
+		d.removed.Delete(r.Name)
+	}
 }
 
 // editor makes the next directory from one.
@@ -58,48 +60,55 @@
 	// from is the first era of which entries count: the sender of the change does not
 	// know yet that the eras before are over. 0 if all count.
 	from uint64
-	// touched are the groups of which a member changed.
-	touched map[string]bool
+	// touched are the names of which a listing or a removal changed; all is true if
+	// that may be any.
+	touched []string
+	all     bool
 	changed bool
 }
 
 func newEditor(d *Directory, c *DirectoryChange) *editor {
-	next := &Directory{
-		listed: map[string]Listing{}, removed: map[string]Removal{}, groups: map[string][]Listing{}, digest: emptyDigest,
-	}
-	if d != nil {
-		next.Era, next.Revision, next.Settled = d.Era, d.Revision, d.Settled
-		next.digest, next.evacuations = d.digest, d.evacuations
-		next.listed, next.removed, next.groups = maps.Clone(d.listed), maps.Clone(d.removed), maps.Clone(d.groups)
-	}
-	e := &editor{next: next, touched: map[string]bool{}}
-	if c.Settled > next.Settled {
-		next.settle(c.Settled)
-	} else if c.Settled < next.Settled {
-		e.from = next.Settled
+	e := &editor{next: d.clone()}
+	if c.Settled > e.next.Settled {
+		e.next.settle(c.Settled)
+		e.all = true
+	} else if c.Settled < e.next.Settled {
+		e.from = e.next.Settled
 	}
 	return e
 }
 
+// clone returns a directory of the same content that its editor may change.
+func (d *Directory) clone() *Directory {
+	if d == nil {
+		return &Directory{digest: emptyDigest, halls: map[string]int{}}
+	}
+	next := *d
+	next.listed, next.removed, next.groups = *d.listed.Copy(), *d.removed.Copy(), *d.groups.Copy()
+	next.halls = maps.Clone(d.halls)
+	return &next
+}
+
 // settle notes that an era is settled. What was copied in it holds from now on, and what
 // names no era was known before it.
 func (d *Directory) settle(era uint64) {
 	d.Settled = era
-	for n, l := range d.listed {
+	for _, l := range d.listed.Values() {
 		l.Copied = l.Copied && l.Era > era
 		l.Era = cmp.Or(l.Era, era-1)
-		d.listed[n] = l
+		d.listed.Set(l.Name, l)
+		d.regroup(l.Group, l)
+	}
+	for _, r := range d.removed.Values() {
+		d.removed.Set(r.Name, r.settled(era))
 	}
-	settleRemovals(d.removed, era)
 	d.evacuations = d.evacuations.settled(era)
 }
 
-// settleRemovals is settle for removals.
-func settleRemovals(removals map[string]Removal, era uint64) {
-	for n, r := range removals {
-		r.Era = cmp.Or(r.Era, era-1)
-		removals[n] = r
-	}
+// settled is the removal once an era is settled, as Directory.settle does.
+func (r Removal) settled(era uint64) Removal {
+	r.Era = cmp.Or(r.Era, era-1)
+	return r
 }
 
 // isOutdated reports whether an entry is of an era that is over.
@@ -111,19 +120,18 @@
 	if e.isOutdated(m) {
 		return
 	}
-	if r, removed := e.next.removed[l.Name]; removed && !m.replaces(r.mark()) {
+	if r, removed := e.next.removed.Get(l.Name); removed && !m.replaces(r.mark()) {
 		return
 	}
-	old, known := e.next.listed[l.Name]
+	old, known := e.next.listed.Get(l.Name)
 	if known && !m.replaces(old.mark()) {
 		return
 	}
-	e.next.listed[l.Name] = l
-	delete(e.next.removed, l.Name)
 	if known {
-		e.note(old.Group, -old.hash())
+		e.drop(old)
 	}
-	e.note(l.Group, l.hash())
+	e.add(l)
+	e.next.removed.Delete(l.Name)
 	rewarmed := old.warmupSteps() != l.warmupSteps()
 	old.Warmup = l.Warmup
 	e.changed = e.changed || rewarmed || old.content() != l.content()
@@ -134,43 +142,66 @@
 	if e.isOutdated(m) {
 		return
 	}
-	if before, removed := e.next.removed[r.Name]; removed && !m.replaces(before.mark()) {
+	before, removed := e.next.removed.Get(r.Name)
+	if removed && !m.replaces(before.mark()) {
 		return
 	}
-	old, known := e.next.listed[r.Name]
+	old, known := e.next.listed.Get(r.Name)
 	if known && !r.endsAt(old.mark()) {
 		return
 	}
-	r.Sequence = max(r.Sequence, old.Sequence, e.next.removed[r.Name].Sequence)
-	e.next.removed[r.Name] = r
+	r.Sequence = max(r.Sequence, old.Sequence, before.Sequence)
+	e.next.removed.Set(r.Name, r)
+	e.touched = append(e.touched, r.Name)
 	if !known {
 		return
 	}
-	delete(e.next.listed, r.Name)
-	e.note(old.Group, -old.hash())
+	e.drop(old)
 	e.changed = true
 }
 
-// note adds the hash of a listing to the digest, or takes it away, and marks the group.
-func (e *editor) note(group string, hash uint64) {
-	e.touched[group] = true
-	e.next.digest += hash
+func (e *editor) add(l Listing) {
+	e.touched = append(e.touched, l.Name)
+	e.next.listed.Set(l.Name, l)
+	e.next.regroup(l.Group, l)
+	e.next.digest += l.hash()
+	e.next.halls[l.Hall]++
 }
 
-func (e *editor) finish() *Directory {
-	if len(e.touched) == 0 {
-		return e.next
-	}
-	for g := range e.touched {
-		delete(e.next.groups, g)
-	}
-	for _, l := range e.next.listed {
-		if e.touched[l.Group] {
-			e.next.groups[l.Group] = append(e.next.groups[l.Group], l)
-		}
+func (e *editor) drop(l Listing) {
+	e.next.listed.Delete(l.Name)
+	e.next.ungroup(l.Group, l)
+	e.next.digest -= l.hash()
+	e.next.halls[l.Hall]--
+}
+
+// regroup puts a listing into a group, in place of the one of the same name.
+func (d *Directory) regroup(group string, l Listing) {
+	members := valueOf(&d.groups, group)
+	i, found := slices.BinarySearchFunc(members, l, byName)
+	next := slices.Clone(members)
+	if found {
+		next[i] = l
+	} else {
+		next = slices.Insert(next, i, l)
+	}
+	d.groups.Set(group, next)
+}
+
+// ungroup takes a listing out of a group.
+func (d *Directory) ungroup(group string, l Listing) {
+	members := valueOf(&d.groups, group)
+	if i, found := slices.BinarySearchFunc(members, l, byName); found {
+		d.groups.Set(group, slices.Delete(slices.Clone(members), i, i+1))
 	}
-	for g := range e.touched {
-		slices.SortFunc(e.next.groups[g], byName)
+}
+
+func (e *editor) finish() *Directory {
+	switch {
+	case e.all:
+		e.next.history = history{}.restart()
+	case len(e.touched) > 0 || e.next.history.content == nil:
+		e.next.history = e.next.history.append(e.touched)
 	}
 	return e.next
 }
--- a/tier/config/directory_test.go
+++ b/tier/config/directory_test.go
@@ -53,8 +53,8 @@
 	for i := range 3 * maxRemoved {
 		d, _ = d.With(&DirectoryChange{Revision: uint64(i + 1), Removed: []Removal{{Name: fmt.Sprint("U", i), Revision: uint64(i + 1)}}})
 	}
-	assert.Assert(t, len(d.removed) <= maxRemoved)
-	_, known := d.removed[fmt.Sprint("U", 3*maxRemoved-1)]
+	assert.Assert(t, d.removed.Len() <= maxRemoved)
+	_, known := d.removed.Get(fmt.Sprint("U", 3*maxRemoved-1))
 	assert.Assert(t, known)
 }
 
--- a/tier/config/evacuation.go
+++ b/tier/config/evacuation.go
@@ -70,7 +70,9 @@
 		v.Era = cmp.Or(v.Era, era-1)
 		out.since[hall] = v
 	}
-	settleRemovals(out.ended, era)
+	for hall, r := range out.ended {
+		out.ended[hall] = r.settled(era)
+	}
 	return out
 }
 
--- a/tier/config/position_test.go
+++ b/tier/config/position_test.go
@@ -250,9 +250,9 @@
 			if c.Settled == c.Era {
 				return
 			}
-			for n, l := range before.orEmpty().listed {
-				if now, listed := hosts[i].Find(n); listed {
-					assert.Assert(t, now.Sequence >= l.Sequence, "%s went back from report %d to %d", n, l.Sequence, now.Sequence)
+			for _, l := range before.All() {
+				if now, listed := hosts[i].Find(l.Name); listed {
+					assert.Assert(t, now.Sequence >= l.Sequence, "%s went back from report %d to %d", l.Name, l.Sequence, now.Sequence)
 				}
 			}
 		}
