fix: as many removed upstreams are remembered as the fleet can lose

Cause: a fixed 2,000 of removed names; beyond it the oldest half was forgotten, so that a late entry brought back an upstream that had left. One change of shards takes away more than that at once. The bound now follows from the most upstreams that were ever listed together, four for each.

The test of the bound asks for the newer half besides, at two sizes.

--- a/tier/config/directory.go
+++ b/tier/config/directory.go
@@ -26,6 +26,9 @@
 	groups btree.Map[string, []Listing]
 	// halls counts what is listed by hall; it is never changed.
 	halls map[string]int
+	// mostListed is the greatest number of upstreams that were ever listed; it bounds
+	// what is remembered of removed ones.
+	mostListed int
 	// digest is the sum of the hashes of what is listed, so that a change costs
 	// no more than what changed.
 	digest      uint64
@@ -63,9 +66,15 @@
 	Resumed   []Removal    `json:",omitempty"`
 }
 
-// maxRemoved bounds how many removed names are remembered; the oldest half is forgotten
-// when there are more.
-const maxRemoved = 2000
+const (
+	// removedLeast is how many removed names are remembered at least.
+	removedLeast = 2000
+	// removedPerListed is how many removed names are remembered at the most for each
+	// upstream that was ever listed at a time, so that no late entry of one that is gone
+	// brings it back though all upstreams are replaced at once. The oldest half is
+	// forgotten beyond that.
+	removedPerListed = 4
+)
 
 // Position is the platform's position up to which the directory is whole.
 func (d *Directory) Position() Position {
--- a/tier/config/directory_edit.go
+++ b/tier/config/directory_edit.go
@@ -44,12 +44,13 @@
 
 // forget drops the oldest removals beyond the bound.
 func (d *Directory) forget() {
-	if d.removed.Len() <= maxRemoved {
+	bound := max(removedLeast, removedPerListed*d.mostListed)
+	if d.removed.Len() <= bound {
 		return
 	}
 	byAge := d.removed.Values()
 	slices.SortFunc(byAge, func(a, b Removal) int { return a.mark().Compare(b.mark().Position) })
-	for _, r := range byAge[:len(byAge)-maxRemoved/2] {
+	for _, r := range byAge[:len(byAge)-bound/2] {
 		d.removed.Delete(r.Name)
 	}
 }
@@ -166,6 +167,7 @@
 	e.next.regroup(l.Group, l)
 	e.next.digest += l.hash()
 	e.next.halls[l.Hall]++
+	e.next.mostListed = max(e.next.mostListed, e.next.listed.Len())
 }
 
 func (e *editor) drop(l Listing) {
--- a/tier/config/directory_test.go
+++ b/tier/config/directory_test.go
@@ -48,14 +48,41 @@
 	return out
 }
 
+// TestDirectoryForgetsOldRemovals holds what is remembered of removed upstreams to a bound
+// that grows with what was listed.
 func TestDirectoryForgetsOldRemovals(t *testing.T) {
-	var d *Directory
-	for i := range 3 * maxRemoved {
-		d, _ = d.With(&DirectoryChange{Revision: uint64(i + 1), Removed: []Removal{{Name: fmt.Sprint("U", i), Revision: uint64(i + 1)}}})
+	for _, listed := range []int{0, 2000} {
+		bound := max(removedLeast, removedPerListed*listed)
+		d := manyListed(listed)
+		for i := range 3 * bound {
+			d, _ = d.With(&DirectoryChange{Revision: uint64(i + 2), Removed: []Removal{{Name: fmt.Sprint("U", i), Revision: uint64(i + 2)}}})
+		}
+		assert.Assert(t, d.removed.Len() <= bound)
+		_, known := d.removed.Get(fmt.Sprint("U", 3*bound-1))
+		assert.Assert(t, known)
+		_, known = d.removed.Get(fmt.Sprint("U", 3*bound-bound/2))
+		assert.Assert(t, known, "the newer half is not remembered")
+	}
+}
+
+// TestRemovalsOfManyUpstreamsHold removes all upstreams of a directory twice as large as
+// the largest deployment, and lists as many others, one by one beside it. Then late
+// entries of the removed ones come: none is listed again.
+func TestRemovalsOfManyUpstreamsHold(t *testing.T) {
+	const upstreams = 2 * 5448
+	d := manyListed(upstreams)
+	revision := uint64(1)
+	for i := range upstreams {
+		revision += 2
+		old, next := listingOf(i, 1), listingOf(upstreams+i, revision)
+		d, _ = d.With(&DirectoryChange{Revision: revision, Listed: []Listing{next}, Removed: []Removal{{Name: old.Name, Revision: revision - 1}}})
+	}
+	for i := range upstreams {
+		d, _ = d.With(&DirectoryChange{Revision: 1, Listed: []Listing{listingOf(i, 1)}})
+		_, listed := d.Find(listingOf(i, 1).Name)
+		assert.Assert(t, !listed, "upstream %d of %d is back", i, upstreams)
 	}
-	assert.Assert(t, d.removed.Len() <= maxRemoved)
-	_, known := d.removed.Get(fmt.Sprint("U", 3*maxRemoved-1))
-	assert.Assert(t, known)
+	assert.Equal(t, d.Size(), upstreams)
 }
 
 // routesDoc is a valid document of routes.
