perf: a host follows a change of one upstream or member by what changed

Cause: each new view worked out the shares of all upstreams anew (two sorts of all listings), replaced all links, went through all upstreams for cold ones and ranked all members, also where only a position had changed. A view now counts the changes of members that decisions depend on (MemberChanges), the directory names what was touched, and the engine, the fleet and the links take just these.

Ruled out: doing it less often (changes must be in force at once).

TestOneUpstreamFollowedCostsWhatChanged holds it at two sizes ten times apart.

--- a/tier/kernel/state.go
+++ b/tier/kernel/state.go
@@ -1,8 +1,6 @@
 package kernel
 
 import (
-	"maps"
-	"net/netip"
 	"time"
 
 	"loomgap/tier/config"
@@ -18,11 +16,17 @@
 	Directory *config.Directory
 	// Members are the other entry hosts by name.
 	Members map[string]Member
+	// MemberChanges rises with each change of a member that decisions depend on; the
+	// configuration in force there is none. While it stays the same, whatever follows
+	// from the members alone stays too.
+	MemberChanges uint64
 	// Pauses counts the pauses of this process; it only rises.
 	Pauses int
 
 	// changed is true if a view has to be published after the job under way.
 	changed bool
+	// published is the copy of Members that views have; nil if it is out of date.
+	published map[string]Member
 }
 
 func newState() *State {
@@ -33,8 +37,11 @@
 	}
 }
 
-// Changed has the state published after the job.
-func (s *State) Changed() { s.changed = true }
+// Changed has the state published after the job. Any part of it may have changed.
+func (s *State) Changed() {
+	s.changed = true
+	s.membersChanged()
+}
 
 // List applies a change of the directory.
 func (s *State) List(c *config.DirectoryChange) {
@@ -48,6 +55,8 @@
 	DocumentState
 	Directory *config.Directory
 	Members   map[string]Member
+	// MemberChanges is as in State.
+	MemberChanges uint64
 	// Leaving is the set of the leaving upstreams.
 	Leaving        map[string]bool
 	Reading        bool
@@ -61,7 +70,7 @@
 	}
 	return &View{
 		DocumentState: s.DocumentState, Directory: s.Directory,
-		Members: maps.Clone(s.Members), Leaving: leaving,
+		Members: s.publishedMembers(), MemberChanges: s.MemberChanges, Leaving: leaving,
 		Reading: s.Reading, PlatformReadAt: s.PlatformReadAt,
 	}
 }
@@ -77,30 +86,6 @@
 	return out
 }
 
-// Member is another entry host, as its heartbeats report it.
-type Member struct {
-	Host string
-	// Incarnation names its process.
-	Incarnation string
-	// Hall is its data hall, Peer where other hosts connect.
-	Hall string
-	Peer netip.AddrPort
-	// Live is true while its heartbeats arrive, directly or through other hosts.
-	Live bool
-	// Leaving is true once it reported that it stops.
-	Leaving bool
-	// Revision is the configuration in force there.
-	Revision uint64
-	// Capacity is how much work it can do, as of policy.Capacity; above 0.
-	Capacity int
-}
-
-// Staying reports whether the host is live and does not stop.
-func (m *Member) Staying() bool { return m.Live && !m.Leaving }
-
-// Callable reports whether requests and calls may be handed to the host.
-func (m *Member) Callable() bool { return m.Staying() && m.Peer.IsValid() }
-
 // LeavingState holds the signs that upstreams leave or are back. All times are since
 // the process started.
 type LeavingState struct {
--- a/tier/pass/coordinators.go
+++ b/tier/pass/coordinators.go
@@ -1,6 +1,7 @@
 package pass
 
 import (
+	"maps"
 	"sync/atomic"
 
 	"loomgap/tier/config"
@@ -19,17 +20,24 @@
 	// candidates are the other live hosts of halls that have the upstreams of gathers.
 	// They are set before requests pass the start gate; the slice is never changed.
 	candidates atomic.Pointer[[]policy.Candidate]
-	// halls are those with many upstreams in directory, which changes less often than
-	// the members do; used on the control thread only.
+	// halls are those with many upstreams in directory; used on the control thread only.
 	halls     map[string]bool
 	directory *config.Directory
 }
 
-// follow takes the candidates from a view; it runs on the control thread.
-func (c *coordinators) follow(v *kernel.View) {
-	if v.Directory != c.directory {
-		c.directory, c.halls = v.Directory, hallsWithUpstreams(v.Directory)
+// followHalls notes which halls have many upstreams, and reports whether they are others
+// than before; it runs on the control thread.
+func (c *coordinators) followHalls(d *config.Directory) bool {
+	if d == c.directory {
+		return false
 	}
+	before := c.halls
+	c.directory, c.halls = d, hallsWithUpstreams(d)
+	return before == nil || !maps.Equal(before, c.halls)
+}
+
+// followMembers takes the candidates from a view; it runs on the control thread.
+func (c *coordinators) followMembers(v *kernel.View) {
 	all := liveHosts(v, func(hall string) bool { return c.halls[hall] })
 	c.candidates.Store(&all)
 }
--- a/tier/pass/engine.go
+++ b/tier/pass/engine.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync/atomic"
 	"time"
 
 	"loomgap/tier/config"
@@ -19,8 +18,8 @@
 type engine struct {
 	kernel  *kernel.Kernel
 	headers kernel.Headers
-	// links holds a link for each listed upstream, by name; the map is never changed.
-	links     atomic.Pointer[map[string]*link]
+	// links holds a link for each listed upstream, by name.
+	links     linkTable
 	splitters splitters
 	hosts     hostTracker
 	ids       idSource
@@ -35,8 +34,12 @@
 	// preconnected are the hosts that were connected to ahead; used on the control
 	// thread.
 	preconnected map[string]bool
-	// basis is what shares and links were made from; used on the control thread.
-	basis shareBasis
+	// basis is what shares and links were made from, counted the hosts of the last view,
+	// members the MemberChanges that this count and the choice of other hosts were made
+	// from; used on the control thread.
+	basis   shareBasis
+	counted hostCounts
+	members uint64
 }
 
 // relayExchange is one host's part in the exchange with relays, at both ends.
@@ -67,23 +70,18 @@
 	}
 	e.handleRelay()
 	e.handleCoordinate()
-	e.links.Store(&map[string]*link{})
 	k.OnView(e.follow)
 	stopSweep := kernel.RunLoops(context.Background(), e.sweep)
 	return e, func() {
 		stopSweep()
-		for _, l := range *e.links.Load() {
-			l.close()
-		}
+		e.links.closeAll()
 	}
 }
 
 // sweep closes connections that were idle for too long, until the context ends.
 func (e *engine) sweep(ctx context.Context) {
 	for ctx.Err() == nil {
-		for _, l := range *e.links.Load() {
-			l.sweep()
-		}
+		e.links.sweep()
 		kernel.Sleep(ctx, sweepEvery)
 	}
 }
@@ -94,48 +92,63 @@
 		return
 	}
 	defer e.start.open()
-	e.coordinators.follow(v)
-	e.preconnect(v)
+	if halls := e.coordinators.followHalls(v.Directory); halls || v.MemberChanges != e.members {
+		e.members, e.counted = v.MemberChanges, countHosts(v, &e.kernel.Settings)
+		e.coordinators.followMembers(v)
+		e.preconnect(v)
+	}
 	e.followShares(v)
 	e.assignCold(v)
 }
 
-// followShares sets shares, links and retry budgets, unless what they depend on is
-// much as before; it runs on the control thread.
+// followShares sets shares, links and retry budgets, as far as what they depend on has
+// changed; it runs on the control thread.
 func (e *engine) followShares(v *kernel.View) {
-	next := newShareBasis(v, &e.kernel.Settings, e.kernel.Live().RetryBudget)
-	if next.like(&e.basis) {
+	next := shareBasis{index: v.Index, directory: v.Directory, retryBudget: e.kernel.Live().RetryBudget, hostCounts: e.counted}
+	touched, known := v.Directory.Touched(e.basis.directory)
+	if !known || !next.like(&e.basis) || !v.Directory.SameEvacuations(e.basis.directory) {
+		e.basis = next
+		e.kernel.Fleet.SetRetryBudgets(next.retryBudgets())
+		e.shareAll()
 		return
 	}
-	e.basis = next
-	e.kernel.Fleet.SetRetryBudgets(next.retryBudgets())
-	var shares []policy.Share
-	for _, l := range v.Directory.All() {
-		shares = append(shares, e.share(&l, &next))
+	e.basis.directory = v.Directory
+	if len(touched) > 0 {
+		e.shareSome(touched)
+	}
+}
+
+// shareAll sets the shares of all upstreams anew, and their links.
+func (e *engine) shareAll() {
+	all := e.basis.directory.All()
+	shares := make([]policy.Share, 0, len(all))
+	for i := range all {
+		shares = append(shares, e.share(&all[i], &e.basis))
 	}
 	granted := e.kernel.Fleet.Apply(e.kernel.Now(), shares)
-	e.followLinks(v.Directory)
+	e.links.replace(all, e.kernel.Now)
 	// The control thread carries no traffic.
 	go policy.Deliver(granted)
 }
 
-// followLinks makes the links to the listed upstreams and closes those to all others.
-func (e *engine) followLinks(d *config.Directory) {
-	old, links := *e.links.Load(), map[string]*link{}
-	for _, l := range d.All() {
-		n := old[l.Name]
-		if n == nil || n.address != l.Address {
-			n = &link{address: l.Address, now: e.kernel.Now}
-		}
-		links[l.Name] = n
-	}
-	e.links.Store(&links)
-	for name, l := range old {
-		if links[name] != l {
-			l.close()
+// shareSome sets the shares and links of upstreams that were listed, changed or removed.
+func (e *engine) shareSome(names []string) {
+	var listed []config.Listing
+	var shares []policy.Share
+	var gone []string
+	for _, n := range names {
+		l, ok := e.basis.directory.Find(n)
+		if !ok {
+			gone = append(gone, n)
+			continue
 		}
+		listed = append(listed, l)
+		shares = append(shares, e.share(&l, &e.basis))
 	}
+	granted := e.kernel.Fleet.Update(e.kernel.Now(), shares, gone)
+	e.links.update(listed, gone, e.kernel.Now)
+	go policy.Deliver(granted)
 }
 
 // link returns the link to an upstream; nil if it is not listed.
-func (e *engine) link(name string) *link { return (*e.links.Load())[name] }
+func (e *engine) link(name string) *link { return e.links.find(name) }
--- /dev/null
+++ b/tier/pass/follow_test.go
@@ -0,0 +1,100 @@
+package pass
+
+import (
+	"fmt"
+	"net/netip"
+	"runtime"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"loomgap/tier/config"
+	"loomgap/tier/kernel"
+)
+
+// listingOf is an upstream of a fleet with groups of 12, as of a revision.
+func listingOf(i int, revision uint64) config.Listing {
+	return config.Listing{
+		Name: fmt.Sprintf("u-%d", i), Group: fmt.Sprintf("shard-%d", i/12), Hall: fmt.Sprintf("hall-%d", i%6),
+		Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(i >> 16), byte(i >> 8), byte(i)}), 8104), Slots: 3, Revision: revision,
+	}
+}
+
+// knowFleet has a host know so many upstreams and other hosts, in six halls.
+func knowFleet(h *host, upstreams, members int) {
+	change := config.DirectoryChange{Revision: 1, Whole: true}
+	for i := range upstreams {
+		change.Listed = append(change.Listed, listingOf(i, 1))
+	}
+	h.do(func(s *kernel.State) {
+		s.List(&change)
+		for i := range members {
+			n := fmt.Sprintf("host-%d", i)
+			s.Members[n] = kernel.Member{
+				Host: n, Hall: fmt.Sprintf("hall-%d", i%6), Live: true, Capacity: 68 + i%16/15*500,
+				Peer: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 9, byte(i >> 8), byte(i)}), 8104),
+			}
+		}
+		s.Changed()
+	})
+}
+
+// BenchmarkOneUpstreamFollowed is the cost for the control thread of a change of one
+// upstream, by the number of upstreams, in a fleet of 584 hosts.
+func BenchmarkOneUpstreamFollowed(b *testing.B) {
+	for _, upstreams := range []int{545, 5448, 54_480} {
+		b.Run(fmt.Sprintf("upstreams=%d", upstreams), func(b *testing.B) {
+			h := newHost(b, hostConfig{name: "H1", hall: "hall-0", cores: 0.2, peers: newCable()})
+			h.accept(gatherDoc(1, 50))
+			knowFleet(h, upstreams, 583)
+			revision, i := uint64(1), 0
+			for b.Loop() {
+				revision++
+				i = (i + 7) % upstreams
+				l := listingOf(i, revision)
+				l.Slots = 3 + int(revision%2)
+				h.do(func(s *kernel.State) {
+					s.List(&config.DirectoryChange{Revision: revision, Listed: []config.Listing{l}})
+				})
+			}
+		})
+	}
+}
+
+// TestOneUpstreamFollowedCostsWhatChanged compares the memory that following a change of
+// one upstream takes in fleets ten times apart, and that its share and its link follow.
+func TestOneUpstreamFollowedCostsWhatChanged(t *testing.T) {
+	const changes = 100
+	cost := func(upstreams int) uint64 {
+		h := newHost(t, hostConfig{name: "H1", hall: "hall-0", cores: 0.2, peers: newCable()})
+		h.accept(gatherDoc(1, 50))
+		knowFleet(h, upstreams, 100)
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		for i := range changes {
+			l := listingOf(i*7%upstreams, uint64(i+2))
+			l.Leaving = true
+			h.do(func(s *kernel.State) {
+				s.List(&config.DirectoryChange{Revision: l.Revision, Listed: []config.Listing{l}})
+			})
+		}
+		runtime.ReadMemStats(&after)
+		leaving := 0
+		for _, u := range h.kernel.Fleet.State(h.kernel.Now()) {
+			if u.Leaving {
+				leaving++
+			}
+		}
+		assert.Equal(t, leaving, changes)
+		gone := listingOf(0, 1).Name
+		assert.Assert(t, h.engine.link(gone) != nil)
+		h.do(func(s *kernel.State) {
+			s.List(&config.DirectoryChange{Revision: 1000, Removed: []config.Removal{{Name: gone, Revision: 1000}}})
+		})
+		assert.Assert(t, h.engine.link(gone) == nil && h.kernel.Fleet.Find(gone) == nil)
+		return (after.TotalAlloc - before.TotalAlloc) / changes
+	}
+	small, large := cost(1000), cost(10_000)
+	t.Logf("bytes for a change: %d of 1,000 upstreams, %d of 10,000", small, large)
+	assert.Assert(t, large < 2*small, "%d bytes of 1,000 upstreams, %d of 10,000", small, large)
+}
--- a/tier/pass/shares.go
+++ b/tier/pass/shares.go
@@ -37,8 +37,14 @@
 
 // shareBasis is what this host's shares of upstreams and retry budgets depend on.
 type shareBasis struct {
-	index     *config.Index
-	directory *config.Directory
+	index       *config.Index
+	directory   *config.Directory
+	retryBudget kernel.RetryBudget
+	hostCounts
+}
+
+// hostCounts count the hosts, this one included, that this one shares with.
+type hostCounts struct {
 	// hosts counts the hosts that are not leaving, hall those of this host's hall,
 	// both in hosts as strong as this one.
 	hosts, hall float64
@@ -47,10 +53,9 @@
 	known float64
 	// coordinating counts the hosts that divide the slack of shards.
 	coordinating float64
-	retryBudget  kernel.RetryBudget
 }
 
-func newShareBasis(v *kernel.View, s *kernel.Settings, r kernel.RetryBudget) shareBasis {
+func countHosts(v *kernel.View, s *kernel.Settings) hostCounts {
 	own := s.Capacity()
 	staying, hall := own, own
 	capacities := make([]int, 0, len(v.Members))
@@ -64,17 +69,16 @@
 			hall += m.Capacity
 		}
 	}
-	return shareBasis{
-		index: v.Index, directory: v.Directory, retryBudget: r,
+	return hostCounts{
 		hosts: max(float64(staying)/float64(own), leastHosts), hall: max(float64(hall)/float64(own), leastInHall),
 		known:        max(float64(len(capacities)+1), leastHosts),
 		coordinating: max(policy.RetryShares(own, capacities), leastHosts),
 	}
 }
 
-// like reports whether shares made from either differ by little.
+// like reports whether shares that one directory has from either differ by little.
 func (b *shareBasis) like(o *shareBasis) bool {
-	return b.index == o.index && b.directory == o.directory && b.retryBudget == o.retryBudget &&
+	return b.index == o.index && b.retryBudget == o.retryBudget &&
 		similar(b.hosts, o.hosts) && similar(b.hall, o.hall) && similar(b.known, o.known) && similar(b.coordinating, o.coordinating)
 }
 
--- a/tier/policy/coldowner.go
+++ b/tier/policy/coldowner.go
@@ -30,20 +30,34 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.self = self
-	for name, u := range f.upstreams {
+	for name, u := range f.cold {
 		u.cold.owner = owners[name]
 	}
 }
 
+// noteCold keeps cold up to date after the share of an upstream was set; the fleet is
+// locked.
+func (f *Fleet) noteCold(now time.Duration, u *Upstream) {
+	if u.cold.throttled(now) {
+		f.cold[u.Name] = u
+		return
+	}
+	u.cold.owner = ""
+	delete(f.cold, u.Name)
+}
+
 // ThrottledCold names the upstreams that are throttled, with their halls.
 func (f *Fleet) ThrottledCold(now time.Duration) map[string]string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	out := map[string]string{}
-	for name, u := range f.upstreams {
+	for name, u := range f.cold {
 		if u.cold.throttled(now) {
 			out[name] = u.hall
+			continue
 		}
+		u.cold.owner = ""
+		delete(f.cold, name)
 	}
 	return out
 }
--- a/tier/policy/fleet.go
+++ b/tier/policy/fleet.go
@@ -13,8 +13,10 @@
 	random Random
 	// self is the name of this host, as SetColdOwners gave it; empty before.
 	self string
-	// upstreams holds those of the last Apply, by name.
+	// upstreams holds those that have a share, by name; cold those of them that may be
+	// throttled.
 	upstreams map[string]*Upstream
+	cold      map[string]*Upstream
 	pools     map[string]*Pool
 	classes   map[string]*classState
 	// retries holds the tokens of each group of a routed request.
@@ -37,6 +39,7 @@
 	return &Fleet{
 		random:     c.Random,
 		upstreams:  map[string]*Upstream{},
+		cold:       map[string]*Upstream{},
 		pools:      map[string]*Pool{},
 		classes:    map[string]*classState{},
 		retries:    map[string]*budget{},
@@ -72,28 +75,60 @@
 func (f *Fleet) Apply(now time.Duration, shares []Share) []*Waiter {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	named := make(map[string]bool, len(shares))
 	var granted []*Waiter
-	next := make(map[string]*Upstream, len(shares))
-	for _, s := range shares {
-		u := f.upstreams[s.Name]
-		if u == nil {
-			u = &Upstream{Name: s.Name, status: status{heardAt: never, readAt: never}}
-		}
-		u.slots.set(s.Slots, s.MaxSlots)
-		u.leaving = s.Leaving || u.gone
-		u.kind, u.near, u.hall = &declaredKind, s.Near, s.Hall
-		if s.Listed {
-			u.kind = &listedKind
-			u.condition.hall = f.hallConditions(s.Hall)
-			u.cold.update(now, s.Cold)
+	for i := range shares {
+		named[shares[i].Name] = true
+		granted = append(granted, f.setShare(now, &shares[i])...)
+	}
+	for n := range f.upstreams {
+		if !named[n] {
+			f.forget(n)
 		}
-		next[s.Name] = u
-		granted = append(granted, u.grant(now)...)
 	}
-	f.upstreams = next
 	return granted
 }
 
+// Update sets the shares of some upstreams and forgets others; what it does not name
+// stays as it is. Waiters that may now go ahead are returned, for Deliver.
+func (f *Fleet) Update(now time.Duration, shares []Share, gone []string) []*Waiter {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var granted []*Waiter
+	for i := range shares {
+		granted = append(granted, f.setShare(now, &shares[i])...)
+	}
+	for _, n := range gone {
+		f.forget(n)
+	}
+	return granted
+}
+
+// setShare sets the share of one upstream; the fleet is locked.
+func (f *Fleet) setShare(now time.Duration, s *Share) []*Waiter {
+	u := f.upstreams[s.Name]
+	if u == nil {
+		u = &Upstream{Name: s.Name, status: status{heardAt: never, readAt: never}}
+		f.upstreams[s.Name] = u
+	}
+	u.slots.set(s.Slots, s.MaxSlots)
+	u.leaving = s.Leaving || u.gone
+	u.kind, u.near, u.hall = &declaredKind, s.Near, s.Hall
+	if s.Listed {
+		u.kind = &listedKind
+		u.condition.hall = f.hallConditions(s.Hall)
+		u.cold.update(now, s.Cold)
+		f.noteCold(now, u)
+	}
+	return u.grant(now)
+}
+
+// forget drops an upstream; the fleet is locked.
+func (f *Fleet) forget(name string) {
+	delete(f.upstreams, name)
+	delete(f.cold, name)
+}
+
 // Find returns the upstream of a name; nil if there is none.
 func (f *Fleet) Find(name string) *Upstream {
 	f.mu.Lock()
