perf: a dead host is found by its hall in seconds, at the cost of few messages

Cause: a member was silent after six intervals for each 24 members, since news of one member is rare in a large fleet: 150 intervals at 584 hosts, more than the 120 after which it is forgotten, so that a dead host counted as live until then. And each heartbeat went through all members five times.

Now a heartbeat that is not answered twice (0.5 s each) begins a suspicion, as of when it was sent; heartbeats pass suspicions on, extra ones at once in the hall; entries say how long ago their host was heard, so whoever heard it later ends the suspicion. After two intervals it holds, for other halls after four. What changed is listed before what is drawn at random, and a host that knows few others gets all from the one that answers it. The table keeps lists of what changed, so that a heartbeat costs what it lists.

The message of heartbeats gains three fields that may be missing.

--- a/Makefile
+++ b/Makefile
@@ -21,7 +21,7 @@
 	go vet $(addsuffix /...,$(addprefix ./,$(MODULES)))
 	go test -race -count=1 $(SKIP) $$(go list $(addsuffix /...,$(addprefix ./,$(MODULES))) | grep -v /replay)
 	go test -count=1 $(SKIP) ./tier/replay
-	go test -count=1 $(SKIP) -run 'Strikes' ./tier/peers
+	go test -count=1 $(SKIP) -run 'Strikes|AtAnySize' ./tier/peers
 
 soak: build
 	bin/loomfake soak -Daemon bin/loomd -Seed $(SEED)
--- /dev/null
+++ b/tier/peers/detection_test.go
@@ -0,0 +1,327 @@
+package peers
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+const (
+	modelHalls = 6
+	// modelLost is the part of the heartbeats between live hosts that get no answer.
+	modelLost = 0.05
+	// modelStep is the precision of the model's time; it divides an interval.
+	modelStep = 50 * time.Millisecond
+)
+
+// model is a fleet of hosts in six halls in virtual time. Each has its table, and sends
+// heartbeats as gossip does where another host of its hall reads the platform.
+type model struct {
+	random *rand.Rand
+	now    time.Duration
+	hosts  []*modelHost
+	// failing are the heartbeats that were sent and get no answer.
+	failing []failing
+}
+
+type modelHost struct {
+	table *memberTable
+	name  string
+	hall  int
+	// phase is when within an interval it sends heartbeats.
+	phase time.Duration
+	beats int
+	// hurryAt is when an extra heartbeat is due; 0 for never.
+	hurryAt time.Duration
+	// dead is true once it has lost its power; pausedUntil is when a pause ends.
+	dead        bool
+	pausedUntil time.Duration
+}
+
+type failing struct {
+	by, to *modelHost
+	// sentAt is when the first heartbeat was sent, dueAt when the last one fails.
+	sentAt, dueAt time.Duration
+	again         bool
+}
+
+// newModel makes hosts that know one another, or only the first three.
+func newModel(hosts int, met bool) *model {
+	m := &model{random: rand.New(rand.NewPCG(7, 0)), now: time.Hour}
+	var all []memberEntry
+	for i := range hosts {
+		e := memberOf(i, 1)
+		e.Host, e.Hall = fmt.Sprintf("host-%d", i), fmt.Sprint("hall-", i%modelHalls)
+		all = append(all, e)
+		table := newMemberTable(memberTableConfig{Self: e, Interval: time.Second, Random: m.random})
+		phase := time.Duration(m.random.Int64N(int64(time.Second/modelStep))) * modelStep
+		m.hosts = append(m.hosts, &modelHost{table: table, name: e.Host, hall: i % modelHalls, phase: phase})
+	}
+	known := all
+	if !met {
+		known = all[:3*modelHalls]
+	}
+	for _, h := range m.hosts {
+		h.table.merge(m.now, slices.Clone(known))
+		h.table.news = nil
+		for _, r := range h.table.order {
+			r.untold = 0
+		}
+	}
+	return m
+}
+
+func (m *model) paused(h *modelHost) bool { return m.now < h.pausedUntil }
+
+// run plays some time, and calls each at the end of each step.
+func (m *model) run(d time.Duration, each func()) {
+	for until := m.now + d; m.now < until; {
+		m.now += modelStep
+		for _, h := range m.hosts {
+			if h.dead || m.paused(h) {
+				continue
+			}
+			if (m.now-h.phase)%time.Second == 0 {
+				m.beat(h)
+			}
+			m.hurry(h)
+		}
+		due := m.failing
+		m.failing = nil
+		for _, f := range due {
+			m.fail(f)
+		}
+		each()
+	}
+}
+
+// fail asks again, or raises a suspicion, when a heartbeat fails.
+func (m *model) fail(f failing) {
+	switch {
+	case m.now < f.dueAt:
+		m.failing = append(m.failing, f)
+	case f.by.dead || m.paused(f.by):
+	case f.again:
+		f.by.table.unanswered(m.now, f.to.name, f.sentAt)
+	default:
+		m.exchange(f.by, f.to, f.sentAt, true)
+	}
+}
+
+func (m *model) beat(h *modelHost) {
+	h.beats++
+	h.table.tick(m.now, 1)
+	hall, silent, other := m.sort(h)
+	partners := m.partnersAmong(h, hall)
+	announces := m.announcer(h.hall) == h
+	every := otherHallEvery * otherHallRarer
+	if announces {
+		every = otherHallEvery
+	}
+	switch {
+	case announces && (h.beats <= meetHeartbeats || h.table.suspecting(m.now)):
+		partners = append(partners, m.oneOfEachHall(h, other)...)
+	case h.beats%every == 0:
+		partners = append(partners, sample(m.random.Perm, other, otherHallPartners)...)
+	}
+	if h.beats%silentEvery == 0 {
+		partners = append(partners, sample(m.random.Perm, silent, silentPartners)...)
+	}
+	for _, to := range partners {
+		m.exchange(h, to, m.now, false)
+	}
+}
+
+// hurry sends the extra heartbeats of a host.
+func (m *model) hurry(h *modelHost) {
+	if h.hurryAt == 0 && h.table.takeUrgent() {
+		h.hurryAt = m.now + urgentGap
+	}
+	if h.hurryAt == 0 || m.now < h.hurryAt {
+		return
+	}
+	h.hurryAt = 0
+	hall, _, _ := m.sort(h)
+	for _, to := range m.partnersAmong(h, hall) {
+		m.exchange(h, to, m.now, false)
+	}
+}
+
+// sort divides the hosts that a host knows as gossip does.
+func (m *model) sort(h *modelHost) (hall, silent, other []*modelHost) {
+	for _, r := range h.table.order {
+		to := m.hosts[numberOf(r.Host)]
+		switch {
+		case !r.live:
+			silent = append(silent, to)
+		case to.hall == h.hall:
+			hall = append(hall, to)
+		default:
+			other = append(other, to)
+		}
+	}
+	return hall, silent, other
+}
+
+func (m *model) partnersAmong(h *modelHost, hall []*modelHost) []*modelHost {
+	var suspects []*modelHost
+	for _, n := range h.table.suspected(h.table.Self.Hall) {
+		suspects = append(suspects, m.hosts[numberOf(n)])
+	}
+	return append(sample(m.random.Perm, suspects, suspectPartners), sample(m.random.Perm, hall, hallPartners)...)
+}
+
+// announcer is the first live host of a hall.
+func (m *model) announcer(hall int) *modelHost {
+	i := slices.IndexFunc(m.hosts, func(h *modelHost) bool { return h.hall == hall && !h.dead })
+	return m.hosts[i]
+}
+
+func (m *model) oneOfEachHall(h *modelHost, other []*modelHost) []*modelHost {
+	var out []*modelHost
+	for hall := range modelHalls {
+		of := slices.DeleteFunc(slices.Clone(other), func(o *modelHost) bool { return o.hall != hall })
+		out = append(out, sample(m.random.Perm, of, 1)...)
+	}
+	return out
+}
+
+func (m *model) exchange(from, to *modelHost, sentAt time.Duration, again bool) {
+	// A host that pauses answers when it wakes.
+	if to.dead || to.pausedUntil > m.now+heartbeatBound || m.random.Float64() < modelLost {
+		if to.hall == from.hall {
+			m.failing = append(m.failing, failing{by: from, to: to, sentAt: sentAt, dueAt: m.now + heartbeatBound, again: again})
+		}
+		return
+	}
+	known := len(from.table.order)
+	m.deliver(to, from.table.entries(m.now), from.table.suspicions(m.now))
+	reply := to.table.entries(m.now)
+	if to.table.handsOverTo(known) {
+		reply = to.table.handover(m.now)
+	}
+	m.deliver(from, reply, to.table.suspicions(m.now))
+}
+
+func (m *model) deliver(to *modelHost, entries []memberEntry, suspicions []suspicion) {
+	to.table.merge(m.now, entries)
+	to.table.mergeSuspicions(m.now, suspicions)
+}
+
+func numberOf(host string) int {
+	var n int
+	if _, err := fmt.Sscanf(host, "host-%d", &n); err != nil {
+		panic(err)
+	}
+	return n
+}
+
+// knownLive is the part of the pairs of one live host, and another that picks, of which
+// the first takes the second for live.
+func (m *model) knownLive(picks func(by, of *modelHost) bool) float64 {
+	live, pairs := 0, 0
+	for _, by := range m.hosts {
+		if by.dead {
+			continue
+		}
+		for _, of := range m.hosts {
+			if of == by || !picks(by, of) {
+				continue
+			}
+			pairs++
+			if r := by.table.records[of.name]; r != nil && r.live {
+				live++
+			}
+		}
+	}
+	return float64(live) / float64(max(pairs, 1))
+}
+
+func modelSizes() []int {
+	return slices.DeleteFunc([]int{60, 300, 584}, func(n int) bool { return n > modelMost })
+}
+
+// TestDeadHostsAreFoundAtAnySize takes a sixth of the hosts, and all the strong ones
+// among them, off power at once: the hosts of their halls know within 5 s of 99 in 100 of
+// them, those of other halls within 8 s.
+func TestDeadHostsAreFoundAtAnySize(t *testing.T) {
+	for _, hosts := range modelSizes() {
+		t.Run(fmt.Sprint(hosts), func(t *testing.T) {
+			m := newModel(hosts, true)
+			m.run(5*time.Second, func() {})
+			for i := range hosts / 6 {
+				m.hosts[i].dead = true
+			}
+			died := m.now
+			var inHall, anywhere time.Duration
+			m.run(15*time.Second, func() {
+				if inHall == 0 && m.knownLive(func(by, of *modelHost) bool { return of.dead && by.hall == of.hall }) <= 0.01 {
+					inHall = m.now - died
+				}
+				if anywhere == 0 && m.knownLive(func(_, of *modelHost) bool { return of.dead }) <= 0.01 {
+					anywhere = m.now - died
+				}
+			})
+			t.Logf("99 of 100 known after %v in the hall, %v anywhere", inHall, anywhere)
+			assert.Assert(t, inHall > 0 && inHall <= 5*time.Second, "in the hall after %v", inHall)
+			assert.Assert(t, anywhere > 0 && anywhere <= 8*time.Second, "anywhere after %v", anywhere)
+		})
+	}
+}
+
+// TestLiveHostsStayLiveAtAnySize loses one heartbeat in 20 and has hosts pause for a
+// second each, one after the other: no live host is silent for anybody for more than a
+// second.
+func TestLiveHostsStayLiveAtAnySize(t *testing.T) {
+	for _, hosts := range modelSizes() {
+		t.Run(fmt.Sprint(hosts), func(t *testing.T) {
+			m := newModel(hosts, true)
+			m.run(5*time.Second, func() {})
+			silentSince := map[*memberRecord]time.Duration{}
+			longest, inHall, step := time.Duration(0), time.Duration(0), 0
+			m.run(20*time.Second, func() {
+				if step++; step%5 == 0 {
+					m.hosts[m.random.IntN(hosts)].pausedUntil = m.now + time.Second
+				}
+				for _, h := range m.hosts {
+					for _, r := range h.table.order {
+						if r.live {
+							delete(silentSince, r)
+							continue
+						}
+						if _, known := silentSince[r]; !known {
+							silentSince[r] = m.now
+						}
+						longest = max(longest, m.now-silentSince[r])
+						if r.Hall == h.table.Self.Hall {
+							inHall = max(inHall, m.now-silentSince[r])
+						}
+					}
+				}
+			})
+			t.Logf("a live host was silent for somebody for %v, in its hall for %v", longest, inHall)
+			assert.Assert(t, longest <= time.Second)
+		})
+	}
+}
+
+// TestHostsMeetAtAnySize starts all hosts together, each with the same few seeds: after
+// five intervals each knows 99 of 100 of the others of its hall, after 15 of all.
+func TestHostsMeetAtAnySize(t *testing.T) {
+	for _, hosts := range modelSizes() {
+		t.Run(fmt.Sprint(hosts), func(t *testing.T) {
+			m := newModel(hosts, false)
+			m.run(5*time.Second, func() {})
+			inHall := m.knownLive(func(by, of *modelHost) bool { return by.hall == of.hall })
+			m.run(10*time.Second, func() {})
+			anywhere := m.knownLive(func(_, _ *modelHost) bool { return true })
+			t.Logf("known of the hall %.3f after 5 s, of all %.3f after 15 s", inHall, anywhere)
+			assert.Assert(t, inHall >= 0.99, "known of the hall: %.3f", inHall)
+			assert.Assert(t, anywhere >= 0.99, "known of all: %.3f", anywhere)
+		})
+	}
+}
--- a/tier/peers/heartbeat.go
+++ b/tier/peers/heartbeat.go
@@ -21,12 +21,18 @@
 const methodHeartbeat = "Beat"
 
 const (
+	// handoverShare is the part of a host's live members that another knows at most, to
+	// which it hands them all over.
+	handoverShare = 0.98
 	// startInterval is the time between the heartbeats of a host that starts, when it
 	// knows nobody: all hosts may have been started at once. Not measured.
 	startInterval = 200 * time.Millisecond
 	// startHeartbeats is how many heartbeats a host sends at that interval. Not
 	// measured.
 	startHeartbeats = 8
+	// heartbeatBound is how long a heartbeat may take. A host of the same hall that has
+	// not answered by then is asked once more, and suspected if it does not answer that.
+	heartbeatBound = 500 * time.Millisecond
 	// maxMembers is the most members that are known without a document, so that what a
 	// peer makes up does not fill the memory. Not measured.
 	maxMembers = 4096
@@ -57,6 +63,11 @@
 	DirectoryRevision uint64 `json:",omitempty"`
 	// Leaving are upstreams of the hall that are known to leave.
 	Leaving []leavingSign `json:",omitempty"`
+	// Suspicions are hosts that did not answer heartbeats.
+	Suspicions []suspicion `json:",omitempty"`
+	// Known is how many members the sender knows, silent ones included: one that has found
+	// many of them silent lacks nothing.
+	Known int `json:",omitempty"`
 }
 
 // edition is how new the document in force at the sender is.
@@ -79,8 +90,12 @@
 	random  *rand.Rand
 	// sent counts the rounds of heartbeats sent.
 	sent int
+	// hurrying is true while an extra heartbeat is due.
+	hurrying bool
 	// pauses is how many pauses of this process were taken into account.
 	pauses int
+	// index is the document that the control state's members were last made with.
+	index *config.Index
 }
 
 // newGossip makes what exchanges heartbeats; its fetches are still to be set.
@@ -126,16 +141,36 @@
 	}
 	g.sent++
 	g.table.tick(now, s.Edition().Revision)
-	g.updateMembers(s, now)
+	g.updateMembers(s)
+	s.PublishMembers()
 	message := g.message(s, now)
 	for _, to := range g.partners(s) {
-		go g.send(to, &message)
+		go g.send(to, now, &message)
 	}
 }
 
+// hurry sends an extra heartbeat in a moment, if something is to be passed on at once.
+func (g *gossip) hurry() {
+	if g.hurrying || !g.table.takeUrgent() {
+		return
+	}
+	g.hurrying = true
+	time.AfterFunc(urgentGap, func() {
+		g.kernel.Do(func(s *kernel.State) {
+			g.hurrying = false
+			now := g.kernel.Now()
+			message := g.message(s, now)
+			for _, to := range g.hallPartners(s) {
+				go g.send(to, now, &message)
+			}
+		})
+	})
+}
+
 func (g *gossip) message(s *kernel.State, now time.Duration) heartbeat {
 	h := heartbeat{
-		Members: g.table.entries(now), Hall: g.kernel.Settings.Hall, PlatformAge: now - s.PlatformReadAt,
+		Members: g.table.entries(now), Suspicions: g.table.suspicions(now), Known: len(g.table.order),
+		Hall: g.kernel.Settings.Hall, PlatformAge: now - s.PlatformReadAt,
 		PublishedEra: s.Published.Era, Published: s.Published.Revision, Refused: s.Refused,
 	}
 	if s.Directory != nil {
@@ -150,15 +185,34 @@
 	return h
 }
 
-func (g *gossip) send(to netip.AddrPort, message *heartbeat) {
+func (g *gossip) send(to netip.AddrPort, sentAt time.Duration, message *heartbeat) {
 	var reply heartbeat
-	if err := g.node.callWithin(callBound, to, methodHeartbeat, message, &reply); err != nil {
+	err := g.node.callWithin(heartbeatBound, to, methodHeartbeat, message, &reply)
+	if err != nil {
+		// The connection may have gone silent, or have been lost with a process that
+		// was started again.
+		err = g.node.callWithin(heartbeatBound, to, methodHeartbeat, message, &reply)
+	}
+	if err != nil {
 		g.kernel.Log.Debug().Err(err).Msg("heartbeat not answered")
+		g.kernel.Do(func(s *kernel.State) { g.unanswered(s, to, sentAt) })
 		return
 	}
 	g.kernel.Do(func(s *kernel.State) { g.learn(s, to, &reply) })
 }
 
+// unanswered notes that a host did not answer a heartbeat. One of another hall is not
+// suspected: it may be the way to its hall that is cut.
+func (g *gossip) unanswered(s *kernel.State, to netip.AddrPort, sentAt time.Duration) {
+	for n, m := range s.Members {
+		if m.Peer == to && m.Hall == g.kernel.Settings.Hall {
+			g.table.unanswered(g.kernel.Now(), n, sentAt)
+		}
+	}
+	g.updateMembers(s)
+	g.hurry()
+}
+
 func (g *gossip) onHeartbeat(ctx context.Context, in *heartbeat) (any, error) {
 	if len(in.Members) == 0 || len(in.Members) > heartbeatEntries {
 		return nil, fmt.Errorf("heartbeat of %d members: send 1 to %d", len(in.Members), heartbeatEntries)
@@ -170,7 +224,7 @@
 			from = s.Index.Host(in.Members[0].Host).Peer
 		}
 		g.learn(s, from, in)
-		out <- g.message(s, g.kernel.Now())
+		out <- g.reply(s, in)
 	})
 	select {
 	case h := <-out:
@@ -180,16 +234,28 @@
 	}
 }
 
+// reply is the answer to a heartbeat. A host that knows few others gets many.
+func (g *gossip) reply(s *kernel.State, in *heartbeat) heartbeat {
+	now := g.kernel.Now()
+	out := g.message(s, now)
+	if g.table.handsOverTo(in.Known) {
+		out.Members = g.table.handover(now)
+	}
+	return out
+}
+
 // learn takes in a heartbeat, or the reply to one, of the host at an address.
 func (g *gossip) learn(s *kernel.State, from netip.AddrPort, h *heartbeat) {
 	now := g.kernel.Now()
 	g.table.merge(now, g.credible(s, h.Members))
-	g.updateMembers(s, now)
+	g.table.mergeSuspicions(now, h.Suspicions)
+	g.updateMembers(s)
 	if h.Hall == g.kernel.Settings.Hall {
 		s.PlatformReadAt = max(s.PlatformReadAt, now-max(h.PlatformAge, 0))
 		g.learnLeaving(s, now, h.Leaving)
 	}
 	s.NotePublished(config.Position{Era: h.PublishedEra, Revision: h.Published}, h.Refused)
+	g.hurry()
 	g.compareEdition(s, h)
 	if !from.IsValid() {
 		return
@@ -255,25 +321,33 @@
 	return slices.DeleteFunc(entries, func(e memberEntry) bool { return s.Index.Host(e.Host) == nil })
 }
 
-// updateMembers writes the members into the control state. If the document lists a
-// host, its hall and address are the document's.
-func (g *gossip) updateMembers(s *kernel.State, now time.Duration) {
-	members := map[string]kernel.Member{}
-	for _, m := range g.table.members(now) {
-		e := &m.Entry
-		k := kernel.Member{
-			Host: e.Host, Incarnation: e.Incarnation, Live: m.Live, Leaving: e.Leaving, Revision: e.Revision,
-			Hall: e.Hall, Peer: e.Peer, Capacity: cmp.Or(e.Capacity, g.kernel.Settings.Capacity()),
-		}
-		if s.Index != nil {
-			if h := s.Index.Host(e.Host); h != nil {
-				k.Hall, k.Peer = h.Hall, h.Peer
-			}
+// updateMembers writes what changed of the members into the control state.
+func (g *gossip) updateMembers(s *kernel.State) {
+	changed := g.table.changes()
+	if s.Index != g.index {
+		g.index = s.Index
+		changed = slices.AppendSeq(changed, maps.Keys(g.table.records))
+	}
+	for _, n := range changed {
+		if r := g.table.records[n]; r != nil {
+			s.SetMember(g.member(s, r))
+		} else {
+			s.RemoveMember(n)
 		}
-		members[e.Host] = k
 	}
-	if !maps.Equal(members, s.Members) {
-		s.Members = members
-		s.Changed()
+}
+
+// member is what the control state has of a member. If the document lists a host, its
+// hall and address are the document's.
+func (g *gossip) member(s *kernel.State, r *memberRecord) kernel.Member {
+	m := kernel.Member{
+		Host: r.Host, Incarnation: r.Incarnation, Live: r.live, Leaving: r.Leaving, Revision: r.Revision,
+		Hall: r.Hall, Peer: r.Peer, Capacity: cmp.Or(r.Capacity, g.kernel.Settings.Capacity()),
+	}
+	if s.Index != nil {
+		if h := s.Index.Host(r.Host); h != nil {
+			m.Hall, m.Peer = h.Hall, h.Peer
+		}
 	}
+	return m
 }
--- a/tier/peers/members.go
+++ b/tier/peers/members.go
@@ -2,7 +2,7 @@
 
 import (
 	"cmp"
-	"maps"
+	"math/bits"
 	"net/netip"
 	"slices"
 	"time"
@@ -12,16 +12,19 @@
 
 const (
 	// heartbeatEntries is the most members that one heartbeat lists, so that its size
-	// does not grow with the fleet: 2,078 bytes at 24 members and 2,087 at 117 hosts,
-	// before compression (BenchmarkBeat).
+	// does not grow with the fleet.
 	heartbeatEntries = 24
+	// newsEntries is how many of these are members of which something changed. The rest
+	// are drawn from all, so that no member's entry stays out for long.
+	newsEntries = 12
+	// handoverEntries is the most members that are listed for a host that knows few.
+	handoverEntries = 1024
 	// silentHeartbeats is after how many intervals between heartbeats without a newer
 	// entry a member is silent; as many again for each heartbeatEntries of members,
-	// since news of one member is rarer in a large hall. With it no live host of 117
-	// is taken for silent within 60 intervals (TestGossipReachesAHall).
+	// since news of one member is rarer in a large fleet. A suspicion is much faster.
 	silentHeartbeats = 6
-	// forgetHeartbeats is after how many intervals without a newer entry a member is
-	// forgotten. Not measured.
+	// forgetHeartbeats is after how many intervals a member without a newer entry is
+	// forgotten, and never before it was silent for as long as it took to be silent.
 	forgetHeartbeats = 120
 )
 
@@ -41,17 +44,33 @@
 	Peer netip.AddrPort `json:",omitzero"`
 	// Capacity is as of policy.Capacity; 0 if the host did not report it.
 	Capacity int `json:",omitempty"`
+	// Age is how long ago the member itself was heard, directly or through others.
+	Age time.Duration `json:",omitempty"`
 }
 
 func (e *memberEntry) newerThan(o *memberEntry) bool {
 	return cmp.Or(cmp.Compare(e.Incarnation, o.Incarnation), cmp.Compare(e.Counter, o.Counter)) > 0
 }
 
-// memberRecord is the newest entry of a member.
+// sameAs reports whether two entries differ at most in what each heartbeat changes.
+func (e *memberEntry) sameAs(o *memberEntry) bool {
+	other := *o
+	other.Counter, other.Revision, other.Age = e.Counter, e.Revision, e.Age
+	return *e == other
+}
+
+// memberRecord is the newest entry of a member. All times are since the process started.
 type memberRecord struct {
 	memberEntry
-	// risenAt is when a newer entry last came, as time since the process started.
+	// risenAt is when a newer entry last came.
 	risenAt time.Duration
+	suspect suspect
+	// live is whether it counted as live when that was last worked out.
+	live bool
+	// place is its index in the table's order.
+	place int
+	// untold is in how many messages it is still listed as news.
+	untold int
 }
 
 type memberTableConfig struct {
@@ -63,22 +82,58 @@
 }
 
 // memberTable is what one host knows of the others, by their heartbeats: a member is
-// live, silent or forgotten by the age of its newest entry. It is pure: the time is
-// handed in. It is not safe for concurrent use.
+// live, silent or forgotten by when it was last heard and by who suspects it. It is pure:
+// the time is handed in. What it does for a message costs no more in a larger fleet. It
+// is not safe for concurrent use.
 type memberTable struct {
 	memberTableConfig
-	// records holds the other hosts by name.
+	// records holds the other hosts by name, order the same ones in no order.
 	records map[string]*memberRecord
+	order   []*memberRecord
+	// news are those with untold above 0.
+	news []*memberRecord
+	// suspects are those that are suspected, or were a moment ago.
+	suspects []*memberRecord
+	// urgent is true while there is something to pass on at once.
+	urgent bool
+	// endedAt is when a suspicion last ended; 0 for never.
+	endedAt time.Duration
+	// lives counts the records that are live.
+	lives int
+	// touched are the names of members that changed since changes was last called.
+	touched []string
 }
 
 func newMemberTable(c memberTableConfig) *memberTable {
 	return &memberTable{memberTableConfig: c, records: map[string]*memberRecord{}}
 }
 
+// tick begins a heartbeat of this host. It is where members turn silent, and are
+// forgotten.
 func (t *memberTable) tick(now time.Duration, revision uint64) {
 	t.Self.Counter++
 	t.Self.Revision = revision
-	maps.DeleteFunc(t.records, func(_ string, r *memberRecord) bool { return now-r.risenAt > forgetHeartbeats*t.Interval })
+	forgetAfter := max(forgetHeartbeats*t.Interval, 2*t.silentAfter())
+	for _, r := range slices.Clone(t.order) {
+		if now-r.risenAt > forgetAfter {
+			t.forget(r)
+			continue
+		}
+		t.updateLive(now, r)
+	}
+}
+
+func (t *memberTable) forget(r *memberRecord) {
+	last := t.order[len(t.order)-1]
+	t.order[r.place], last.place = last, r.place
+	t.order = t.order[:len(t.order)-1]
+	t.news = removeFirst(t.news, r)
+	t.suspects = removeFirst(t.suspects, r)
+	delete(t.records, r.Host)
+	if r.live {
+		t.lives--
+	}
+	t.touched = append(t.touched, r.Host)
 }
 
 func (t *memberTable) leave() {
@@ -88,51 +143,159 @@
 
 // merge takes in what another host reported. A process that is leaving stays so.
 func (t *memberTable) merge(now time.Duration, entries []memberEntry) {
-	for _, e := range entries {
-		r := t.records[e.Host]
-		switch {
-		case e.Host == t.Self.Host:
-		case r == nil:
-			t.records[e.Host] = &memberRecord{memberEntry: e, risenAt: now}
-		case e.newerThan(&r.memberEntry):
-			e.Leaving = e.Leaving || r.Leaving && e.Incarnation == r.Incarnation
-			r.memberEntry, r.risenAt = e, now
+	for i := range entries {
+		if e := &entries[i]; e.Host != t.Self.Host {
+			t.mergeOne(now, e)
+		}
+	}
+	t.updateSuspects(now)
+}
+
+func (t *memberTable) mergeOne(now time.Duration, e *memberEntry) {
+	heardAt := now - max(e.Age, 0)
+	e.Age = 0
+	r := t.records[e.Host]
+	if r == nil {
+		r = &memberRecord{memberEntry: *e, risenAt: now, suspect: suspect{heardAt: heardAt}, live: true, place: len(t.order)}
+		t.records[e.Host], t.order = r, append(t.order, r)
+		t.lives++
+		t.tell(r)
+		t.touched = append(t.touched, e.Host)
+		return
+	}
+	if !e.newerThan(&r.memberEntry) {
+		return
+	}
+	e.Leaving = e.Leaving || r.Leaving && e.Incarnation == r.Incarnation
+	isNews := !e.sameAs(&r.memberEntry)
+	changed := isNews || e.Revision != r.Revision
+	r.memberEntry, r.risenAt = *e, now
+	switch {
+	case r.suspect.heard(heardAt):
+		t.suspects = removeFirst(t.suspects, r)
+		t.endedAt = now
+		t.tellFirst(r)
+		t.hurry(r)
+	case isNews:
+		t.tell(r)
+	}
+	if changed {
+		t.touched = append(t.touched, e.Host)
+	}
+	t.updateLive(now, r)
+}
+
+// updateLive notes whether a member counts as live now.
+func (t *memberTable) updateLive(now time.Duration, r *memberRecord) {
+	if live := t.isLive(now, r); live != r.live {
+		r.live = live
+		if live {
+			t.lives++
+		} else {
+			t.lives--
 		}
+		t.touched = append(t.touched, r.Host)
+	}
+}
+
+// isLive decides whether a member counts as live: no suspicion of it has stood for too
+// long, and its newest entry came no longer ago than silentHeartbeats intervals, in a
+// large fleet more.
+func (t *memberTable) isLive(now time.Duration, r *memberRecord) bool {
+	if t.confirmed(now, r) {
+		return false
 	}
+	return now-r.risenAt <= t.silentAfter()
 }
 
-// live decides whether a member counts as live: its newest entry came no longer ago
-// than silentHeartbeats intervals, in a large fleet more.
-func (t *memberTable) live(now time.Duration, r *memberRecord) bool {
-	silentAfter := silentHeartbeats * t.Interval * time.Duration(1+len(t.records)/heartbeatEntries)
-	return now-r.risenAt <= silentAfter
+// silentAfter is how long no newer entry of a member may come until it is silent, if
+// nobody suspects it.
+func (t *memberTable) silentAfter() time.Duration {
+	return silentHeartbeats * t.Interval * time.Duration(1+len(t.records)/heartbeatEntries)
 }
 
 // restartSilence counts the silence of all members from now on: after a pause of this
-// process their silence shows nothing.
+// process their silence shows nothing, nor that they did not answer it.
 func (t *memberTable) restartSilence(now time.Duration) {
-	for _, r := range t.records {
-		r.risenAt = now
+	for _, r := range t.order {
+		r.risenAt, r.suspect = now, suspect{heardAt: now}
+		t.updateLive(now, r)
+	}
+	t.suspects = nil
+}
+
+// tell has the next messages list a member. Their number grows with the logarithm of the
+// fleet, as the time does in which news reaches all.
+func (t *memberTable) tell(r *memberRecord) {
+	if r.untold == 0 {
+		t.news = append(t.news, r)
 	}
+	r.untold = 2 * bits.Len(uint(len(t.records)))
 }
 
-// entries returns the entries for one heartbeat: this host, then live members, drawn
-// at random if they are too many, so that no member's entry stays out for long.
+// tellFirst is tell before all other news, for a member that others may take for silent.
+func (t *memberTable) tellFirst(r *memberRecord) {
+	t.news = slices.Insert(removeFirst(t.news, r), 0, r)
+	r.untold = 2 * bits.Len(uint(len(t.records)))
+}
+
+// entries returns the entries for one heartbeat: this host, then members of which
+// something changed, then live members, drawn at random if they are too many.
 func (t *memberTable) entries(now time.Duration) []memberEntry {
-	out := []memberEntry{t.Self}
-	for _, m := range t.members(now) {
-		if m.Live {
-			out = append(out, m.Entry)
-		}
+	out := append(make([]memberEntry, 0, heartbeatEntries), t.Self)
+	if len(t.order) < heartbeatEntries {
+		return t.draw(now, heartbeatEntries, nil, out)
 	}
-	if len(out) <= heartbeatEntries {
-		return out
+	listed := map[*memberRecord]bool{}
+	for _, r := range slices.Clone(t.news[:min(newsEntries, len(t.news))]) {
+		listed[r] = true
+		t.news = t.news[1:]
+		if r.untold--; r.untold > 0 {
+			t.news = append(t.news, r)
+		}
+		if t.isLive(now, r) {
+			out = append(out, r.entry(now))
+		}
 	}
-	for i := 1; i < heartbeatEntries; i++ {
-		j := i + t.Random.IntN(len(out)-i)
-		out[i], out[j] = out[j], out[i]
+	return t.draw(now, heartbeatEntries, listed, out)
+}
+
+// handsOverTo reports whether a host that knows so many members is to get many.
+func (t *memberTable) handsOverTo(known int) bool {
+	return t.lives > heartbeatEntries && float64(known) < handoverShare*float64(t.lives)
+}
+
+// handover returns the entries for a host that knows few members: as many live ones as
+// one message may have. Without it, a host that starts in a large fleet meets the others
+// one heartbeat at a time.
+func (t *memberTable) handover(now time.Duration) []memberEntry {
+	return t.draw(now, handoverEntries, nil, []memberEntry{t.Self})
+}
+
+// draw appends live members that are not listed yet, drawn at random, up to a number.
+func (t *memberTable) draw(now time.Duration, most int, listed map[*memberRecord]bool, out []memberEntry) []memberEntry {
+	drawsAll := len(t.order) < most
+	for i := 0; i < len(t.order) && len(out) < most; i++ {
+		if !drawsAll {
+			t.swap(i, i+t.Random.IntN(len(t.order)-i))
+		}
+		if r := t.order[i]; !listed[r] && t.isLive(now, r) {
+			out = append(out, r.entry(now))
+		}
 	}
-	return out[:heartbeatEntries]
+	return out
+}
+
+func (t *memberTable) swap(i, j int) {
+	t.order[i], t.order[j] = t.order[j], t.order[i]
+	t.order[i].place, t.order[j].place = i, j
+}
+
+// entry is what a message sent now reports of a member.
+func (r *memberRecord) entry(now time.Duration) memberEntry {
+	e := r.memberEntry
+	e.Age = (now - r.suspect.heardAt).Truncate(agePrecision)
+	return e
 }
 
 type knownMember struct {
@@ -140,11 +303,28 @@
 	Live  bool
 }
 
+// members lists all members, in order of name.
 func (t *memberTable) members(now time.Duration) []knownMember {
-	out := make([]knownMember, 0, len(t.records))
-	for _, r := range t.records {
-		out = append(out, knownMember{Entry: r.memberEntry, Live: t.live(now, r)})
+	out := make([]knownMember, 0, len(t.order))
+	for _, r := range t.order {
+		out = append(out, knownMember{Entry: r.memberEntry, Live: t.isLive(now, r)})
 	}
 	slices.SortFunc(out, func(a, b knownMember) int { return cmp.Compare(a.Entry.Host, b.Entry.Host) })
 	return out
 }
+
+// changes returns the names of the members that changed since it was last called, some
+// of them twice.
+func (t *memberTable) changes() []string {
+	out := t.touched
+	t.touched = nil
+	return out
+}
+
+// removeFirst removes the first of some items that equals another.
+func removeFirst[T comparable](items []T, item T) []T {
+	if i := slices.Index(items, item); i >= 0 {
+		return slices.Delete(items, i, i+1)
+	}
+	return items
+}
--- a/tier/peers/norace_test.go
+++ b/tier/peers/norace_test.go
@@ -4,3 +4,6 @@
 
 // manyHosts is the largest number of hosts of a test in virtual time.
 const manyHosts = 300
+
+// modelMost is the largest fleet of which each host's table is modelled.
+const modelMost = 584
--- a/tier/peers/partners.go
+++ b/tier/peers/partners.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"net/netip"
 	"slices"
 
@@ -13,9 +14,14 @@
 	// hallPartners is how many hosts of its own hall a heartbeat goes to. With it 117
 	// hosts know one another within 40 heartbeats (TestGossipReachesAHall).
 	hallPartners = 2
+	// suspectPartners is how many hosts of its hall that are suspected it goes to besides.
+	suspectPartners = 1
 	// otherHallPartners is how many hosts of other halls a heartbeat that goes there is
 	// sent to. Not measured.
 	otherHallPartners = 1
+	// meetHeartbeats is for how many heartbeats after its start a host that announces has
+	// them go to all halls.
+	meetHeartbeats = 15
 	// silentPartners is how many silent hosts a heartbeat that goes to one is sent to.
 	// Not measured.
 	silentPartners = 1
@@ -39,8 +45,15 @@
 // heartbeats), the document's hosts, the seeds and the count of heartbeats sent.
 func (g *gossip) partners(s *kernel.State) []netip.AddrPort {
 	hall, silent, other := g.sortHosts(s)
-	out := g.sample(hall, hallPartners)
-	if g.crosses(s) {
+	out := g.partnersAmong(s, hall)
+	if len(hall) == 0 {
+		// Nobody is left whose heartbeats would show that a silent host is back.
+		out = g.sample(silent, hallPartners)
+	}
+	switch {
+	case s.Announcing && (g.sent <= meetHeartbeats || g.table.suspecting(g.kernel.Now())):
+		out = append(out, g.oneOfEachHall(s)...)
+	case g.crosses(s):
 		out = append(out, g.sample(other, otherHallPartners)...)
 	}
 	if g.sent%silentEvery == 0 {
@@ -52,6 +65,38 @@
 	return out
 }
 
+// suspects lists the hosts of this hall that are suspected.
+func (g *gossip) suspects(s *kernel.State) []netip.AddrPort {
+	var out []netip.AddrPort
+	for _, n := range g.table.suspected(g.kernel.Settings.Hall) {
+		out = append(out, s.Members[n].Peer)
+	}
+	return out
+}
+
+// hallPartners draws the hosts of this hall that a heartbeat goes to.
+func (g *gossip) hallPartners(s *kernel.State) []netip.AddrPort {
+	hall, _, _ := g.sortHosts(s)
+	return g.partnersAmong(s, hall)
+}
+
+func (g *gossip) partnersAmong(s *kernel.State, hall []netip.AddrPort) []netip.AddrPort {
+	return append(g.sample(g.suspects(s), suspectPartners), g.sample(hall, hallPartners)...)
+}
+
+// oneOfEachHall draws a live host of each other hall. The host that announces has its
+// heartbeats go there after its start, so that halls meet, and while this hall suspects
+// hosts: else a lost relay is found by each call anew.
+func (g *gossip) oneOfEachHall(s *kernel.State) []netip.AddrPort {
+	_, others := byHall(s.Members, g.kernel.Settings.Hall, (*kernel.Member).Callable)
+	var out []netip.AddrPort
+	for _, hall := range slices.Sorted(maps.Keys(others)) {
+		slices.Sort(others[hall])
+		out = append(out, s.Members[others[hall][g.random.IntN(len(others[hall]))]].Peer)
+	}
+	return out
+}
+
 // sortHosts divides the other hosts into those of this hall, silent ones, and those of
 // other halls. With an adapter the silent ones are of any hall, else of this hall only.
 func (g *gossip) sortHosts(s *kernel.State) (hall, silent, other []netip.AddrPort) {
--- a/tier/peers/partners_test.go
+++ b/tier/peers/partners_test.go
@@ -42,8 +42,9 @@
 				Started:  time.Now(),
 			})
 			defer stop()
-			g := &gossip{kernel: k, random: rand.New(rand.NewPCG(1, 0))}
+			g := &gossip{kernel: k, random: rand.New(rand.NewPCG(1, 0)), table: newMemberTable(memberTableConfig{Interval: time.Second})}
 			sent := map[byte]int{}
+			g.sent = rounds
 			for range rounds {
 				g.sent++
 				for _, to := range g.partners(s) {
--- a/tier/peers/race_test.go
+++ b/tier/peers/race_test.go
@@ -6,3 +6,6 @@
 // runtime ends the process where 300 hosts send messages at once ("ThreadSanitizer: CHECK
 // failed"); these tests are run with all hosts without it besides.
 const manyHosts = 60
+
+// modelMost is the largest fleet of which each host's table is modelled.
+const modelMost = 60
