perf: the whole directory is packed once for all that fetch it

Cause: each host that fetches the directory had it marshalled and packed anew by the host that it asked.

The packed form of the last directory is kept, as that of the document was.

--- a/tier/peers/fetch.go
+++ b/tier/peers/fetch.go
@@ -51,10 +51,34 @@
 	// newer is called on the control thread once a fetched document is in force.
 	newer func(*kernel.State)
 
-	packing sync.Mutex
-	// packed is packedFrom, the document last sent to a peer; used with packing locked.
-	packed     wire.PackedDocument
-	packedFrom *config.Index
+	// documents and directories hold what was last packed for a peer: where many hosts
+	// start, each asks for the same.
+	documents   packing[*config.Index]
+	directories packing[*config.Directory]
+}
+
+// packing is the packed form of what was last sent to a peer. It is safe for concurrent
+// use.
+type packing[T comparable] struct {
+	mu     sync.Mutex
+	from   T
+	packed wire.PackedDocument
+}
+
+// pack returns the packed form of a value, which it makes unless the value is the same as
+// the last time.
+func (p *packing[T]) pack(from T, make func(T) (wire.PackedDocument, error)) (wire.PackedDocument, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.from == from {
+		return p.packed, nil
+	}
+	packed, err := make(from)
+	if err != nil {
+		return wire.PackedDocument{}, err
+	}
+	p.from, p.packed = from, packed
+	return packed, nil
 }
 
 func serveFetches(k *kernel.Kernel, n *node, newer func(*kernel.State)) *fetches {
@@ -106,17 +130,11 @@
 	if x == nil {
 		return wire.PackedDocument{}, nil
 	}
-	f.packing.Lock()
-	defer f.packing.Unlock()
-	if f.packedFrom != x {
+	return f.documents.pack(x, func(x *config.Index) (wire.PackedDocument, error) {
 		p, err := wire.Pack(x.Revision, x.Text)
-		if err != nil {
-			return nil, err
-		}
 		p.Version, p.Era = x.Version, x.Era
-		f.packed, f.packedFrom = p, x
-	}
-	return f.packed, nil
+		return p, err
+	})
 }
 
 // fetchDirectory gets the directory of a peer, unless one is being fetched. It runs on
@@ -169,11 +187,18 @@
 }
 
 func (f *fetches) onDirectory(context.Context, json.RawMessage) (any, error) {
-	var whole config.DirectoryChange
-	f.kernel.DoAndWait(func(s *kernel.State) { whole = s.Directory.Whole() })
-	text, err := json.Marshal(whole)
+	var d *config.Directory
+	f.kernel.DoAndWait(func(s *kernel.State) { d = s.Directory })
+	if d == nil {
+		return packDirectory(nil)
+	}
+	return f.directories.pack(d, packDirectory)
+}
+
+func packDirectory(d *config.Directory) (wire.PackedDocument, error) {
+	text, err := json.Marshal(d.Whole())
 	if err != nil {
-		return nil, fmt.Errorf("encode directory: %w", err)
+		return wire.PackedDocument{}, fmt.Errorf("encode directory: %w", err)
 	}
 	return wire.Pack(0, text)
 }
