fix: a host that hears no announcement asks for one; the platform alone confirms

So now - a host that heard nothing for 0.65 s sends a heartbeat to the first ones of its hall by rank; the reply of a host that announces is an announcement, and from then on it knows the one that asked; - two that announce to one hall hear of each other by the reply.

By reading: any heartbeat of a host whose document is not newer counted as a confirmation, also of one that starts on the same old read. A confirmation now comes from the platform with its age, through announcements, or through heartbeats of a host with the same document (TestOnlyThePlatformConfirmsADocument fails before). Loomgap's own protocol keeps its rule. A host that is not sure of its document refuses a request without a route (503) instead of 404.

--- a/tier/kernel/document.go
+++ b/tier/kernel/document.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"loomgap/tier/config"
 )
@@ -19,10 +20,12 @@
 	// reports. It takes no part in accepting a document: after the platform came back
 	// from a copy, the document in force may be newer than the one at this position.
 	Published config.Position
-	// Confirmed is true once a peer, or a watch of the platform, has shown that there
-	// is no newer document than the one in force here. Before that a stale platform
-	// could make a host that starts serve an older document than it did before.
+	// Confirmed is true once the platform has shown, to this host or to one that told it,
+	// that there is no newer document than the one in force here. Before that a stale
+	// platform could make a host that starts serve an older document than it did before.
 	Confirmed bool
+	// ConfirmedAt is as of when that was last shown, as time since the process started.
+	ConfirmedAt time.Duration
 }
 
 // Edition is how new the document in force is; zero before the first.
@@ -33,10 +36,10 @@
 	return d.Index.Edition
 }
 
-// Confirm notes that there is no newer document than the one in force.
-func (s *State) Confirm() {
+// Confirm notes that there was no newer document than the one in force at a time.
+func (s *State) Confirm(at time.Duration) {
 	s.changed = s.changed || !s.Confirmed
-	s.Confirmed = true
+	s.Confirmed, s.ConfirmedAt = true, max(s.ConfirmedAt, at)
 }
 
 // NotePublished notes what a peer reports: the latest position that it knows of a
--- a/tier/pass/host_test.go
+++ b/tier/pass/host_test.go
@@ -282,6 +282,7 @@
 	h.revision++
 	h.do(func(s *kernel.State) {
 		h.kernel.AcceptDocument(s, &d, config.Edition{Position: config.Position{Revision: h.revision}})
+		s.Confirm(h.kernel.Now())
 	})
 	assert.Equal(h.t, h.kernel.View().Refused, "")
 }
--- a/tier/pass/inbound.go
+++ b/tier/pass/inbound.go
@@ -65,6 +65,11 @@
 	}
 	q.in.hostName, q.in.path = hostOnly(r.Host), path
 	q.route, q.class = q.view.Index.Route(q.in.hostName, q.in.path)
+	if q.route == nil && !q.view.Confirmed {
+		// The route may be in a newer document, so that this is no final answer yet.
+		q.refuse(w, "no such route in a document that may be old", retryNoConfig)
+		return false
+	}
 	if q.route == nil {
 		q.reject(w, http.StatusNotFound, outcomeNoRoute, "no route for "+r.Host+path)
 		return false
--- a/tier/peers/announcement.go
+++ b/tier/peers/announcement.go
@@ -13,7 +13,7 @@
 )
 
 // methodAnnounce is the method by which a host that knows what is published announces
-// it: its parameters are an announcement, the reply is empty.
+// it: its parameters are an announcement, the reply is an announceReply.
 const methodAnnounce = "Announce"
 
 const (
@@ -40,6 +40,8 @@
 	// long ago to rely on.
 	Age  time.Duration
 	Lost bool `json:",omitempty"`
+	// Confirmed is true if the sender knows that its document was the newest then.
+	Confirmed bool `json:",omitempty"`
 	// Version, Era and Revision name the document in force there, Directory is the digest
 	// of the upstreams listed.
 	Version   uint64 `json:",omitempty"`
@@ -56,6 +58,13 @@
 	Change *config.DirectoryChange `json:",omitempty"`
 }
 
+// announceReply answers an announcement.
+type announceReply struct {
+	// Announcement is the receiver's own, if it announces to the same hall: the sender
+	// may not know that.
+	Announcement *announcement `json:",omitempty"`
+}
+
 // edition is how new the document in force at the sender is.
 func (m *announcement) edition() config.Edition {
 	return config.Edition{Version: m.Version, Position: config.Position{Era: m.Era, Revision: m.Revision}}
@@ -99,13 +108,11 @@
 // announce sends an announcement if something changed or it is time; it runs on
 // the control thread.
 func (a *announcer) announce(s *kernel.State) {
-	// A host that starts may get an announcement before it has the directory: without
-	// one it must not announce.
-	if !s.Announcing || s.AnnouncedReadAt == 0 || s.Directory == nil {
+	if !canAnnounce(s) {
 		return
 	}
 	now := a.kernel.Now()
-	m := a.message(s, now)
+	m := newAnnouncement(a.kernel, s, now)
 	if m.Lost && s.Reading {
 		// The read under way may take longer still to fail.
 		markFeedDown(a.kernel, s, errStaleSource)
@@ -132,12 +139,19 @@
 	}
 }
 
-// message is the announcement to the own hall, without what changed.
-func (a *announcer) message(s *kernel.State, now time.Duration) announcement {
+// canAnnounce reports whether this host announces and has something to announce. One that
+// starts may get an announcement before it has the directory: without one it must not
+// announce.
+func canAnnounce(s *kernel.State) bool {
+	return s.Announcing && s.AnnouncedReadAt > 0 && s.Directory != nil
+}
+
+// newAnnouncement is the announcement to the own hall, without what changed.
+func newAnnouncement(k *kernel.Kernel, s *kernel.State, now time.Duration) announcement {
 	age, edition := now-s.AnnouncedReadAt, s.Edition()
 	return announcement{
-		Host: a.kernel.Settings.Host, Peer: a.kernel.Settings.Peer, Hall: a.kernel.Settings.Hall,
-		Age: age, Lost: age > staleAfter(&a.kernel.Settings),
+		Host: k.Settings.Host, Peer: k.Settings.Peer, Hall: k.Settings.Hall,
+		Age: age, Lost: age > staleAfter(&k.Settings), Confirmed: s.Confirmed,
 		Version: edition.Version, Era: edition.Era, Revision: edition.Revision,
 		Directory: s.Directory.Digest(), DirectoryEra: s.Directory.Era, DirectoryRevision: s.Directory.Revision,
 		DirectorySettled: s.Directory.Settled,
@@ -168,9 +182,13 @@
 func (a *announcer) send(host string, m announcement) {
 	ctx, cancel := context.WithTimeout(context.Background(), announceBound)
 	defer cancel()
-	var none struct{}
-	if err := a.kernel.Peers.Call(ctx, host, methodAnnounce, m, &none); err != nil {
+	var reply announceReply
+	if err := a.kernel.Peers.Call(ctx, host, methodAnnounce, m, &reply); err != nil {
 		a.kernel.Log.Debug().Err(err).Str("Peer", host).Msg("announcement not sent")
+		return
+	}
+	if other := reply.Announcement; other != nil {
+		a.kernel.Do(func(s *kernel.State) { noteAnnouncer(a.kernel, s, other) })
 	}
 }
 
@@ -179,19 +197,37 @@
 	fetches *fetches
 }
 
-func (a *announcementServer) onAnnouncement(_ context.Context, m *announcement) (any, error) {
+func (a *announcementServer) onAnnouncement(ctx context.Context, m *announcement) (any, error) {
 	if !m.Peer.IsValid() {
 		return nil, fmt.Errorf("bad announcement: host %q tells no address", m.Host)
 	}
-	a.kernel.Do(func(s *kernel.State) { a.learn(s, m) })
-	return struct{}{}, nil
+	out := make(chan announceReply, 1)
+	a.kernel.Do(func(s *kernel.State) {
+		a.learn(s, m)
+		out <- a.reply(s, m)
+	})
+	select {
+	case r := <-out:
+		return r, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// reply has a host that announces to a hall hear of the other one that does.
+func (a *announcementServer) reply(s *kernel.State, m *announcement) announceReply {
+	if m.Hall != a.kernel.Settings.Hall || !canAnnounce(s) {
+		return announceReply{}
+	}
+	own := newAnnouncement(a.kernel, s, a.kernel.Now())
+	return announceReply{Announcement: &own}
 }
 
 // learn takes in an announcement. What is still missing then is fetched whole. It runs
 // on the control thread.
 func (a *announcementServer) learn(s *kernel.State, m *announcement) {
 	now := a.kernel.Now()
-	a.noteAnnouncer(s, m, now)
+	noteAnnouncer(a.kernel, s, m)
 	// A change is no directory: a host that has none yet would have a few upstreams
 	// at a high revision, and those that fetch its whole directory would take all
 	// others for removed.
@@ -203,8 +239,8 @@
 	a.compareDirectory(s, m, now)
 	if m.edition().Newer(s.Edition()) {
 		a.fetches.fetchDocument(m.Peer)
-	} else if m.Revision > 0 {
-		s.Confirm()
+	} else if m.Confirmed {
+		s.Confirm(now - max(m.Age, 0))
 	}
 }
 
@@ -224,10 +260,12 @@
 	}
 }
 
-func (a *announcementServer) noteAnnouncer(s *kernel.State, m *announcement, now time.Duration) {
-	lost := m.Lost || m.Age > staleAfter(&a.kernel.Settings)
+// noteAnnouncer notes who announces, and whether the platform answers it.
+func noteAnnouncer(k *kernel.Kernel, s *kernel.State, m *announcement) {
+	now := k.Now()
+	lost := m.Lost || m.Age > staleAfter(&k.Settings)
 	readAt := now - max(m.Age, 0)
-	if m.Hall == a.kernel.Settings.Hall {
+	if m.Hall == k.Settings.Hall {
 		s.HallAnnouncers[m.Host] = s.HallAnnouncers[m.Host].Next(now, lost)
 	} else {
 		s.OtherReaders[m.Host] = s.OtherReaders[m.Host].Next(now, lost)
--- /dev/null
+++ b/tier/peers/confirm_test.go
@@ -0,0 +1,123 @@
+package peers
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"loomgap/tier/config"
+	"loomgap/tier/kernel"
+)
+
+// documentOf is the index of a document of a version.
+func documentOf(version uint64) *config.Index {
+	return &config.Index{Edition: config.Edition{Version: version, Position: config.Position{Revision: version}}, Document: &config.Document{}}
+}
+
+// TestOnlyThePlatformConfirmsADocument has a host that starts on an old read hear
+// heartbeats: of one that starts on the same read, of one whose knowledge is old, of one
+// that holds an older document, and of one that knows from the platform.
+func TestOnlyThePlatformConfirmsADocument(t *testing.T) {
+	tests := []struct {
+		name      string
+		adapter   string
+		version   uint64
+		confirmed bool
+		age       time.Duration
+		want      bool
+	}{
+		{"another that starts", "Test", 5, false, 0, false},
+		{"knew long ago", "Test", 5, true, confirmFresh + time.Second, false},
+		{"knows of an older one only", "Test", 2, true, 0, false},
+		{"knows from the platform", "Test", 5, true, time.Second, true},
+		{"own protocol: no newer one", "", 5, false, 0, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			k := newHallKernel(t, "Self")
+			k.Settings.Adapter = tt.adapter
+			g := &gossip{kernel: k}
+			s := &kernel.State{DocumentState: kernel.DocumentState{Index: documentOf(5)}}
+			h := heartbeat{Version: tt.version, Revision: tt.version, Confirmed: tt.confirmed, ConfirmedAge: tt.age}
+			g.compareEdition(s, time.Minute, &h)
+			assert.Equal(t, s.Confirmed, tt.want)
+		})
+	}
+}
+
+// TestHostThatHearsNothingAsks looks at whom a host of a hall asks for an announcement.
+func TestHostThatHearsNothingAsks(t *testing.T) {
+	const hosts = 97
+	settings := kernel.Settings{Host: "host-50", Hall: "A", Cores: 0.2}
+	members := map[string]kernel.Member{}
+	strong := map[netip.AddrPort]bool{}
+	for i := range hosts {
+		c := kernel.Settings{Cores: 0.2}
+		if i < 6 {
+			c.Cores = 0.8
+		}
+		at := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 1)
+		strong[at] = i < 6
+		n := fmt.Sprintf("host-%d", i)
+		members[n] = kernel.Member{Host: n, Hall: "A", Live: true, Capacity: c.Capacity(), Peer: at}
+	}
+	delete(members, settings.Host)
+	now := time.Minute
+	heard := func(before time.Duration) map[string]kernel.AnnouncerReport {
+		return map[string]kernel.AnnouncerReport{"host-1": {At: now - before}}
+	}
+	tests := []struct {
+		name       string
+		announcers map[string]kernel.AnnouncerReport
+		announcing bool
+		asks       bool
+	}{
+		{"hears the announcer", heard(announceEvery), false, false},
+		{"hears it no more", heard(seekAfter), false, true},
+		{"has never heard one", nil, false, true},
+		{"announces itself", nil, true, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := &kernel.State{Members: members, ReadingState: kernel.ReadingState{
+				HallAnnouncers: tt.announcers, Announcing: tt.announcing, AnnouncedReadAt: time.Second,
+			}}
+			asked := map[netip.AddrPort]bool{}
+			for i := range 2 * seekAmong {
+				to := seek(s, &settings, now, i)
+				assert.Equal(t, to.IsValid(), tt.asks)
+				if to.IsValid() {
+					assert.Assert(t, strong[to], "a weak host was asked")
+					asked[to] = true
+				}
+			}
+			assert.Equal(t, len(asked) == seekAmong, tt.asks)
+		})
+	}
+}
+
+// TestAnnouncerAnswersWithItsAnnouncement has hosts send a heartbeat and an announcement
+// to one that announces and does not know them: they hear its announcement, and it knows
+// the sender of the heartbeat.
+func TestAnnouncerAnswersWithItsAnnouncement(t *testing.T) {
+	k := newHallKernel(t, "Announcer")
+	k.Settings.Adapter, k.Settings.Beat = "Test", time.Second
+	g := newGossip(k, nil, nil)
+	s := &kernel.State{Members: map[string]kernel.Member{}, ReadingState: kernel.ReadingState{
+		HallAnnouncers: map[string]kernel.AnnouncerReport{}, Announcing: true, AnnouncedReadAt: time.Nanosecond,
+	}}
+	s.Directory, _ = s.Directory.With(&config.DirectoryChange{Revision: 1})
+	in := heartbeat{Hall: "A", Members: []memberEntry{{Host: "Started", Incarnation: "2", Hall: "A", Peer: netip.MustParseAddrPort("10.0.0.9:1")}}}
+	g.learn(s, netip.AddrPort{}, &in)
+	reply := g.reply(s, &in)
+	assert.Equal(t, reply.Announcement.Host, "Announcer")
+	assert.Assert(t, s.Members["Started"].Live)
+
+	server := serverWithoutFetches(k)
+	answer := server.reply(s, &announcement{Host: "Other", Hall: "A"})
+	assert.Equal(t, answer.Announcement.Host, "Announcer")
+	assert.Assert(t, server.reply(s, &announcement{Host: "Reader", Hall: "B"}).Announcement == nil)
+}
--- a/tier/peers/feed.go
+++ b/tier/peers/feed.go
@@ -174,7 +174,7 @@
 		}
 		f.install(s, p, now, away)
 		if f.watched {
-			s.Confirm()
+			s.Confirm(now)
 		}
 	})
 }
--- a/tier/peers/heartbeat.go
+++ b/tier/peers/heartbeat.go
@@ -30,6 +30,9 @@
 	// startHeartbeats is how many heartbeats a host sends at that interval. Not
 	// measured.
 	startHeartbeats = 8
+	// confirmFresh is how long ago a document must have been the newest one, for a
+	// heartbeat to confirm it.
+	confirmFresh = 2 * announceLost
 	// heartbeatBound is how long a heartbeat may take. A host of the same hall that has
 	// not answered by then is asked once more, and suspected if it does not answer that.
 	heartbeatBound = 500 * time.Millisecond
@@ -68,6 +71,12 @@
 	// Known is how many members the sender knows, silent ones included: one that has found
 	// many of them silent lacks nothing.
 	Known int `json:",omitempty"`
+	// Confirmed is true if the sender knows that its document was the newest so long ago.
+	Confirmed    bool          `json:",omitempty"`
+	ConfirmedAge time.Duration `json:",omitempty"`
+	// Announcement is what the sender announces to its hall; in replies to hosts of that
+	// hall only, and nil if it does not announce.
+	Announcement *announcement `json:",omitempty"`
 }
 
 // edition is how new the document in force at the sender is.
@@ -86,8 +95,10 @@
 	kernel  *kernel.Kernel
 	node    *node
 	fetches *fetches
-	table   *memberTable
-	random  *rand.Rand
+	// announcements takes in what replies announce; nil where no adapter is set.
+	announcements *announcementServer
+	table         *memberTable
+	random        *rand.Rand
 	// sent counts the rounds of heartbeats sent.
 	sent int
 	// hurrying is true while an extra heartbeat is due.
@@ -172,6 +183,7 @@
 		Members: g.table.entries(now), Suspicions: g.table.suspicions(now), Known: len(g.table.order),
 		Hall: g.kernel.Settings.Hall, PlatformAge: now - s.PlatformReadAt,
 		PublishedEra: s.Published.Era, Published: s.Published.Revision, Refused: s.Refused,
+		Confirmed: s.Confirmed, ConfirmedAge: now - s.ConfirmedAt,
 	}
 	if s.Directory != nil {
 		h.Directory, h.DirectoryEra, h.DirectoryRevision = s.Directory.Digest(), s.Directory.Era, s.Directory.Revision
@@ -241,6 +253,10 @@
 	if g.table.handsOverTo(in.Known) {
 		out.Members = g.table.handover(now)
 	}
+	if in.Hall == g.kernel.Settings.Hall && canAnnounce(s) {
+		m := newAnnouncement(g.kernel, s, now)
+		out.Announcement = &m
+	}
 	return out
 }
 
@@ -255,8 +271,11 @@
 		g.learnLeaving(s, now, h.Leaving)
 	}
 	s.NotePublished(config.Position{Era: h.PublishedEra, Revision: h.Published}, h.Refused)
+	if h.Announcement != nil && g.announcements != nil {
+		g.announcements.learn(s, h.Announcement)
+	}
 	g.hurry()
-	g.compareEdition(s, h)
+	g.compareEdition(s, now, h)
 	if !from.IsValid() {
 		return
 	}
@@ -283,7 +302,7 @@
 	}
 }
 
-func (g *gossip) compareEdition(s *kernel.State, h *heartbeat) {
+func (g *gossip) compareEdition(s *kernel.State, now time.Duration, h *heartbeat) {
 	if s.Index == nil {
 		return
 	}
@@ -291,9 +310,20 @@
 		metrics.GetOrCreateCounter("loomgap_config_conflicts_total").Inc()
 		g.kernel.Log.Error().Uint64("Revision", h.Revision).Msg("a peer holds another document of the same revision: publish a new revision")
 	}
-	if !h.edition().Newer(s.Edition()) {
-		s.Confirm()
+	if g.confirms(s, h) {
+		s.Confirm(now - max(h.ConfirmedAge, 0))
+	}
+}
+
+// confirms reports whether a heartbeat shows that the document in force is the newest.
+// Where the platform's reads may be old, it does only if its sender has the same one and
+// knows from the platform that it is: else two hosts that start confirm one another's old
+// read. Without an adapter nothing shows that, and a peer without a newer one has to do.
+func (g *gossip) confirms(s *kernel.State, h *heartbeat) bool {
+	if g.kernel.Settings.Adapter == "" {
+		return !h.edition().Newer(s.Edition())
 	}
+	return h.Confirmed && h.ConfirmedAge <= confirmFresh && h.edition() == s.Edition()
 }
 
 // learnLeaving takes in signs of leaving, of upstreams of the document only.
--- a/tier/peers/plugin.go
+++ b/tier/peers/plugin.go
@@ -41,7 +41,12 @@
 	kernel.HandleMessage(k, methodAnnounce, "announcement", server.onAnnouncement)
 	kernel.HandleMessage(k, methodHeartbeat, "heartbeat", g.onHeartbeat)
 	stopStrikes := ServeStrikes(k)
-	stopHeartbeats := kernel.RunLoops(ctx, g.loop)
+	loops := []func(context.Context){g.loop}
+	if k.Settings.Adapter != "" {
+		g.announcements = server
+		loops = append(loops, g.seekLoop)
+	}
+	stopHeartbeats := kernel.RunLoops(ctx, loops...)
 	return func() {
 		stopStrikes()
 		stopHeartbeats()
