perf: retries may use the slack that each window leaves, hedges what is earned

Cause: a host lived by the retries that its requests had earned, and spent its part of the slack once, at its start (a quarter of it) . In a fleet where a coordinator has eight requests a shard in ten seconds that is two retries, while the shard allows 640 beyond the ratio.

A retry of a call that failed may now use the reserve: all that the host spent within the window stays within its part of the slack. Hedges never do. The window is a setting (-RetryWindow). budget.go held two unrelated budgets and is two files.

TestRepeatsOfAllHosts draws hedges and retries at 8, 100 and 400 hosts: no window has more than a shard allows.

--- a/loomd/settings.go
+++ b/loomd/settings.go
@@ -91,6 +91,7 @@
 	f.DurationVar(&s.LeavingHold, "LeavingHold", 2*time.Minute, "how long an upstream counts as leaving after its last sign")
 	f.StringVar(&s.Adapter, "Adapter", "", "`name` of the platform's adapter; empty for loomgap's own protocols")
 	f.Float64Var(&s.RetryBudget.Ratio, "RetryRatio", 0.2, "share of routed requests that may be repeated")
+	f.DurationVar(&s.RetryBudget.Window, "RetryWindow", 10*time.Second, "span in which the platform counts calls beyond the first")
 	f.Float64Var(&s.RetryBudget.Slack, "RetrySlack", 50, "`calls` that may be repeated besides, by all hosts within the span that the platform counts in")
 	f.IntVar(&s.LogRate, "LogRate", 200, "most log lines a second about single requests")
 	f.Float64Var(&s.Cores, "Cores", 1, "share of processors that this host may use")
@@ -158,6 +159,7 @@
 		{s.LeavingHold >= time.Second && s.LeavingHold <= time.Hour, "LeavingHold", "out of range", "use 1s to 1h"},
 		{s.RetryBudget.Ratio >= 0 && s.RetryBudget.Ratio <= 1, "RetryRatio", "out of range", "use 0 to 1"},
 		{s.RetryBudget.Slack >= 0, "RetrySlack", "out of range", "use 0 or more"},
+		{s.RetryBudget.Window >= time.Second, "RetryWindow", "out of range", "use 1s or more"},
 		{s.Cores > 0 && s.Cores <= 1024, "Cores", "out of range", "use above 0 to 1024"},
 		{s.LinkMbits >= 0, "LinkMbits", "out of range", "use 0 or more"},
 		{s.ColdFactor >= 0 && s.ColdFactor <= 100, "ColdFactor", "out of range", "use 0 to 100"},
--- a/tier/kernel/settings.go
+++ b/tier/kernel/settings.go
@@ -99,4 +99,6 @@
 	Ratio float64
 	// Slack is how many retries are allowed beyond that.
 	Slack float64
+	// Window is that span.
+	Window time.Duration
 }
--- a/tier/pass/shares.go
+++ b/tier/pass/shares.go
@@ -87,9 +87,10 @@
 
 // retryBudgets divides the retries that groups allow among the hosts.
 func (b *shareBasis) retryBudgets() policy.RetryBudgets {
-	ratio, slack := b.retryBudget.Ratio, b.retryBudget.Slack*slackShare
+	ratio, slack, window := b.retryBudget.Ratio, b.retryBudget.Slack*slackShare, b.retryBudget.Window
 	return policy.RetryBudgets{
-		Shards: policy.ShareRetryBudget(ratio, slack, b.coordinating), Single: policy.ShareRetryBudget(ratio, slack, b.known),
+		Shards:  policy.ShareRetryBudget(ratio, slack, b.coordinating).Within(window),
+		Single:  policy.ShareRetryBudget(ratio, slack, b.known).Within(window),
 		IsShard: b.index.Shards(),
 	}
 }
--- a/tier/policy/budget_test.go
+++ b/tier/policy/budget_test.go
@@ -73,7 +73,7 @@
 				continue
 			}
 			asked++
-			if f.takeRetry("Single") {
+			if f.takeRetry(0, "Single") {
 				taken = append(taken, now)
 			}
 		}
@@ -94,8 +94,8 @@
 		f.earnRetry("Shard")
 		f.earnRetry("Single")
 	}
-	assert.Assert(t, !f.takeRetry("Shard"))
-	assert.Assert(t, f.takeRetry("Single"))
+	assert.Assert(t, !f.takeRetry(0, "Shard"))
+	assert.Assert(t, f.takeRetry(0, "Single"))
 	f.SetRetryBudgets(RetryBudgets{IsShard: map[string]bool{"Shard": true}})
-	assert.Assert(t, !f.takeRetry("Single"), "what was saved up beyond the new depth is lost")
+	assert.Assert(t, !f.takeRetry(0, "Single"), "what was saved up beyond the new depth is lost")
 }
--- a/tier/policy/class.go
+++ b/tier/policy/class.go
@@ -37,11 +37,13 @@
 	s.retries.earn(parts, classRetryRatio)
 }
 
-func (c *classRules) payHedge(int, *part) bool { return c.fleet.class(c.class.Name).hedges.take() }
+func (c *classRules) payHedge(time.Duration, int, *part) bool {
+	return c.fleet.class(c.class.Name).hedges.take()
+}
 
 // payRetry makes a call that was shed again at no cost: that one cost the upstream next to
 // nothing, and classTries bounds how often it happens.
-func (c *classRules) payRetry(_ int, _ *part, o CallOutcome) bool {
+func (c *classRules) payRetry(_ time.Duration, _ int, _ *part, o CallOutcome) bool {
 	return o == CallShed || c.fleet.class(c.class.Name).retries.take()
 }
 
--- a/tier/policy/doc.go
+++ b/tier/policy/doc.go
@@ -42,8 +42,9 @@
 //     host calls a cold one
 //   - rules on a request: placement.go says where it may go, coordinator.go which host
 //     carries it out, admit.go and retryafter.go whether it is refused and until when,
-//     margin.go what is kept back from its deadline, budget.go what pays for its hedges
-//     and retries; classstate.go holds what requests of a class share; quarantine.go
+//     margin.go what is kept back from its deadline, budget.go and retrybudget.go what
+//     pays for the hedges and retries of a class and of a routed request (recent.go sums
+//     up a window); classstate.go holds what requests of a class share; quarantine.go
 //     judges it by what suspects.go remembers of its fingerprint.go and hosts exchange
 //     (crashreport.go)
 //   - what requests of a class and routed ones do differently: class.go and routed.go,
--- a/tier/policy/fleet.go
+++ b/tier/policy/fleet.go
@@ -19,8 +19,8 @@
 	cold      map[string]*Upstream
 	pools     map[string]*Pool
 	classes   map[string]*classState
-	// retries holds the tokens of each group of a routed request.
-	retries      map[string]*budget
+	// retries holds what may be spent at each group of a routed request.
+	retries      map[string]*groupRetries
 	retryBudgets RetryBudgets
 	// conditions holds the last report about the upstreams of each hall.
 	conditions map[string]*hallConditions
@@ -42,7 +42,7 @@
 		cold:       map[string]*Upstream{},
 		pools:      map[string]*Pool{},
 		classes:    map[string]*classState{},
-		retries:    map[string]*budget{},
+		retries:    map[string]*groupRetries{},
 		conditions: map[string]*hallConditions{},
 		quarantine: quarantine{suspects: map[Fingerprint]*suspect{}},
 	}
--- a/tier/policy/hedge.go
+++ b/tier/policy/hedge.go
@@ -66,7 +66,7 @@
 		return nil, HedgeCold
 	case !u.hasSlot():
 		return nil, HedgeNoSlot
-	case !r.rules.payHedge(i, &r.parts[i]):
+	case !r.rules.payHedge(now, i, &r.parts[i]):
 		return nil, HedgeNoBudget
 	default:
 		return u, ""
--- a/tier/policy/isolation.go
+++ b/tier/policy/isolation.go
@@ -40,7 +40,7 @@
 		p := &r.parts[i]
 		p.deferred = false
 		r.suspicion.deferred--
-		if p.retryDue && !r.rules.payRetry(i, p, CallBroken) {
+		if p.retryDue && !r.rules.payRetry(now, i, p, CallBroken) {
 			r.markMissing(i, query.ReasonSuspected)
 			continue
 		}
--- a/tier/policy/layers_test.go
+++ b/tier/policy/layers_test.go
@@ -29,7 +29,7 @@
 	// it.
 	{
 		"fleet.go", "calls.go", "statuses.go", "conditions.go", "coldowner.go", "snapshot.go", "coordinator.go",
-		"placement.go", "margin.go", "plugin.go", "choose.go", "budget.go",
+		"placement.go", "margin.go", "plugin.go", "choose.go", "budget.go", "recent.go", "retrybudget.go",
 		"fingerprint.go", "quarantine.go", "suspects.go", "crashreport.go", "classstate.go",
 	},
 }
--- a/tier/policy/retry.go
+++ b/tier/policy/retry.go
@@ -33,7 +33,7 @@
 		return stepGiveUp
 	case len(p.live) > 0:
 		return stepWait
-	case !r.rules.attemptsLeft(p) || !r.rules.payRetry(i, p, o):
+	case !r.rules.attemptsLeft(p) || !r.rules.payRetry(now, i, p, o):
 		return stepGiveUp
 	case r.pick(now, i, onlyEligible) != nil:
 		return stepRetry
--- a/tier/policy/routed.go
+++ b/tier/policy/routed.go
@@ -75,13 +75,13 @@
 	}
 }
 
-func (r *routedRules) payHedge(i int, p *part) bool {
-	return r.attemptsLeft(p) && r.fleet.takeRetry(r.routed.Groups[i])
+func (r *routedRules) payHedge(now time.Duration, i int, p *part) bool {
+	return r.attemptsLeft(p) && r.fleet.takeHedge(now, r.routed.Groups[i])
 }
 
 // payRetry pays for each call beyond the first that arrives.
-func (r *routedRules) payRetry(i int, p *part, _ CallOutcome) bool {
-	return p.arrivals == 0 || r.fleet.takeRetry(r.routed.Groups[i])
+func (r *routedRules) payRetry(now time.Duration, i int, p *part, _ CallOutcome) bool {
+	return p.arrivals == 0 || r.fleet.takeRetry(now, r.routed.Groups[i])
 }
 
 func (r *routedRules) attemptsLeft(p *part) bool {
--- a/tier/policy/routed_test.go
+++ b/tier/policy/routed_test.go
@@ -71,7 +71,7 @@
 // setRetryBudget sets one budget for all groups.
 func setRetryBudget(f *Fleet, r RetryBudget) { f.SetRetryBudgets(RetryBudgets{Shards: r, Single: r}) }
 
-// TestRepeatsOfAllHosts lets few and many hosts repeat whatever they may, in
+// TestRepeatsOfAllHosts lets few and many hosts hedge and retry whatever they may, in
 // virtual time, with bursts, restarts and hosts that nobody knows of. In no
 // window are there more repeats than allowed.
 func TestRepeatsOfAllHosts(t *testing.T) {
@@ -94,22 +94,25 @@
 func repeatsOf(t *testing.T, hosts int, ratio, slack float64, window int, least float64) {
 	random := rand.New(rand.NewPCG(20261202, 0))
 	fleets := make([]*Fleet, hosts)
-	start := func() *Fleet {
+	const tickTime = 100 * time.Millisecond
+	started := make([]int, hosts)
+	start := func(i, tick int) {
 		f := NewFleet(FleetConfig{Random: random})
-		setRetryBudget(f, ShareRetryBudget(ratio, slack*0.9, float64(hosts)))
-		return f
+		setRetryBudget(f, ShareRetryBudget(ratio, slack*0.9, float64(hosts)).Within(time.Duration(window)*tickTime))
+		fleets[i], started[i] = f, tick
 	}
 	for i := range fleets {
-		fleets[i] = start()
+		start(i, 0)
 	}
 	var requests, repeats []int
 	used := 0
 	for tick := range 3000 {
 		requests, repeats = append(requests, 0), append(repeats, 0)
-		for i, f := range fleets {
+		for i := range fleets {
 			if random.IntN(3000) == 0 {
-				fleets[i] = start()
+				start(i, tick)
 			}
+			f, now := fleets[i], time.Duration(tick-started[i])*tickTime
 			n := random.IntN(3)
 			if tick/300%2 == 1 {
 				n *= 5
@@ -120,7 +123,11 @@
 			}
 			// Idle for some windows, a host has saved up all it may.
 			for want := random.IntN(20); tick%250 < 200 && want > 0; want-- {
-				if f.takeRetry("G") {
+				take := f.takeRetry
+				if want%2 == 0 {
+					take = f.takeHedge
+				}
+				if take(now, "G") {
 					repeats[tick]++
 					used++
 				}
@@ -334,7 +341,7 @@
 	setRetryBudget(f, ShareRetryBudget(0.2, 80, 8))
 	spend := func() int {
 		spent := 0
-		for f.takeRetry("G") {
+		for f.takeRetry(0, "G") {
 			spent++
 		}
 		return spent
--- a/tier/policy/rules.go
+++ b/tier/policy/rules.go
@@ -15,10 +15,10 @@
 	// for hedges and retries.
 	earn(parts int)
 	// payHedge takes a hedge of a part from its budget, and reports whether it could.
-	payHedge(i int, p *part) bool
+	payHedge(now time.Duration, i int, p *part) bool
 	// payRetry takes a retry of a part, whose last call had the outcome, from its
 	// budget, and reports whether it could.
-	payRetry(i int, p *part, o CallOutcome) bool
+	payRetry(now time.Duration, i int, p *part, o CallOutcome) bool
 	// attemptsLeft reports whether a part may go to one more upstream.
 	attemptsLeft(p *part) bool
 
--- a/tier/replay/routed_site_test.go
+++ b/tier/replay/routed_site_test.go
@@ -25,16 +25,28 @@
 	farHop time.Duration
 	// ratio and slack bound the retries of all hosts at a shard.
 	ratio, slack float64
+	// window is that in which the shards count these; 0 for hosts that only use what
+	// they have saved up.
+	window time.Duration
 	// ownWork is the work of hosts beside the upstreams' own.
 	ownWork ownWork
 	// forward has weak hosts forward their requests to the strong ones.
 	forward bool
 	// pauseFor is how long each upstream pauses once in pauseEvery; 0 for never.
 	pauseFor, pauseEvery time.Duration
+	// shedders have most upstreams shed part of their calls for a while.
+	shedders shedders
 	// crash adds crashes of upstreams; nil for none.
 	crash *crashSettings
 }
 
+// shedders are upstreams, share of them all, that shed part of their calls from a time
+// until another, though their health endpoints are good.
+type shedders struct {
+	share, part float64
+	from, until time.Duration
+}
+
 // ownWork is the work of a host for each answer of an upstream, one answer after the
 // other.
 type ownWork struct {
@@ -152,7 +164,7 @@
 			Hall: hall, Near: hall == s.routed.hall(h.index),
 		})
 	}
-	share := policy.ShareRetryBudget(s.routed.ratio, s.routed.slack, float64(c.hosts))
+	share := policy.ShareRetryBudget(s.routed.ratio, s.routed.slack, float64(c.hosts)).Within(s.routed.window)
 	h.fleet.SetRetryBudgets(policy.RetryBudgets{Shards: share, Single: share})
 	h.fleet.Apply(0, shares)
 	if s.routed.crash != nil {
@@ -321,6 +333,9 @@
 		return false
 	case k.cancelled:
 		return true
+	case s.sheds(u):
+		k.reply(policy.CallShed)
+		return false
 	case s.pausedFor(u) > 0:
 		s.world.after(s.pausedFor(u), func() { u.arrive(k) })
 		return false
@@ -329,6 +344,17 @@
 	}
 }
 
+// sheds decides whether the upstream sheds a call now.
+func (s *routedSite) sheds(u *upstream) bool {
+	d := &s.routed.shedders
+	if s.world.now < d.from || s.world.now >= d.until {
+		return false
+	}
+	// A large odd number spreads the upstreams that shed over the shards.
+	isOne := float64(u.index*7919%s.upstreams()) < d.share*float64(s.upstreams())
+	return isOne && s.world.random.Float64() < d.part
+}
+
 // pausedFor is how much longer the upstream pauses. Each pauses at times of its
 // own.
 func (s *routedSite) pausedFor(u *upstream) time.Duration {
--- a/tier/replay/routed_test.go
+++ b/tier/replay/routed_test.go
@@ -97,3 +97,45 @@
 	assert.Check(t, with.meanEarned() >= without.meanEarned()+0.15)
 	assert.Check(t, with.classes[0].extraLoad() <= 0.25)
 }
+
+// TestMostUpstreamsShed replays a fleet's worst load: eight in ten upstreams shed six in
+// ten calls for nine seconds. Gathers are carried out by the hosts given, which divide the
+// slack of the retries. What a request earns in that time is compared with hosts that make
+// no retries beyond those that their requests have earned.
+func TestMostUpstreamsShed(t *testing.T) {
+	tests := []struct {
+		hosts, shards, replicas int
+		// rate is gathers a second, slack that of a shard in ten seconds.
+		rate, slack float64
+		// gain is how much more must be earned at least, of 1.
+		gain float64
+	}{
+		{8, 50, 2, 67, 54, 0},
+		{23, 180, 3, 4, 630, 0.1},
+		{36, 180, 12, 29, 640, 0.1},
+		{72, 180, 12, 58, 640, 0.05},
+	}
+	var cases []routedSetup
+	for _, tt := range tests {
+		c := routedCase(tt.shards, tt.replicas, tt.hosts, 8*time.Millisecond)
+		c.length, c.warm = 22*time.Second, 12*time.Second
+		c.faults = faults{}
+		c.capacity.slots, c.capacity.backlog = 3, 18
+		c.loads[0].rate = tt.rate
+		r := &c.routed
+		r.route.Objective, r.route.Gather.Coverage = config.Duration(300*time.Millisecond), 0.95
+		r.slack = tt.slack * 0.9 * 0.8
+		r.shedders = shedders{share: 0.8, part: 0.6, from: 12 * time.Second, until: 21 * time.Second}
+		saved := c
+		r.window = 10 * time.Second
+		cases = append(cases, saved, c)
+	}
+	reports := runRouted(t, cases...)
+	for i, tt := range tests {
+		saved, reserve := reports[2*i], reports[2*i+1]
+		name := fmt.Sprintf("%d hosts, %d shards of %d", tt.hosts, tt.shards, tt.replicas)
+		t.Logf("%s: %.3f earned with what was saved up, %.3f with the reserve; extra calls %.1f%%, %.1f%%", name, saved.meanEarned(), reserve.meanEarned(),
+			100*saved.classes[0].extraLoad(), 100*reserve.classes[0].extraLoad())
+		assert.Check(t, reserve.meanEarned() >= saved.meanEarned()+tt.gain, name)
+	}
+}
