perf: a part may ask each of its upstreams once, not four at most

Cause: a part gave up after four calls, those that were shed included. With three upstreams a shard that is one more than all; with twelve of which eight in ten shed six in ten, 0.05 of the parts have met four sheds by then, as many as a coverage of 0.95 allows to be missing, so that half of the gathers fail though sound upstreams were never asked. The bound follows from the number of upstreams; shed calls have not run, and each is paid for as before.

--- a/tier/policy/routed.go
+++ b/tier/policy/routed.go
@@ -8,9 +8,9 @@
 )
 
 const (
-	// routedSends is the number of calls for one part of a routed request, those that
-	// were turned away included, so that a group that sheds is not asked forever. Not
-	// measured.
+	// routedSends is the least number of calls that one part of a routed request may
+	// have, those that were turned away included, so that a group that sheds is not asked
+	// forever. A part with more upstreams may ask each once.
 	routedSends = 4
 	// hedgeLatest is the share of the objective after which a call is hedged at the
 	// latest, while it is not known how long calls to other halls take. Not measured.
@@ -85,7 +85,7 @@
 }
 
 func (r *routedRules) attemptsLeft(p *part) bool {
-	return p.ran < r.routed.MaxAttempts && p.sends < routedSends
+	return p.ran < r.routed.MaxAttempts && p.sends < max(routedSends, len(p.replicas))
 }
 
 // hedgeDelay has a call hedged when it takes longer than nearly all like calls, but a near
