--- a/loomfake/command.go
+++ b/loomfake/command.go
@@ -44,7 +44,7 @@
 	return l, nil
 }
 
-// Bounds of the stand-ins' connections. Not measured: far above what a test needs.
+// Bounds of the stand-ins' connections: far above what a test needs.
 const (
 	// headerBound is how long the head of a request may take to arrive.
 	headerBound = time.Minute
--- a/loomfake/document.go
+++ b/loomfake/document.go
@@ -28,8 +28,7 @@
 	deadline, wideDeadline, patience time.Duration
 }
 
-// Sizes of the document. Not measured; connections are as many as the users'
-// larger upstreams take.
+// Sizes of the document. Connections are as many as the users' larger upstreams take.
 const (
 	// replicas is the number of replicas of each shard.
 	replicas = 2
--- a/loomfake/link.go
+++ b/loomfake/link.go
@@ -62,7 +62,7 @@
 	Delay config.Duration `json:",omitzero"`
 }
 
-// linkBuffer is how many bytes a link passes on at once, at the most. Not measured.
+// linkBuffer is how many bytes a link passes on at once, at the most.
 const linkBuffer = 32 << 10
 
 type link struct {
--- a/loomfake/platform.go
+++ b/loomfake/platform.go
@@ -97,7 +97,7 @@
 	at    time.Time
 }
 
-// Bounds of the stand-in. Not measured.
+// Bounds of the stand-in.
 const (
 	// lookEvery is the longest time between two looks of a waiting read, so that a
 	// line that LiveLag delays is seen.
--- a/loomfake/records.go
+++ b/loomfake/records.go
@@ -8,9 +8,9 @@
 	"loomgap/tier/query"
 )
 
-// Records of the made-up data. At snapshot S the records numbered below
-// baseRecords + S*recordsPerSnapshot are there, so that a count over all shards
-// shows which snapshot it was made from. Not measured.
+// Records of the made-up data. At snapshot S the records numbered below baseRecords +
+// S*recordsPerSnapshot are there, so that a count over all shards shows which snapshot
+// it was made from.
 const (
 	// baseRecords is the number of records before the first snapshot.
 	baseRecords = 20_000
--- a/loomfake/soakcaller.go
+++ b/loomfake/soakcaller.go
@@ -14,7 +14,7 @@
 	"loomgap/platform"
 )
 
-// Times of a caller. Not measured.
+// Times of a caller.
 const (
 	// soakBound is when a caller gives a request up.
 	soakBound = 3 * time.Second
--- a/loomfake/soakcheck.go
+++ b/loomfake/soakcheck.go
@@ -12,8 +12,8 @@
 	"loomgap/platform"
 )
 
-// Bounds that the checks judge by. Each is a promise's own, with time for a
-// busy machine, which callers and daemons share. Not measured.
+// Bounds that the checks judge by. Each is a promise's own, with time for a busy
+// machine, which callers and daemons share.
 const (
 	// soakApply is when a change must be in force at untouched hosts.
 	soakApply = 5 * time.Second
--- a/loomfake/soakfault.go
+++ b/loomfake/soakfault.go
@@ -12,7 +12,7 @@
 	"loomgap/tier/config"
 )
 
-// Times of faults. Not measured.
+// Times of faults.
 const (
 	// soakPause is the longest time between the beginnings of two faults.
 	soakPause = 900 * time.Millisecond
--- a/loomfake/soakrun.go
+++ b/loomfake/soakrun.go
@@ -14,7 +14,7 @@
 	"loomgap/platform/mock"
 )
 
-// Times of a soak. None is measured.
+// Times of a soak.
 const (
 	// soakReadyBound is how long hosts may take to be ready at the start.
 	soakReadyBound = 20 * time.Second
--- a/loomfake/soaksite.go
+++ b/loomfake/soaksite.go
@@ -13,7 +13,7 @@
 	"loomgap/platform"
 )
 
-// Names and bounds of the soak's site. Not measured.
+// Names and bounds of the soak's site.
 const (
 	soakHostName = "soak.example"
 	// soakTop is how many records the answer of a gather has.
--- a/loomfake/upstream.go
+++ b/loomfake/upstream.go
@@ -18,7 +18,7 @@
 	life   time.Duration
 }
 
-// What all upstreams have alike. Not measured.
+// What all upstreams have alike.
 const (
 	// backlog is how many calls wait for a slot before an upstream sheds.
 	backlog = 4
--- a/loomfake/upstreamserver.go
+++ b/loomfake/upstreamserver.go
@@ -54,8 +54,8 @@
 	seed uint64
 }
 
-// serviceSigma is the spread of the service times, the standard deviation of
-// their logarithm. Not measured.
+// serviceSigma is the spread of the service times, the standard deviation of their
+// logarithm.
 const serviceSigma = 0.5
 
 type upstream struct {
--- a/tier/config/check.go
+++ b/tier/config/check.go
@@ -14,8 +14,7 @@
 
 var nameForm = regexp.MustCompile(`^[A-Za-z][A-Za-z0-9_.-]{0,62}$`)
 
-// Bounds of values. They refuse slips of the pen, such as a wrong unit; none is
-// measured.
+// Bounds of values. They refuse slips of the pen, such as a wrong unit.
 const (
 	// maxDuration bounds each duration of a document.
 	maxDuration = Duration(10 * time.Minute)
--- a/tier/config/document.go
+++ b/tier/config/document.go
@@ -132,10 +132,7 @@
 	return nil
 }
 
-// DefaultClass returns the settings of a class that the document leaves out. The hedge
-// quantile is measured: of 0.95 to 0.99, with one upstream in 50 slow, 0.985 had the
-// lowest 99th percentile of the first four at the lowest extra load (virtual time).
-// The others are not measured.
+// DefaultClass returns the settings of a class that the document leaves out.
 func DefaultClass() Class {
 	return Class{
 		Deadline:      Duration(300 * time.Millisecond),
--- a/tier/config/listing.go
+++ b/tier/config/listing.go
@@ -69,17 +69,14 @@
 
 // warmupStep is the precision with which hosts compare the warm-up that an upstream has
 // left. Without it, each heartbeat of a cold upstream is sent to all hosts as a change.
-// Not measured.
 const warmupStep = Duration(time.Second)
 
 // warmupSteps is how much longer the upstream is cold, in started steps.
 func (l *Listing) warmupSteps() int64 { return int64((l.Warmup + warmupStep - 1) / warmupStep) }
 
 // DropUnboundWarmups clears the warm-up of upstreams whose group sets no ColdRate, since
-// no decision reads it. Without it, the heartbeats of a whole hall that warms up are
-// sent to all hosts as changes: at 300 hosts the busiest sent 1,194 kB per second
-// instead of 587, and a hall's callers were served 4.5 s after it was back (simulated
-// time).
+// no decision reads it. Without it, the reports of a whole hall that warms up are sent to
+// all hosts as changes.
 func (x *Index) DropUnboundWarmups(listed []Listing) {
 	if x == nil {
 		return
--- a/tier/config/route.go
+++ b/tier/config/route.go
@@ -124,19 +124,16 @@
 }
 
 const (
-	// reserveDivisor limits ResponseReserve to a fifth of a short objective. Not
-	// measured.
+	// reserveDivisor limits ResponseReserve to a fifth of a short objective.
 	reserveDivisor = 5
-	// routeHedgeQuantile is the latency quantile after which a call of a route is
-	// hedged. It is lower than a class's own, because a route's hedges are limited by
-	// its retry budget and a call to a paused upstream is cheapest replaced early.
-	// Not measured.
+	// routeHedgeQuantile is the latency quantile after which a call of a route is hedged.
+	// It is lower than a class's own, because a route's hedges are limited by its retry
+	// budget and a call to a paused upstream is cheapest replaced early.
 	routeHedgeQuantile = 0.95
-	// ResponseReserve is the least time kept back from an objective for the merge and
-	// for the answer to reach its caller. Measured: with 12 ms the worth of answers
-	// was level (10 runs of a day in simulated time).
+	// ResponseReserve is the least time kept back from an objective for the merge and for
+	// the answer to reach its caller.
 	ResponseReserve = Duration(18 * time.Millisecond)
-	// routeInFlight bounds the requests of one route in one host, so that their
-	// bodies fit into the memory of a small host. Not measured.
+	// routeInFlight bounds the requests of one route in one host, so that their bodies fit
+	// into the memory of a small host.
 	routeInFlight = 2000
 )
--- a/tier/entry/answer.go
+++ b/tier/entry/answer.go
@@ -20,7 +20,7 @@
 )
 
 // notReadyRetry is when to ask a host again that has no configuration or knows no
-// snapshots yet. A starting host has both within about a second. Not measured.
+// snapshots yet. A starting host has both within about a second.
 const notReadyRetry = time.Second
 
 // newAnswer makes an answer without rows; its lists are not nil, as callers expect.
--- a/tier/entry/ask.go
+++ b/tier/entry/ask.go
@@ -39,8 +39,8 @@
 	})
 }
 
-// secondPlanShare is the part of a class's deadline that must be left for a second
-// plan: a gather in less time would rarely cover more. Not measured.
+// secondPlanShare is the part of a class's deadline that must be left for a second plan:
+// a gather in less time would rarely cover more.
 const secondPlanShare = 0.25
 
 // answer gathers under the shard map in force. If an upstream has a newer map or
--- a/tier/entry/client.go
+++ b/tier/entry/client.go
@@ -21,8 +21,8 @@
 
 // Times of upstream connections.
 const (
-	// upstreamDialTimeout is the longest time for a connection to an upstream. Not
-	// measured; the deadline of the request usually ends the call before.
+	// upstreamDialTimeout is the longest time for a connection to an upstream. The deadline
+	// of the request usually ends the call before.
 	upstreamDialTimeout = time.Second
 	// upstreamIdleTimeout is below the least idle time that an upstream may have, 60 s,
 	// so that a connection is not used just when the upstream closes it.
--- a/tier/entry/serve.go
+++ b/tier/entry/serve.go
@@ -16,8 +16,8 @@
 	"loomgap/tier/wire"
 )
 
-// Limits of the HTTP servers of callers and operators, against clients that are
-// slow or send too much. None is measured.
+// Limits of the HTTP servers of callers and operators, against clients that are slow or
+// send too much.
 const (
 	// callerHeaderTimeout is the longest time for a request's header.
 	callerHeaderTimeout = 5 * time.Second
--- a/tier/entry/status.go
+++ b/tier/entry/status.go
@@ -16,21 +16,21 @@
 
 // Times and limits of the status reader.
 const (
-	// statusInterval is the time between two rounds, and the age of what is known of
-	// an upstream after which its status is read. Not measured.
+	// statusInterval is the time between two rounds, and the age of what is known of an
+	// upstream after which its status is read.
 	statusInterval = time.Second
-	// statusTimeout is the longest time for one status call. Not measured.
+	// statusTimeout is the longest time for one status call.
 	statusTimeout = 500 * time.Millisecond
-	// statusConcurrency is how many status calls are made at once. Not measured.
+	// statusConcurrency is how many status calls are made at once.
 	statusConcurrency = 16
-	// statusPerRound is how many upstreams one round reads, so that the cost of a
-	// round does not grow with the fleet. Not measured.
+	// statusPerRound is how many upstreams one round reads, so that the cost of a round
+	// does not grow with the fleet.
 	statusPerRound = 50
-	// startInterval is the time between two rounds while the host starts, when it
-	// can't serve until it knows the snapshots. Not measured.
+	// startInterval is the time between two rounds while the host starts, when it can't
+	// serve until it knows the snapshots.
 	startInterval = 100 * time.Millisecond
 	// startBeats is how many heartbeat intervals a starting host waits for a peer to
-	// confirm its configuration before it serves without. Not measured.
+	// confirm its configuration before it serves without.
 	startBeats = 10
 )
 
--- a/tier/entry/successor.go
+++ b/tier/entry/successor.go
@@ -15,7 +15,7 @@
 // methodAdopt is the peer method that hands tickets over at a planned stop.
 const methodAdopt = "Adopt"
 
-// Limits of handing over. None is measured.
+// Limits of handing over.
 const (
 	// handedAtOnce is the number of tickets in one message.
 	handedAtOnce = 500
--- a/tier/entry/ticket.go
+++ b/tier/entry/ticket.go
@@ -11,8 +11,8 @@
 	entrygen "loomgap/tier/gen/entry"
 )
 
-// maxTickets bounds the tickets that one process remembers, so that a flood of
-// requests for tickets can't exhaust its memory. Not measured.
+// maxTickets bounds the tickets that one process remembers, so that a flood of requests
+// for tickets can't exhaust its memory.
 const maxTickets = 200_000
 
 // Errors of tickets.
--- a/tier/kernel/control.go
+++ b/tier/kernel/control.go
@@ -8,13 +8,12 @@
 
 const (
 	// jobBacklog is how many jobs may wait for the control thread before Do blocks.
-	// Not measured.
 	jobBacklog = 1024
-	// pulseEvery is the time between two pulses of an idle control thread. Not
-	// measured; it has to be well below pauseBound.
+	// pulseEvery is the time between two pulses of an idle control thread. It has to be
+	// well below pauseBound.
 	pulseEvery = 100 * time.Millisecond
 	// pauseBound is the longest gap between pulses after which the process is still
-	// considered to have run all the time. Not measured.
+	// considered to have run all the time.
 	pauseBound = time.Second
 )
 
--- a/tier/kernel/lifecycle.go
+++ b/tier/kernel/lifecycle.go
@@ -19,10 +19,9 @@
 
 const (
 	// settleLook is how often a stopping host checks whether it was asked for its
-	// readiness. Not measured.
+	// readiness.
 	settleLook = 20 * time.Millisecond
-	// inFlightLook is how often a stopping host checks whether requests are in
-	// flight. Not measured.
+	// inFlightLook is how often a stopping host checks whether requests are in flight.
 	inFlightLook = 5 * time.Millisecond
 )
 
--- a/tier/pass/backoff.go
+++ b/tier/pass/backoff.go
@@ -5,10 +5,9 @@
 const (
 	// backoffFirst is how long a host or hall that did not answer gets nothing. Each
 	// attempt to use a host that is cut off costs the calls of a batch. The gain of
-	// backoffs is with hallUnresponsiveAfter; the time itself is not measured.
+	// backoffs is with hallUnresponsiveAfter.
 	backoffFirst = 2 * time.Second
-	// backoffMost bounds the time, which doubles with each failure in a row. Not
-	// measured.
+	// backoffMost bounds the time, which doubles with each failure in a row.
 	backoffMost = 16 * time.Second
 )
 
--- a/tier/pass/call.go
+++ b/tier/pass/call.go
@@ -21,18 +21,16 @@
 )
 
 const (
-	// maxAnswer bounds the body of an upstream's answer, in bytes, so that a few of
-	// them fit into the memory of a small host. Not measured.
+	// maxAnswer bounds the body of an upstream's answer, in bytes, so that a few of them
+	// fit into the memory of a small host.
 	maxAnswer = 8 << 20
 	// answersRead is how many answers are read for one call: a surplus answer to the
-	// request before may come first. Not measured.
+	// request before may come first.
 	answersRead = 2
-	// eagerBody is the largest body, in bytes, that is written before the answer is
-	// read. A longer one is written meanwhile, since an upstream may answer early. Not
-	// measured.
+	// eagerBody is the largest body, in bytes, that is written before the answer is read. A
+	// longer one is written meanwhile, since an upstream may answer early.
 	eagerBody = 8 << 10
 	// ownHeaderBytes is about the size of the headers that differ between upstreams.
-	// Not measured.
 	ownHeaderBytes = 128
 )
 
--- a/tier/pass/conn.go
+++ b/tier/pass/conn.go
@@ -15,26 +15,24 @@
 )
 
 const (
-	// upstreamDialBound is how long a connection to an upstream may take to make; hosts
-	// of one platform are milliseconds apart. Not measured.
+	// upstreamDialBound is how long a connection to an upstream may take to make; hosts of
+	// one platform are milliseconds apart.
 	upstreamDialBound = 700 * time.Millisecond
 	// idleUnknown is how long a connection may be idle if the upstream does not say how
-	// long it keeps one. Not measured.
+	// long it keeps one.
 	idleUnknown = 4 * time.Second
-	// idleReserve is taken off the time that an upstream says it keeps an idle
-	// connection, so that a request does not cross its close. Not measured.
+	// idleReserve is taken off the time that an upstream says it keeps an idle connection,
+	// so that a request does not cross its close.
 	idleReserve = 500 * time.Millisecond
-	// freshEnough is how long a connection may have been idle that carries a request
-	// which is not repeatable. Not measured.
+	// freshEnough is how long a connection may have been idle that carries a request which
+	// is not repeatable.
 	freshEnough = 500 * time.Millisecond
-	// readBuffer is the size of a connection's buffer for answers, in bytes. Not
-	// measured.
+	// readBuffer is the size of a connection's buffer for answers, in bytes.
 	readBuffer = 4 << 10
-	// silentCallBound is how long a call on a reused connection must go without an
-	// answer until the other idle connections are closed: longer than upstreams pause,
-	// and no longer than an unwanted call lingers that shows it. Without it, one
-	// request after another is sent on connections that have all gone silent without a
-	// reset. Not measured.
+	// silentCallBound is how long a call on a reused connection must go without an answer
+	// until the other idle connections are closed: longer than upstreams pause, and no
+	// longer than an unwanted call lingers that shows it. Without it, one request after
+	// another is sent on connections that have all gone silent without a reset.
 	silentCallBound = policy.LingerFor
 )
 
--- a/tier/pass/coordinate_client.go
+++ b/tier/pass/coordinate_client.go
@@ -17,17 +17,17 @@
 // a whole gather over to a stronger one.
 
 const (
-	// coordinatorsTried is how many coordinators are tried before the host carries
-	// the request out itself. Not measured.
+	// coordinatorsTried is how many coordinators are tried before the host carries the
+	// request out itself.
 	coordinatorsTried = 2
 	// firstSignBound is how long, beyond the round trip, the first sign of a
 	// coordinator is waited for. A busy one needs up to 20 ms. A host that is frozen
 	// or cut off takes no more than a sixth of an objective of 300 ms.
 	firstSignBound = 50 * time.Millisecond
-	// signBound is how long a coordinator may be silent after a sign: it misses three
-	// signs in a row. Not measured.
+	// signBound is how long a coordinator may be silent after a sign: it misses three signs
+	// in a row.
 	signBound = 150 * time.Millisecond
-	// signEvery is the time from one sign of a coordinator to the next. Not measured.
+	// signEvery is the time from one sign of a coordinator to the next.
 	signEvery = 40 * time.Millisecond
 )
 
--- a/tier/pass/coordinate_server.go
+++ b/tier/pass/coordinate_server.go
@@ -18,7 +18,7 @@
 // weaker hosts.
 
 // beginBound is how long a coordinator waits to be told to begin: longer than a message
-// takes to a busy host and back, and shorter than most objectives. Not measured.
+// takes to a busy host and back, and shorter than most objectives.
 const beginBound = 200 * time.Millisecond
 
 // servedRequest is one request that this host carries out for another.
--- a/tier/pass/coordinators.go
+++ b/tier/pass/coordinators.go
@@ -11,7 +11,7 @@
 
 // upstreamShare is the part of the upstreams of the hall with the most that a hall must
 // list for its hosts to be coordinators: elsewhere most calls would go to another hall
-// again. Not measured.
+// again.
 const upstreamShare = 0.5
 
 // coordinators are the hosts that may carry gathers out. It is changed on the control
--- a/tier/pass/engine.go
+++ b/tier/pass/engine.go
@@ -9,8 +9,7 @@
 	"loomgap/tier/policy"
 )
 
-// sweepEvery is how often idle connections to upstreams are looked through. Not
-// measured.
+// sweepEvery is how often idle connections to upstreams are looked through.
 const sweepEvery = time.Second
 
 // engine serves routed requests. It is safe for concurrent use; fields that say so are
--- a/tier/pass/exchange.go
+++ b/tier/pass/exchange.go
@@ -11,7 +11,7 @@
 
 // This file has what the exchanges with relays and coordinators share.
 
-// stopBound is how long telling a host to stop may take. Not measured.
+// stopBound is how long telling a host to stop may take.
 const stopBound = time.Second
 
 // notifyStop tells a host that the result of what it was sent is not wanted any more; the
--- a/tier/pass/host_tracker.go
+++ b/tier/pass/host_tracker.go
@@ -11,14 +11,12 @@
 )
 
 const (
-	// replyGrace is how late the first sign of a host may be until the host is
-	// considered unresponsive: other hosts are asked first then. Not measured.
+	// replyGrace is how late the first sign of a host may be until the host is considered
+	// unresponsive: other hosts are asked first then.
 	replyGrace = 100 * time.Millisecond
 	// hallUnresponsiveAfter is how many different hosts of a hall in a row must leave
 	// a batch unanswered until the upstreams of the hall are called directly: this
-	// host may be cut off from the hosts there and not from the upstreams. When every
-	// host of the hall was tried, the worth of a day with cuts of 12 s was 0.707
-	// in place of 0.725, and that of their worst windows 0.75 in place of 0.79.
+	// host may be cut off from the hosts there and not from the upstreams.
 	hallUnresponsiveAfter = 2
 )
 
--- a/tier/pass/inbound.go
+++ b/tier/pass/inbound.go
@@ -16,15 +16,12 @@
 )
 
 const (
-	// responseReserve is kept back from a caller's deadline, so that the answer is
-	// there while the caller still waits: a link's delay and a late timer. Not
-	// measured.
+	// responseReserve is kept back from a caller's deadline, so that the answer is there
+	// while the caller still waits: a link's delay and a late timer.
 	responseReserve = 10 * time.Millisecond
-	// responseReserveParts bounds the reserve to one of so many parts of the time
-	// limit. Not measured.
+	// responseReserveParts bounds the reserve to one of so many parts of the time limit.
 	responseReserveParts = 4
 	// defaultBody bounds a request's body, in bytes, where the document says nothing.
-	// Not measured.
 	defaultBody = 1 << 20
 )
 
--- a/tier/pass/merge.go
+++ b/tier/pass/merge.go
@@ -9,10 +9,10 @@
 const (
 	// recordBytes is the size of a record; a shorter piece at the end of a part is none.
 	recordBytes = 16
-	// mergeSpareTops is how many times the records of an answer a merger may hold until
-	// it drops the least. Not measured.
+	// mergeSpareTops is how many times the records of an answer a merger may hold until it
+	// drops the least.
 	mergeSpareTops = 8
-	// mergeSpareRecords is how many records it may hold besides. Not measured.
+	// mergeSpareRecords is how many records it may hold besides.
 	mergeSpareRecords = 1024
 )
 
--- a/tier/pass/outcome.go
+++ b/tier/pass/outcome.go
@@ -37,7 +37,7 @@
 	outcomeTooLarge outcome = "TooLarge"
 )
 
-// lackingLogged bounds the shards that one log line names. Not measured.
+// lackingLogged bounds the shards that one log line names.
 const lackingLogged = 8
 
 // log begins the line that says what became of the request, and counts it.
--- a/tier/pass/overhead.go
+++ b/tier/pass/overhead.go
@@ -8,7 +8,7 @@
 )
 
 // linkReserve is how long an answer may be on its way to the caller, besides what this
-// host takes to make and write it. Not measured.
+// host takes to make and write it.
 const linkReserve = 8 * time.Millisecond
 
 // overhead is the time that this host observes itself to add to the calls of a request.
--- a/tier/pass/plugin.go
+++ b/tier/pass/plugin.go
@@ -13,12 +13,11 @@
 
 // The server for callers is bounded more widely than any document's limits.
 const (
-	// callerHeaderBound is how long a caller may take to send the headers of a
-	// request. Not measured.
+	// callerHeaderBound is how long a caller may take to send the headers of a request.
 	callerHeaderBound = 10 * time.Second
-	// callerIdleBound is how long a caller's connection may be idle. Not measured.
+	// callerIdleBound is how long a caller's connection may be idle.
 	callerIdleBound = 2 * time.Minute
-	// callerHeaderBytes bounds the headers of a request, in bytes. Not measured.
+	// callerHeaderBytes bounds the headers of a request, in bytes.
 	callerHeaderBytes = 64 << 10
 )
 
--- a/tier/pass/preconnect.go
+++ b/tier/pass/preconnect.go
@@ -11,15 +11,14 @@
 )
 
 const (
-	// preconnectHosts is how many hosts of each other hall are connected to ahead: the
-	// one that most calls go through, and the next, for hedges. Without
-	// connecting ahead the worth of days was 0.001 to 0.009 less, which is within
-	// noise; the number is not measured.
+	// preconnectHosts is how many hosts of each other hall are connected to ahead: the one
+	// that most calls go through, and the next, for hedges. Without connecting ahead the
+	// worth of days was 0.001 to 0.009 less, which is within noise.
 	preconnectHosts = 2
-	// preconnectBound is how long connecting to a host ahead may take. Not measured.
+	// preconnectBound is how long connecting to a host ahead may take.
 	preconnectBound = 700 * time.Millisecond
-	// leastRoundTrip is less than a new connection takes between two machines; what
-	// takes less was connected already. Not measured.
+	// leastRoundTrip is less than a new connection takes between two machines; what takes
+	// less was connected already.
 	leastRoundTrip = 50 * time.Microsecond
 )
 
--- a/tier/pass/refuse.go
+++ b/tier/pass/refuse.go
@@ -19,19 +19,19 @@
 //
 // Whatever the reason, refuse spreads the time by retrySpread.
 const (
-	// retryNoConfig is for a host that has no configuration yet; it reads the platform
-	// at once when it starts. Not measured.
+	// retryNoConfig is for a host that has no configuration yet; it reads the platform at
+	// once when it starts.
 	retryNoConfig = 300 * time.Millisecond
 	// retryNoUpstream is for groups without an upstream: one that is gone is replaced
-	// within about a second. Not measured.
+	// within about a second.
 	retryNoUpstream = 200 * time.Millisecond
 	// retryLeast is the least time after calls were refused, so that a caller does not
 	// meet the same queue: an upstream that shed a call gets nothing for 5 ms at first.
 	// With times from 20 ms on in place of 200 ms, the worth was level and callers were
 	// served sooner.
 	retryLeast = 20 * time.Millisecond
-	// retrySpread is the fraction by which the time is made longer at random, at most,
-	// so that callers refused together do not come back together. Not measured.
+	// retrySpread is the fraction by which the time is made longer at random, at most, so
+	// that callers refused together do not come back together.
 	retrySpread = 0.5
 )
 
--- a/tier/pass/relay_client.go
+++ b/tier/pass/relay_client.go
@@ -22,18 +22,15 @@
 	// hedgesDue is when the first sign is due for a batch of hedges, of which each call
 	// is reported as it ends: upstreams that pause answer within that time.
 	hedgesDue = policy.LingerFor
-	// firstReplyReserve is how much earlier than the hedges of its calls the first
-	// reply to a batch is due: when replies came just after the hedges, there were 27%
-	// extra calls. The time itself is not measured.
+	// firstReplyReserve is how much earlier than the hedges of its calls the first reply to
+	// a batch is due: when replies came just after the hedges, there were 27% extra calls.
 	firstReplyReserve = 4 * time.Millisecond
-	// firstReplyLeast is the least time that the calls have until the first reply. Not
-	// measured.
+	// firstReplyLeast is the least time that the calls have until the first reply.
 	firstReplyLeast = 5 * time.Millisecond
-	// progressBacklog is how many progress messages of a batch may wait to be taken
-	// in. Not measured.
+	// progressBacklog is how many progress messages of a batch may wait to be taken in.
 	progressBacklog = 64
-	// progressGrace is how long progress messages that were sent before the last reply
-	// may come after it. Not measured.
+	// progressGrace is how long progress messages that were sent before the last reply may
+	// come after it.
 	progressGrace = 20 * time.Millisecond
 )
 
@@ -53,9 +50,8 @@
 
 // Batches implements runner.Batcher: calls to upstreams of one other hall go together
 // through a relay there. Even a single call does: the relay has connections to the
-// upstream, and making one from afar takes longer than the call. Measured in simulated
-// time: with single calls through relays too, partial gathers fell from 374 to 248. Calls
-// to a cold upstream go through its owner, whatever the hall.
+// upstream, and making one from afar takes longer than the call. Calls to a cold
+// upstream go through its owner, whatever the hall.
 func (q *request) Batches(sends []policy.Action) (batches []runner.Batch, apart []policy.Action) {
 	if q.route.Gather == nil {
 		return nil, sends
--- a/tier/pass/relay_records.go
+++ b/tier/pass/relay_records.go
@@ -14,19 +14,19 @@
 
 const (
 	// spareRecords is how many records are sent beyond the expected number and its
-	// deviations. Not measured.
+	// deviations.
 	spareRecords = 2
 	// spareDeviations is how many standard deviations of that number are sent besides;
 	// with three, about one answer in a thousand needs more.
 	spareDeviations = 3
-	// leftOutGrace is how long records that were left out are kept after the deadline
-	// of their batch. Not measured.
+	// leftOutGrace is how long records that were left out are kept after the deadline of
+	// their batch.
 	leftOutGrace = time.Second
-	// allRecordsFor is how long relays send all records of a route after some were
-	// lacking: its great records are not spread evenly over the shards. Not measured.
+	// allRecordsFor is how long relays send all records of a route after some were lacking:
+	// its great records are not spread evenly over the shards.
 	allRecordsFor = time.Minute
 	// recordsBound is how long fetching the records that lack may take; the answer is
-	// complete but for them. Not measured.
+	// complete but for them.
 	recordsBound = 100 * time.Millisecond
 )
 
--- a/tier/pass/relay_report.go
+++ b/tier/pass/relay_report.go
@@ -3,11 +3,10 @@
 import "time"
 
 const (
-	// failureDelay is how long a reply waits after a failed call for other calls to
-	// end: one message costs as much as several calls of one. Not measured.
+	// failureDelay is how long a reply waits after a failed call for other calls to end:
+	// one message costs as much as several calls of one.
 	failureDelay = 2 * time.Millisecond
-	// progressDelay is the same after any call once the first reply was due. Not
-	// measured.
+	// progressDelay is the same after any call once the first reply was due.
 	progressDelay = 8 * time.Millisecond
 )
 
--- a/tier/pass/relay_server.go
+++ b/tier/pass/relay_server.go
@@ -21,9 +21,9 @@
 // owns an upstream's slots makes a single call for a host of the same hall.
 
 const (
-	// maxBatchCalls bounds the calls of one message. Not measured.
+	// maxBatchCalls bounds the calls of one message.
 	maxBatchCalls = 4096
-	// maxBatchTime bounds how long another host may keep calls going. Not measured.
+	// maxBatchTime bounds how long another host may keep calls going.
 	maxBatchTime = 10 * time.Minute
 )
 
--- a/tier/pass/shares.go
+++ b/tier/pass/shares.go
@@ -7,31 +7,26 @@
 )
 
 const (
-	// leastHosts is the number of hosts that shares are made for while fewer are
-	// known: a host that has just started knows of none. With it no retry budget was
-	// exceeded on any day of a hunt; other values are not measured.
+	// leastHosts is the number of hosts that shares are made for while fewer are known: a
+	// host that has just started knows of none.
 	leastHosts = 8
-	// leastInHall is the same for the hosts of this host's hall. Not measured.
+	// leastInHall is the same for the hosts of this host's hall.
 	leastInHall = 4
 	// hostsTolerance is the change in the number of hosts, as a fraction, that leaves
-	// shares as they are. Where hundreds of hosts start, each hears of a few others
-	// with every heartbeat: shares of 540 upstreams were worked out 290 times without
-	// it and some 40 times with it.
+	// shares as they are. Where hundreds of hosts start, each hears of a few others with
+	// every heartbeat, and would work out the shares of all upstreams each time.
 	hostsTolerance = 0.1
-	// nearConnections is the part of an upstream's connections that the hosts of its
-	// own hall share. What it and farConnections leave is for hosts that are being
-	// replaced. Not measured.
+	// nearConnections is the part of an upstream's connections that the hosts of its own
+	// hall share. What it and farConnections leave is for hosts that are being replaced.
 	nearConnections = 0.65
-	// farConnections is the part that the hosts of all other halls share. Calls from
-	// there go through relays, so that few of these hosts connect to the upstream.
-	// Not measured.
+	// farConnections is the part that the hosts of all other halls share. Calls from there
+	// go through relays, so that few of these hosts connect to the upstream.
 	farConnections = 0.25
-	// burstShare is how many times its even part of the connections a host may use:
-	// hosts are not all busy with one upstream at the same moment. Not measured.
+	// burstShare is how many times its even part of the connections a host may use: hosts
+	// are not all busy with one upstream at the same moment.
 	burstShare = 2
-	// slackShare is the part of the slack of retries that hosts divide; a host may not
-	// know of all others. With it no retry budget was exceeded on any day of a hunt;
-	// other values are not measured.
+	// slackShare is the part of the slack of retries that hosts divide; a host may not know
+	// of all others.
 	slackShare = 0.9
 )
 
--- a/tier/pass/start.go
+++ b/tier/pass/start.go
@@ -10,12 +10,11 @@
 
 const (
 	// startBound is the age of the process up to which a request waits for the first
-	// configuration: twice what that takes if the platform answers, 20 to 75 ms after
-	// the listener opens. Without it, five to six requests of each restart of all hosts
+	// configuration: twice what that takes if the platform answers. Without it, requests
 	// are refused because the configuration arrives a few milliseconds later.
 	startBound = 150 * time.Millisecond
-	// confirmBound is the age of the process from which it serves on a document that
-	// nobody has confirmed to be the newest. Not measured.
+	// confirmBound is the age of the process from which it serves on a document that nobody
+	// has confirmed to be the newest.
 	confirmBound = 5 * time.Second
 )
 
--- a/tier/peers/announcement.go
+++ b/tier/peers/announcement.go
@@ -17,12 +17,12 @@
 const methodAnnounce = "Announce"
 
 const (
-	// announceEvery is the time between announcements if nothing changes. Not measured.
+	// announceEvery is the time between announcements if nothing changes.
 	announceEvery = 400 * time.Millisecond
-	// announceGap is the least time between two announcements without a change, so that
-	// the regular one is left out after one of a change. Not measured.
+	// announceGap is the least time between two announcements without a change, so that the
+	// regular one is left out after one of a change.
 	announceGap = announceEvery / 2
-	// announceBound is how long a call that announces may take. Not measured.
+	// announceBound is how long a call that announces may take.
 	announceBound = time.Second
 )
 
--- a/tier/peers/conn.go
+++ b/tier/peers/conn.go
@@ -21,8 +21,8 @@
 
 const (
 	// writeBound is how long a peer may leave what is written unread. Without it an
-	// unresponsive peer would hold up all callers of its connection, since each write
-	// waits for the one before. Not measured.
+	// unresponsive peer would hold up all callers of its connection, since each write waits
+	// for the one before.
 	writeBound = 2 * time.Second
 	// silentBound is how long a peer may leave calls unanswered until its connection is
 	// replaced: longer than an answer takes on a busy host (up to 100 ms). Without it a
--- a/tier/peers/feed.go
+++ b/tier/peers/feed.go
@@ -12,11 +12,9 @@
 )
 
 const (
-	// changePause is the pause after a change, so that a burst of changes costs one
-	// read. Not measured.
+	// changePause is the pause after a change, so that a burst of changes costs one read.
 	changePause = 300 * time.Millisecond
-	// rolePause is how often a host that does not read checks whether it is to. Not
-	// measured.
+	// rolePause is how often a host that does not read checks whether it is to.
 	rolePause = 200 * time.Millisecond
 )
 
--- a/tier/peers/fetch.go
+++ b/tier/peers/fetch.go
@@ -23,15 +23,13 @@
 )
 
 const (
-	// maxDirectory is the most bytes of text that a directory of a peer may have. Not
-	// measured.
+	// maxDirectory is the most bytes of text that a directory of a peer may have.
 	maxDirectory = 8 << 20
 	// directoryAgain is how long a host waits, after it asked for the directory on an
-	// announcement, until it does so again. Not measured.
+	// announcement, until it does so again.
 	directoryAgain = 500 * time.Millisecond
-	// firstFetchBound is how long the first try of a fetch may take. A change must be
-	// in force within seconds, also at a host whose connections have all gone silent.
-	// Not measured.
+	// firstFetchBound is how long the first try of a fetch may take. A change must be in
+	// force within seconds, also at a host whose connections have all gone silent.
 	firstFetchBound = 500 * time.Millisecond
 )
 
--- a/tier/peers/heartbeat.go
+++ b/tier/peers/heartbeat.go
@@ -24,11 +24,10 @@
 	// handoverShare is the part of a host's live members that another knows at most, to
 	// which it hands them all over.
 	handoverShare = 0.98
-	// startInterval is the time between the heartbeats of a host that starts, when it
-	// knows nobody: all hosts may have been started at once. Not measured.
+	// startInterval is the time between the heartbeats of a host that starts, when it knows
+	// nobody: all hosts may have been started at once.
 	startInterval = 200 * time.Millisecond
-	// startHeartbeats is how many heartbeats a host sends at that interval. Not
-	// measured.
+	// startHeartbeats is how many heartbeats a host sends at that interval.
 	startHeartbeats = 8
 	// confirmFresh is how long ago a document must have been the newest one, for a
 	// heartbeat to confirm it.
@@ -36,8 +35,8 @@
 	// heartbeatBound is how long a heartbeat may take. A host of the same hall that has
 	// not answered by then is asked once more, and suspected if it does not answer that.
 	heartbeatBound = 500 * time.Millisecond
-	// maxMembers is the most members that are known without a document, so that what a
-	// peer makes up does not fill the memory. Not measured.
+	// maxMembers is the most members that are known without a document, so that what a peer
+	// makes up does not fill the memory.
 	maxMembers = 4096
 )
 
--- a/tier/peers/lapse.go
+++ b/tier/peers/lapse.go
@@ -7,12 +7,12 @@
 )
 
 const (
-	// lapseHold is how long an upstream stays listed that was gone when the platform
-	// came back: its entry may have lapsed meanwhile, and it lists itself again within
-	// about two seconds. Not measured alone.
+	// lapseHold is how long an upstream stays listed that was gone when the platform came
+	// back: its entry may have lapsed meanwhile, and it lists itself again within about two
+	// seconds.
 	lapseHold = 2500 * time.Millisecond
 	// lapseLate is how long after its return the platform may still remove what lapsed
-	// while it was away. Not measured.
+	// while it was away.
 	lapseLate = time.Second
 )
 
--- a/tier/peers/node.go
+++ b/tier/peers/node.go
@@ -20,13 +20,12 @@
 var ErrNoPeer = errors.New("peer not reached")
 
 const (
-	// dialBound is how long making a connection to a peer may take. Not measured.
+	// dialBound is how long making a connection to a peer may take.
 	dialBound = time.Second
-	// callBound is how long a heartbeat, a fetch or an exchange of strikes may take. Not
-	// measured.
+	// callBound is how long a heartbeat, a fetch or an exchange of strikes may take.
 	callBound = 2 * time.Second
 	// acceptPause is the pause after a connection could not be accepted: shorter than
-	// silentBound, at which callers replace the connection. Not measured.
+	// silentBound, at which callers replace the connection.
 	acceptPause = 100 * time.Millisecond
 	// codeHandlerFailed is the JSON-RPC error code of a handler's own error: the first
 	// of those that JSON-RPC 2.0 leaves to servers.
--- a/tier/peers/outage.go
+++ b/tier/peers/outage.go
@@ -6,15 +6,13 @@
 )
 
 const (
-	// awayAfter is how long reads must fail until the platform counts as away. Not
-	// measured.
+	// awayAfter is how long reads must fail until the platform counts as away.
 	awayAfter = 500 * time.Millisecond
 	// retryLeast is the pause after the first read that failed; each further one waits
-	// twice as long. Not measured.
+	// twice as long.
 	retryLeast = 100 * time.Millisecond
-	// retryMost is the longest pause after a read that failed: a platform that is back
-	// must be read well within the seconds in which a document has to be in force. Not
-	// measured.
+	// retryMost is the longest pause after a read that failed: a platform that is back must
+	// be read well within the seconds in which a document has to be in force.
 	retryMost = time.Second
 )
 
--- a/tier/peers/partners.go
+++ b/tier/peers/partners.go
@@ -11,32 +11,29 @@
 )
 
 const (
-	// hallPartners is how many hosts of its own hall a heartbeat goes to. With it 117
-	// hosts know one another within 40 heartbeats (TestGossipReachesAHall).
+	// hallPartners is how many hosts of its own hall a heartbeat goes to.
 	hallPartners = 2
 	// suspectPartners is how many hosts of its hall that are suspected it goes to besides.
 	suspectPartners = 1
 	// otherHallPartners is how many hosts of other halls a heartbeat that goes there is
-	// sent to. Not measured.
+	// sent to.
 	otherHallPartners = 1
 	// meetHeartbeats is for how many heartbeats after its start a host that announces has
 	// them go to all halls.
 	meetHeartbeats = 15
 	// silentPartners is how many silent hosts a heartbeat that goes to one is sent to.
-	// Not measured.
 	silentPartners = 1
-	// seedPartners is how many seeds a heartbeat that goes to seeds is sent to. Not
-	// measured.
+	// seedPartners is how many seeds a heartbeat that goes to seeds is sent to.
 	seedPartners = 2
-	// otherHallEvery has every so many heartbeats go to another hall too. Not measured.
+	// otherHallEvery has every so many heartbeats go to another hall too.
 	otherHallEvery = 3
-	// otherHallRarer is how many times more rarely those of a host go there whose hall
-	// has a reader, which sends them: bytes between halls are dear. Not measured alone.
+	// otherHallRarer is how many times more rarely those of a host go there whose hall has
+	// a reader, which sends them: bytes between halls are dear.
 	otherHallRarer = 5
-	// silentEvery has every so many heartbeats go to a silent host too. Not measured.
+	// silentEvery has every so many heartbeats go to a silent host too.
 	silentEvery = 2
 	// seedEvery has every so many heartbeats go to seeds that are no members: so a host
-	// that was cut off finds the others again. Not measured.
+	// that was cut off finds the others again.
 	seedEvery = 5
 )
 
--- a/tier/peers/plugin.go
+++ b/tier/peers/plugin.go
@@ -8,8 +8,8 @@
 	"loomgap/tier/kernel"
 )
 
-// defaultHeartbeat is the time between heartbeats if the settings give none. Not
-// measured; CAPACITY.md gives the cost by the size of a hall.
+// defaultHeartbeat is the time between heartbeats if the settings give none. CAPACITY.md
+// gives the cost by the size of a hall.
 const defaultHeartbeat = time.Second
 
 // plugin joins the entry hosts.
--- a/tier/peers/reader.go
+++ b/tier/peers/reader.go
@@ -25,22 +25,21 @@
 // whether it announces to its hall, Reads whether it reads the platform.
 
 const (
-	// announceLost is how long a host goes without announcements before another takes
-	// over: three lost messages. A change must be in force within seconds though the
-	// reader is gone. Not measured.
+	// announceLost is how long a host goes without announcements before another takes over:
+	// three lost messages. A change must be in force within seconds though the reader is
+	// gone.
 	announceLost = 1300 * time.Millisecond
 	// takeoverStep is how long each host of a hall waits for each one ranked before it,
-	// once nobody announces any more. Without it, 49 hosts that took over at once and
-	// announced to one another held up requests for two seconds when the platform was
-	// away; with it 5 of 117 take over at most (TestFewTakeOverFromALostReader).
+	// once nobody announces any more. Without it, all hosts of a hall take over at once
+	// and hold up requests by announcing to one another.
 	takeoverStep = 50 * time.Millisecond
-	// takeoverStepsMost is the most steps that a host waits: a second. Not measured.
+	// takeoverStepsMost is the most steps that a host waits: a second.
 	takeoverStepsMost = 20
-	// spreadSteps is over how many steps the announcers of several halls are spread:
-	// they do not know how they rank among one another. Not measured.
+	// spreadSteps is over how many steps the announcers of several halls are spread: they
+	// do not know how they rank among one another.
 	spreadSteps = 5
-	// failedReadersMost is how many hosts of a hall, or halls, try to read a platform
-	// that does not answer: it may turn some hosts away and serve others. Not measured.
+	// failedReadersMost is how many hosts of a hall, or halls, try to read a platform that
+	// does not answer: it may turn some hosts away and serve others.
 	failedReadersMost = 3
 	// secondReadLeast is the least age of a starting host at which it may read the
 	// platform beyond its first read, which may be an old one since an old one costs a
@@ -48,8 +47,8 @@
 	// hosts that start together asks the platform whether its first read was old, some
 	// 295 calls a start.
 	secondReadLeast = 300 * time.Millisecond
-	// secondReadSpread is over how long the second reads of starting hosts are spread;
-	// it ends before a change is due. Not measured alone.
+	// secondReadSpread is over how long the second reads of starting hosts are spread; it
+	// ends before a change is due.
 	secondReadSpread = 1200 * time.Millisecond
 	// slowAnswer is how long the answer to a watch may take beyond the time that the
 	// watch waits: that of a platform 60 times slower than its 4 ms, and a busy host.
--- a/tier/peers/restore.go
+++ b/tier/peers/restore.go
@@ -19,7 +19,7 @@
 
 // settleAfter is how long after a reader first read an era what stands in the platform
 // holds. An upstream that is gone is listed by a copy for three silent status reports of
-// 1.2 s each; the rest is a margin for a platform that answers late. Not measured.
+// 1.2 s each; the rest is a margin for a platform that answers late.
 const settleAfter = 5 * time.Second
 
 // restore follows the eras of the platform for the host that reads it. All times are
--- a/tier/peers/strikes.go
+++ b/tier/peers/strikes.go
@@ -38,25 +38,23 @@
 	// out (e to the power of -8), and then learns by exchange.
 	strikesInHall = 8
 	// strikesElsewhere is how many hosts of each other hall new strikes are reported to.
-	// Not measured alone.
 	strikesElsewhere = 2
-	// strikesTargets is the most hosts that one report goes to, whatever the halls. Not
-	// measured.
+	// strikesTargets is the most hosts that one report goes to, whatever the halls.
 	strikesTargets = 16
 	// exchangeEvery is how often a host that knows of strikes exchanges them with
-	// another. By it a host that was cut off, or has started, learns of them within
-	// three seconds (TestHostThatWasAwayLearnsOfStrikes).
+	// another, so that a host that was cut off, or has started, learns of them within
+	// seconds.
 	exchangeEvery = time.Second
-	// exchangeElsewhere has every so many exchanges go to another hall. Not measured.
+	// exchangeElsewhere has every so many exchanges go to another hall.
 	exchangeElsewhere = 3
-	// exchangePartners is how many hosts an exchange is made with. Not measured.
+	// exchangePartners is how many hosts an exchange is made with.
 	exchangePartners = 1
-	// startExchanges is how many hosts a host that starts asks. Not measured.
+	// startExchanges is how many hosts a host that starts asks.
 	startExchanges = 2
-	// maxFingerprint is the most bytes of a fingerprint in a message. Not measured.
+	// maxFingerprint is the most bytes of a fingerprint in a message.
 	maxFingerprint = 64
-	// maxReportedStrikes is the most strikes of one request in a message. Not measured;
-	// a host remembers fewer.
+	// maxReportedStrikes is the most strikes of one request in a message. A host remembers
+	// fewer.
 	maxReportedStrikes = 64
 )
 
--- a/tier/peers/watch.go
+++ b/tier/peers/watch.go
@@ -16,26 +16,23 @@
 )
 
 const (
-	// readBound is how long an answer may take beside the time that the read waits. Not
-	// measured.
+	// readBound is how long an answer may take beside the time that the read waits.
 	readBound = 2 * time.Second
-	// readPause is the pause of a host that does not watch, and after a live list that
-	// did not change; after a failed read the pause is once to twice as long. Not
-	// measured.
+	// readPause is the pause of a host that does not watch, and after a live list that did
+	// not change; after a failed read the pause is once to twice as long.
 	readPause = 500 * time.Millisecond
-	// watchersPerHall is how many hosts of a hall watch the platform. Not measured.
+	// watchersPerHall is how many hosts of a hall watch the platform.
 	watchersPerHall = 2
 	// moreWatchers is how many more hosts of a hall watch at most while the platform does
-	// not answer it. Not measured.
+	// not answer it.
 	moreWatchers = 2
-	// silentTurn is how long beyond WatchWait the hall reads nothing before one more
-	// host watches, each time again. Not measured.
+	// silentTurn is how long beyond WatchWait the hall reads nothing before one more host
+	// watches, each time again.
 	silentTurn = 5 * time.Second
-	// defaultWatchWait is how long a read waits for a change if the settings give
-	// nothing. Not measured.
+	// defaultWatchWait is how long a read waits for a change if the settings give nothing.
 	defaultWatchWait = 10 * time.Second
-	// replyFactor is how many times the bytes of the largest document a reply may have:
-	// the document is a string in JSON there, which is longer. Not measured.
+	// replyFactor is how many times the bytes of the largest document a reply may have: the
+	// document is a string in JSON there, which is longer.
 	replyFactor = 2
 )
 
--- a/tier/policy/admit.go
+++ b/tier/policy/admit.go
@@ -8,10 +8,9 @@
 
 const (
 	// coverageExpected is the share of the parts that must be expected in time for a
-	// request to be admitted, if its class asks for no less. Not measured.
+	// request to be admitted, if its class asks for no less.
 	coverageExpected = 0.9
-	// costWeight is the weight of the last request in the smoothed cost of a class. Not
-	// measured.
+	// costWeight is the weight of the last request in the smoothed cost of a class.
 	costWeight = 0.05
 )
 
@@ -80,12 +79,9 @@
 
 // Shares of the slack that expected work may fill.
 const (
-	// allowedLeast is the share for the requests of least worth per cost. Measured with
-	// allowedMost and the other rules: at twice the load that the slots can carry, the
-	// worth answered is 2,580 a second, with the plain policy 1,008.
+	// allowedLeast is the share for the requests of least worth per cost.
 	allowedLeast = 0.2
-	// allowedMost is the share for those of most worth per cost. Measured with
-	// allowedLeast.
+	// allowedMost is the share for those of most worth per cost.
 	allowedMost = 0.75
 )
 
--- a/tier/policy/backoff.go
+++ b/tier/policy/backoff.go
@@ -5,13 +5,11 @@
 	"time"
 )
 
-// Constants of the backoff after sheds. Measured as a whole (replayed, upstreams whose
-// health reports are wrong): extra load 1.80%, without it 2.73. No figure was varied by
-// itself.
+// Constants of the backoff after sheds. No figure was varied by itself.
 const (
-	// backoffFirst is the backoff after the first shed. Not measured by itself.
+	// backoffFirst is the backoff after the first shed.
 	backoffFirst = 5 * time.Millisecond
-	// backoffLongest is the longest backoff. Not measured by itself.
+	// backoffLongest is the longest backoff.
 	backoffLongest = time.Second
 )
 
--- a/tier/policy/borrowing.go
+++ b/tier/policy/borrowing.go
@@ -1,19 +1,15 @@
 package policy
 
-// Constants of borrowing. Measured as a whole (loomfake replay, small services at 80%
-// use, upstreams that queue four calls): the 99th percentile is 33.7 ms, with shares
-// alone 65.5. No figure was varied by itself.
+// Constants of borrowing. No figure was varied by itself.
 const (
-	// borrowFirst is the least number of calls not shed until one more slot is
-	// borrowed. Not measured by itself.
+	// borrowFirst is the least number of calls not shed until one more slot is borrowed.
 	borrowFirst = 16
-	// borrowLatest is the greatest such number. Not measured.
+	// borrowLatest is the greatest such number.
 	borrowLatest = 1 << 16
-	// borrowGrowth is how many times as many calls are needed after a shed of
-	// borrowed slots. Not measured.
+	// borrowGrowth is how many times as many calls are needed after a shed of borrowed
+	// slots.
 	borrowGrowth = 4
-	// borrowDecay is by what the number is divided when borrowing goes well. Not
-	// measured.
+	// borrowDecay is by what the number is divided when borrowing goes well.
 	borrowDecay = 2
 )
 
--- a/tier/policy/budget.go
+++ b/tier/policy/budget.go
@@ -1,13 +1,12 @@
 package policy
 
 const (
-	// budgetStart is the number of tokens that a class begins with at a host. Not
-	// measured.
+	// budgetStart is the number of tokens that a class begins with at a host.
 	budgetStart = 4.0
-	// budgetDepth is the number of tokens that may be saved up. Not measured.
+	// budgetDepth is the number of tokens that may be saved up.
 	budgetDepth = 64.0
 	// budgetRequests is the number of requests of the present size whose tokens may be
-	// saved up, if these are more than budgetDepth. Not measured.
+	// saved up, if these are more than budgetDepth.
 	budgetRequests = 2
 )
 
--- a/tier/policy/choose.go
+++ b/tier/policy/choose.go
@@ -12,8 +12,8 @@
 // Constants of scores, which are expected times in seconds. Penalties put upstreams in
 // tiers: each is larger than the sum of those before it, and than any latency.
 const (
-	// scoreJitter is the greatest random part of a score, which decides between
-	// upstreams that score alike. Not measured.
+	// scoreJitter is the greatest random part of a score, which decides between upstreams
+	// that score alike.
 	scoreJitter = 0.05
 	// stalledPenalty applies to an unresponsive upstream, in seconds. Only its order
 	// matters.
@@ -61,13 +61,11 @@
 }
 
 const (
-	// farFactor multiplies the score of an upstream of another data hall than this
-	// host's: bytes between halls are expensive, and distance does not pass. Measured:
-	// 1 in its place makes no difference to worth.
+	// farFactor multiplies the score of an upstream of another data hall than this host's:
+	// bytes between halls are expensive, and distance does not pass.
 	farFactor = 1.25
-	// faultCost is what a call without a usable answer costs in time, so that an
-	// upstream which fails a part of its calls loses to one that is slower. Measured
-	// with the rule as a whole: worth rose from 0.709 to 0.831 in simulated time.
+	// faultCost is what a call without a usable answer costs in time, so that an upstream
+	// which fails a part of its calls loses to one that is slower.
 	faultCost = 500 * time.Millisecond
 )
 
--- a/tier/policy/class.go
+++ b/tier/policy/class.go
@@ -8,15 +8,14 @@
 )
 
 const (
-	// classTries is the number of attempts, queued ones included, for one part of a
-	// request of a class. Not measured.
+	// classTries is the number of attempts, queued ones included, for one part of a request
+	// of a class.
 	classTries = 4
 	// classRetryRatio is the number of retries that each part of a request of a class
-	// earns. Measured: with 0.1 all shards are covered where an upstream's health endpoint lies,
-	// for 1.80% extra calls.
+	// earns.
 	classRetryRatio = 0.1
-	// classHedgeDivisor divides the time to the deadline: a call is hedged after that
-	// part of it while the latencies of the service are not known. Not measured.
+	// classHedgeDivisor divides the time to the deadline: a call is hedged after that part
+	// of it while the latencies of the service are not known.
 	classHedgeDivisor = 3
 )
 
@@ -57,8 +56,8 @@
 	return max(c.pool.quantile(c.class.HedgeQuantile), hedgeLeast)
 }
 
-// hedgesAtSame is true, since a call that straggles says little about the next call to the
-// same upstream. Measured: 46.8 ms in place of 74.9 ms at the 99th percentile.
+// hedgesAtSame is true, since a call that straggles says little about the next call to
+// the same upstream.
 func (c *classRules) hedgesAtSame() bool { return true }
 
 func (c *classRules) barred(time.Duration, *Upstream) bool { return false }
--- a/tier/policy/cold.go
+++ b/tier/policy/cold.go
@@ -3,14 +3,14 @@
 import "time"
 
 const (
-	// coldOwners is how many hosts may believe at a time that they are the owner: one
-	// that was frozen or cut off from its hall does not know of the next. Not measured.
+	// coldOwners is how many hosts may believe at a time that they are the owner: one that
+	// was frozen or cut off from its hall does not know of the next.
 	coldOwners = 2
 	// coldWindow is the time within which calls to a cold upstream are counted: the
 	// configuration gives their rate by the second.
 	coldWindow = time.Second
-	// coldOwnerAge is the age of the process before which a host is no owner: for its
-	// first heartbeats it knows no other host and would own everything. Not measured.
+	// coldOwnerAge is the age of the process before which a host is no owner: for its first
+	// heartbeats it knows no other host and would own everything.
 	coldOwnerAge = 3 * time.Second
 )
 
--- a/tier/policy/coldowner.go
+++ b/tier/policy/coldowner.go
@@ -8,8 +8,8 @@
 
 // Hosts share no state: while a cold upstream is throttled one host of its hall, the
 // owner, makes all calls to it; other hosts have the owner make theirs, as they do with
-// calls to other halls. Even shares do not keep the bound: with 300 hosts and a bound of
-// 11 calls, 49 came within a second (replayed); the owner sends 5.
+// calls to other halls. Even shares do not keep the bound where there are more hosts than
+// it allows calls.
 
 // ColdOwner returns the host that makes the calls to a cold upstream: one of the
 // strong hosts of its hall, the same for all that know the same hosts; empty if
--- a/tier/policy/condition.go
+++ b/tier/policy/condition.go
@@ -3,28 +3,26 @@
 import "time"
 
 const (
-	// reportSlow is how many times slower than comparable upstreams one must be to
-	// be reported. Measured with reportFaults: from 1.6 and 0.15 on, reports were two in
-	// five bytes between halls (60 hosts in simulated time).
+	// reportSlow is how many times slower than comparable upstreams one must be to be
+	// reported.
 	reportSlow = 3
-	// reportFaults is the share of calls without a usable answer from which on an
-	// upstream is reported. Measured with reportSlow.
+	// reportFaults is the share of calls without a usable answer from which on an upstream
+	// is reported.
 	reportFaults = 0.25
-	// reportFresh is the greatest age of the last call to an upstream that is
-	// reported: one that all hosts avoid is tried again once reports end. Not
-	// measured.
+	// reportFresh is the greatest age of the last call to an upstream that is reported: one
+	// that all hosts avoid is tried again once reports end.
 	reportFresh = 3 * time.Second
-	// conditionLife is how long a report is believed: one comes with each batch
-	// that the other hall answers. Not measured.
+	// conditionLife is how long a report is believed: one comes with each batch that the
+	// other hall answers.
 	conditionLife = 3 * time.Second
-	// faultWeight is how much one call counts in the share of faults. Not measured.
+	// faultWeight is how much one call counts in the share of faults.
 	faultWeight = 0.1
-	// staleAfter is for how long what this host saw counts in full. Not measured.
+	// staleAfter is for how long what this host saw counts in full.
 	staleAfter = time.Second
-	// staleFull is the age from which on it counts for staleLeast. Not measured.
+	// staleFull is the age from which on it counts for staleLeast.
 	staleFull = 5 * time.Second
-	// staleLeast is the part that what this host saw counts for when it is old, so
-	// that an upstream which was slow is asked again. Not measured.
+	// staleLeast is the part that what this host saw counts for when it is old, so that an
+	// upstream which was slow is asked again.
 	staleLeast = 0.5
 )
 
--- a/tier/policy/coordinator.go
+++ b/tier/policy/coordinator.go
@@ -16,13 +16,11 @@
 	// as one core works on: a call has 1.4 KB on the wire and takes 50 us.
 	linkPerCore = 220
 	// coordinatorAdvantage is how many times the capacity of another host a coordinator
-	// has. A gather of 180 calls takes a host of 0.19 core with a link of 22 Mbit/s some
-	// 140 ms of its own, one of 0.8 core with 200 Mbit/s 20 ms; between hosts alike a
-	// forwarded request costs two messages and gains nothing.
+	// has. Between hosts alike a forwarded request costs two messages and gains nothing.
 	coordinatorAdvantage = 2
-	// coordinatorSlack is the share of the slack of retries that coordinators divide
-	// where there are weaker hosts, 0 to 1. The rest is for those hosts, which make
-	// calls by themselves only where no coordinator answers. Not measured.
+	// coordinatorSlack is the share of the slack of retries that coordinators divide where
+	// there are weaker hosts, 0 to 1. The rest is for those hosts, which make calls by
+	// themselves only where no coordinator answers.
 	coordinatorSlack = 0.8
 )
 
--- a/tier/policy/crashreport.go
+++ b/tier/policy/crashreport.go
@@ -9,10 +9,9 @@
 
 const (
 	// crashReportLife is how long a crash report counts: people mend what a request
-	// crashes, which takes hours. Not measured.
+	// crashes, which takes hours.
 	crashReportLife = 24 * time.Hour
-	// restartLeast is less than an upstream takes to start again and to crash once
-	// more. Not measured.
+	// restartLeast is less than an upstream takes to start again and to crash once more.
 	restartLeast = time.Second
 )
 
--- a/tier/policy/ejection.go
+++ b/tier/policy/ejection.go
@@ -2,16 +2,14 @@
 
 import "time"
 
-// Constants of ejection. Measured among the other rules (loomfake replay, lost
-// replica): 0.9991 of the answers are complete, with the plain policy 0.798. No figure
-// was varied by itself.
+// Constants of ejection. No figure was varied by itself.
 const (
-	// ejectAfter is the number of consecutive failures after which an upstream is
-	// taken out of rotation. Not measured by itself.
+	// ejectAfter is the number of consecutive failures after which an upstream is taken out
+	// of rotation.
 	ejectAfter = 3
-	// ejectFirst is how long the first ejection lasts. Not measured by itself.
+	// ejectFirst is how long the first ejection lasts.
 	ejectFirst = time.Second
-	// ejectLongest is the longest that an ejection lasts. Not measured by itself.
+	// ejectLongest is the longest that an ejection lasts.
 	ejectLongest = 30 * time.Second
 )
 
--- a/tier/policy/hedge.go
+++ b/tier/policy/hedge.go
@@ -8,17 +8,15 @@
 )
 
 const (
-	// hedgeLeast is the least time after which a call is hedged. Not measured.
+	// hedgeLeast is the least time after which a call is hedged.
 	hedgeLeast = 500 * time.Microsecond
 	// hedgeRecheckDivisor divides the hedge delay: a hedge that was not possible is
-	// considered again after that part of it. Not measured.
+	// considered again after that part of it.
 	hedgeRecheckDivisor = 4
 	// batchHedgeDelay is the fixed part of the extra time until a call of a batch is
-	// hedged: the relay's progress report may be late where that host is busy. Measured:
-	// without extra time there are 27% extra calls.
+	// hedged: the relay's progress report may be late where that host is busy.
 	batchHedgeDelay = 15 * time.Millisecond
 	// batchHedgeDivisor divides the hedge delay for the other part of that extra time.
-	// Measured: without it, worth is 0.001 less.
 	batchHedgeDivisor = 2
 )
 
@@ -89,7 +87,7 @@
 // hedge in progress at a time then: calls that all take long are slow for a reason that
 // they share, and other upstreams may share it too. Without it, a request that crashes
 // upstreams a while after they began crashes all replicas of all shards at its first
-// attempt, before the first connection is lost. Measured: level without such requests.
+// attempt, before the first connection is lost.
 func (r *Run) hedgesOneAtATime() bool { return r.suspicion.open() && len(r.parts) > 1 }
 
 func (r *Run) hedgeInProgress() bool {
--- a/tier/policy/isolation.go
+++ b/tier/policy/isolation.go
@@ -9,12 +9,12 @@
 )
 
 const (
-	// isolatedTimeoutFactor is how many times as long as until a hedge an isolated call
-	// may take until another is made in its place, so that one unresponsive upstream
-	// does not hold a request until its deadline. Not measured.
+	// isolatedTimeoutFactor is how many times as long as until a hedge an isolated call may
+	// take until another is made in its place, so that one unresponsive upstream does not
+	// hold a request until its deadline.
 	isolatedTimeoutFactor = 4
-	// isolatedTimeoutsMost is the number of isolated calls that may take too long until
-	// the run ends: their upstreams may crash later, unseen. Not measured.
+	// isolatedTimeoutsMost is the number of isolated calls that may take too long until the
+	// run ends: their upstreams may crash later, unseen.
 	isolatedTimeoutsMost = 2
 )
 
--- a/tier/policy/kind.go
+++ b/tier/policy/kind.go
@@ -28,12 +28,9 @@
 
 const (
 	// declaredWeight is how much a new latency counts in the smoothed one, 0 to 1.
-	// Measured: with a fifth one straggler made an upstream slow for seconds (99th
-	// percentile 196 ms in one run at 8 slots).
 	declaredWeight = 0.1
-	// declaredLeap is how many times the smoothed latency a new one counts for at
-	// most, so that one straggler does not make an upstream an outlier, but four do.
-	// Measured with outlierFrom.
+	// declaredLeap is how many times the smoothed latency a new one counts for at most, so
+	// that one straggler does not make an upstream an outlier, but four do.
 	declaredLeap = 4
 )
 
@@ -49,11 +46,8 @@
 // Constants of the latency of listed upstreams, of which one host sees few calls.
 const (
 	// listedWeight is how much a new latency counts in the smoothed one, 0 to 1.
-	// Measured against 0.1: worth is level on quiet days (0.811 and 0.809), better in
-	// trials with slow upstreams.
 	listedWeight = 0.25
 	// listedLeap is how many times the smoothed latency a new one counts for at most.
-	// Not measured.
 	listedLeap = 8
 )
 
--- a/tier/policy/limit.go
+++ b/tier/policy/limit.go
@@ -1,11 +1,10 @@
 package policy
 
 const (
-	// limitLeast is the least limit, in calls. Not measured by itself.
+	// limitLeast is the least limit, in calls.
 	limitLeast = 2
-	// limitGrowth is how many times the limit in calls must go well until the limit
-	// grows by one. Measured with the rule as a whole: connections that were reset
-	// fell by 34% (827 against 1,246 in 12 runs), worth was level.
+	// limitGrowth is how many times the limit in calls must go well until the limit grows
+	// by one.
 	limitGrowth = 4
 )
 
--- a/tier/policy/load.go
+++ b/tier/policy/load.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// loadLife is how long an upstream's report of its queue is believed; it counts for
-// less as it gets older. Not measured.
+// loadLife is how long an upstream's report of its queue is believed; it counts for less
+// as it gets older.
 const loadLife = 300 * time.Millisecond
 
 // Load is what an upstream reports about its work.
--- a/tier/policy/margin.go
+++ b/tier/policy/margin.go
@@ -16,8 +16,7 @@
 	// marginFirstDeviation is the share of the first time that is taken for its
 	// deviation (RFC 6298).
 	marginFirstDeviation = 1.0 / 2
-	// marginDeviations is the number of mean deviations above the mean that are kept
-	// back. Not measured.
+	// marginDeviations is the number of mean deviations above the mean that are kept back.
 	marginDeviations = 2
 )
 
--- a/tier/policy/outlier.go
+++ b/tier/policy/outlier.go
@@ -3,22 +3,18 @@
 import "time"
 
 const (
-	// outlierFrom is how many medians of its service the latency of an upstream must
-	// exceed to make it an outlier. Measured with outlierUntil and declaredLeap: the
-	// 99th percentile is 31 ms, without the gap and the leap 37.7 to 40 ms (replayed, 8
-	// slots).
+	// outlierFrom is how many medians of its service the latency of an upstream must exceed
+	// to make it an outlier.
 	outlierFrom = 3
 	// outlierUntil is how many medians the latency must come down to until the
 	// upstream is no outlier. It is well below outlierFrom: calls that are hedged and
 	// cancelled show a slow upstream less slow than it is, and without the gap it
 	// would be trusted again and again.
 	outlierUntil = 1.5
-	// outlierLeast is by how much the latency must exceed the median besides: where
-	// calls take microseconds, three medians are noise. Not measured.
+	// outlierLeast is by how much the latency must exceed the median besides: where calls
+	// take microseconds, three medians are noise.
 	outlierLeast = time.Millisecond
-	// probeEvery is the least time between two probes of one outlier. Not measured
-	// by itself; with it an upstream that starts slow is found well again within
-	// the replayed run.
+	// probeEvery is the least time between two probes of one outlier.
 	probeEvery = 100 * time.Millisecond
 )
 
--- a/tier/policy/pool.go
+++ b/tier/policy/pool.go
@@ -7,31 +7,29 @@
 )
 
 const (
-	// poolLowest is the least latency that is told from others, in microseconds. Not
-	// measured.
+	// poolLowest is the least latency that is told from others, in microseconds.
 	poolLowest = 1
 	// poolHighest is the greatest latency, in microseconds: a minute, longer than any
-	// request of today takes. Not measured.
+	// request of today takes.
 	poolHighest = 60_000_000
 	// poolDigits is the number of significant digits of a latency, 1 to 5 for the
-	// histogram. Not measured.
+	// histogram.
 	poolDigits = 2
-	// poolRefresh is the number of new latencies after which quantiles are read from
-	// the histogram anew. Not measured.
+	// poolRefresh is the number of new latencies after which quantiles are read from the
+	// histogram anew.
 	poolRefresh = 64
-	// poolWindow is the number of latencies after which older ones are dropped, in the
-	// pool of a service. Not measured.
+	// poolWindow is the number of latencies after which older ones are dropped, in the pool
+	// of a service.
 	poolWindow = 20_000
-	// routedWindow is the same in the pool of a route, whose requests go to other
-	// upstreams from one moment to the next. Not measured.
+	// routedWindow is the same in the pool of a route, whose requests go to other upstreams
+	// from one moment to the next.
 	routedWindow = 2_000
-	// poolSettled divides the window: quantiles are those of the window before until
-	// so large a part of the present one has come. Not measured.
+	// poolSettled divides the window: quantiles are those of the window before until so
+	// large a part of the present one has come.
 	poolSettled = 4
-	// poolEnough is the number of latencies from which on a pool is known. Not
-	// measured.
+	// poolEnough is the number of latencies from which on a pool is known.
 	poolEnough = 50
-	// poolFallback is the median of a pool that is not known. Not measured.
+	// poolFallback is the median of a pool that is not known.
 	poolFallback = 10 * time.Millisecond
 )
 
--- a/tier/policy/quarantine.go
+++ b/tier/policy/quarantine.go
@@ -6,19 +6,18 @@
 )
 
 const (
-	// quarantineAttempts is the number of attempts of a request, and of crashes, that
-	// must be reported until it is refused; one of them isolated. Measured: with 1,
-	// 0.22 of the attempts of sound requests are refused by mistake, with 2 it is 0.09.
+	// quarantineAttempts is the number of attempts of a request, and of crashes, that must
+	// be reported until it is refused; one of them isolated.
 	quarantineAttempts = 2
-	// otherCallersLeast is the number of callers whose reports have the request of
-	// another caller refused. Not measured.
+	// otherCallersLeast is the number of callers whose reports have the request of another
+	// caller refused.
 	otherCallersLeast = 2
-	// quarantineFirst is how long after its last report a request is refused at first.
-	// Then it may show again what it does, at one upstream: it crashes some six in its
-	// first day. Not measured.
+	// quarantineFirst is how long after its last report a request is refused at first. Then
+	// it may show again what it does, at one upstream: it crashes some six in its first
+	// day.
 	quarantineFirst = 2 * time.Minute
 	// quarantineGrowth is how many times as long a request is refused with each further
-	// isolated crash, up to crashReportLife. Not measured.
+	// isolated crash, up to crashReportLife.
 	quarantineGrowth = 5
 )
 
--- a/tier/policy/queue.go
+++ b/tier/policy/queue.go
@@ -6,7 +6,6 @@
 )
 
 // queuePerSlot bounds the queue of an upstream, in calls for each slot of the share.
-// Not measured.
 const queuePerSlot = 256
 
 // The place of a waiter that is not in a queue; one that is has its index, 0 or more.
--- a/tier/policy/retry.go
+++ b/tier/policy/retry.go
@@ -3,11 +3,11 @@
 import "time"
 
 const (
-	// shedPauseLeast is the least pause before an upstream that shed a call is asked
-	// again, in median latencies of like calls. Not measured.
+	// shedPauseLeast is the least pause before an upstream that shed a call is asked again,
+	// in median latencies of like calls.
 	shedPauseLeast = 0.5
 	// shedPauseSpread is by how many medians the pause is longer at most, at random, so
-	// that calls which were shed together do not come back together. Not measured.
+	// that calls which were shed together do not come back together.
 	shedPauseSpread = 1.0
 )
 
--- a/tier/policy/retryafter.go
+++ b/tier/policy/retryafter.go
@@ -8,10 +8,9 @@
 
 const (
 	// leastRetryAfter is the least time after which a refused caller is to come back.
-	// Not measured.
 	leastRetryAfter = 10 * time.Millisecond
 	// retryAfterSpread is the share by which that time is longer at most, at random, so
-	// that callers refused together do not come back together. Not measured.
+	// that callers refused together do not come back together.
 	retryAfterSpread = 1.0
 )
 
--- a/tier/policy/routed.go
+++ b/tier/policy/routed.go
@@ -12,26 +12,25 @@
 	// have, those that were turned away included, so that a group that sheds is not asked
 	// forever. A part with more upstreams may ask each once.
 	routedSends = 4
-	// hedgeLatest is the share of the objective after which a call is hedged at the
-	// latest, while it is not known how long calls to other halls take. Not measured.
+	// hedgeLatest is the share of the objective after which a call is hedged at the latest,
+	// while it is not known how long calls to other halls take.
 	hedgeLatest = 0.4
 	// hedgeDone is the share of the objective by which a hedge is to be answered, if it
-	// takes no longer than hedgeFarQuantile of the far calls. Measured: 0.65 together with
-	// 0.8 as hedgeEarliest serves no more requests.
+	// takes no longer than hedgeFarQuantile of the far calls.
 	hedgeDone = 0.8
 	// hedgeFarQuantile is the quantile of the latencies of far calls that a hedge is
-	// expected to take. Not measured.
+	// expected to take.
 	hedgeFarQuantile = 0.8
-	// hedgeEarliest is the quantile of the latencies of like calls before which no call
-	// is hedged: where calls are slow because hosts or upstreams are busy, more of them
-	// make it worse. Measured together with hedgeDone.
+	// hedgeEarliest is the quantile of the latencies of like calls before which no call is
+	// hedged: where calls are slow because hosts or upstreams are busy, more of them make
+	// it worse.
 	hedgeEarliest = 0.9
 	// hedgeUnknown is the share of the objective after which a call is hedged while the
-	// latencies of like calls are not known. Not measured.
+	// latencies of like calls are not known.
 	hedgeUnknown = 0.25
-	// otherHallFactor multiplies the score of an upstream that is neither near nor in
-	// the preferred hall. It is more than latencies of like upstreams differ, so that
-	// calls to other halls go there together. Not measured.
+	// otherHallFactor multiplies the score of an upstream that is neither near nor in the
+	// preferred hall. It is more than latencies of like upstreams differ, so that calls to
+	// other halls go there together.
 	otherHallFactor = 1.2
 )
 
--- a/tier/policy/run.go
+++ b/tier/policy/run.go
@@ -66,7 +66,7 @@
 }
 
 // spareAttempts is the room for hedges and retries that a run is made with, so that few
-// runs need more memory for them. Not measured.
+// runs need more memory for them.
 const spareAttempts = 4
 
 // NewRun prepares a request.
--- a/tier/policy/slots.go
+++ b/tier/policy/slots.go
@@ -1,7 +1,7 @@
 package policy
 
-// warmSamples is the number of calls that an upstream must have answered before it
-// gets more than one at a time. Not measured.
+// warmSamples is the number of calls that an upstream must have answered before it gets
+// more than one at a time.
 const warmSamples = 10
 
 // slots counts the calls that this host has in progress at an upstream, and those that
--- a/tier/policy/snapshot.go
+++ b/tier/policy/snapshot.go
@@ -2,8 +2,8 @@
 
 import "slices"
 
-// candidateSnapshots is the number of snapshots, the newest first, that are compared
-// for one request. Not measured.
+// candidateSnapshots is the number of snapshots, the newest first, that are compared for
+// one request.
 const candidateSnapshots = 16
 
 // Plan resolves the replicas of each shard and picks the snapshot that covers
--- a/tier/policy/stall.go
+++ b/tier/policy/stall.go
@@ -2,23 +2,19 @@
 
 import "time"
 
-// Constants of stalls. Without the rule, worth falls by 0.010 to 0.032 and 29% more
-// gathers are partial (mean of eight days in simulated time).
+// Constants of stalls. Without the rule, more gathers are partial.
 const (
-	// stalledFactor is how many latencies may pass without any answer until an
-	// upstream is considered unresponsive. Measured: 1.5 makes no difference; waiting
-	// for the 0.95 quantile of comparable calls costs 0.04 of worth.
+	// stalledFactor is how many latencies may pass without any answer until an upstream is
+	// considered unresponsive.
 	stalledFactor = 2
-	// stalledLeast is the least such time; it also holds while the latency is not
-	// known. Measured: to exempt unknown latencies changes worth by 0.002 (noise).
+	// stalledLeast is the least such time; it also holds while the latency is not known.
 	stalledLeast = 10 * time.Millisecond
-	// stalledFor is how long an upstream is considered unresponsive while no call of
-	// this host waits there that could show otherwise. Pauses of upstreams take some
-	// 100 ms. Not measured.
+	// stalledFor is how long an upstream is considered unresponsive while no call of this
+	// host waits there that could show otherwise. Pauses of upstreams take some 100 ms.
 	stalledFor = 100 * time.Millisecond
-	// LingerFor is how long a call goes on whose answer is not wanted any more; longer
-	// than upstreams pause, so that it shows the end of a pause without a probe. Not
-	// measured by itself; without lingering calls worth falls by up to 0.011.
+	// LingerFor is how long a call goes on whose answer is not wanted any more; longer than
+	// upstreams pause, so that it shows the end of a pause without a probe. Without
+	// lingering calls worth falls by up to 0.011.
 	LingerFor = 300 * time.Millisecond
 )
 
--- a/tier/policy/suspicion.go
+++ b/tier/policy/suspicion.go
@@ -7,15 +7,11 @@
 
 // suspectAfter is the number of upstreams that must crash while running a request, with
 // none having answered it, before the request is suspected of causing the crashes.
-// Measured: 2 loses 31 upstreams to one bad request, 3 loses 44; sound requests do
-// equally well with either.
 const suspectAfter = 2
 
 // suspicion is what a run knows of whether its request crashes upstreams. Such a request
 // takes an upstream of each shard, and another with each retry. While it is suspected it
-// runs as isolated attempts, one upstream at a time, until one has answered. Measured: of
-// the other requests 1.00 are served in place of 0.35, and 31 upstreams crash in place
-// of 545.
+// runs as isolated attempts, one upstream at a time, until one has answered.
 type suspicion struct {
 	// subject is what the request is remembered by; where its fingerprint is empty
 	// it is never suspected.
--- a/tier/query/grammar.go
+++ b/tier/query/grammar.go
@@ -19,7 +19,7 @@
 	"github.com/alecthomas/participle/v2/lexer"
 )
 
-// Bounds of a statement. None is measured.
+// Bounds of a statement.
 const (
 	// maxStatement is the largest text of statements, in bytes.
 	maxStatement = 16 << 10
--- a/tier/runner/crash.go
+++ b/tier/runner/crash.go
@@ -9,9 +9,9 @@
 	"loomgap/tier/policy"
 )
 
-// connectBound is how long an upstream has to accept a connection before it is considered
-// crashed: some round trips between regions, which are 10 ms apart. Its call is not made again
-// before. Not measured.
+// connectBound is how long an upstream has to accept a connection before it is
+// considered crashed: some round trips between regions, which are 10 ms apart. Its call
+// is not made again before.
 const connectBound = 50 * time.Millisecond
 
 // DetectCrash returns what became of a call. If its connection was lost, it connects to
--- a/tier/wire/wire.go
+++ b/tier/wire/wire.go
@@ -19,7 +19,7 @@
 	"loomgap/tier/query"
 )
 
-// Largest messages, in bytes. Neither is measured.
+// Largest messages, in bytes.
 const (
 	// MaxReply bounds the reply of an upstream or the platform, and a message between
 	// hosts; a document of config.MaxBytes fits.
