--- a/tier/peers/detection_test.go
+++ b/tier/peers/detection_test.go
@@ -124,7 +124,7 @@
 	}
 	switch {
 	case announces && (h.beats <= meetHeartbeats || h.table.suspecting(m.now)):
-		partners = append(partners, m.oneOfEachHall(h, other)...)
+		partners = append(partners, m.oneOfEachHall(other)...)
 	case h.beats%every == 0:
 		partners = append(partners, sample(m.random.Perm, other, otherHallPartners)...)
 	}
@@ -181,7 +181,7 @@
 	return m.hosts[i]
 }
 
-func (m *model) oneOfEachHall(h *modelHost, other []*modelHost) []*modelHost {
+func (m *model) oneOfEachHall(other []*modelHost) []*modelHost {
 	var out []*modelHost
 	for hall := range modelHalls {
 		of := slices.DeleteFunc(slices.Clone(other), func(o *modelHost) bool { return o.hall != hall })
