--- a/tier/config/directory.go
+++ b/tier/config/directory.go
@@ -42,12 +42,14 @@
 	// Era and Revision are the platform's position of the removal.
 	Era      uint64 `json:",omitempty"`
 	Revision uint64
-	// Sequence is the last count of its reports that was known of the name; 0 for none.
+	// Sequence is the last count of its reports that was known of the name, and Born the
+	// start that it counts from; 0 for none.
 	Sequence uint64 `json:",omitempty"`
+	Born     int64  `json:",omitempty"`
 }
 
 func (r *Removal) mark() mark {
-	return mark{Position: Position{Era: r.Era, Revision: r.Revision}, sequence: r.Sequence}
+	return mark{Position: Position{Era: r.Era, Revision: r.Revision}, born: r.Born, sequence: r.Sequence}
 }
 
 // DirectoryChange is what changed in the directory up to a position.
--- a/tier/config/directory_edit.go
+++ b/tier/config/directory_edit.go
@@ -151,7 +151,11 @@
 	if known && !r.endsAt(old.mark()) {
 		return
 	}
-	r.Sequence = max(r.Sequence, old.Sequence, before.Sequence)
+	for _, known := range []mark{old.mark(), before.mark()} {
+		if known.born > r.Born || known.born == r.Born && known.sequence > r.Sequence {
+			r.Born, r.Sequence = known.born, known.sequence
+		}
+	}
 	e.next.removed.Set(r.Name, r)
 	e.touched = append(e.touched, r.Name)
 	if !known {
--- a/tier/config/listing.go
+++ b/tier/config/listing.go
@@ -10,7 +10,7 @@
 
 // Listing is one upstream as it listed itself with the platform.
 type Listing struct {
-	// Name is new for each start of the upstream.
+	// Name is the upstream's own; with Born it names one start of it.
 	Name string
 	// Group is the group that it belongs to.
 	Group string
@@ -27,15 +27,18 @@
 	// Era and Revision are the platform's position of this entry; Revision is above 0.
 	Era      uint64 `json:",omitempty"`
 	Revision uint64
-	// Sequence is the upstream's own count of its reports; 0 if it gives none.
+	// Sequence is the upstream's own count of its reports since Born; 0 if it gives none.
 	Sequence uint64 `json:",omitempty"`
+	// Born is when its process started, in milliseconds since 1970 by its own clock; 0 if
+	// it does not say. A later one under the same name knows nothing of the one before.
+	Born int64 `json:",omitempty"`
 	// Copied is true if the entry may come from the copy that its era began with. The
 	// upstream may have reported since, in the era before.
 	Copied bool `json:",omitempty"`
 }
 
 func (l *Listing) mark() mark {
-	return mark{Position: Position{Era: l.Era, Revision: l.Revision}, sequence: l.Sequence, copied: l.Copied}
+	return mark{Position: Position{Era: l.Era, Revision: l.Revision}, born: l.Born, sequence: l.Sequence, copied: l.Copied}
 }
 
 // content is the listing without what orders it.
@@ -61,6 +64,9 @@
 	text = l.Address.AppendTo(text)
 	text = strconv.AppendInt(append(text, 0), int64(l.Slots), 10)
 	text = strconv.AppendBool(append(text, 0), l.Leaving)
+	if l.Born > 0 {
+		text = strconv.AppendInt(append(text, 0), l.Born, 10)
+	}
 	if l.Warmup > 0 {
 		text = strconv.AppendInt(append(text, 0), l.warmupSteps(), 10)
 	}
--- a/tier/config/position.go
+++ b/tier/config/position.go
@@ -61,11 +61,15 @@
 // mark is how new something known of one name is: of an upstream, or of a hall.
 type mark struct {
 	Position
-	// sequence is the name's own count of what it has reported; 0 if there is none.
+	// sequence is the name's own count of what it has reported since born; 0 if there is
+	// none.
 	sequence uint64
 	// copied is true for what may come from the copy that an era began with, so that it
 	// may be older than what is known of the era before.
 	copied bool
+	// born is when the name\'s process started, in milliseconds since 1970; 0 if it does not
+	// say.
+	born int64
 }
 
 // replaces reports whether what is marked m replaces what is marked old. Of two eras the
@@ -75,8 +79,17 @@
 	case m.sameHistory(old.Position):
 		return m.Compare(old.Position) > 0 || m.refines(old.Position)
 	case m.Era > old.Era:
-		return !m.copied || old.sequence > 0 && m.sequence > old.sequence
+		return !m.copied || m.reportedAfter(old)
 	default:
 		return old.copied && !old.replaces(m)
 	}
 }
+
+// reportedAfter reports whether the name's own counts show that it reported m after old: a
+// later start counts anew.
+func (m mark) reportedAfter(old mark) bool {
+	if m.born > 0 && old.born > 0 && m.born != old.born {
+		return m.born > old.born
+	}
+	return old.sequence > 0 && m.sequence > old.sequence
+}
--- a/tier/config/position_test.go
+++ b/tier/config/position_test.go
@@ -318,15 +318,15 @@
 // wrongly; the one in use decides all rightly.
 func TestWaysToOrderAfterAReturn(t *testing.T) {
 	cases := []returnCase{
-		{"an older document in the copy", mark{at(1, 58), 26, false}, mark{at(2, 54), 12, true}, true, false},
-		{"the next document", mark{at(1, 58), 26, false}, mark{at(2, 55), 28, false}, true, true},
-		{"an older report in the copy", mark{at(1, 57), 7, false}, mark{at(2, 40), 5, true}, false, false},
-		{"a report written before the first read", mark{at(1, 57), 7, false}, mark{at(2, 55), 8, true}, false, true},
-		{"a report written after it", mark{at(1, 57), 7, false}, mark{at(2, 56), 8, false}, false, true},
-		{"an upstream in the copy that is gone", mark{at(1, 50), 7, false}, mark{at(2, 40), 5, true}, false, false},
-		{"a removal after the return", mark{at(1, 57), 7, false}, mark{at(2, 45), 0, false}, false, true},
-		{"an evacuation in the copy that has ended", mark{at(1, 52), 0, false}, mark{at(2, 40), 0, true}, false, false},
-		{"the end of an evacuation after the return", mark{at(1, 51), 0, false}, mark{at(2, 47), 0, false}, false, true},
+		{"an older document in the copy", mark{at(1, 58), 26, false, 0}, mark{at(2, 54), 12, true, 0}, true, false},
+		{"the next document", mark{at(1, 58), 26, false, 0}, mark{at(2, 55), 28, false, 0}, true, true},
+		{"an older report in the copy", mark{at(1, 57), 7, false, 0}, mark{at(2, 40), 5, true, 0}, false, false},
+		{"a report written before the first read", mark{at(1, 57), 7, false, 0}, mark{at(2, 55), 8, true, 0}, false, true},
+		{"a report written after it", mark{at(1, 57), 7, false, 0}, mark{at(2, 56), 8, false, 0}, false, true},
+		{"an upstream in the copy that is gone", mark{at(1, 50), 7, false, 0}, mark{at(2, 40), 5, true, 0}, false, false},
+		{"a removal after the return", mark{at(1, 57), 7, false, 0}, mark{at(2, 45), 0, false, 0}, false, true},
+		{"an evacuation in the copy that has ended", mark{at(1, 52), 0, false, 0}, mark{at(2, 40), 0, true, 0}, false, false},
+		{"the end of an evacuation after the return", mark{at(1, 51), 0, false, 0}, mark{at(2, 47), 0, false, 0}, false, true},
 	}
 	ways := []struct {
 		name  string
@@ -359,3 +359,33 @@
 		assert.Equal(t, wrong, w.wrong, w.name)
 	}
 }
+
+// TestLaterStartOfAName reads reports of an upstream that started again under its name, in
+// the copy that an era began with and after it.
+func TestLaterStartOfAName(t *testing.T) {
+	listed := func(era, revision, sequence uint64, born int64, copied bool) Listing {
+		return Listing{Name: "U", Group: "G", Era: era, Revision: revision, Sequence: sequence, Born: born, Copied: copied}
+	}
+	tests := []struct {
+		name        string
+		known, read Listing
+		want        bool
+	}{
+		{"a lower count of a later start", listed(1, 57, 90, 1000, false), listed(2, 40, 2, 2000, true), true},
+		{"a higher count of an earlier start", listed(1, 57, 2, 2000, false), listed(2, 40, 90, 1000, true), false},
+		{"the same start goes on", listed(1, 57, 7, 1000, false), listed(2, 40, 8, 1000, true), true},
+		{"the same start, as before", listed(1, 57, 7, 1000, false), listed(2, 40, 7, 1000, true), false},
+		{"later in one era", listed(1, 57, 90, 1000, false), listed(1, 58, 1, 2000, false), true},
+		{"a platform that names no start", listed(1, 57, 7, 0, false), listed(2, 40, 8, 0, true), true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			d, _ := (*Directory)(nil).With(&DirectoryChange{Era: 1, Revision: 57, Listed: []Listing{tt.known}})
+			next, _ := d.With(&DirectoryChange{Era: tt.read.Era, Revision: tt.read.Revision, Listed: []Listing{tt.read}})
+			now, _ := next.Find("U")
+			assert.Equal(t, now.Born == tt.read.Born && now.Sequence == tt.read.Sequence && now.Era == tt.read.Era, tt.want)
+			same := tt.known.Born == now.Born
+			assert.Equal(t, next.Digest() == d.Digest(), same, "hosts that know different starts have the same digest")
+		})
+	}
+}
--- a/tier/pass/conn.go
+++ b/tier/pass/conn.go
@@ -53,7 +53,9 @@
 
 type link struct {
 	address netip.AddrPort
-	now     func() time.Duration
+	// born is when the process there started, as of config.Listing.
+	born int64
+	now  func() time.Duration
 
 	mu   sync.Mutex
 	idle []*conn
--- a/tier/pass/links.go
+++ b/tier/pass/links.go
@@ -22,15 +22,15 @@
 }
 
 // update makes the links of upstreams that are listed, unless they have one to the same
-// address, and closes those of upstreams that are gone.
+// process, and closes those of upstreams that are gone.
 func (t *linkTable) update(listed []config.Listing, gone []string, now func() time.Duration) {
 	for i := range listed {
 		l := &listed[i]
 		old := t.find(l.Name)
-		if old != nil && old.address == l.Address {
+		if old != nil && old.address == l.Address && old.born == l.Born {
 			continue
 		}
-		t.links.Store(l.Name, &link{address: l.Address, now: now})
+		t.links.Store(l.Name, &link{address: l.Address, born: l.Born, now: now})
 		if old != nil {
 			old.close()
 		}
--- a/tier/pass/shares.go
+++ b/tier/pass/shares.go
@@ -105,6 +105,6 @@
 	return policy.Share{
 		Name: l.Name, Slots: max(int(burstShare*part*float64(connections)/hosts), 1),
 		Leaving: l.Leaving || b.directory.Evacuated(l.Hall),
-		Listed:  true, Hall: l.Hall, Near: near, Cold: e.coldOf(l, b),
+		Listed:  true, Hall: l.Hall, Near: near, Born: l.Born, Cold: e.coldOf(l, b),
 	}
 }
--- a/tier/policy/fleet.go
+++ b/tier/policy/fleet.go
@@ -66,6 +66,9 @@
 	// hall of this host.
 	Hall string
 	Near bool
+	// Born is when the upstream's process started, in milliseconds since 1970 by its own
+	// clock; 0 if that is not known.
+	Born int64
 	// Cold is what is known of the start of a listed upstream.
 	Cold Cold
 }
@@ -107,10 +110,15 @@
 // setShare sets the share of one upstream; the fleet is locked.
 func (f *Fleet) setShare(now time.Duration, s *Share) []*Waiter {
 	u := f.upstreams[s.Name]
+	var granted []*Waiter
+	if u != nil && u.born > 0 && s.Born > u.born {
+		granted, u = u.dismiss(now), nil
+	}
 	if u == nil {
 		u = &Upstream{Name: s.Name, status: status{heardAt: never, readAt: never}}
 		f.upstreams[s.Name] = u
 	}
+	u.born = max(u.born, s.Born)
 	u.slots.set(s.Slots, s.MaxSlots)
 	u.leaving = s.Leaving || u.gone
 	u.kind, u.near, u.hall = &declaredKind, s.Near, s.Hall
@@ -120,6 +128,13 @@
 		u.cold.update(now, s.Cold)
 		f.noteCold(now, u)
 	}
+	return append(granted, u.grant(now)...)
+}
+
+// dismiss lets all calls go ahead that wait for a slot of an upstream whose process has
+// been replaced by a later one: what is known of it does not hold for that one.
+func (u *Upstream) dismiss(now time.Duration) []*Waiter {
+	u.slots.set(u.slots.inUse+u.slots.queue.Len(), 0)
 	return u.grant(now)
 }
 
--- a/tier/policy/upstream.go
+++ b/tier/policy/upstream.go
@@ -9,6 +9,9 @@
 type Upstream struct {
 	// Name is the name in the document or in the directory.
 	Name string
+	// born is when its process started, as of Share; 0 if that is not known. A later one
+	// of the same name is another Upstream.
+	born int64
 	// kind is what the two kinds of upstream do differently; never nil once Apply has
 	// registered the upstream.
 	kind *kind
--- a/tier/policy/upstream_test.go
+++ b/tier/policy/upstream_test.go
@@ -93,3 +93,29 @@
 		assert.Equal(t, tt.upstream.stall.lingering, tt.want || tt.name == "one lingers", "%s", tt.name)
 	}
 }
+
+// TestLaterStartIsAnotherUpstream has an upstream with a call in progress and one that
+// waits start again under its name: nothing that was learnt of it holds any more.
+func TestLaterStartIsAnotherUpstream(t *testing.T) {
+	f := NewFleet(FleetConfig{})
+	share := Share{Name: "U", Slots: 1, Listed: true, Born: 1000}
+	f.Apply(0, []Share{share})
+	first := f.Find("U")
+	granted := 0
+	wait := func() { f.Enter(&Waiter{Upstream: first, Deadline: time.Minute, Granted: func() { granted++ }}) }
+	wait()
+	wait()
+	first.gone, first.leaving = true, true
+	first.ejection.failed(0)
+
+	Deliver(f.Update(0, []Share{share}, nil))
+	assert.Assert(t, f.Find("U") == first, "the same start is the same upstream")
+	share.Born = 2000
+	Deliver(f.Update(0, []Share{share}, nil))
+	second := f.Find("U")
+	assert.Assert(t, second != first && !second.leaving && second.slots.inUse == 0)
+	assert.Equal(t, second.ejection, ejection{})
+	assert.Equal(t, granted, 1, "the call that waited goes ahead")
+	Deliver(f.Update(0, []Share{{Name: "U", Slots: 1, Listed: true, Born: 1000}}, nil))
+	assert.Assert(t, f.Find("U") == second, "an earlier start changes nothing")
+}
