feat: a host that was suspended counts the time asleep

Cause: every age, window and lease is measured on the monotonic clock, which stands still while a machine is suspended, so that a host acted on what it knew before as if no time had passed. The kernel now compares the boot clock, which runs on, at each pulse and before each request; the difference is added to its time, and the gap is a pause as a freeze is. The time of day has no part in it: a step moves nothing.

TestSuspensionIsAPause hands in a boot clock, since a process can't be suspended from outside without its monotonic clock running on (SIGSTOP is the freeze).

--- a/loomd/serve.go
+++ b/loomd/serve.go
@@ -82,7 +82,7 @@
 	tracer, closeTracer := newTracer(s.TraceRatio, log)
 	defer closeTracer()
 	k, closeKernel := kernel.New(kernel.Config{
-		Settings: s, Log: log, Tracer: tracer, Started: time.Now(), FlushLog: flush,
+		Settings: s, Log: log, Tracer: tracer, Started: time.Now(), BootTime: kernel.BootTime, FlushLog: flush,
 		Fleet: policy.NewFleet(policy.FleetConfig{Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}),
 	})
 	defer closeKernel()
--- a/tier/kernel/control.go
+++ b/tier/kernel/control.go
@@ -20,6 +20,7 @@
 // Awake reports whether the process has run without a long pause up to now. A
 // process that was paused must not act on what it knew before.
 func (k *Kernel) Awake() bool {
+	k.noteSleep()
 	return k.Now()-time.Duration(k.lastPulse.Load()) < pauseBound
 }
 
@@ -91,6 +92,7 @@
 // pulse notes that the process runs. After a pause Pauses rises, so that the
 // silence of members during the pause does not count.
 func (k *Kernel) pulse(s *State) {
+	k.noteSleep()
 	now := k.Now()
 	gap := now - time.Duration(k.lastPulse.Load())
 	if gap > pauseBound {
@@ -102,6 +104,13 @@
 	k.lastPulse.Store(int64(now))
 }
 
+// noteSleep has the time asleep count, if the machine was suspended.
+func (k *Kernel) noteSleep() {
+	if slept := k.sleep.look(k.monotonic); slept > 0 {
+		k.Log.Warn().Dur("Asleep", slept).Msg("machine was suspended")
+	}
+}
+
 func (k *Kernel) publish(s *State) {
 	if !s.changed {
 		return
--- a/tier/kernel/kernel.go
+++ b/tier/kernel/kernel.go
@@ -22,6 +22,7 @@
 	Peers PeerCaller
 
 	lifecycle
+	sleep sleepMeter
 	// live holds the settings that may change.
 	live atomic.Pointer[Live]
 	// jobs are run by the control thread, in order.
@@ -46,6 +47,9 @@
 	Fleet *policy.Fleet
 	// Started is the origin of Now.
 	Started time.Time
+	// BootTime reads a clock that runs on while the machine is suspended; nil if the host
+	// is to take no notice of that.
+	BootTime func() (time.Duration, error)
 	// FlushLog writes the lines that the log holds back; nil if it holds none.
 	FlushLog func()
 }
@@ -59,6 +63,9 @@
 		jobs:      make(chan func(*State), jobBacklog),
 		lifecycle: lifecycle{stopping: make(chan struct{})},
 	}
+	if err := k.sleep.begin(c.BootTime, k.monotonic); err != nil {
+		k.Log.Warn().Err(err).Msg("suspensions of the machine are not noticed")
+	}
 	k.live.Store(&Live{Seeds: c.Settings.Seeds, RetryBudget: c.Settings.RetryBudget})
 	k.phase.Store(PhaseStarting)
 	state := newState()
@@ -67,8 +74,14 @@
 	return k, RunLoops(context.Background(), func(ctx context.Context) { k.control(ctx, state) })
 }
 
-// Now is the time since the process started, on the monotonic clock.
-func (k *Kernel) Now() time.Duration { return time.Since(k.Started) }
+// Now is the time since the process started: that of the monotonic clock, and the time
+// asleep that was noticed. So the age of what is known counts a suspension of the machine,
+// and a step of the time of day moves nothing.
+func (k *Kernel) Now() time.Duration {
+	return k.monotonic() + time.Duration(k.sleep.asleep.Load())
+}
+
+func (k *Kernel) monotonic() time.Duration { return time.Since(k.Started) }
 
 // Live returns the settings that may change while the process runs.
 func (k *Kernel) Live() Live { return *k.live.Load() }
--- a/tier/kernel/kernel_test.go
+++ b/tier/kernel/kernel_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"os"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -126,6 +127,39 @@
 	})
 }
 
+// TestSuspensionIsAPause hands in a boot clock that runs on while the monotonic one stands
+// still: what is known has aged, and the pause is noticed before the next request.
+func TestSuspensionIsAPause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		started := time.Now()
+		var asleep atomic.Int64
+		boot := func() (time.Duration, error) {
+			return time.Hour + time.Since(started) + time.Duration(asleep.Load()), nil
+		}
+		k, stop := New(Config{Log: zerolog.Nop(), Started: started, BootTime: boot})
+		defer stop()
+		time.Sleep(10 * pulseEvery)
+		assert.Assert(t, k.Awake())
+		assert.Equal(t, pausesOf(k), 0)
+		before := k.Now()
+		asleep.Store(int64(3 * time.Second))
+		assert.Assert(t, !k.Awake(), "the suspension is not noticed before the next pulse")
+		assert.Equal(t, k.Now()-before, 3*time.Second)
+		k.Wake()
+		assert.Equal(t, pausesOf(k), 1)
+		assert.Assert(t, k.Awake())
+	})
+}
+
+// TestShortDelaysAreNoSleep has the two clocks differ by less than a suspension.
+func TestShortDelaysAreNoSleep(t *testing.T) {
+	var m sleepMeter
+	assert.NilError(t, m.begin(func() (time.Duration, error) { return time.Hour, nil }, func() time.Duration { return 0 }))
+	monotonic := func() time.Duration { return 50 * time.Millisecond }
+	assert.Equal(t, m.look(monotonic), time.Duration(0))
+	assert.Equal(t, time.Duration(m.asleep.Load()), time.Duration(0))
+}
+
 // pausesOf asks the control thread for the pauses that it has noticed.
 func pausesOf(k *Kernel) (pauses int) {
 	k.DoAndWait(func(s *State) { pauses = s.Pauses })
