fix: all hosts of the target are members, and halls meet once roles are settled

maxMembers was 4,096, for a target of 4,082 hosts: hosts that are replaced would have been none of the members.

A host that announces has its heartbeats go to all halls while it meets them. At a start all hosts of a hall take themselves for the one that announces, so that is after the quick heartbeats of the start.

--- a/tier/peers/cost_test.go
+++ b/tier/peers/cost_test.go
@@ -24,7 +24,7 @@
 // BenchmarkHeartbeatTakenIn is the cost for the control thread of one heartbeat and the
 // reply to it, by the number of members.
 func BenchmarkHeartbeatTakenIn(b *testing.B) {
-	for _, members := range []int{60, 584, 1168, 4082} {
+	for _, members := range []int{60, 584, 1168, 4082, 8164} {
 		b.Run(fmt.Sprintf("members=%d", members), func(b *testing.B) {
 			g, s := metFleet(b, members)
 			counter, next := uint64(1), 0
@@ -61,9 +61,9 @@
 		runtime.ReadMemStats(&after)
 		return (after.TotalAlloc - before.TotalAlloc) / heartbeats
 	}
-	small, large := cost(400), cost(4000)
-	t.Logf("bytes for a heartbeat: %d of 400 hosts, %d of 4,000", small, large)
-	assert.Assert(t, large < 2*small, "%d bytes of 400 hosts, %d of 4,000", small, large)
+	small, large := cost(816), cost(8164)
+	t.Logf("bytes for a heartbeat: %d of 816 hosts, %d of 8,164", small, large)
+	assert.Assert(t, large < 2*small, "%d bytes of 816 hosts, %d of 8,164", small, large)
 }
 
 // metFleet is what exchanges heartbeats at a host that knows so many others.
@@ -81,5 +81,6 @@
 		}
 		g.learn(s, netip.AddrPort{}, &h)
 	}
+	assert.Equal(t, len(s.Members), members, "some hosts are no members")
 	return g, s
 }
--- a/tier/peers/heartbeat.go
+++ b/tier/peers/heartbeat.go
@@ -37,7 +37,7 @@
 	heartbeatBound = 500 * time.Millisecond
 	// maxMembers is the most members that are known without a document, so that what a peer
 	// makes up does not fill the memory.
-	maxMembers = 4096
+	maxMembers = 16_384
 )
 
 // heartbeat is what a host reports to another.
--- a/tier/peers/partners.go
+++ b/tier/peers/partners.go
@@ -18,8 +18,8 @@
 	// otherHallPartners is how many hosts of other halls a heartbeat that goes there is
 	// sent to.
 	otherHallPartners = 1
-	// meetHeartbeats is for how many heartbeats after its start a host that announces has
-	// them go to all halls.
+	// meetHeartbeats is for how many heartbeats a host that announces has them go to all
+	// halls, after those of its start.
 	meetHeartbeats = 15
 	// silentPartners is how many silent hosts a heartbeat that goes to one is sent to.
 	silentPartners = 1
@@ -48,7 +48,7 @@
 		out = g.sample(silent, hallPartners)
 	}
 	switch {
-	case s.Announcing && (g.sent <= meetHeartbeats || g.table.suspecting(g.kernel.Now())):
+	case s.Announcing && (g.meets() || g.table.suspecting(g.kernel.Now())):
 		out = append(out, g.oneOfEachHall(s)...)
 	case g.crosses(s):
 		out = append(out, g.sample(other, otherHallPartners)...)
@@ -81,6 +81,13 @@
 	return append(g.sample(g.suspects(s), suspectPartners), g.sample(hall, hallPartners)...)
 }
 
+// meets reports whether this host has started lately, and not so lately that all hosts of
+// a hall that starts still take themselves for the one that announces.
+func (g *gossip) meets() bool {
+	sent := g.sent - startHeartbeats
+	return sent > 0 && sent <= meetHeartbeats
+}
+
 // oneOfEachHall draws a live host of each other hall. The host that announces has its
 // heartbeats go there after its start, so that halls meet, and while this hall suspects
 // hosts: else a lost relay is found by each call anew.
--- a/tier/peers/partners_test.go
+++ b/tier/peers/partners_test.go
@@ -44,7 +44,7 @@
 			defer stop()
 			g := &gossip{kernel: k, random: rand.New(rand.NewPCG(1, 0)), table: newMemberTable(memberTableConfig{Interval: time.Second})}
 			sent := map[byte]int{}
-			g.sent = rounds
+			g.sent = rounds // no start
 			for range rounds {
 				g.sent++
 				for _, to := range g.partners(s) {
