--- a/tier/peers/doc.go
+++ b/tier/peers/doc.go
@@ -4,9 +4,12 @@
 // with its messages and both its ends in one file:
 //
 //   - heartbeat.go: membership and revisions, by the method Beat; partners.go chooses
-//     whom a heartbeat goes to, members.go who is live, silent or forgotten
+//     whom a heartbeat goes to, members.go and suspicion.go decide who is live, silent or
+//     forgotten, and what a heartbeat lists; roster.go writes that into the control state;
+//     compare.go says what follows where sender and receiver know different things
 //   - fetch.go: a host that lacks a document or the directory gets it from another
-//   - announcement.go: a host that knows what is published sends it to its hall
+//   - announcement.go: a host that knows what is published sends it to its hall; seek.go
+//     has a host that hears none ask for one
 //   - strikes.go: reports of requests that are suspected of crashing upstreams
 //
 // It also reads the platform, and decides which host does: feed.go and reader.go where
--- a/tier/peers/heartbeat.go
+++ b/tier/peers/heartbeat.go
@@ -1,17 +1,13 @@
 package peers
 
 import (
-	"cmp"
 	"context"
 	"fmt"
-	"maps"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
-
 	"loomgap/tier/config"
 	"loomgap/tier/kernel"
 )
@@ -284,47 +280,6 @@
 	}
 }
 
-// compareDirectory fetches the directory of a peer if this host has to learn from peers,
-// or if the two know different eras of the platform's history and what the peer knows
-// counts: it knows the later era, or the later one is not settled yet.
-func (g *gossip) compareDirectory(s *kernel.State, now time.Duration, from netip.AddrPort, h *heartbeat) {
-	if h.Directory == s.Directory.Digest() {
-		return
-	}
-	era := s.Directory.Position().Era
-	switch {
-	case s.FeedDown:
-		g.fetches.fetchDirectory(from)
-	case era == 0 || h.DirectoryEra == 0 || h.DirectoryEra == era:
-	case h.DirectoryEra > era || s.Directory.Unsettled():
-		g.fetches.fetchDirectoryAgain(now, from)
-	}
-}
-
-func (g *gossip) compareEdition(s *kernel.State, now time.Duration, h *heartbeat) {
-	if s.Index == nil {
-		return
-	}
-	if h.edition() == s.Edition() && h.Digest != s.Index.Digest {
-		metrics.GetOrCreateCounter("loomgap_config_conflicts_total").Inc()
-		g.kernel.Log.Error().Uint64("Revision", h.Revision).Msg("a peer holds another document of the same revision: publish a new revision")
-	}
-	if g.confirms(s, h) {
-		s.Confirm(now - max(h.ConfirmedAge, 0))
-	}
-}
-
-// confirms reports whether a heartbeat shows that the document in force is the newest.
-// Where the platform's reads may be old, it does only if its sender has the same one and
-// knows from the platform that it is: else two hosts that start confirm one another's old
-// read. Without an adapter nothing shows that, and a peer without a newer one has to do.
-func (g *gossip) confirms(s *kernel.State, h *heartbeat) bool {
-	if g.kernel.Settings.Adapter == "" {
-		return !h.edition().Newer(s.Edition())
-	}
-	return h.Confirmed && h.ConfirmedAge <= confirmFresh && h.edition() == s.Edition()
-}
-
 // learnLeaving takes in signs of leaving, of upstreams of the document only.
 func (g *gossip) learnLeaving(s *kernel.State, now time.Duration, signs []leavingSign) {
 	for _, u := range signs {
@@ -349,34 +304,3 @@
 	}
 	return slices.DeleteFunc(entries, func(e memberEntry) bool { return s.Index.Host(e.Host) == nil })
 }
-
-// updateMembers writes what changed of the members into the control state.
-func (g *gossip) updateMembers(s *kernel.State) {
-	changed := g.table.changes()
-	if s.Index != g.index {
-		g.index = s.Index
-		changed = slices.AppendSeq(changed, maps.Keys(g.table.records))
-	}
-	for _, n := range changed {
-		if r := g.table.records[n]; r != nil {
-			s.SetMember(g.member(s, r))
-		} else {
-			s.RemoveMember(n)
-		}
-	}
-}
-
-// member is what the control state has of a member. If the document lists a host, its
-// hall and address are the document's.
-func (g *gossip) member(s *kernel.State, r *memberRecord) kernel.Member {
-	m := kernel.Member{
-		Host: r.Host, Incarnation: r.Incarnation, Live: r.live, Leaving: r.Leaving, Revision: r.Revision,
-		Hall: r.Hall, Peer: r.Peer, Capacity: cmp.Or(r.Capacity, g.kernel.Settings.Capacity()),
-	}
-	if s.Index != nil {
-		if h := s.Index.Host(r.Host); h != nil {
-			m.Hall, m.Peer = h.Hall, h.Peer
-		}
-	}
-	return m
-}
