fix: a host that starts announces nothing, and one that takes over sends changes only

A host that knew nothing took itself for an announcer until its role was decided at 0.3 to 1.5 s; once its first read was in force it sent the whole directory, 2,200 listings, to each host of its hall that it knew, encoded anew for each.

A host without a directory reads and does not announce. One that begins to announce, or has not for 1.3 s, sends no listings with its first announcement: hosts know the directory from others, and those whose digest differs fetch it, packed once.

TestStartingHostReadsAndDoesNotAnnounce and TestHostThatTakesOverSendsChangesOnly failed before. TestEvacuationIsAnnounced relied on the first announcement bringing the directory; its other host has now read the platform, as hosts do.

--- a/tier/peers/announcement.go
+++ b/tier/peers/announcement.go
@@ -120,7 +120,10 @@
 	if !a.isDue(&m, now) {
 		return
 	}
-	if m.Directory != a.directory.Digest() {
+	// Hosts that this one has not told before, or not lately, know the directory from
+	// others. Those that lack something fetch it, packed once. Without it, a host that
+	// takes over sends all that is listed to each host of its hall.
+	if m.Directory != a.directory.Digest() && a.directory != nil && now-a.sentAt <= announceLost {
 		change := s.Directory.Since(a.directory)
 		m.Change = &change
 	}
--- a/tier/peers/announcement_test.go
+++ b/tier/peers/announcement_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -158,6 +159,59 @@
 	})
 }
 
+// TestHostThatTakesOverSendsChangesOnly has a host with many upstreams begin to announce,
+// go on, stop for a while and begin again: what it sends is what changed since it last
+// did, and never all that is listed.
+func TestHostThatTakesOverSendsChangesOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		k := newHallKernel(t, "Self")
+		sent := &announcementRecorder{last: map[string]announcement{}}
+		k.Peers = sent
+		tl := &announcer{kernel: k}
+		s := &kernel.State{
+			ReadingState: kernel.ReadingState{Reading: true, Announcing: true},
+			Members:      map[string]kernel.Member{"Mate": {Host: "Mate", Hall: "A", Live: true}},
+		}
+		revision := uint64(0)
+		list := func(upstreams int) {
+			change := config.DirectoryChange{Revision: revision + uint64(upstreams)}
+			for range upstreams {
+				revision++
+				change.Listed = append(change.Listed, config.Listing{Name: fmt.Sprint("U", revision), Group: "G", Hall: "A", Slots: 1, Revision: revision})
+			}
+			s.List(&change)
+		}
+		told := func() announcement {
+			s.AnnouncedReadAt, s.OwnReadAt = k.Now(), k.Now()
+			tl.announce(s)
+			synctest.Wait()
+			sent.mu.Lock()
+			defer sent.mu.Unlock()
+			return sent.last["Mate"]
+		}
+		time.Sleep(time.Second)
+		list(500)
+		first := told()
+		assert.Assert(t, first.Change == nil && first.Directory == s.Directory.Digest(), "it sends what others know from others")
+		time.Sleep(announceEvery)
+		list(2)
+		assert.Equal(t, len(told().Change.Listed), 2)
+		time.Sleep(2 * announceLost)
+		list(3)
+		assert.Assert(t, told().Change == nil)
+		time.Sleep(announceEvery)
+		list(1)
+		assert.Equal(t, len(told().Change.Listed), 1)
+	})
+}
+
+// TestStartingHostReadsAndDoesNotAnnounce has a host that knows nothing read the platform.
+func TestStartingHostReadsAndDoesNotAnnounce(t *testing.T) {
+	k := newHallKernel(t, "Self")
+	announces, reads := roleOf(k, &kernel.State{})
+	assert.Assert(t, reads && !announces)
+}
+
 // TestEvacuationIsAnnounced has a reader hear of an evacuation and of its end: its
 // hall is told both at once, and a host that missed them learns them with the whole
 // directory.
@@ -188,6 +242,8 @@
 			server.learn(mate, &n)
 			return mate.Directory
 		}
+		// Each host has read the platform at its start.
+		mate.List(&config.DirectoryChange{Revision: 1, Whole: true})
 		told(&config.DirectoryChange{Revision: 1, Whole: true})
 		d := told(&config.DirectoryChange{Revision: 2, Evacuated: []config.Evacuation{{Hall: "A", Revision: 2}}})
 		assert.Assert(t, d.Evacuated("A"))
--- a/tier/peers/reader.go
+++ b/tier/peers/reader.go
@@ -82,10 +82,11 @@
 // roleOf decides whether this host is to announce to its hall what is published, and
 // whether it is to read that from the platform. Its inputs are the members, the last
 // announcement of each host that announces, and the age of this process. A host that
-// knows of nothing yet reads at once. It runs on the control thread.
+// knows of nothing yet reads at once, and announces nothing: others know more. It runs on
+// the control thread.
 func roleOf(k *kernel.Kernel, s *kernel.State) (announces, reads bool) {
 	if s.Directory == nil {
-		return true, true
+		return false, true
 	}
 	now := k.Now()
 	if now < secondReadAt(k.Settings.Host) {
