fix: a read that is much fresher than what was announced is announced at once

A read that ends 0.5 s after what was last announced goes out at once, which leaves 1.05 s at the most. Ruled out: a longer bound, by which a lost reader is found later. TestFreshReadIsAnnouncedAtOnce failed before.

--- a/tier/peers/announcement.go
+++ b/tier/peers/announcement.go
@@ -22,6 +22,11 @@
 	// announceGap is the least time between two announcements without a change, so that the
 	// regular one is left out after one of a change.
 	announceGap = announceEvery / 2
+	// announceFresher is by how much fresher a read is announced at once. A read takes a
+	// second where something has just changed: announced a regular time later, and passed
+	// on by another host still later, it looks as if the reader had lost the platform, and
+	// hosts of all halls take over from it.
+	announceFresher = 500 * time.Millisecond
 	// announceBound is how long a call that announces may take.
 	announceBound = time.Second
 )
@@ -78,6 +83,8 @@
 	directory *config.Directory
 	edition   config.Edition
 	sentAt    time.Duration
+	// sentReadAt is when what was last announced had been read from the platform.
+	sentReadAt time.Duration
 	// viewDirectory and viewIndex are what the last view had.
 	viewDirectory *config.Directory
 	viewIndex     *config.Index
@@ -127,7 +134,7 @@
 		change := s.Directory.Since(a.directory)
 		m.Change = &change
 	}
-	a.directory, a.edition, a.sentAt = s.Directory, m.edition(), now
+	a.directory, a.edition, a.sentAt, a.sentReadAt = s.Directory, m.edition(), now, s.AnnouncedReadAt
 	hall, otherHalls := a.recipients(s)
 	for _, host := range hall {
 		go a.send(host, m)
@@ -162,10 +169,12 @@
 }
 
 // isDue reports whether an announcement is to be sent now: at once if something changed
-// and was read a short while ago, else at regular times.
+// and was read a short while ago, or if the platform was read long after what was last
+// announced, else at regular times.
 func (a *announcer) isDue(m *announcement, now time.Duration) bool {
 	changed := m.Directory != a.directory.Digest() || m.edition() != a.edition
-	return changed && !m.Lost || now-a.sentAt >= announceGap
+	fresher := now-m.Age-a.sentReadAt >= announceFresher
+	return (changed || fresher) && !m.Lost || now-a.sentAt >= announceGap
 }
 
 // recipients decides who gets an announcement: the live hosts of this hall that stay,
--- a/tier/peers/announcement_test.go
+++ b/tier/peers/announcement_test.go
@@ -205,6 +205,31 @@
 	})
 }
 
+// TestFreshReadIsAnnouncedAtOnce has a read end just after a regular announcement: where it
+// is much fresher than what was announced, others hear of it at once.
+func TestFreshReadIsAnnouncedAtOnce(t *testing.T) {
+	const readAt = 10 * time.Second
+	tests := []struct {
+		name  string
+		after time.Duration
+		lost  bool
+		want  bool
+	}{
+		{"a read after a change and a whole wait", 1020 * time.Millisecond, false, true},
+		{"a read that was answered at once", 100 * time.Millisecond, false, false},
+		{"the same read as before", 0, false, false},
+		{"no read for too long", 1020 * time.Millisecond, true, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var d *config.Directory
+			now := readAt + tt.after
+			a := &announcer{sentAt: now - announceGap/2, sentReadAt: readAt}
+			assert.Equal(t, a.isDue(&announcement{Directory: d.Digest(), Lost: tt.lost}, now), tt.want)
+		})
+	}
+}
+
 // TestStartingHostReadsAndDoesNotAnnounce has a host that knows nothing read the platform.
 func TestStartingHostReadsAndDoesNotAnnounce(t *testing.T) {
 	k := newHallKernel(t, "Self")
