--- a/tier/peers/confirm_test.go
+++ b/tier/peers/confirm_test.go
@@ -87,7 +87,7 @@
 			}}
 			asked := map[netip.AddrPort]bool{}
 			for i := range 2 * seekAmong {
-				to := seek(s, &settings, now, i)
+				to := seekFrom(s, &settings, now, i)
 				assert.Equal(t, to.IsValid(), tt.asks)
 				if to.IsValid() {
 					assert.Assert(t, strong[to], "a weak host was asked")
--- a/tier/peers/heartbeat.go
+++ b/tier/peers/heartbeat.go
@@ -96,6 +96,8 @@
 	random        *rand.Rand
 	// sent counts the rounds of heartbeats sent.
 	sent int
+	// asked counts how often this host asked for an announcement.
+	asked int
 	// hurrying is true while an extra heartbeat is due.
 	hurrying bool
 	// pauses is how many pauses of this process were taken into account.
--- a/tier/peers/seek.go
+++ b/tier/peers/seek.go
@@ -29,27 +29,30 @@
 
 func (g *gossip) seekLoop(ctx context.Context) {
 	tick := time.Tick(seekEvery)
-	for asked := 0; ; {
+	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-tick:
+			g.kernel.Do(g.seek)
 		}
-		g.kernel.Do(func(s *kernel.State) {
-			now := g.kernel.Now()
-			if to := seek(s, &g.kernel.Settings, now, asked); to.IsValid() {
-				message := g.message(s, now)
-				go g.send(to, now, &message)
-				asked++
-			}
-		})
 	}
 }
 
-// seek decides whom a host asks for an announcement; nobody if it has heard one lately, if
+// seek asks for an announcement if this host needs one; it runs on the control thread.
+func (g *gossip) seek(s *kernel.State) {
+	now := g.kernel.Now()
+	if to := seekFrom(s, &g.kernel.Settings, now, g.asked); to.IsValid() {
+		g.asked++
+		message := g.message(s, now)
+		go g.send(to, now, &message)
+	}
+}
+
+// seekFrom decides whom a host asks for an announcement; nobody if it has heard one lately, if
 // it announces itself, or if no live host of its hall ranks before it. It asks the first
 // ones in turn, beginning anywhere, so that all hosts of a hall that starts do not ask one.
-func seek(s *kernel.State, settings *kernel.Settings, now time.Duration, asked int) netip.AddrPort {
+func seekFrom(s *kernel.State, settings *kernel.Settings, now time.Duration, asked int) netip.AddrPort {
 	for _, a := range s.HallAnnouncers {
 		if now-a.At < seekAfter {
 			return netip.AddrPort{}
