--- a/tier/peers/members.go
+++ b/tier/peers/members.go
@@ -298,21 +298,6 @@
 	return e
 }
 
-type knownMember struct {
-	Entry memberEntry
-	Live  bool
-}
-
-// members lists all members, in order of name.
-func (t *memberTable) members(now time.Duration) []knownMember {
-	out := make([]knownMember, 0, len(t.order))
-	for _, r := range t.order {
-		out = append(out, knownMember{Entry: r.memberEntry, Live: t.isLive(now, r)})
-	}
-	slices.SortFunc(out, func(a, b knownMember) int { return cmp.Compare(a.Entry.Host, b.Entry.Host) })
-	return out
-}
-
 // changes returns the names of the members that changed since it was last called, some
 // of them twice.
 func (t *memberTable) changes() []string {
--- a/tier/peers/members_test.go
+++ b/tier/peers/members_test.go
@@ -1,9 +1,11 @@
 package peers
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -16,6 +18,21 @@
 	return newMemberTable(memberTableConfig{Self: memberEntry{Host: host, Incarnation: "1"}, Interval: time.Second, Random: rand.New(rand.NewPCG(1, 0))})
 }
 
+type knownMember struct {
+	Entry memberEntry
+	Live  bool
+}
+
+// members lists all members, in order of name.
+func (t *memberTable) members(now time.Duration) []knownMember {
+	out := make([]knownMember, 0, len(t.order))
+	for _, r := range t.order {
+		out = append(out, knownMember{Entry: r.memberEntry, Live: t.isLive(now, r)})
+	}
+	slices.SortFunc(out, func(a, b knownMember) int { return cmp.Compare(a.Entry.Host, b.Entry.Host) })
+	return out
+}
+
 // addresses has addresses compared by their value.
 var addresses = cmpopts.EquateComparable(netip.AddrPort{})
 
--- a/tier/peers/suspicion.go
+++ b/tier/peers/suspicion.go
@@ -5,16 +5,18 @@
 	"time"
 )
 
-// How a host that is gone is found. A host of the same hall that answers neither a
-// heartbeat nor the one that is sent again at once is suspected by the sender, as of when
-// the first was sent. Heartbeats pass suspicions on, and in the hall of the suspect extra
-// ones do at once. One stands where the host has not
-// been heard since, by anyone; whoever knows better lists the host as news, which ends
-// the suspicion wherever it arrives. Hosts of its hall send their next heartbeat to the
-// suspect, so that one which lives shows it. A suspicion that has stood for
-// suspectHeartbeats makes the host silent. Since each host is asked by a few others at each interval, the
-// time until one is found does not grow with the fleet, and the time until all know grows
-// with its logarithm.
+// How a host that is gone is found.
+//
+// A host of the same hall that answers neither a heartbeat nor the one that is sent again
+// at once is suspected by the sender, as of when the first was sent. Heartbeats pass
+// suspicions on, and in the hall of the suspect extra ones do at once. A suspicion stands
+// where the host has not been heard since, by anyone. Whoever knows better lists the host
+// as news, which ends the suspicion wherever it arrives; hosts of its hall send their next
+// heartbeat to the suspect, so that one which lives shows it. A suspicion that has stood
+// for suspectHeartbeats makes the host silent.
+//
+// Each host is asked by a few others at each interval. So the time until one is found does
+// not grow with the fleet, and the time until all know grows with its logarithm.
 
 const (
 	// suspectHeartbeats is for how many intervals a suspicion stands before its host is
