--- a/tier/policy/retrybudget.go
+++ b/tier/policy/retrybudget.go
@@ -32,8 +32,8 @@
 type RetryBudget struct {
 	// Ratio is how many retries one request earns.
 	Ratio float64
-	// Depth is how many earned retries may be saved up, and how many a host may make
-	// within Window beyond those that its requests earn then.
+	// Depth is how many earned retries may be saved up, and how many calls beyond the
+	// first a host may make within Window, earned or not, before it needs earned ones.
 	Depth float64
 	// Window is the time within which a group counts calls beyond the first; 0 for a
 	// host that makes none beyond what it has saved up.
