refactor: one piece of code asks the control thread, one repeats a job on it

The handlers of announcements and of heartbeats each made a channel, handed the control thread a job and waited for its answer or the end of the context; the announcer and the search for an announcer had the same loop over a tick. Both now are in the kernel: Ask and DoEvery.

--- a/tier/kernel/kernel.go
+++ b/tier/kernel/kernel.go
@@ -109,6 +109,33 @@
 	<-done
 }
 
+// DoEvery runs a job on the control thread at each interval until the context ends.
+func (k *Kernel) DoEvery(ctx context.Context, interval time.Duration, job func(*State)) {
+	tick := time.Tick(interval)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick:
+			k.Do(job)
+		}
+	}
+}
+
+// Ask runs a job on the control thread and returns its answer, unless the context ends
+// before.
+func Ask[T any](ctx context.Context, k *Kernel, job func(*State) T) (T, error) {
+	answers := make(chan T, 1)
+	k.Do(func(s *State) { answers <- job(s) })
+	select {
+	case answer := <-answers:
+		return answer, nil
+	case <-ctx.Done():
+		var none T
+		return none, ctx.Err()
+	}
+}
+
 // OnView has a function called on the control thread for every new view.
 func (k *Kernel) OnView(f func(*View)) {
 	k.Do(func(*State) {
--- a/tier/peers/announcement.go
+++ b/tier/peers/announcement.go
@@ -101,15 +101,7 @@
 }
 
 func (a *announcer) loop(ctx context.Context) {
-	tick := time.Tick(announceEvery)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick:
-			a.kernel.Do(a.announce)
-		}
-	}
+	a.kernel.DoEvery(ctx, announceEvery, a.announce)
 }
 
 // announce sends an announcement if something changed or it is time; it runs on
@@ -213,17 +205,10 @@
 	if !m.Peer.IsValid() {
 		return nil, fmt.Errorf("bad announcement: host %q tells no address", m.Host)
 	}
-	out := make(chan announceReply, 1)
-	a.kernel.Do(func(s *kernel.State) {
+	return kernel.Ask(ctx, a.kernel, func(s *kernel.State) any {
 		a.learn(s, m)
-		out <- a.reply(s, m)
+		return a.reply(s, m)
 	})
-	select {
-	case r := <-out:
-		return r, nil
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	}
 }
 
 // reply has a host that announces to a hall hear of the other one that does.
--- a/tier/peers/heartbeat.go
+++ b/tier/peers/heartbeat.go
@@ -226,21 +226,14 @@
 	if len(in.Members) == 0 || len(in.Members) > heartbeatEntries {
 		return nil, fmt.Errorf("heartbeat of %d members: send 1 to %d", len(in.Members), heartbeatEntries)
 	}
-	out := make(chan heartbeat, 1)
-	g.kernel.Do(func(s *kernel.State) {
+	return kernel.Ask(ctx, g.kernel, func(s *kernel.State) any {
 		from := in.Members[0].Peer
 		if s.Index != nil && s.Index.Host(in.Members[0].Host) != nil {
 			from = s.Index.Host(in.Members[0].Host).Peer
 		}
 		g.learn(s, from, in)
-		out <- g.reply(s, in)
+		return g.reply(s, in)
 	})
-	select {
-	case h := <-out:
-		return h, nil
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	}
 }
 
 // reply is the answer to a heartbeat. A host that knows few others gets many.
--- a/tier/peers/seek.go
+++ b/tier/peers/seek.go
@@ -28,15 +28,7 @@
 )
 
 func (g *gossip) seekLoop(ctx context.Context) {
-	tick := time.Tick(seekEvery)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick:
-			g.kernel.Do(g.seek)
-		}
-	}
+	g.kernel.DoEvery(ctx, seekEvery, g.seek)
 }
 
 // seek asks for an announcement if this host needs one; it runs on the control thread.
