--- a/tier/peers/members.go
+++ b/tier/peers/members.go
@@ -224,19 +224,22 @@
 	t.suspects = nil
 }
 
-// tell has the next messages list a member. Their number grows with the logarithm of the
-// fleet, as the time does in which news reaches all.
+// timesTold is how many messages list a member that is news. It grows with the logarithm
+// of the fleet, as the time does in which news reaches all.
+func (t *memberTable) timesTold() int { return 2 * bits.Len(uint(len(t.records))) }
+
+// tell has the next messages list a member.
 func (t *memberTable) tell(r *memberRecord) {
 	if r.untold == 0 {
 		t.news = append(t.news, r)
 	}
-	r.untold = 2 * bits.Len(uint(len(t.records)))
+	r.untold = t.timesTold()
 }
 
 // tellFirst is tell before all other news, for a member that others may take for silent.
 func (t *memberTable) tellFirst(r *memberRecord) {
 	t.news = slices.Insert(removeFirst(t.news, r), 0, r)
-	r.untold = 2 * bits.Len(uint(len(t.records)))
+	r.untold = t.timesTold()
 }
 
 // entries returns the entries for one heartbeat: this host, then members of which
