--- a/tier/config/position.go
+++ b/tier/config/position.go
@@ -67,7 +67,7 @@
 	// copied is true for what may come from the copy that an era began with, so that it
 	// may be older than what is known of the era before.
 	copied bool
-	// born is when the name\'s process started, in milliseconds since 1970; 0 if it does not
+	// born is when the name's process started, in milliseconds since 1970; 0 if it does not
 	// say.
 	born int64
 }
--- a/tier/policy/backoff.go
+++ b/tier/policy/backoff.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// Constants of the backoff after sheds. No figure was varied by itself.
+// Constants of the backoff after sheds.
 const (
 	// backoffFirst is the backoff after the first shed.
 	backoffFirst = 5 * time.Millisecond
--- a/tier/policy/borrowing.go
+++ b/tier/policy/borrowing.go
@@ -1,6 +1,6 @@
 package policy
 
-// Constants of borrowing. No figure was varied by itself.
+// Constants of borrowing.
 const (
 	// borrowFirst is the least number of calls not shed until one more slot is borrowed.
 	borrowFirst = 16
--- a/tier/policy/ejection.go
+++ b/tier/policy/ejection.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// Constants of ejection. No figure was varied by itself.
+// Constants of ejection.
 const (
 	// ejectAfter is the number of consecutive failures after which an upstream is taken out
 	// of rotation.
