test: two tests of announcements share their set-up

Both built the same announcer with one other host of its hall, and had it announce by the same steps. What they assert is unchanged. make lint and the tests of peers with the race detector pass.

--- a/tier/peers/announcement_test.go
+++ b/tier/peers/announcement_test.go
@@ -159,19 +159,33 @@
 	})
 }
 
+// newAnnouncerWithMate returns the state of a host that announces to one other of its
+// hall, and a function that has it announce and returns what the other heard last.
+func newAnnouncerWithMate(k *kernel.Kernel) (*kernel.State, func() announcement) {
+	sent := &announcementRecorder{last: map[string]announcement{}}
+	k.Peers = sent
+	a := &announcer{kernel: k}
+	s := &kernel.State{
+		ReadingState: kernel.ReadingState{Reading: true, Announcing: true},
+		Members:      map[string]kernel.Member{"Mate": {Host: "Mate", Hall: "A", Live: true}},
+	}
+	return s, func() announcement {
+		s.AnnouncedReadAt, s.OwnReadAt = k.Now(), k.Now()
+		a.announce(s)
+		synctest.Wait()
+		sent.mu.Lock()
+		defer sent.mu.Unlock()
+		return sent.last["Mate"]
+	}
+}
+
 // TestHostThatTakesOverSendsChangesOnly has a host with many upstreams begin to announce,
 // go on, stop for a while and begin again: what it sends is what changed since it last
 // did, and never all that is listed.
 func TestHostThatTakesOverSendsChangesOnly(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		k := newHallKernel(t, "Self")
-		sent := &announcementRecorder{last: map[string]announcement{}}
-		k.Peers = sent
-		tl := &announcer{kernel: k}
-		s := &kernel.State{
-			ReadingState: kernel.ReadingState{Reading: true, Announcing: true},
-			Members:      map[string]kernel.Member{"Mate": {Host: "Mate", Hall: "A", Live: true}},
-		}
+		s, announceToMate := newAnnouncerWithMate(k)
 		revision := uint64(0)
 		list := func(upstreams int) {
 			change := config.DirectoryChange{Revision: revision + uint64(upstreams)}
@@ -181,27 +195,19 @@
 			}
 			s.List(&change)
 		}
-		told := func() announcement {
-			s.AnnouncedReadAt, s.OwnReadAt = k.Now(), k.Now()
-			tl.announce(s)
-			synctest.Wait()
-			sent.mu.Lock()
-			defer sent.mu.Unlock()
-			return sent.last["Mate"]
-		}
 		time.Sleep(time.Second)
 		list(500)
-		first := told()
+		first := announceToMate()
 		assert.Assert(t, first.Change == nil && first.Directory == s.Directory.Digest(), "it sends what others know from others")
 		time.Sleep(announceEvery)
 		list(2)
-		assert.Equal(t, len(told().Change.Listed), 2)
+		assert.Equal(t, len(announceToMate().Change.Listed), 2)
 		time.Sleep(2 * announceLost)
 		list(3)
-		assert.Assert(t, told().Change == nil)
+		assert.Assert(t, announceToMate().Change == nil)
 		time.Sleep(announceEvery)
 		list(1)
-		assert.Equal(t, len(told().Change.Listed), 1)
+		assert.Equal(t, len(announceToMate().Change.Listed), 1)
 	})
 }
 
@@ -243,13 +249,7 @@
 func TestEvacuationIsAnnounced(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		k := newHallKernel(t, "Self")
-		sent := &announcementRecorder{last: map[string]announcement{}}
-		k.Peers = sent
-		tl := &announcer{kernel: k}
-		s := &kernel.State{
-			ReadingState: kernel.ReadingState{Reading: true, Announcing: true},
-			Members:      map[string]kernel.Member{"Mate": {Host: "Mate", Hall: "A", Live: true}},
-		}
+		s, announceToMate := newAnnouncerWithMate(k)
 		s.List(&config.DirectoryChange{Revision: 1, Whole: true})
 		mate := &kernel.State{ReadingState: kernel.ReadingState{
 			HallAnnouncers: map[string]kernel.AnnouncerReport{}, OtherReaders: map[string]kernel.AnnouncerReport{},
@@ -258,12 +258,7 @@
 		told := func(c *config.DirectoryChange) *config.Directory {
 			time.Sleep(10 * time.Millisecond)
 			s.List(c)
-			s.AnnouncedReadAt, s.OwnReadAt = k.Now(), k.Now()
-			tl.announce(s)
-			synctest.Wait()
-			sent.mu.Lock()
-			defer sent.mu.Unlock()
-			n := sent.last["Mate"]
+			n := announceToMate()
 			server.learn(mate, &n)
 			return mate.Directory
 		}
