--- a/loomd/settings.go
+++ b/loomd/settings.go
@@ -13,6 +13,7 @@
 
 	"loomgap/tier/config"
 	"loomgap/tier/kernel"
+	"loomgap/tier/policy"
 )
 
 // envPrefix is the prefix of the environment variables of flags: -StopBound can be set
@@ -101,6 +102,7 @@
 	f.Var((*regionList)(&s.Regions), "Regions", "`Hall=Region,...` of the data halls; a hall that is not listed is home only to routes without home regions")
 	f.Float64Var(&s.ColdFactor, "ColdFactor", 1, "maximum requests per second from all hosts to a cold upstream, as a multiple of the ColdRate of its group")
 	f.Float64Var(&s.ColdSlack, "ColdSlack", 0, "additional `requests` per second that a cold upstream may receive")
+	f.StringVar((*string)(&s.Overload), "Overload", string(policy.OverloadNone), "what to do about routed requests while upstreams lack room: `None` or Shortage")
 	f.Float64Var(&s.TraceRatio, "TraceRatio", 0, "fraction of requests whose spans are logged, 0 to 1")
 }
 
@@ -167,6 +169,7 @@
 		{s.LinkMbits >= 0, "LinkMbits", "out of range", "use 0 or more"},
 		{s.ColdFactor >= 0 && s.ColdFactor <= 100, "ColdFactor", "out of range", "use 0 to 100"},
 		{s.ColdSlack >= 0 && s.ColdSlack <= 1e6, "ColdSlack", "out of range", "use 0 to 1000000"},
+		{s.Overload == policy.OverloadNone || s.Overload == policy.OverloadShortage, "Overload", "unknown", "use None or Shortage"},
 		{s.LogRate >= 1, "LogRate", "out of range", "use 1 or more"},
 		{s.TraceRatio >= 0 && s.TraceRatio <= 1, "TraceRatio", "out of range", "use 0 to 1"},
 	}
--- a/tier/kernel/settings.go
+++ b/tier/kernel/settings.go
@@ -68,6 +68,8 @@
 	// ColdFactor and ColdSlack limit the requests that all hosts together send to a
 	// cold upstream within a second: ColdFactor times its rate plus ColdSlack.
 	ColdFactor, ColdSlack float64
+	// Overload says what this host does about routed requests during a shortage.
+	Overload policy.OverloadControl
 }
 
 // Region returns the region of this host's data hall; empty if it is not known.
--- a/tier/pass/engine.go
+++ b/tier/pass/engine.go
@@ -27,6 +27,7 @@
 	coordinate   coordinateState
 	coordinators coordinators
 	overhead     overhead
+	gates        gates
 	// start opens once there is a configuration to serve requests with.
 	start startGate
 	// preconnected are the hosts that connections were opened to in advance; used on the
--- a/tier/pass/run.go
+++ b/tier/pass/run.go
@@ -26,7 +26,7 @@
 			Routed: &policy.RoutedConfig{
 				Groups: q.plan.groups, FarPool: far, MaxAttempts: q.route.MaxAttempts,
 				Objective: max(time.Duration(q.route.Objective)-spent, 0), PreferredHall: q.plan.preferredHall,
-				CanRelay: q.route.Gather != nil, NoUpstreamReasons: q.plan.noUpstreamReasons,
+				CanRelay: q.route.Gather != nil, NoUpstreamReasons: q.plan.noUpstreamReasons, Shortage: q.shortage(),
 			},
 		},
 	}, ctx.Done())
@@ -58,6 +58,10 @@
 }
 
 func (q *request) Merge(part int, resp *response) {
+	q.included++
+	if float64(q.included) >= q.class.Coverage*float64(len(q.plan.groups)) {
+		q.leaveGate(true)
+	}
 	if q.route.Gather == nil {
 		q.responses.single = resp
 		return
@@ -69,6 +73,9 @@
 // calls that did not succeed.
 func (q *request) CallEnded(a policy.Action, r runner.Reply[*response], took time.Duration, over bool) {
 	q.callCounts[a.Part]++
+	if q.gate != nil {
+		q.gate.ObserveCall(q.engine.kernel.Now(), r.Outcome, r.Load, took)
+	}
 	if r.Outcome == policy.CallOK {
 		return
 	}
--- a/tier/pass/serve.go
+++ b/tier/pass/serve.go
@@ -32,6 +32,14 @@
 	responses responses
 	// callCounts has the number of calls sent for each part.
 	callCounts []int
+	// gate is the gate that the request passes and ticket its place there; nil if routed
+	// requests are not limited.
+	gate   *policy.Gate
+	ticket *policy.Ticket
+	// admittedAt is when the gate admitted the request.
+	admittedAt time.Duration
+	// included counts the parts that were merged.
+	included int
 	// outcome is the last outcome that was logged.
 	outcome outcome
 	// callerGone is true once the caller has closed the connection.
@@ -113,6 +121,10 @@
 		q.refuse(w, "too few groups have an upstream", retryAfterNoUpstream)
 		return
 	}
+	if !q.admit(ctx, w) {
+		return
+	}
+	defer q.leaveGate(false)
 	q.callCounts = make([]int, len(q.plan.groups))
 	caller := ctx
 	ctx, span := q.engine.kernel.Tracer.Start(ctx, "route")
--- a/tier/policy/routed.go
+++ b/tier/policy/routed.go
@@ -52,6 +52,8 @@
 	// NoUpstreamReasons holds for each part why it has no upstream to call; empty for parts
 	// that have one.
 	NoUpstreamReasons []query.Reason
+	// Shortage reports whether the gate of the request measures a shortage; nil for never.
+	Shortage func() bool
 }
 
 // routedRules are the rules for routed requests. This host's share of the retries that each
