--- a/tier/policy/callers.go
+++ b/tier/policy/callers.go
@@ -84,20 +84,24 @@
 
 // overShare reports whether a caller uses more than its share: its usage is above twice the
 // mean admitted usage of the other callers, and above 3 requests. The mean leaves out the caller
-// itself, since no one of two callers can exceed twice the mean of both, and early retries,
-// since with a third of the callers retrying these would raise the mean to half of their usage.
-// An unknown or invalid address is never over its share. It changes nothing.
+// itself, since neither of two callers can exceed twice the mean of both, and early attempts,
+// since those of a third of the callers would raise it to half of their own usage. An unknown
+// or invalid address is never over its share. It changes nothing.
 func (c *callerShares) overShare(now time.Duration, a netip.Addr) bool {
 	e := c.byAddr[a]
 	if e == nil || len(c.byAddr) == 1 {
 		return false
 	}
 	u := e.Value.(*callerUsage)
-	usage := u.admitted + u.early
 	others := max(c.admittedSum-u.admitted, 0) / float64(len(c.byAddr)-1)
-	return usage > callerFreeUsage*c.unit(now) && usage > callerMeanFactor*others
+	return u.usage() > callerFreeUsage*c.unit(now) && u.usage() > callerMeanFactor*others
 }
 
+// usage returns the usage of the caller. Early attempts count at most as much as admitted ones.
+// A caller that always returns early is thus held at the mean of the others; without the limit
+// it would get next to nothing, as three refused retries weigh more than its admitted request.
+func (u *callerUsage) usage() float64 { return u.admitted + min(u.early, u.admitted) }
+
 // use returns the entry of a caller and marks it as the most recently used. It returns nil for
 // an invalid address.
 func (c *callerShares) use(now time.Duration, a netip.Addr) *callerUsage {
