policy, pass: coordinators by reported room, decline when busy

Cause: a weak host forwards gathers to the nearest hall only, so a hall at several times its traffic refuses requests while others have room. Change: heartbeats and replies of forwarded requests carry the room of the gate during a shortage; a coordinator declines a request that may be declined (MayDecline) with Busy before it begins, if its gate would refuse it or have it wait for longer than the round trip to another hall. A sender chooses by room; a host that executes gathers itself hands one over while its own gate has no room. admit() is split into demand, enter and wait. Only with -Overload Shortage.

--- a/tier/pass/coordinate_client.go
+++ b/tier/pass/coordinate_client.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/rs/zerolog"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
@@ -40,7 +41,8 @@
 // forward has a coordinator execute the request, and reports whether the caller was
 // responded to. If a coordinator does not begin, the next one is tried. If a coordinator
 // has begun and is lost, the request fails: its calls may have run, and further calls would
-// exceed the attempts that a request may have.
+// exceed the attempts that a request may have. The last coordinator that is tried may not
+// decline for lack of room: it refuses the request if its gate does.
 func (q *request) forward(ctx context.Context, w http.ResponseWriter) bool {
 	if q.route.Gather == nil || !q.route.Repeatable {
 		return false
@@ -86,7 +88,7 @@
 // goroutine.
 type sentRequest struct {
 	request   *request
-	target    policy.Candidate
+	target    policy.ChosenCoordinator
 	startedAt time.Duration
 	// responded is true once the coordinator has sent a heartbeat or a reply.
 	responded bool
@@ -106,6 +108,7 @@
 	}
 	s.startedAt = e.kernel.Now()
 	in := q.coordinateRequest(ctx)
+	in.MayDecline = s.target.MayDecline
 	first := e.hosts.roundTrip(s.target.Host) + e.coordinate.heartbeat.first
 	e.hosts.sent(s.target.Host, s.startedAt+first)
 	heartbeats, release := e.coordinate.inboxes.open(in.ID, 1)
@@ -118,7 +121,8 @@
 	defer timer.Stop()
 	for {
 		select {
-		case <-heartbeats:
+		case room := <-heartbeats:
+			s.observeRoom(room)
 			if !s.begin(ctx, in.ID) {
 				return nil
 			}
@@ -140,11 +144,15 @@
 	e := q.engine
 	now := e.kernel.Now()
 	spent := max(now-q.times.startedAt, e.overhead.forwarding.Estimate())
-	return &coordinateRequest{
+	out := &coordinateRequest{
 		ID: e.ids.next(), RequestID: q.in.id, HostName: q.in.hostName, Path: q.in.path, Route: q.route.Digest(),
 		Method: q.in.method, Head: string(q.in.head), Body: q.in.body, Caller: q.in.identity.Caller,
 		SpentMicros: spent.Microseconds(), LeftMillis: (q.times.deadline - now).Milliseconds(), Trace: wire.TraceParent(ctx),
 	}
+	if e.limitsLoad() {
+		out.SpentBeforeMicros = q.spentBeforeThis().Microseconds()
+	}
+	return out
 }
 
 // begin tells the coordinator to begin, after its first heartbeat, and reports whether it
@@ -189,12 +197,40 @@
 		return nil
 	}
 	s.recordFirstResponse(time.Duration(s.reply.HeldMicros) * time.Microsecond)
-	if s.reply.Declined != "" {
-		e.hosts.declined(s.target.Host, e.kernel.Now(), s.reply.Declined)
-		s.log().Str("Declined", string(s.reply.Declined)).Msg("request declined by coordinator")
-		return nil
+	if s.reply.Declined == "" {
+		s.observeRoom(s.reply.Room)
+		return &s.reply
+	}
+	e.hosts.declined(s.target.Host, e.kernel.Now(), s.reply.Declined)
+	if s.reply.Declined == declineBusy {
+		s.observeDeclined()
+	}
+	metrics.GetOrCreateCounter(`loomgap_forward_declined_total{Reason="` + string(s.reply.Declined) + `"}`).Inc()
+	s.log().Str("Declined", string(s.reply.Declined)).Msg("request declined by coordinator")
+	return nil
+}
+
+// observeRoom records the room that the coordinator has reported; nil if it reported none.
+func (s *sentRequest) observeRoom(r *roomReport) {
+	e := s.request.engine
+	if e.limitsLoad() {
+		e.hosts.observeRoom(s.roomKey(), e.kernel.Now(), r)
 	}
-	return &s.reply
+}
+
+// observeDeclined records that the coordinator declined the request for lack of room. It
+// guarantees that it has made no call, even if it was told to begin.
+func (s *sentRequest) observeDeclined() {
+	e := s.request.engine
+	s.begun = false
+	if e.limitsLoad() {
+		s.observeRoom(s.reply.Room)
+		e.hosts.declinedForRoom(s.roomKey(), e.kernel.Now())
+	}
+}
+
+func (s *sentRequest) roomKey() roomKey {
+	return roomKey{host: s.target.Host, gate: gateKey(s.request.route.Gather.Groups)}
 }
 
 // abort stops the request at the coordinator, because it is unresponsive or the caller is
@@ -221,7 +257,7 @@
 
 // onCoordinateHeartbeat handles a heartbeat of a coordinator. It is dropped if the request
 // has ended or if the previous heartbeat is not handled yet.
-func (e *engine) onCoordinateHeartbeat(_ context.Context, in *coordinateID) (any, error) {
-	e.coordinate.inboxes.deliver(in.ID, struct{}{})
+func (e *engine) onCoordinateHeartbeat(_ context.Context, in *coordinateHeartbeat) (any, error) {
+	e.coordinate.inboxes.deliver(in.ID, in.Room)
 	return struct{}{}, nil
 }
--- a/tier/pass/coordinate_messages.go
+++ b/tier/pass/coordinate_messages.go
@@ -42,6 +42,18 @@
 	// LeftMillis is the time until the deadline, in milliseconds; above 0.
 	LeftMillis int64
 	Trace      string `json:",omitempty"`
+	// MayDecline is true if the sender has another host to try, so that a coordinator
+	// without room may decline. Older senders never set it.
+	MayDecline bool `json:",omitempty"`
+	// SpentBeforeMicros is the time between the first attempt of the caller and this one,
+	// in microseconds, as far as the sender knows.
+	SpentBeforeMicros int64 `json:",omitempty"`
+}
+
+// roomReport is the room at the gate of a forwarded request, during a shortage.
+type roomReport struct {
+	// InFlight and Waiting count requests, Places limits InFlight.
+	InFlight, Places, Waiting int
 }
 
 // declineReason is why a coordinator declined a request without making a call.
@@ -54,6 +66,9 @@
 	declineRoute declineReason = "Route"
 	// declineNotBegun means that methodCoordinateBegin did not arrive in time.
 	declineNotBegun declineReason = "NotBegun"
+	// declineBusy means that the request would be refused, or would wait for longer than
+	// the round trip to another hall. It is sent only in reply to MayDecline.
+	declineBusy declineReason = "Busy"
 )
 
 type coordinateReply struct {
@@ -66,9 +81,18 @@
 	Body    []byte
 	// HeldMicros is how long the coordinator held the request, in microseconds.
 	HeldMicros int64
+	// Room is nil if the coordinator measures no shortage or is older.
+	Room *roomReport `json:",omitempty"`
+}
+
+// coordinateHeartbeat is a heartbeat of a request.
+type coordinateHeartbeat struct {
+	ID string
+	// Room is nil if the coordinator measures no shortage or is older.
+	Room *roomReport `json:",omitempty"`
 }
 
-// coordinateID identifies a request in the other three methods.
+// coordinateID identifies a request in the other two methods.
 type coordinateID struct {
 	ID string
 }
--- a/tier/pass/coordinate_server.go
+++ b/tier/pass/coordinate_server.go
@@ -45,6 +45,11 @@
 	if declined != "" {
 		return &coordinateReply{Declined: declined}, nil
 	}
+	room := q.roomReporter()
+	busy := func() bool { return in.MayDecline && q.isBusy() }
+	if busy() {
+		return &coordinateReply{Declined: declineBusy, Room: room()}, nil
+	}
 	e.kernel.InFlight.Add(1)
 	defer e.kernel.InFlight.Add(-1)
 	metrics.GetOrCreateCounter("loomgap_carried_requests_total").Inc()
@@ -54,13 +59,19 @@
 	e.coordinate.served.add(in.ID, served)
 	defer e.coordinate.served.drop(in.ID)
 	started := e.kernel.Now()
-	go e.sendHeartbeats(ctx, runCtx, in.ID, cancel)
+	go e.sendHeartbeats(ctx, runCtx, coordinateHeartbeat{ID: in.ID}, room, cancel)
 	if !served.begin.await(runCtx, beginTimeout) {
 		return &coordinateReply{Declined: declineNotBegun}, nil
 	}
+	// The room may have been used up since the first check. No call has been made yet.
+	if busy() {
+		return &coordinateReply{Declined: declineBusy, Room: room()}, nil
+	}
 	w := &recorder{header: http.Header{}}
 	q.serve(runCtx, w)
-	return w.reply(q.outcome, e.kernel.Now()-started), nil
+	reply := w.reply(q.outcome, e.kernel.Now()-started)
+	reply.Room = room()
+	return reply, nil
 }
 
 // accept creates the request that another host has sent, or declines it.
@@ -77,6 +88,7 @@
 			startedAt: now - max(time.Duration(in.SpentMicros)*time.Microsecond, 0),
 			deadline:  now + time.Duration(in.LeftMillis)*time.Millisecond,
 		},
+		spentBefore: max(time.Duration(in.SpentBeforeMicros)*time.Microsecond, 0),
 	}
 	q.in.setContent([]byte(in.Head), in.Body)
 	q.route, q.class = q.view.Index.Route(in.HostName, in.Path)
@@ -87,11 +99,12 @@
 }
 
 // sendHeartbeats sends heartbeats to the sender of a request until the request ends.
-func (e *engine) sendHeartbeats(ctx, runCtx context.Context, id string, cancel context.CancelFunc) {
+func (e *engine) sendHeartbeats(ctx, runCtx context.Context, beat coordinateHeartbeat, room func() *roomReport, cancel context.CancelFunc) {
 	tick := time.NewTicker(heartbeatInterval)
 	defer tick.Stop()
 	for {
-		if err := kernel.Push(ctx, methodCoordinateHeartbeat, coordinateID{ID: id}); err != nil {
+		beat.Room = room()
+		if err := kernel.Push(ctx, methodCoordinateHeartbeat, beat); err != nil {
 			e.kernel.RequestLog.Info().Err(err).Msg("sender of forwarded request is gone")
 			cancel()
 			return
--- a/tier/pass/coordinators.go
+++ b/tier/pass/coordinators.go
@@ -2,7 +2,9 @@
 
 import (
 	"maps"
+	"math/rand/v2"
 	"sync/atomic"
+	"time"
 
 	"loomgap/tier/config"
 	"loomgap/tier/kernel"
@@ -14,6 +16,10 @@
 // most calls would go to another hall again.
 const minUpstreamShare = 0.5
 
+// refusalShare is the share of the objective within which a request is refused if it cannot be
+// served.
+const refusalShare = 0.1
+
 // coordinators holds the hosts that may execute gathers for others. It is written on the
 // control thread and read by requests.
 type coordinators struct {
@@ -58,14 +64,60 @@
 }
 
 // coordinator selects the host that is to execute the request; false means this one.
-func (q *request) coordinator(tried map[string]bool) (policy.Candidate, bool) {
+func (q *request) coordinator(tried map[string]bool) (policy.ChosenCoordinator, bool) {
 	e := q.engine
-	allowed := e.placement(q.view).AllowedHosts(*e.coordinators.candidates.Load(), q.route.Homes)
-	best := policy.Coordinators(e.self(), e.hosts.candidates(allowed, e.kernel.Now(), tried))
+	all := *e.coordinators.candidates.Load()
+	allowed := e.placement(q.view).AllowedHosts(all, q.route.Homes)
+	cands := e.hosts.candidates(allowed, e.kernel.Now(), tried)
+	if e.limitsLoad() {
+		return q.coordinatorByRoom(cands, policy.SelfExecutes(e.self(), all), len(tried))
+	}
+	best := policy.Coordinators(e.self(), cands)
 	if len(best) == 0 {
-		return policy.Candidate{}, false
+		return policy.ChosenCoordinator{}, false
+	}
+	return policy.ChosenCoordinator{Candidate: best[0]}, true
+}
+
+// coordinatorByRoom selects the host that is to execute the request by the room that the
+// candidates have reported. A host that executes requests itself uses another one only while
+// its own gate has no room. attempts counts the hosts tried before.
+func (q *request) coordinatorByRoom(cands []policy.Candidate, executes bool, attempts int) (policy.ChosenCoordinator, bool) {
+	e := q.engine
+	if executes && !q.mayHandOver(cands, attempts) {
+		return policy.ChosenCoordinator{}, false
+	}
+	c := policy.CoordinatorChoice{
+		Now: e.kernel.Now(), Self: e.self(), SelfExecutes: executes, All: cands,
+		Objective: time.Duration(q.route.Objective), Random: rand.IntN,
+	}
+	if executes {
+		c.Self.Room.Observe(c.Now, (*policy.RoomReport)(q.roomReporter()()))
+	}
+	e.hosts.addRooms(c.All, gateKey(q.route.Gather.Groups))
+	chosen, ok := c.Choose()
+	if !ok || chosen.Host == c.Self.Host {
+		return policy.ChosenCoordinator{}, false
+	}
+	if !executes && attempts+1 >= maxCoordinatorAttempts {
+		chosen.MayDecline = false
+	}
+	return chosen, true
+}
+
+// mayHandOver reports whether a host that executes requests itself lets another one execute
+// the request: its own gate has no room, and there is time for an answer that it has none
+// either. A refusal is due within refusalShare of the objective.
+func (q *request) mayHandOver(cands []policy.Candidate, attempts int) bool {
+	e := q.engine
+	if len(cands) == 0 {
+		return false
+	}
+	spent := e.kernel.Now() - q.times.startedAt
+	if attempts > 0 && spent > time.Duration(refusalShare*float64(q.route.Objective)) {
+		return false
 	}
-	return best[0], true
+	return q.isBusy()
 }
 
 func (e *engine) self() policy.Candidate {
--- a/tier/pass/engine.go
+++ b/tier/pass/engine.go
@@ -55,7 +55,8 @@
 // coordinateState is the state of both ends of the coordinator protocol: this host as a
 // sender of requests and as a coordinator.
 type coordinateState struct {
-	inboxes inboxes[struct{}]
+	// inboxes get the room of each heartbeat.
+	inboxes inboxes[*roomReport]
 	served  registry[*servedRequest]
 	// heartbeat holds the timeouts for requests sent; only tests change it.
 	heartbeat heartbeatTimeouts
--- a/tier/pass/gate.go
+++ b/tier/pass/gate.go
@@ -104,45 +104,116 @@
 	return n
 }
 
+// limitsLoad reports whether requests pass a gate.
+func (e *engine) limitsLoad() bool { return e.kernel.Settings.Overload == policy.OverloadShortage }
+
+// findGate plans the request, finds its gate and returns it.
+func (q *request) findGate() *policy.Gate {
+	if q.gate == nil {
+		q.makePlan()
+		q.gate = q.engine.gateOf(q)
+	}
+	return q.gate
+}
+
+// demand describes the request to its gate.
+func (q *request) demand() policy.Demand {
+	spent := q.spentBeforeThis()
+	return policy.Demand{
+		Route: q.route.Name, Rank: q.route.Priority, Caller: q.in.identity.Caller,
+		ObjectiveAt: q.times.startedAt + time.Duration(q.class.Patience) - spent, DeadlineAt: q.times.deadline,
+		Spent: spent,
+	}
+}
+
+// spentBeforeThis returns the time between the caller's first attempt and this one, as far as
+// known.
+func (q *request) spentBeforeThis() time.Duration {
+	if q.spentBefore > 0 {
+		return q.spentBefore
+	}
+	if full := q.times.startedAt + time.Duration(q.route.TimeLimit); full-q.times.deadline > 50*time.Millisecond {
+		return min(full-q.times.deadline, time.Duration(q.route.Objective))
+	}
+	return 0
+}
+
+// isBusy reports whether the gate would refuse the request, or have it wait for longer than the
+// round trip to the nearest other hall.
+func (q *request) isBusy() bool {
+	e := q.engine
+	if !e.limitsLoad() {
+		return false
+	}
+	o := q.findGate().Outlook(e.kernel.Now(), q.demand())
+	switch o.Decision {
+	case policy.DecisionRun:
+		return false
+	case policy.DecisionRefuse:
+		return true
+	}
+	nearest := e.hosts.nearestRoundTrip(*e.coordinators.candidates.Load(), e.kernel.Settings.Hall)
+	return nearest > 0 && o.Wait > nearest
+}
+
+// roomReporter returns a function that reports the room at the gate of the request; nil without
+// a shortage. It may be called concurrently with the request.
+func (q *request) roomReporter() func() *roomReport {
+	e := q.engine
+	if !e.limitsLoad() {
+		return func() *roomReport { return nil }
+	}
+	g := q.findGate()
+	return func() *roomReport {
+		s := g.State(e.kernel.Now())
+		if !s.Limited {
+			return nil
+		}
+		return &roomReport{InFlight: s.InFlight, Places: s.Places, Waiting: s.Waiting}
+	}
+}
+
 // admit passes the request through the gate of its groups. It responds to a request that is
 // refused or whose caller leaves, and returns false.
 func (q *request) admit(ctx context.Context, w http.ResponseWriter) bool {
 	e := q.engine
-	if e.kernel.Settings.Overload != policy.OverloadShortage {
+	if !e.limitsLoad() {
 		return true
 	}
-	q.gate = e.gateOf(q)
+	g := q.findGate()
 	now := e.kernel.Now()
-	d := policy.Demand{
-		Route: q.route.Name, Rank: q.route.Priority, Caller: q.in.identity.Caller,
-		ObjectiveAt: q.times.startedAt + time.Duration(q.class.Patience), DeadlineAt: q.times.deadline,
+	q.ticket = g.Enter(now, q.demand())
+	q.admittedAt = now
+	if !q.awaitTicket(ctx, now) {
+		g.Abandon(e.kernel.Now(), q.ticket)
+		q.log(outcomeCancelled, 0).Msg("request cancelled by caller")
+		return false
 	}
-	if full := q.times.startedAt + time.Duration(q.route.TimeLimit); full-q.times.deadline > 50*time.Millisecond {
-		d.Spent = min(full-q.times.deadline, time.Duration(q.route.Objective))
-		d.ObjectiveAt -= d.Spent
+	q.admittedAt = e.kernel.Now()
+	if r := q.ticket.Refusal(); r != nil {
+		q.refuse(w, r.Reason, r.RetryAfter)
+		return false
 	}
-	t := q.gate.Enter(now, d)
-	q.ticket = t
-	q.admittedAt = now
+	return true
+}
+
+// awaitTicket waits until the gate has decided about the request. It returns false if the
+// context ends before that.
+func (q *request) awaitTicket(ctx context.Context, now time.Duration) bool {
+	t := q.ticket
 	select {
 	case <-t.Decided():
+		return true
 	default:
-		timer := time.NewTimer(t.CheckAt() - now)
-		defer timer.Stop()
-		select {
-		case <-t.Decided():
-		case <-timer.C:
-			q.gate.Check(e.kernel.Now(), t)
-			<-t.Decided()
-		case <-ctx.Done():
-			q.gate.Abandon(e.kernel.Now(), t)
-			q.log(outcomeCancelled, 0).Msg("request cancelled by caller")
-			return false
-		}
 	}
-	q.admittedAt = e.kernel.Now()
-	if r := t.Refusal(); r != nil {
-		q.refuse(w, r.Reason, r.RetryAfter)
+	timer := time.NewTimer(t.CheckAt() - now)
+	defer timer.Stop()
+	select {
+	case <-t.Decided():
+	case <-timer.C:
+		q.gate.Check(q.engine.kernel.Now(), t)
+		<-t.Decided()
+	case <-ctx.Done():
 		return false
 	}
 	return true
--- a/tier/pass/golden_test.go
+++ b/tier/pass/golden_test.go
@@ -45,12 +45,14 @@
 	&coordinateRequest{
 		ID: "f-1", RequestID: "r-1", HostName: "shop.example", Path: "/find/x", Route: 1 << 63, Method: "POST",
 		Head: "POST / HTTP/1.1\r\n", Body: []byte("body"), Caller: netip.MustParseAddr("192.0.2.1"),
-		SpentMicros: 1500, LeftMillis: 900, Trace: "00-trace",
+		SpentMicros: 1500, LeftMillis: 900, Trace: "00-trace", MayDecline: true, SpentBeforeMicros: 2500,
 	},
 	&coordinateReply{
 		Declined: declineNotBegun, Status: 200, Outcome: outcomePartial, Header: map[string]string{"X-Missing": "1"},
-		Body: []byte("body"), HeldMicros: 2500,
+		Body: []byte("body"), HeldMicros: 2500, Room: &roomReport{InFlight: 5, Places: 6, Waiting: 7},
 	},
+	&coordinateHeartbeat{ID: "f-1", Room: &roomReport{InFlight: 5, Places: 6, Waiting: 7}},
+	&roomReport{InFlight: 5, Places: 6, Waiting: 7},
 	&coordinateID{ID: "f-1"},
 }
 
@@ -98,7 +100,7 @@
 		"Served", "Partial", "Failed", "NotRun", "Unknown", "Late", "NoRoute",
 		"Invalid", "GivenUp", "BelowCoverage", "TooLarge",
 	})
-	assert.DeepEqual(t, []declineReason{declineStopping, declineRoute, declineNotBegun}, []declineReason{"Stopping", "Route", "NotBegun"})
+	assert.DeepEqual(t, []declineReason{declineStopping, declineRoute, declineNotBegun, declineBusy}, []declineReason{"Stopping", "Route", "NotBegun", "Busy"})
 }
 
 // observation collects the responses and log lines of some requests.
--- a/tier/pass/host_tracker.go
+++ b/tier/pass/host_tracker.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -27,8 +28,21 @@
 	// hosts and halls are by name.
 	hosts map[string]*trackedHost
 	halls map[string]*trackedHall
+	// rooms is what is known of the room of coordinators. Expired entries are removed when
+	// maxTrackedRooms is exceeded.
+	rooms map[roomKey]*policy.KnownRoom
 }
 
+// roomKey identifies the gate of a set of groups at a host.
+type roomKey struct {
+	host string
+	// gate is the result of gateKey.
+	gate uint64
+}
+
+// maxTrackedRooms is the number of entries of rooms above which expired ones are removed.
+const maxTrackedRooms = 1000
+
 // trackedHost is the state of one host.
 type trackedHost struct {
 	// pending counts the batches and requests that the host has not responded to yet.
@@ -55,7 +69,7 @@
 }
 
 func newHostTracker() hostTracker {
-	return hostTracker{hosts: map[string]*trackedHost{}, halls: map[string]*trackedHall{}}
+	return hostTracker{hosts: map[string]*trackedHost{}, halls: map[string]*trackedHall{}, rooms: map[roomKey]*policy.KnownRoom{}}
 }
 
 // leastPending returns the responsive host of a hall with the fewest pending messages in
@@ -118,6 +132,57 @@
 	return out
 }
 
+// addRooms sets what is known of the room of the candidates at a gate.
+func (t *hostTracker) addRooms(all []policy.Candidate, gate uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for i := range all {
+		if r := t.rooms[roomKey{host: all[i].Host, gate: gate}]; r != nil {
+			all[i].Room = *r
+		}
+	}
+}
+
+// observeRoom records a report of the room of a coordinator; nil if it reported none.
+func (t *hostTracker) observeRoom(k roomKey, now time.Duration, r *roomReport) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r == nil {
+		delete(t.rooms, k)
+		return
+	}
+	t.room(k, now).Observe(now, (*policy.RoomReport)(r))
+}
+
+// declinedForRoom records that a coordinator declined a request for lack of room.
+func (t *hostTracker) declinedForRoom(k roomKey, now time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.room(k, now).Declined(now)
+}
+
+// room returns what is known of the room of a coordinator. mu must be held.
+func (t *hostTracker) room(k roomKey, now time.Duration) *policy.KnownRoom {
+	if len(t.rooms) > maxTrackedRooms {
+		maps.DeleteFunc(t.rooms, func(_ roomKey, r *policy.KnownRoom) bool { return r.Expired(now) })
+	}
+	return getOrCreate(t.rooms, k)
+}
+
+// nearestRoundTrip returns the round trip to the nearest hall of the candidates, other than
+// the given one; 0 if none is known.
+func (t *hostTracker) nearestRoundTrip(all []policy.Candidate, hall string) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	nearest := time.Duration(0)
+	for _, c := range all {
+		if c.Hall != hall {
+			nearest = minKnown(nearest, t.hall(c.Hall).roundTrip)
+		}
+	}
+	return nearest
+}
+
 // roundTrip returns the round trip to a host; 0 if unknown.
 func (t *hostTracker) roundTrip(host string) time.Duration {
 	t.mu.Lock()
@@ -182,7 +247,8 @@
 }
 
 // declined records that a host declined a request. A host that is stopping backs off; one
-// with another configuration does not, since it will soon have the same one.
+// with another configuration does not, since it will soon have the same one, and one without
+// room is recorded by declinedForRoom.
 func (t *hostTracker) declined(host string, now time.Duration, why declineReason) {
 	if why != declineStopping {
 		return
@@ -199,7 +265,7 @@
 func (t *hostTracker) hall(name string) *trackedHall { return getOrCreate(t.halls, name) }
 
 // getOrCreate returns the item of a name and creates it if necessary.
-func getOrCreate[T any](items map[string]*T, name string) *T {
+func getOrCreate[K comparable, T any](items map[K]*T, name K) *T {
 	if items[name] == nil {
 		items[name] = new(T)
 	}
--- a/tier/pass/plan.go
+++ b/tier/pass/plan.go
@@ -30,6 +30,13 @@
 	return p.reachable > 0 && float64(p.reachable) >= class.Coverage*float64(len(p.groups))
 }
 
+// makePlan plans the request unless that was done to find its gate.
+func (q *request) makePlan() {
+	if q.plan.groups == nil {
+		q.plan = q.engine.plan(q.view, q.route)
+	}
+}
+
 func (e *engine) plan(v *kernel.View, r *config.Route) plan {
 	var groups []string
 	if r.Gather != nil {
--- a/tier/pass/serve.go
+++ b/tier/pass/serve.go
@@ -38,6 +38,9 @@
 	ticket *policy.Ticket
 	// admittedAt is when the gate admitted the request.
 	admittedAt time.Duration
+	// spentBefore is the time between the caller's first attempt and this one, as known to
+	// the host that forwarded the request; 0 if unknown.
+	spentBefore time.Duration
 	// included counts the parts that were merged.
 	included int
 	// outcome is the last outcome that was logged.
@@ -116,7 +119,7 @@
 		q.log(outcomeCancelled, 0).Msg("request cancelled by caller")
 		return
 	}
-	q.plan = q.engine.plan(q.view, q.route)
+	q.makePlan()
 	if !q.plan.covers(q.class) {
 		q.refuse(w, "too few groups have an upstream", retryAfterNoUpstream)
 		return
--- a/tier/policy/coordinator.go
+++ b/tier/policy/coordinator.go
@@ -23,6 +23,9 @@
 	// among themselves if there are weaker hosts. The rest is for those hosts, which make
 	// their own calls only when no coordinator answers.
 	coordinatorSlack = 0.8
+	// unknownRoundTrip is the round trip to a hall that is not known, when it is added to an
+	// expected wait. It exceeds the objective of most routes.
+	unknownRoundTrip = time.Second
 )
 
 // Capacity returns how much work a host can handle, in thousandths of a core with an
@@ -46,6 +49,13 @@
 	RoundTrip time.Duration
 	// Pending counts the requests that were sent to the host and are not acknowledged yet.
 	Pending int
+	// Room is what is known of the room of the host. Only CoordinatorChoice uses it.
+	Room KnownRoom
+}
+
+// SelfExecutes reports whether a host executes requests itself, given all live hosts.
+func SelfExecutes(self Candidate, all []Candidate) bool {
+	return IsCoordinator(self.Capacity, greatestCapacity(all, self.Capacity))
 }
 
 // IsCoordinator reports whether a host with the given capacity executes requests itself,
@@ -64,16 +74,132 @@
 		return nil
 	}
 	out := strongHosts(all, strongest)
-	slices.SortFunc(out, func(a, b Candidate) int {
+	sortForSender(&self, out)
+	return out
+}
+
+// sortForSender sorts coordinators by their distance from self, then by their pending requests,
+// then by rendezvous hashing.
+func sortForSender(self *Candidate, all []Candidate) {
+	slices.SortFunc(all, func(a, b Candidate) int {
 		return cmp.Or(
-			cmp.Compare(distance(&self, &a), distance(&self, &b)),
+			cmp.Compare(distance(self, &a), distance(self, &b)),
 			cmp.Compare(a.Pending, b.Pending),
 			cmp.Compare(RendezvousHash(self.Host, a.Host), RendezvousHash(self.Host, b.Host)),
 		)
 	})
+}
+
+// CoordinatorChoice is the choice of the coordinator of one request by the room that the
+// candidates have reported.
+type CoordinatorChoice struct {
+	Now  time.Duration
+	Self Candidate
+	// SelfExecutes is true if Self executes requests itself, even if no other host
+	// responds. It is then the nearest candidate, and chooses only while it has no room.
+	SelfExecutes bool
+	// All are the other candidates, with what is known of their room.
+	All []Candidate
+	// Objective is the objective of the request. A request that is admitted takes about
+	// that time, so it serves to convert waiting requests to an expected wait.
+	Objective time.Duration
+	// Random returns a random number from 0 to n-1.
+	Random func(n int) int
+}
+
+// ChosenCoordinator is the result of a choice.
+type ChosenCoordinator struct {
+	Candidate
+	// MayDecline is true if the candidate may decline the request for lack of room: it has
+	// room as far as known, and another host is left to try. If no candidate is known to
+	// have room, another one would not do better.
+	MayDecline bool
+}
+
+// Choose returns the coordinator to use; false if there is no candidate besides Self. Without
+// a report of shortage it is the first of Coordinators. If all candidates in the nearest hall
+// have no room, or have had some only for a short time, it is the better of two random ones
+// with room: a sender knows little of distant coordinators, and many senders that all chose
+// the best one would overload it. If none has room, two random ones are compared with the
+// nearest, so that the waits in all halls become similar.
+func (c *CoordinatorChoice) Choose() (chosen ChosenCoordinator, ok bool) {
+	all := c.sorted()
+	if len(all) == 0 {
+		return ChosenCoordinator{}, false
+	}
+	hostsLeft := c.SelfExecutes || len(all) > 1
+	nearest := filterCandidates(all, func(o *Candidate) bool { return distance(&c.Self, o) == c.nearestDistance(all) })
+	if i := slices.IndexFunc(nearest, func(o Candidate) bool { return o.Room.settled(c.Now, o.Pending) }); i >= 0 {
+		return ChosenCoordinator{Candidate: nearest[i], MayDecline: hostsLeft}, true
+	}
+	withRoom := filterCandidates(all, func(o *Candidate) bool { return o.Room.hasRoom(c.Now, o.Pending) })
+	if len(withRoom) > 0 {
+		return ChosenCoordinator{Candidate: c.best(c.twoRandom(withRoom)), MayDecline: hostsLeft}, true
+	}
+	return ChosenCoordinator{Candidate: c.bestOfFull(all)}, true
+}
+
+// bestOfFull returns the coordinator to use if none has room. Those that declined a request
+// lately go behind the others.
+func (c *CoordinatorChoice) bestOfFull(all []Candidate) Candidate {
+	others := filterCandidates(all, func(o *Candidate) bool { return !o.Room.declinedLately(c.Now) })
+	if len(others) == 0 {
+		others = all
+	}
+	nearest := others[0]
+	if c.SelfExecutes {
+		nearest = c.Self
+	}
+	return c.best(append([]Candidate{nearest}, c.twoRandom(others)...))
+}
+
+// sorted returns the candidates besides Self, the nearest first.
+func (c *CoordinatorChoice) sorted() []Candidate {
+	if !c.SelfExecutes {
+		return Coordinators(c.Self, c.All)
+	}
+	out := strongHosts(c.All, greatestCapacity(c.All, c.Self.Capacity))
+	sortForSender(&c.Self, out)
 	return out
 }
 
+// nearestDistance returns the distance of the candidates that are preferred to all others. A
+// host that executes requests itself prefers only those of its own hall.
+func (c *CoordinatorChoice) nearestDistance(sorted []Candidate) time.Duration {
+	if c.SelfExecutes {
+		return 0
+	}
+	return distance(&c.Self, &sorted[0])
+}
+
+// twoRandom returns two different random candidates, or all if there are fewer.
+func (c *CoordinatorChoice) twoRandom(all []Candidate) []Candidate {
+	if len(all) < 2 {
+		return all
+	}
+	i, j := c.Random(len(all)), c.Random(len(all)-1)
+	if j >= i {
+		j++
+	}
+	return []Candidate{all[i], all[j]}
+}
+
+// best returns the candidate with the lowest sum of round trip and expected wait; the first of
+// equal ones.
+func (c *CoordinatorChoice) best(of []Candidate) Candidate {
+	return slices.MinFunc(of, func(a, b Candidate) int {
+		return cmp.Or(cmp.Compare(c.cost(&a), c.cost(&b)), cmp.Compare(a.Pending, b.Pending))
+	})
+}
+
+func (c *CoordinatorChoice) cost(o *Candidate) time.Duration {
+	return min(distance(&c.Self, o), unknownRoundTrip) + o.Room.wait(c.Now, c.Objective)
+}
+
+func filterCandidates(all []Candidate, keep func(*Candidate) bool) []Candidate {
+	return slices.DeleteFunc(slices.Clone(all), func(c Candidate) bool { return !keep(&c) })
+}
+
 // greatestCapacity returns the largest capacity among hosts and other.
 func greatestCapacity(hosts []Candidate, other int) int {
 	for _, c := range hosts {
--- a/tier/policy/gate.go
+++ b/tier/policy/gate.go
@@ -286,3 +286,36 @@
 		InFlight: g.inFlight, Waiting: len(g.queue), PerSecond: g.room.perSecond, Service: g.room.service,
 	}
 }
+
+// Outlook returns what Enter would decide about a request. It changes nothing.
+func (g *Gate) Outlook(now time.Duration, d Demand) Outlook {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	limit, limited := g.room.places()
+	if !limited || g.inFlight < limit && len(g.queue) == 0 {
+		return Outlook{Decision: DecisionRun}
+	}
+	t := &Ticket{Demand: d}
+	o := g.outlookAt(DecisionWait, t, 1)
+	if now+o.Wait+g.expected[d.Route] <= d.ObjectiveAt {
+		return o
+	}
+	t.late = true
+	o = g.outlookAt(DecisionLate, t, orderLateShare)
+	if o.Wait > (d.DeadlineAt-now)/4 {
+		o.Decision = DecisionRefuse
+	}
+	return o
+}
+
+// outlookAt returns the outlook of a ticket that gets one in share of the places.
+func (g *Gate) outlookAt(decision Decision, t *Ticket, share time.Duration) Outlook {
+	o := Outlook{Decision: decision}
+	for _, other := range g.queue {
+		if other.late == t.late && less(other, t) || !t.late && less(other, t) {
+			o.Ahead++
+		}
+	}
+	o.Wait = time.Duration(float64(o.Ahead+1)/g.room.throughput()*1e9) * share
+	return o
+}
--- a/tier/policy/layers_test.go
+++ b/tier/policy/layers_test.go
@@ -27,7 +27,7 @@
 	{"slots.go", "queue.go", "upstream.go", "learn.go"},
 	// The state of all upstreams and requests on a host, and the rules based on it.
 	{
-		"fleet.go", "calls.go", "statuses.go", "conditions.go", "coldowner.go", "snapshot.go", "coordinator.go",
+		"fleet.go", "calls.go", "statuses.go", "conditions.go", "coldowner.go", "snapshot.go", "coordinator.go", "roomreport.go",
 		"placement.go", "margin.go", "plugin.go", "choose.go", "budget.go", "recent.go", "retrybudget.go",
 		"fingerprint.go", "quarantine.go", "suspects.go", "crashreport.go", "classstate.go",
 	},
