policy: tests of the choice of coordinators under load

Cause: with two candidates, a near coordinator whose room comes and goes got all requests of a sender or none. Change: of two random candidates of which one has had room only for a short time, either is used.

--- a/tier/pass/coordinate_client.go
+++ b/tier/pass/coordinate_client.go
@@ -5,7 +5,6 @@
 	"net/http"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	"github.com/rs/zerolog"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
@@ -47,15 +46,16 @@
 	if q.route.Gather == nil || !q.route.Repeatable {
 		return false
 	}
-	tried := map[string]bool{}
+	tried := triedCoordinators{hosts: map[string]bool{}}
 	for range maxCoordinatorAttempts {
 		target, ok := q.coordinator(tried)
 		if !ok {
 			return false
 		}
-		tried[target.Host] = true
+		tried.hosts[target.Host] = true
 		s := &sentRequest{request: q, target: target}
 		reply := s.do(ctx)
+		tried.declined = tried.declined || s.busy
 		switch {
 		case ctx.Err() != nil:
 			q.log(outcomeCancelled, 0).Str("Coordinator", target.Host).Msg("request cancelled by caller")
@@ -94,6 +94,8 @@
 	responded bool
 	// begun is true once the coordinator was told to begin. Before that it makes no calls.
 	begun bool
+	// busy is true if the coordinator declined the request for lack of room.
+	busy  bool
 	reply coordinateReply
 }
 
@@ -205,7 +207,6 @@
 	if s.reply.Declined == declineBusy {
 		s.observeDeclined()
 	}
-	metrics.GetOrCreateCounter(`loomgap_forward_declined_total{Reason="` + string(s.reply.Declined) + `"}`).Inc()
 	s.log().Str("Declined", string(s.reply.Declined)).Msg("request declined by coordinator")
 	return nil
 }
@@ -222,7 +223,7 @@
 // guarantees that it has made no call, even if it was told to begin.
 func (s *sentRequest) observeDeclined() {
 	e := s.request.engine
-	s.begun = false
+	s.begun, s.busy = false, true
 	if e.limitsLoad() {
 		s.observeRoom(s.reply.Room)
 		e.hosts.declinedForRoom(s.roomKey(), e.kernel.Now())
--- a/tier/pass/coordinate_server.go
+++ b/tier/pass/coordinate_server.go
@@ -43,12 +43,12 @@
 	}
 	q, declined := e.accept(in)
 	if declined != "" {
-		return &coordinateReply{Declined: declined}, nil
+		return decline(declined, nil), nil
 	}
 	room := q.roomReporter()
 	busy := func() bool { return in.MayDecline && q.isBusy() }
 	if busy() {
-		return &coordinateReply{Declined: declineBusy, Room: room()}, nil
+		return decline(declineBusy, room()), nil
 	}
 	e.kernel.InFlight.Add(1)
 	defer e.kernel.InFlight.Add(-1)
@@ -61,11 +61,11 @@
 	started := e.kernel.Now()
 	go e.sendHeartbeats(ctx, runCtx, coordinateHeartbeat{ID: in.ID}, room, cancel)
 	if !served.begin.await(runCtx, beginTimeout) {
-		return &coordinateReply{Declined: declineNotBegun}, nil
+		return decline(declineNotBegun, nil), nil
 	}
 	// The room may have been used up since the first check. No call has been made yet.
 	if busy() {
-		return &coordinateReply{Declined: declineBusy, Room: room()}, nil
+		return decline(declineBusy, room()), nil
 	}
 	w := &recorder{header: http.Header{}}
 	q.serve(runCtx, w)
@@ -74,6 +74,12 @@
 	return reply, nil
 }
 
+// decline returns the reply for a request that was declined, and counts it.
+func decline(why declineReason, r *roomReport) *coordinateReply {
+	metrics.GetOrCreateCounter(`loomgap_forward_declined_total{Reason="` + string(why) + `"}`).Inc()
+	return &coordinateReply{Declined: why, Room: r}
+}
+
 // accept creates the request that another host has sent, or declines it.
 func (e *engine) accept(in *coordinateRequest) (*request, declineReason) {
 	e.kernel.AwaitPauseCheck()
--- a/tier/pass/coordinators.go
+++ b/tier/pass/coordinators.go
@@ -63,14 +63,21 @@
 	return out
 }
 
+// triedCoordinators are the hosts that a request was sent to and that did not begin.
+type triedCoordinators struct {
+	hosts map[string]bool
+	// declined is true if one of them declined the request for lack of room.
+	declined bool
+}
+
 // coordinator selects the host that is to execute the request; false means this one.
-func (q *request) coordinator(tried map[string]bool) (policy.ChosenCoordinator, bool) {
+func (q *request) coordinator(tried triedCoordinators) (policy.ChosenCoordinator, bool) {
 	e := q.engine
 	all := *e.coordinators.candidates.Load()
 	allowed := e.placement(q.view).AllowedHosts(all, q.route.Homes)
-	cands := e.hosts.candidates(allowed, e.kernel.Now(), tried)
+	cands := e.hosts.candidates(allowed, e.kernel.Now(), tried.hosts)
 	if e.limitsLoad() {
-		return q.coordinatorByRoom(cands, policy.SelfExecutes(e.self(), all), len(tried))
+		return q.coordinatorByRoom(cands, policy.SelfExecutes(e.self(), all), tried)
 	}
 	best := policy.Coordinators(e.self(), cands)
 	if len(best) == 0 {
@@ -81,14 +88,14 @@
 
 // coordinatorByRoom selects the host that is to execute the request by the room that the
 // candidates have reported. A host that executes requests itself uses another one only while
-// its own gate has no room. attempts counts the hosts tried before.
-func (q *request) coordinatorByRoom(cands []policy.Candidate, executes bool, attempts int) (policy.ChosenCoordinator, bool) {
+// its own gate has no room.
+func (q *request) coordinatorByRoom(cands []policy.Candidate, executes bool, tried triedCoordinators) (policy.ChosenCoordinator, bool) {
 	e := q.engine
-	if executes && !q.mayHandOver(cands, attempts) {
+	if executes && !q.mayHandOver(cands, len(tried.hosts)) {
 		return policy.ChosenCoordinator{}, false
 	}
 	c := policy.CoordinatorChoice{
-		Now: e.kernel.Now(), Self: e.self(), SelfExecutes: executes, All: cands,
+		Now: e.kernel.Now(), Self: e.self(), SelfExecutes: executes, All: cands, Declined: tried.declined,
 		Objective: time.Duration(q.route.Objective), Random: rand.IntN,
 	}
 	if executes {
@@ -99,7 +106,7 @@
 	if !ok || chosen.Host == c.Self.Host {
 		return policy.ChosenCoordinator{}, false
 	}
-	if !executes && attempts+1 >= maxCoordinatorAttempts {
+	if !executes && len(tried.hosts)+1 >= maxCoordinatorAttempts {
 		chosen.MayDecline = false
 	}
 	return chosen, true
--- a/tier/policy/coordinator.go
+++ b/tier/policy/coordinator.go
@@ -100,6 +100,8 @@
 	SelfExecutes bool
 	// All are the other candidates, with what is known of their room.
 	All []Candidate
+	// Declined is true if another coordinator has declined the request for lack of room.
+	Declined bool
 	// Objective is the objective of the request. A request that is admitted takes about
 	// that time, so it serves to convert waiting requests to an expected wait.
 	Objective time.Duration
@@ -120,21 +122,21 @@
 // a report of shortage it is the first of Coordinators. If all candidates in the nearest hall
 // have no room, or have had some only for a short time, it is the better of two random ones
 // with room: a sender knows little of distant coordinators, and many senders that all chose
-// the best one would overload it. If none has room, two random ones are compared with the
-// nearest, so that the waits in all halls become similar.
+// the best one would overload it. The same applies after a decline, since the others of the
+// hall have the same load. If none has room, two random ones are compared with the nearest, so
+// that the waits in all halls become similar.
 func (c *CoordinatorChoice) Choose() (chosen ChosenCoordinator, ok bool) {
 	all := c.sorted()
 	if len(all) == 0 {
 		return ChosenCoordinator{}, false
 	}
 	hostsLeft := c.SelfExecutes || len(all) > 1
-	nearest := filterCandidates(all, func(o *Candidate) bool { return distance(&c.Self, o) == c.nearestDistance(all) })
-	if i := slices.IndexFunc(nearest, func(o Candidate) bool { return o.Room.settled(c.Now, o.Pending) }); i >= 0 {
-		return ChosenCoordinator{Candidate: nearest[i], MayDecline: hostsLeft}, true
+	if nearest, ok := c.nearestSettled(all); ok && !c.Declined {
+		return ChosenCoordinator{Candidate: nearest, MayDecline: hostsLeft}, true
 	}
 	withRoom := filterCandidates(all, func(o *Candidate) bool { return o.Room.hasRoom(c.Now, o.Pending) })
 	if len(withRoom) > 0 {
-		return ChosenCoordinator{Candidate: c.best(c.twoRandom(withRoom)), MayDecline: hostsLeft}, true
+		return ChosenCoordinator{Candidate: c.betterOfTwo(withRoom), MayDecline: hostsLeft}, true
 	}
 	return ChosenCoordinator{Candidate: c.bestOfFull(all)}, true
 }
@@ -163,16 +165,36 @@
 	return out
 }
 
-// nearestDistance returns the distance of the candidates that are preferred to all others. A
-// host that executes requests itself prefers only those of its own hall.
-func (c *CoordinatorChoice) nearestDistance(sorted []Candidate) time.Duration {
-	if c.SelfExecutes {
-		return 0
+// nearestSettled returns the first of the candidates in the nearest hall that has room and has
+// had some for a while. A host that executes requests itself prefers only those of its own hall.
+func (c *CoordinatorChoice) nearestSettled(sorted []Candidate) (nearest Candidate, ok bool) {
+	limit := time.Duration(0)
+	if !c.SelfExecutes {
+		limit = distance(&c.Self, &sorted[0])
+	}
+	i := slices.IndexFunc(sorted, func(o Candidate) bool {
+		return distance(&c.Self, &o) <= limit && o.Room.settled(c.Now, o.Pending)
+	})
+	if i < 0 {
+		return Candidate{}, false
+	}
+	return sorted[i], true
+}
+
+// betterOfTwo returns the better of two random candidates with room. If one of them has had room
+// only for a short time, it is a random one: that one would otherwise get all requests until its
+// next report, and none after it.
+func (c *CoordinatorChoice) betterOfTwo(withRoom []Candidate) Candidate {
+	two := c.twoRandom(withRoom)
+	for i := range two {
+		if !two[i].Room.settled(c.Now, two[i].Pending) {
+			return two[0]
+		}
 	}
-	return distance(&c.Self, &sorted[0])
+	return c.best(two)
 }
 
-// twoRandom returns two different random candidates, or all if there are fewer.
+// twoRandom returns two different random candidates in random order, or all if there are fewer.
 func (c *CoordinatorChoice) twoRandom(all []Candidate) []Candidate {
 	if len(all) < 2 {
 		return all
--- a/tier/policy/coordinator_test.go
+++ b/tier/policy/coordinator_test.go
@@ -2,6 +2,10 @@
 
 import (
 	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -69,6 +73,125 @@
 	}
 }
 
+// strongIn returns a coordinator with what is known of its room.
+func strongIn(host, hall string, roundTrip time.Duration, room KnownRoom) Candidate {
+	return Candidate{Host: host, Hall: hall, Capacity: 426, RoundTrip: roundTrip, Room: room}
+}
+
+// roomAt returns what is known after a report.
+func roomAt(at time.Duration, inFlight, places, waiting int) (k KnownRoom) {
+	k.Observe(at, &RoomReport{InFlight: inFlight, Places: places, Waiting: waiting})
+	return k
+}
+
+// declinedAt returns what is known after a request was declined.
+func declinedAt(at time.Duration) (k KnownRoom) {
+	k.Declined(at)
+	return k
+}
+
+// TestChoiceWithoutReports guards against any change of the order while no shortage is known, as
+// when all hosts start at once.
+func TestChoiceWithoutReports(t *testing.T) {
+	r := rand.New(rand.NewPCG(1, 2))
+	for range 1000 {
+		c := CoordinatorChoice{Now: time.Minute, Self: Candidate{Host: "W", Hall: "A", Capacity: 66}, Random: r.IntN}
+		for i := range r.IntN(8) {
+			c.All = append(c.All, Candidate{
+				Host: fmt.Sprint("H", i), Hall: string(rune('A' + r.IntN(3))), Capacity: []int{66, 131, 426}[r.IntN(3)],
+				RoundTrip: time.Duration(r.IntN(3)) * time.Millisecond, Pending: r.IntN(3),
+			})
+		}
+		want := Coordinators(c.Self, c.All)
+		got, ok := c.Choose()
+		assert.Equal(t, ok, len(want) > 0)
+		if ok {
+			assert.Equal(t, got.Candidate, want[0])
+			assert.Equal(t, got.MayDecline, len(want) > 1)
+		}
+	}
+}
+
+// TestChoiceByRoom covers the reports that change the order, and their age.
+func TestChoiceByRoom(t *testing.T) {
+	const (
+		ms  = time.Millisecond
+		now = time.Minute
+	)
+	full, free, unknown := roomAt(now-40*ms, 6, 6, 0), roomAt(now-40*ms, 5, 6, 0), KnownRoom{}
+	freeAgain := func(age time.Duration) KnownRoom {
+		k := roomAt(now-age, 6, 6, 3)
+		k.Observe(now-ms, &RoomReport{InFlight: 5, Places: 6})
+		return k
+	}
+	pending := strongIn("N", "A", 0, free)
+	pending.Pending = 1
+	tests := []struct {
+		name     string
+		all      []Candidate
+		executes bool
+		declined bool
+		// want are the hosts that are chosen at some time.
+		want       string
+		mayDecline bool
+	}{
+		{"nearest has room", []Candidate{strongIn("N", "A", 0, free), strongIn("F", "B", ms, unknown)}, false, false, "N", true},
+		{"nearest is full", []Candidate{strongIn("N", "A", 0, full), strongIn("F", "B", ms, unknown)}, false, false, "F", true},
+		{"nearest has waiting requests", []Candidate{strongIn("N", "A", 0, roomAt(now, 1, 6, 1)), strongIn("F", "B", ms, unknown)}, false, false, "F", true},
+		{"nearest is full with what was sent", []Candidate{pending, strongIn("F", "B", ms, unknown)}, false, false, "F", true},
+		{"other of the nearest hall has room", []Candidate{strongIn("N", "A", 0, full), strongIn("N2", "A", 0, unknown), strongIn("F", "B", ms, unknown)}, false, false, "N2", true},
+		{"after a decline the nearest hall has no preference", []Candidate{strongIn("N2", "A", 0, unknown), strongIn("F", "B", ms, unknown), strongIn("G", "C", 2*ms, unknown)}, false, true, "F N2", true},
+		{"report of 2 s is dropped", []Candidate{strongIn("N", "A", 0, roomAt(now-2*time.Second, 6, 6, 9)), strongIn("F", "B", ms, unknown)}, false, false, "N", true},
+		{"report expires", []Candidate{strongIn("N", "A", 0, roomAt(now-roomReportTTL, 6, 6, 9)), strongIn("F", "B", ms, unknown)}, false, false, "N", true},
+		{"report is valid", []Candidate{strongIn("N", "A", 0, roomAt(now-roomReportTTL+1, 6, 6, 9)), strongIn("F", "B", ms, unknown)}, false, false, "F", true},
+		{"nearest declined", []Candidate{strongIn("N", "A", 0, declinedAt(now-ms)), strongIn("F", "B", ms, unknown)}, false, false, "F", true},
+		{"nearest declined before", []Candidate{strongIn("N", "A", 0, declinedAt(now-roomHysteresis)), strongIn("F", "B", ms, unknown)}, false, false, "N", true},
+		{"nearest has had room for a short time", []Candidate{strongIn("N", "A", 0, freeAgain(roomHysteresis-1)), strongIn("F", "B", ms, unknown)}, false, false, "F N", true},
+		{"nearest has had room for a while", []Candidate{strongIn("N", "A", 0, freeAgain(roomHysteresis)), strongIn("F", "B", ms, unknown)}, false, false, "N", true},
+		{"nearer one of two with room", []Candidate{strongIn("N", "A", 0, full), strongIn("F", "B", 2*ms, unknown), strongIn("G", "C", 16*ms, unknown)}, false, false, "F", true},
+		{"unknown distance is farthest", []Candidate{strongIn("N", "A", 0, full), strongIn("F", "B", 0, unknown), strongIn("G", "C", 16*ms, unknown)}, false, false, "G", true},
+		{"all full, shorter wait", []Candidate{strongIn("N", "A", 0, roomAt(now, 6, 6, 6)), strongIn("F", "B", 2*ms, roomAt(now, 6, 6, 1))}, false, false, "F", false},
+		{"all full, nearest", []Candidate{strongIn("N", "A", 0, roomAt(now, 6, 6, 1)), strongIn("F", "B", 2*ms, roomAt(now, 6, 6, 1))}, false, false, "N", false},
+		{"all full, one declined", []Candidate{strongIn("N", "A", 0, declinedAt(now-ms)), strongIn("F", "B", 2*ms, roomAt(now, 6, 6, 6))}, false, false, "F", false},
+		{"all declined", []Candidate{strongIn("N", "A", 0, declinedAt(now-ms)), strongIn("F", "B", 2*ms, declinedAt(now-ms))}, false, false, "N", false},
+		{"only one", []Candidate{strongIn("N", "A", 0, full)}, false, false, "N", false},
+		{"executes, other of the hall has room", []Candidate{strongIn("N", "A", 0, unknown), strongIn("F", "B", ms, unknown)}, true, false, "N", true},
+		{"executes, other hall has room", []Candidate{strongIn("F", "B", ms, unknown)}, true, false, "F", true},
+		{"executes, other hall has a longer wait", []Candidate{strongIn("F", "B", ms, roomAt(now, 6, 6, 3))}, true, false, "S", false},
+		{"executes, other hall has a shorter wait", []Candidate{strongIn("F", "B", ms, roomAt(now, 6, 6, 1))}, true, false, "F", false},
+		{"executes, only weaker ones", []Candidate{{Host: "W", Hall: "B", Capacity: 66}}, true, false, "", false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := CoordinatorChoice{
+				Now: now, Self: Candidate{Host: "S", Hall: "A", Capacity: 66}, SelfExecutes: tt.executes, All: tt.all,
+				Declined: tt.declined, Objective: 100 * ms, Random: rand.New(rand.NewPCG(1, 2)).IntN,
+			}
+			if tt.executes {
+				c.Self.Capacity, c.Self.Room = 426, roomAt(now, 6, 6, 2)
+			}
+			hosts := map[string]bool{}
+			for range 100 {
+				chosen, ok := c.Choose()
+				if ok {
+					hosts[chosen.Host] = true
+					assert.Equal(t, chosen.MayDecline, tt.mayDecline)
+				}
+			}
+			assert.Equal(t, strings.Join(slices.Sorted(maps.Keys(hosts)), " "), tt.want)
+		})
+	}
+}
+
+// TestRoomAfterEndOfShortage guards against a report that outlives the shortage: a message without
+// a report, also one of an older host, ends it.
+func TestRoomAfterEndOfShortage(t *testing.T) {
+	k := roomAt(time.Minute, 6, 6, 9)
+	assert.Assert(t, !k.hasRoom(time.Minute, 0) && !k.Expired(time.Minute))
+	k.Observe(time.Minute, nil)
+	assert.Assert(t, k.settled(time.Minute, 0) && k.Expired(time.Minute))
+}
+
 // TestRetryBudgetDivisorsStayWithinSlack checks that the shares of all hosts add up to the
 // slack, for equal and for mixed capacities.
 func TestRetryBudgetDivisorsStayWithinSlack(t *testing.T) {
