--- a/tier/pass/gate.go
+++ b/tier/pass/gate.go
@@ -149,11 +149,11 @@
 	switch o.Decision {
 	case policy.DecisionRun:
 		return false
-	case policy.DecisionRefuse:
+	case policy.DecisionWait, policy.DecisionLate:
+		return o.Wait > e.hosts.nearestRoundTrip(*e.coordinators.candidates.Load(), e.kernel.Settings.Hall)
+	default:
 		return true
 	}
-	nearest := e.hosts.nearestRoundTrip(*e.coordinators.candidates.Load(), e.kernel.Settings.Hall)
-	return nearest > 0 && o.Wait > nearest
 }
 
 // roomReporter returns a function that reports the room at the gate of the request; nil without
--- a/tier/pass/host_test.go
+++ b/tier/pass/host_test.go
@@ -236,6 +236,8 @@
 	cores float64
 	// regions maps halls to regions; none by default.
 	regions config.Regions
+	// overload is policy.OverloadNone if empty.
+	overload policy.OverloadControl
 }
 
 func newHost(t testing.TB, c hostConfig) *host {
@@ -250,7 +252,7 @@
 		log = zerolog.New(c.log)
 	}
 	k, stop := kernel.New(kernel.Config{
-		Settings: kernel.Settings{Host: c.name, Hall: c.hall, Incarnation: "1", Adapter: "Test", RetryBudget: c.retryBudget, Cores: c.cores, Regions: c.regions, ColdFactor: 1},
+		Settings: kernel.Settings{Host: c.name, Hall: c.hall, Incarnation: "1", Adapter: "Test", RetryBudget: c.retryBudget, Cores: c.cores, Regions: c.regions, ColdFactor: 1, Overload: c.overload},
 		Log:      log, Tracer: noop.NewTracerProvider().Tracer(""), Started: time.Now().Add(-c.age),
 		Fleet: policy.NewFleet(policy.FleetConfig{Random: rand.New(rand.NewPCG(1, 2))}),
 	})
@@ -352,6 +354,10 @@
 	// pushesLeft is how many more pushes are delivered; all if negative.
 	pushesLeft int
 	calls      map[string]int
+	// older is true if messages lose the fields that older versions do not know.
+	older bool
+	// before are functions that are called once before a message of a method is delivered.
+	before map[string]func()
 	// preconnected are the hosts that were connected to in advance.
 	preconnected []string
 	// sender is the host that calls others: the first one created.
@@ -389,10 +395,11 @@
 		<-ctx.Done()
 		return ctx.Err()
 	}
-	in, err := json.Marshal(params)
+	in, err := w.encode(params)
 	if err != nil {
 		return err
 	}
+	w.callBefore(method)
 	type outcome struct {
 		value any
 		err   error
@@ -409,7 +416,7 @@
 		if o.err != nil {
 			return o.err
 		}
-		out, err := json.Marshal(o.value)
+		out, err := w.encode(o.value)
 		if err != nil {
 			return err
 		}
@@ -417,6 +424,79 @@
 	}
 }
 
+func (w *network) setUnreachable(host string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.unreachable[host] = true
+}
+
+func (w *network) setUnresponsive(host string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.unresponsive[host] = true
+}
+
+// losePushes has all further pushes be lost.
+func (w *network) losePushes() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.pushesLeft = 0
+}
+
+// setSender changes the host that calls others.
+func (w *network) setSender(h *host) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.sender = h
+}
+
+// setOlder has messages lose the fields that older versions do not know.
+func (w *network) setOlder() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.older = true
+}
+
+// callBeforeNext has a function be called before the next message of a method is delivered.
+func (w *network) callBeforeNext(method string, f func()) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.before = map[string]func(){method: f}
+}
+
+// fieldsUnknownToOlder are the fields of messages that older versions neither send nor know.
+var fieldsUnknownToOlder = []string{"MayDecline", "SpentBeforeMicros", "Room"}
+
+// encode encodes a message, as an older version would read or write it if older is set.
+func (w *network) encode(message any) ([]byte, error) {
+	text, err := json.Marshal(message)
+	w.mu.Lock()
+	older := w.older
+	w.mu.Unlock()
+	if err != nil || !older {
+		return text, err
+	}
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(text, &fields); err != nil {
+		return nil, err
+	}
+	for _, n := range fieldsUnknownToOlder {
+		delete(fields, n)
+	}
+	return json.Marshal(fields)
+}
+
+// callBefore calls the function to call before a message of a method.
+func (w *network) callBefore(method string) {
+	w.mu.Lock()
+	f := w.before[method]
+	delete(w.before, method)
+	w.mu.Unlock()
+	if f != nil {
+		f()
+	}
+}
+
 // push delivers a message to the sender before the reply.
 func (w *network) push(method string, params any) error {
 	w.mu.Lock()
@@ -424,15 +504,16 @@
 	if w.pushesLeft > 0 {
 		w.pushesLeft--
 	}
+	sender := w.sender
 	w.mu.Unlock()
 	if lost {
 		return nil
 	}
-	text, err := json.Marshal(params)
+	text, err := w.encode(params)
 	if err != nil {
 		return err
 	}
-	_, err = w.sender.kernel.Handler(method)(context.Background(), text)
+	_, err = sender.kernel.Handler(method)(context.Background(), text)
 	return err
 }
 
--- a/tier/pass/host_tracker.go
+++ b/tier/pass/host_tracker.go
@@ -40,6 +40,10 @@
 	gate uint64
 }
 
+// assumedRoundTrip is the round trip to another hall while none was measured: a little more than
+// that between two regions.
+const assumedRoundTrip = 20 * time.Millisecond
+
 // maxTrackedRooms is the number of entries of rooms above which expired ones are removed.
 const maxTrackedRooms = 1000
 
@@ -170,7 +174,7 @@
 }
 
 // nearestRoundTrip returns the round trip to the nearest hall of the candidates, other than
-// the given one; 0 if none is known.
+// the given one; assumedRoundTrip if none is known.
 func (t *hostTracker) nearestRoundTrip(all []policy.Candidate, hall string) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -180,6 +184,9 @@
 			nearest = minKnown(nearest, t.hall(c.Hall).roundTrip)
 		}
 	}
+	if nearest == 0 {
+		return assumedRoundTrip
+	}
 	return nearest
 }
 
--- a/tier/pass/host_tracker_test.go
+++ b/tier/pass/host_tracker_test.go
@@ -90,3 +90,43 @@
 	assert.Assert(t, !r.responsive("Stopping", time.Minute))
 	assert.Assert(t, r.responsive("Stopping", time.Minute+initialBackoff))
 }
+
+// TestRoomsOfCoordinators guards against mixing up the gates of a coordinator, against a report that
+// outlives the shortage, and against rooms of hosts that are gone being kept.
+func TestRoomsOfCoordinators(t *testing.T) {
+	r := newHostTracker()
+	now := time.Minute
+	full := &roomReport{InFlight: 6, Places: 6, Waiting: 1}
+	r.observeRoom(roomKey{host: "Far", gate: 1}, now, full)
+	room := func(gate uint64) policy.KnownRoom {
+		all := []policy.Candidate{{Host: "Other"}, {Host: "Far"}}
+		r.addRooms(all, gate)
+		assert.Equal(t, all[0].Room, policy.KnownRoom{})
+		return all[1].Room
+	}
+	assert.Assert(t, room(1) != policy.KnownRoom{})
+	assert.Equal(t, room(2), policy.KnownRoom{})
+	r.declinedForRoom(roomKey{host: "Far", gate: 2}, now)
+	assert.Assert(t, room(2) != policy.KnownRoom{})
+	r.observeRoom(roomKey{host: "Far", gate: 1}, now, nil)
+	assert.Equal(t, room(1), policy.KnownRoom{})
+
+	for i := range 5 * maxTrackedRooms {
+		now += 10 * time.Millisecond
+		r.observeRoom(roomKey{host: fmt.Sprint("H", i)}, now, full)
+		assert.Assert(t, len(r.rooms) <= maxTrackedRooms+1)
+	}
+}
+
+// TestNearestRoundTrip covers the time for which a coordinator lets a request wait before it
+// declines it.
+func TestNearestRoundTrip(t *testing.T) {
+	r := newHostTracker()
+	all := []policy.Candidate{{Host: "Own", Hall: "A"}, {Host: "B1", Hall: "B"}, {Host: "C1", Hall: "C"}}
+	assert.Equal(t, r.nearestRoundTrip(all, "A"), assumedRoundTrip)
+	r.observeConnect("A", time.Millisecond)
+	r.observeConnect("B", 16*time.Millisecond)
+	assert.Equal(t, r.nearestRoundTrip(all, "A"), 16*time.Millisecond)
+	r.observeConnect("C", 2*time.Millisecond)
+	assert.Equal(t, r.nearestRoundTrip(all, "A"), 2*time.Millisecond)
+}
