pass, policy: tests that removed rules fail

Change: tests of the room in a reply, of a third coordinator, of a sender with control off, and of both orders of two times given to a caller.

--- a/tier/pass/coordinate_room_test.go
+++ b/tier/pass/coordinate_room_test.go
@@ -182,6 +182,22 @@
 	assert.Equal(t, s.network.callCount(methodCoordinate), 2)
 }
 
+// TestAtMostTwoCoordinatorsAreTried has three coordinators without room: the second one decides.
+func TestAtMostTwoCoordinatorsAreTried(t *testing.T) {
+	s := newRoomSetup(t, policy.OverloadShortage)
+	third := newHost(t, hostConfig{name: "Third", hall: "B", peers: s.network, regions: eastWestRegions, overload: policy.OverloadShortage})
+	s.network.addHost(third)
+	third.share(s.weak, roomDoc())
+	third.kernel.SetPhase(kernel.PhaseReady)
+	s.weak.addMember(third)
+	for _, h := range []*host{s.near, s.far, third} {
+		h.useUpRoom()
+	}
+	s.assertRefused(t, s.weak.find("one"), "one")
+	assert.Equal(t, s.network.callCount(methodCoordinate), 2)
+	assert.Assert(t, !s.weak.madeCalls())
+}
+
 // TestOnlyCoordinatorDoesNotDecline has no other host to try.
 func TestOnlyCoordinatorDoesNotDecline(t *testing.T) {
 	s := newRoomSetup(t, policy.OverloadShortage)
@@ -223,6 +239,18 @@
 	assert.Assert(t, !s.far.madeCalls())
 }
 
+// TestControlOffAtSender guards against a sender that lets coordinators decline although its control
+// is off: the coordinator decides by its gate.
+func TestControlOffAtSender(t *testing.T) {
+	s := newRoomSetup(t, policy.OverloadShortage)
+	s.weak.kernel.Settings.Overload = policy.OverloadNone
+	s.near.useUpRoom()
+	s.assertRefused(t, s.weak.find("one"), "one")
+	assert.Equal(t, s.network.callCount(methodCoordinate), 1)
+	_, known := s.weak.known("Near")
+	assert.Assert(t, !known)
+}
+
 // TestAllHostsStartAtOnce has no report of any coordinator: the nearest one is used.
 func TestAllHostsStartAtOnce(t *testing.T) {
 	s := newRoomSetup(t, policy.OverloadShortage)
@@ -255,6 +283,16 @@
 	assert.Assert(t, !known)
 }
 
+// TestRoomInReply has a shortage begin after the heartbeat, so that the reply is the first message
+// that reports it.
+func TestRoomInReply(t *testing.T) {
+	s := newRoomSetup(t, policy.OverloadShortage)
+	s.network.callBeforeNext(methodCoordinateBegin, func() { s.near.useUpRoom()() })
+	s.assertServed(t, s.weak.find("one"), "one")
+	_, known := s.weak.known("Near")
+	assert.Assert(t, known)
+}
+
 // TestCoordinatorWithRoomIsLost has the coordinator with room die. The nearest one, which has none,
 // is tried next and decides by its gate.
 func TestCoordinatorWithRoomIsLost(t *testing.T) {
--- a/tier/pass/host_test.go
+++ b/tier/pass/host_test.go
@@ -424,6 +424,12 @@
 	}
 }
 
+func (w *network) addHost(h *host) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.hosts[h.kernel.Settings.Host] = h
+}
+
 func (w *network) setUnreachable(host string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/tier/policy/callers_test.go
+++ b/tier/policy/callers_test.go
@@ -242,14 +242,18 @@
 // TestTwoRequestsOfOneCallerReturnInTime guards against charging a caller for the earlier of two
 // times that it was given.
 func TestTwoRequestsOfOneCallerReturnInTime(t *testing.T) {
-	c := newCallerShares()
-	a := callerAddrOf(0)
-	now := time.Minute
-	c.refused(now, a, now+200*time.Millisecond)
-	c.refused(now, a, now+100*time.Millisecond)
-	charged := c.byAddr[a].Value.(*callerUsage).early
-	c.refused(now+100*time.Millisecond, a, now+300*time.Millisecond)
-	assert.Equal(t, c.byAddr[a].Value.(*callerUsage).early, charged)
+	const first, second = 100 * time.Millisecond, 200 * time.Millisecond
+	for _, times := range [][2]time.Duration{{first, second}, {second, first}} {
+		c := newCallerShares()
+		a := callerAddrOf(0)
+		now := time.Minute
+		for _, d := range times {
+			c.refused(now, a, now+d)
+		}
+		charged := c.byAddr[a].Value.(*callerUsage).early
+		c.refused(now+first, a, now+2*second)
+		assert.Equal(t, c.byAddr[a].Value.(*callerUsage).early, charged)
+	}
 }
 
 // TestUsageDecaysAfterShortage guards against a caller that stays behind the others after it has
