--- a/tier/policy/doc.go
+++ b/tier/policy/doc.go
@@ -47,6 +47,10 @@
 //     classes and of routed requests; classstate.go holds the state that requests of a
 //     class share; quarantine.go judges a request by the crash reports that suspects.go
 //     keeps; crashreport.go and fingerprint.go define these reports and their key
+//   - overload control of routed requests: overload.go defines its terms; gate.go decides
+//     whether a request runs, waits or is refused, with gatequeue.go as its queue,
+//     coveragetime.go for the expected time of a run, room.go for the number of places and
+//     returns.go for when a refused caller may retry
 //   - differences between requests of a class and routed requests: class.go and
 //     routed.go, behind rules.go
 //   - the run: run.go handles events; pick.go, hedge.go, retry.go and finish.go make the
--- a/tier/policy/gate.go
+++ b/tier/policy/gate.go
@@ -1,288 +1,535 @@
 package policy
 
 import (
-	"slices"
+	"net/netip"
 	"sync"
 	"time"
 )
 
-// Gate admits requests for one set of groups.
+const (
+	// checkDivisor divides the objective of a waiting request to get the time between two
+	// checks. The first one comes before a tenth of the objective, within which a request
+	// that can't be served is to be refused.
+	checkDivisor = 12
+	// minCheckInterval bounds the work of checks for very short objectives.
+	minCheckInterval = time.Millisecond
+	// lateHoldDivisor divides the time to the deadline to get how long a late request may
+	// wait.
+	lateHoldDivisor = 4
+	// nextPlace is the expected time until the next place is free, in intervals between two
+	// places that become free.
+	nextPlace = 0.5
+	// maxGateRoutes is the number of routes of which a gate keeps the time to coverage.
+	maxGateRoutes = 64
+)
+
+// Reasons of refusals by a gate.
+const (
+	reasonNoCapacity    = "no capacity is expected in time"
+	reasonWaitedTooLong = "no capacity became free in time"
+)
+
+// Gate admits the requests for one set of groups. While the set has a shortage of capacity,
+// a limited number of requests runs, the others wait in the order of byObjective, and those
+// that can't be answered in time are refused. It is safe for concurrent use.
 type Gate struct {
-	mu       sync.Mutex
-	room     roomLimit
-	queue    []*Ticket
+	mu      sync.Mutex
+	room    roomLimit
+	queue   gateQueue
+	returns returnSchedule
+	callers callerLedger
+	order   queueOrder
+	// inFlight counts the tickets that are admitted and have not left.
 	inFlight int
-	grants   int
-	// expected is the smoothed time from admission to coverage of each route.
-	expected map[string]time.Duration
-	counts   [4]int
-	returnAt time.Duration
+	// entered counts all tickets, refused those that were refused.
+	entered, refused uint64
+	// expected holds the time to coverage of each route, for at most maxGateRoutes routes.
+	expected map[string]*coverageTimes
+	// holds are the times to coverage of all routes together.
+	holds coverageTimes
+}
+
+// GateConfig configures a gate.
+type GateConfig struct {
+	// Base is this host's fair share of the places; at least 1.
+	Base int
+	// Random is the source of the jitter of Retry-After; nil for none. It is used with the
+	// gate locked, so it may not be shared with other gates unless it is safe for concurrent
+	// use.
+	Random Random
+	// Callers judges which callers use more than their share; nil if none does. It is used
+	// with the gate locked.
+	Callers callerLedger
+	// order is the order of the waiting requests; nil for byObjective.
+	order queueOrder
 }
 
-// Ticket is one request at one gate.
+// queueOrder returns the position of a ticket, given whether it can't meet its objective.
+type queueOrder func(t *Ticket, late bool) queuePosition
+
+// callerLedger records what callers use.
+type callerLedger interface {
+	// admitted records that a request of the caller was admitted during a shortage.
+	admitted(now time.Duration, a netip.Addr)
+	// refused records that the caller was told to retry no earlier than at the time until.
+	refused(now time.Duration, a netip.Addr, until time.Duration)
+	// overShare reports whether the caller uses more than its share.
+	overShare(now time.Duration, a netip.Addr) bool
+}
+
+// ticketState is the state of a ticket.
+type ticketState string
+
+const (
+	// ticketWaiting is the state of a ticket in the queue.
+	ticketWaiting ticketState = "Waiting"
+	// ticketAdmitted is the state of a ticket that holds a place.
+	ticketAdmitted ticketState = "Admitted"
+	// ticketRefused is the state of a ticket that was refused; it never changes.
+	ticketRefused ticketState = "Refused"
+	// ticketGone is the state of a ticket that left or was abandoned; it never changes.
+	ticketGone ticketState = "Gone"
+)
+
+// Ticket is one request at one gate. It is decided at most once: an abandoned ticket that
+// waited is never decided. It is safe for concurrent use.
 type Ticket struct {
-	Demand   Demand
-	admitted bool
-	left     bool
+	gate    *Gate
+	demand  Demand
+	number  uint64
+	outlook Outlook
+	decided chan struct{}
+	// enteredAt is when the request came to the gate.
+	enteredAt time.Duration
+	// overShare is true if the caller used more than its share then.
+	overShare bool
+	// lateUntil is when the ticket is refused if it is late and still waits.
+	lateUntil time.Duration
+
+	// The following fields change while the ticket waits; they are guarded by the gate's
+	// lock.
+
+	state ticketState
+	// late is true if the request can't meet its objective.
 	late     bool
+	position queuePosition
 	refusal  *Refusal
-	decided  chan struct{}
 	checkAt  time.Duration
-	entered  time.Duration
 }
 
-func (t *Ticket) Admitted() bool           { return t.admitted }
+// Admitted reports whether the request was admitted, even if it has left since.
+func (t *Ticket) Admitted() bool {
+	select {
+	case <-t.decided:
+		return t.Refusal() == nil
+	default:
+		return false
+	}
+}
+
+// Decided returns a channel that is closed when the request is admitted or refused.
 func (t *Ticket) Decided() <-chan struct{} { return t.decided }
-func (t *Ticket) Refusal() *Refusal        { return t.refusal }
-func (t *Ticket) CheckAt() time.Duration   { return t.checkAt }
 
-// GateConfig configures a gate.
-type GateConfig struct {
-	// Base is this host's share of the places; at least 1.
-	Base int
+// Refusal returns the refusal of the request, or nil unless it was refused.
+func (t *Ticket) Refusal() *Refusal {
+	t.gate.mu.Lock()
+	defer t.gate.mu.Unlock()
+	return t.refusal
 }
 
-func NewGate(c GateConfig) *Gate {
-	return &Gate{room: newRoomLimit(c.Base), expected: map[string]time.Duration{}}
+// CheckAt returns when Gate.Check is due. It moves on with each check that does not decide
+// the ticket.
+func (t *Ticket) CheckAt() time.Duration {
+	t.gate.mu.Lock()
+	defer t.gate.mu.Unlock()
+	return t.checkAt
 }
 
-func (g *Gate) SetBase(n int) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.room.setBase(n)
-}
+// Outlook returns what Enter decided.
+func (t *Ticket) Outlook() Outlook { return t.outlook }
 
-func (g *Gate) admit(t *Ticket) {
-	g.inFlight++
-	t.admitted = true
-	close(t.decided)
+// NewGate returns a gate without a limit.
+func NewGate(c GateConfig) *Gate {
+	g := &Gate{
+		room:     newRoomLimit(c.Base),
+		queue:    gateQueue{ranks: map[int]*rankCounts{}},
+		returns:  newReturnSchedule(c.Random),
+		callers:  c.Callers,
+		order:    c.order,
+		expected: map[string]*coverageTimes{},
+	}
+	if g.callers == nil {
+		g.callers = noLedger{}
+	}
+	if g.order == nil {
+		g.order = byObjective
+	}
+	return g
 }
 
-func (g *Gate) refuse(now time.Duration, t *Ticket, reason string) {
-	left := t.Demand.DeadlineAt - now
-	at := max(g.returnAt, now+time.Duration(float64(len(g.queue))/g.room.throughput()*1e9))
-	at += time.Duration(1e9 / g.room.throughput())
-	g.returnAt = at
-	t.refusal = &Refusal{Reason: reason, RetryAfter: max(min(at-now, left/3), 20*time.Millisecond)}
-	close(t.decided)
-}
+// noLedger judges that no caller uses more than its share.
+type noLedger struct{}
 
-const (
-	orderLateShare = 8
-	orderLowShare  = 4
-)
+func (noLedger) admitted(time.Duration, netip.Addr)               {}
+func (noLedger) refused(time.Duration, netip.Addr, time.Duration) {}
+func (noLedger) overShare(time.Duration, netip.Addr) bool         { return false }
+
+// SetBase sets this host's fair share of the places; it is at least 1.
+func (g *Gate) SetBase(places int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.room.setBase(places)
+}
 
+// Enter decides about a request that arrives. Without a limit it is admitted.
 func (g *Gate) Enter(now time.Duration, d Demand) *Ticket {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	t := &Ticket{Demand: d, decided: make(chan struct{}), entered: now}
-	g.room.setObjective(d.ObjectiveAt + d.Spent - now)
-	g.room.tick(now, g.inFlight)
-	limit, limited := g.room.places()
-	if !limited || g.inFlight < limit && len(g.queue) == 0 {
+	g.room.setObjective(d.objective(now))
+	g.tick(now)
+	g.admitWaiting(now)
+	t := g.newTicket(now, d)
+	g.entered++
+	if !g.limited() {
+		t.outlook.Decision = DecisionRun
 		g.admit(t)
-		g.admitNext(now)
 		return t
 	}
-	g.room.period.used = true
-	g.room.pressedAt = now
-	rate := g.room.throughput()
-	ahead := 0
-	for _, o := range g.queue {
-		if less(o, t) {
-			ahead++
-		}
-	}
-	wait := time.Duration(float64(ahead+1) / rate * 1e9)
-	if now+wait+g.expected[d.Route] > d.ObjectiveAt {
-		t.late = true
-		ahead = 0
-		for _, o := range g.queue {
-			if o.late && less(o, t) {
-				ahead++
-			}
-		}
-		wait = time.Duration(float64(ahead+1) / rate * orderLateShare * 1e9)
-		if wait > (d.DeadlineAt-now)/4 {
-			g.refuse(now, t, "no room")
-			return t
-		}
+	g.queue.counts(d.Rank).arrived.add(now, rankWindow, 1)
+	t.outlook = g.judge(now, t)
+	switch t.outlook.Decision {
+	case DecisionRun:
+		g.admitLimited(now, t)
+	case DecisionRefuse:
+		g.refuse(now, t, reasonNoCapacity)
+	default:
+		g.wait(now, t, t.outlook.Decision == DecisionLate)
 	}
-	t.checkAt = now + wait
-	if !t.late {
-		t.checkAt = d.ObjectiveAt - g.expected[d.Route]
-	} else {
-		t.checkAt = now + (d.DeadlineAt-now)/4
-	}
-	g.queue = append(g.queue, t)
 	return t
 }
 
-func less(a, b *Ticket) bool {
-	if a.Demand.Rank != b.Demand.Rank {
-		return a.Demand.Rank < b.Demand.Rank
-	}
-	if a.late != b.late {
-		return !a.late
-	}
-	return a.Demand.ObjectiveAt < b.Demand.ObjectiveAt
-}
-
-func (g *Gate) admitNext(now time.Duration) {
-	for len(g.queue) > 0 {
-		limit, limited := g.room.places()
-		if limited && g.inFlight >= limit {
-			return
-		}
-		slices.SortStableFunc(g.queue, func(a, b *Ticket) int {
-			if less(a, b) {
-				return -1
-			}
-			if less(b, a) {
-				return 1
-			}
-			return 0
-		})
-		g.grants++
-		i := 0
-		if g.grants%orderLateShare == 0 {
-			if j := slices.IndexFunc(g.queue, func(t *Ticket) bool { return t.late }); j >= 0 {
-				i = j
-			}
-		} else if g.grants%orderLowShare == 0 {
-			if j := slices.IndexFunc(g.queue, func(t *Ticket) bool { return t.Demand.Rank > g.queue[0].Demand.Rank }); j >= 0 {
-				i = j
-			}
-		}
-		t := g.queue[i]
-		g.queue = slices.Delete(g.queue, i, i+1)
-		if t.left {
-			continue
-		}
-		g.admit(t)
+// Outlook returns what Enter would decide. It changes nothing.
+func (g *Gate) Outlook(now time.Duration, d Demand) Outlook {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.limited() {
+		return Outlook{Decision: DecisionRun}
 	}
+	return g.judge(now, g.newTicket(now, d))
 }
 
+// Check decides about a waiting request that can't be answered as expected any more: it is
+// moved to the late requests or refused. A request that still can gets a new CheckAt.
 func (g *Gate) Check(now time.Duration, t *Ticket) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if t.admitted || t.refusal != nil {
+	if t.state != ticketWaiting {
 		return
 	}
-	g.room.tick(now, g.inFlight)
-	g.admitNext(now)
-	if t.admitted {
+	g.tick(now)
+	g.admitWaiting(now)
+	if t.state != ticketWaiting {
 		return
 	}
-	if i := slices.Index(g.queue, t); i >= 0 {
-		g.queue = slices.Delete(g.queue, i, i+1)
+	g.queue.remove(t)
+	switch g.judgeAgain(now, t) {
+	case DecisionRefuse:
+		g.refuse(now, t, reasonWaitedTooLong)
+	case DecisionLate:
+		g.wait(now, t, true)
+	default:
+		g.wait(now, t, false)
 	}
-	g.refuse(now, t, "no room in time")
 }
 
+// Abandon removes the ticket of a caller that left. If it was admitted, its place is freed.
 func (g *Gate) Abandon(now time.Duration, t *Ticket) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	t.left = true
-	if i := slices.Index(g.queue, t); i >= 0 {
-		g.queue = slices.Delete(g.queue, i, i+1)
-	}
-	if t.admitted {
-		g.inFlight--
-		g.admitNext(now)
+	switch t.state {
+	case ticketWaiting:
+		g.queue.remove(t)
+		t.state = ticketGone
+	case ticketAdmitted:
+		g.free(now, t)
+	default:
 	}
 }
 
+// Leave frees the place of an admitted request and admits the next ones.
 func (g *Gate) Leave(now time.Duration, t *Ticket, c Completion) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if t.left {
+	if t.state != ticketAdmitted {
 		return
 	}
-	t.left = true
-	g.inFlight--
-	g.room.period.ended++
-	if c.Covered {
-		e := g.expected[t.Demand.Route]
-		if e == 0 {
-			e = c.Took
-		}
-		g.expected[t.Demand.Route] = e + (c.Took-e)/10
-	}
-	g.room.tick(now, g.inFlight)
-	g.admitNext(now)
+	g.coverageTimesOf(t.demand.Route).record(c)
+	g.holds.record(c)
+	g.free(now, t)
 }
 
-func (g *Gate) ObserveCall(now time.Duration, o CallOutcome, l Load, took time.Duration) {
+// ObserveCall records the outcome of a call of an admitted request, from which a shortage is
+// measured.
+func (g *Gate) ObserveCall(_ time.Duration, o CallOutcome, l Load, took time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.room.observeCall(o, l, took)
 }
 
+// Shortage reports whether a shortage of capacity is measured.
 func (g *Gate) Shortage(time.Duration) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	_, limited := g.room.places()
-	return limited
+	return g.limited()
+}
+
+// State describes the gate.
+func (g *Gate) State(time.Duration) GateState {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s := GateState{
+		Base: g.room.base, Reason: g.room.reason, Service: g.room.service,
+		InFlight: g.inFlight, Waiting: g.queue.len(), WaitingByRank: g.queue.waitingByRank(),
+		Refused: g.refused, PerSecond: g.room.throughput(),
+	}
+	s.Places, s.Limited = g.room.places()
+	if !s.Limited {
+		s.Places, s.Reason = 0, ""
+	}
+	return s
 }
 
-// Decision is what a gate decided about a request.
-type Decision string
+func (g *Gate) newTicket(now time.Duration, d Demand) *Ticket {
+	return &Ticket{
+		gate: g, demand: d, number: g.entered + 1, enteredAt: now, decided: make(chan struct{}),
+		lateUntil: now + max(d.DeadlineAt-now, 0)/lateHoldDivisor,
+	}
+}
 
-const (
-	// DecisionRun means that the request may start.
-	DecisionRun Decision = "Run"
-	// DecisionWait means that it waits and is expected to meet its objective.
-	DecisionWait Decision = "Wait"
-	// DecisionLate means that it waits and is expected to be answered after its objective.
-	DecisionLate Decision = "Late"
-	// DecisionRefuse means that it is refused.
-	DecisionRefuse Decision = "Refuse"
-)
+// judge decides about a request that is not in the queue.
+func (g *Gate) judge(now time.Duration, t *Ticket) Outlook {
+	if g.queue.len() == 0 && g.hasPlace() {
+		return Outlook{Decision: DecisionRun}
+	}
+	t.overShare = t.demand.Caller.IsValid() && g.callers.overShare(now, t.demand.Caller)
+	if o := g.expectWait(now, t, false); g.inTime(now+o.Wait, t) {
+		o.Decision = DecisionWait
+		return o
+	}
+	o := g.expectWait(now, t, true)
+	o.Decision = DecisionRefuse
+	if now+o.Wait <= t.lateUntil {
+		o.Decision = DecisionLate
+	}
+	return o
+}
 
-// Outlook is a decision and what it is based on.
-type Outlook struct {
-	Decision Decision
-	// Wait is the expected wait, Ahead the number of requests ahead.
-	Wait  time.Duration
-	Ahead int
+// judgeAgain decides about a request that has waited. A late one is held until lateUntil,
+// since its wait was expected to end before.
+func (g *Gate) judgeAgain(now time.Duration, t *Ticket) Decision {
+	if t.late {
+		if now < t.lateUntil {
+			return DecisionLate
+		}
+		return DecisionRefuse
+	}
+	return g.judge(now, t).Decision
 }
 
-// ShortageReason is the sign of a shortage.
-type ShortageReason string
+// inTime reports whether a request that starts at a time is expected to meet its objective.
+func (g *Gate) inTime(startAt time.Duration, t *Ticket) bool {
+	return startAt+g.expectedRun(t.demand.Route) <= t.demand.ObjectiveAt
+}
 
-const (
-	// ShortageQueues means that calls wait too long in the queues of the upstreams.
-	ShortageQueues ShortageReason = "Queues"
-	// ShortageShed means that upstreams shed too many calls.
-	ShortageShed ShortageReason = "Shed"
-	// ShortageHost means that this host takes too long.
-	ShortageHost ShortageReason = "Host"
-)
+// expectWait returns the expected wait of a ticket that is not in the queue.
+func (g *Gate) expectWait(now time.Duration, t *Ticket, late bool) Outlook {
+	p := g.order(t, late)
+	ahead := g.queue.before(p)
+	own := ahead - g.queue.beforeRank(p.rank)
+	if late {
+		own = g.queue.lateBefore(p)
+	}
+	share, least := g.shares(now, p.rank, late)
+	wait := max(g.untilFree(own, share), g.untilFree(ahead, 1))
+	return Outlook{Wait: min(wait, g.untilFree(own, least)), Ahead: ahead}
+}
 
-// GateState describes a gate for operators.
-type GateState struct {
-	// Base is this host's share of the places, Places the limit; 0 without one.
-	Base, Places int
-	Limited      bool
-	Reason       ShortageReason
-	// InFlight and Waiting count requests.
-	InFlight, Waiting int
-	WaitingByRank     map[int]int
-	// Refused counts the requests refused since the gate exists.
-	Refused uint64
-	// PerSecond is the number of requests that leave in a second.
-	PerSecond float64
-	// Service is the service time of one call.
-	Service time.Duration
+// shares returns the share of the places that become free which a rank, or its late
+// requests, can expect, and the share that the order guarantees.
+func (g *Gate) shares(now time.Duration, rank int, late bool) (expected, least float64) {
+	ahead, outranked := g.queue.shareAhead(now, rank, late)
+	switch {
+	case late:
+		least = lateShare
+	case outranked:
+		least = lowRankShare / float64(g.lowRanks(rank))
+	default:
+		least = 1 - lowRankShare - lateShare
+	}
+	return max(1-ahead, least), least
 }
 
-// State describes the gate.
-func (g *Gate) State(time.Duration) GateState {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return GateState{
-		Base: g.room.base, Places: int(g.room.limit), Limited: g.room.limit > 0, Reason: g.room.reason,
-		InFlight: g.inFlight, Waiting: len(g.queue), PerSecond: g.room.perSecond, Service: g.room.service,
+// lowRanks counts the ranks that share the turns of lower ranks with a rank.
+func (g *Gate) lowRanks(rank int) int {
+	count := 1
+	g.queue.eachRank(func(r, first, _, _ int) bool {
+		if first > 0 && r != rank {
+			count++
+		}
+		return true
+	})
+	return count
+}
+
+// untilFree returns the expected time until a place is free for a request, if the share of
+// the places that become free goes to it and the requests ahead of it.
+func (g *Gate) untilFree(ahead int, share float64) time.Duration {
+	return time.Duration((float64(ahead) + nextPlace) / (share * g.throughput()) * float64(time.Second))
+}
+
+// wait puts a ticket into the queue.
+func (g *Gate) wait(now time.Duration, t *Ticket, late bool) {
+	g.pressed(now)
+	t.state, t.late = ticketWaiting, late
+	t.position = g.order(t, late)
+	t.checkAt = g.nextCheck(now, t)
+	g.queue.insert(t)
+}
+
+// nextCheck returns when a waiting ticket is checked again.
+func (g *Gate) nextCheck(now time.Duration, t *Ticket) time.Duration {
+	if t.late {
+		return max(t.lateUntil, now+minCheckInterval)
+	}
+	interval := t.demand.objective(t.enteredAt) / checkDivisor
+	return now + max(interval, minCheckInterval)
+}
+
+// admitWaiting admits waiting requests while there are free places.
+func (g *Gate) admitWaiting(now time.Duration) {
+	for g.queue.len() > 0 && g.hasPlace() {
+		t := g.queue.next(now)
+		g.queue.remove(t)
+		switch {
+		case !t.late && !g.inTime(now, t):
+			g.moveToLate(now, t)
+		case t.late && now > t.lateUntil:
+			g.refuse(now, t, reasonWaitedTooLong)
+		default:
+			g.queue.turns++
+			g.admitLimited(now, t)
+		}
+	}
+	if g.queue.len() > 0 {
+		g.pressed(now)
+	}
+}
+
+// moveToLate lets a ticket that can't meet its objective any more wait with the late ones,
+// or refuses it if it has waited for too long.
+func (g *Gate) moveToLate(now time.Duration, t *Ticket) {
+	if now > t.lateUntil {
+		g.refuse(now, t, reasonWaitedTooLong)
+		return
 	}
+	g.wait(now, t, true)
+}
+
+// admitLimited admits a request while there is a limit.
+func (g *Gate) admitLimited(now time.Duration, t *Ticket) {
+	g.queue.counts(t.demand.Rank).count(now, t.late)
+	if t.demand.Caller.IsValid() {
+		g.callers.admitted(now, t.demand.Caller)
+	}
+	g.admit(t)
+}
+
+func (g *Gate) admit(t *Ticket) {
+	g.inFlight++
+	t.state = ticketAdmitted
+	close(t.decided)
+}
+
+func (g *Gate) refuse(now time.Duration, t *Ticket, reason string) {
+	g.pressed(now)
+	g.refused++
+	rank := t.demand.Rank
+	in := g.returns.book(now, rank, g.queue.beforeRank(rank+1), g.throughput(), t.demand.DeadlineAt-now)
+	if t.demand.Caller.IsValid() {
+		g.callers.refused(now, t.demand.Caller, now+in)
+	}
+	t.refusal = &Refusal{Reason: reason, RetryAfter: in}
+	t.state = ticketRefused
+	close(t.decided)
+}
+
+// free frees the place of an admitted ticket.
+func (g *Gate) free(now time.Duration, t *Ticket) {
+	t.state = ticketGone
+	g.inFlight--
+	g.room.period.ended++
+	g.tick(now)
+	g.admitWaiting(now)
+}
+
+// expectedRun returns the expected time of a run of a route, or 0 if it is not known.
+func (g *Gate) expectedRun(route string) time.Duration {
+	if c := g.expected[route]; c != nil {
+		return c.quantile()
+	}
+	return 0
+}
+
+// coverageTimesOf returns the times of a route. It drops all if there are too many, since
+// those of the routes in use are learnt again at once.
+func (g *Gate) coverageTimesOf(route string) *coverageTimes {
+	c := g.expected[route]
+	if c != nil {
+		return c
+	}
+	if len(g.expected) >= maxGateRoutes {
+		clear(g.expected)
+	}
+	c = &coverageTimes{}
+	g.expected[route] = c
+	return c
+}
+
+// throughput returns the number of places that become free in a second; above 0. It is at
+// least what the places allow by the time that requests hold them: the measured number says
+// only what was asked for while places were free.
+func (g *Gate) throughput() float64 {
+	measured := g.room.throughput()
+	hold := g.holds.quantile()
+	n, limited := g.room.places()
+	if !limited || hold == 0 {
+		return measured
+	}
+	return max(measured, float64(n)/hold.Seconds())
+}
+
+// tick ends the period of the measurements if it is over. The counts of the ranks are those
+// of one shortage.
+func (g *Gate) tick(now time.Duration) {
+	g.room.tick(now, g.inFlight)
+	if !g.limited() && len(g.queue.ranks) > 0 {
+		clear(g.queue.ranks)
+	}
+}
+
+// pressed records that a request waits or is refused: the places are used, and the shortage
+// goes on.
+func (g *Gate) pressed(now time.Duration) {
+	g.room.period.used = true
+	g.room.pressedAt = now
+}
+
+func (g *Gate) limited() bool {
+	_, limited := g.room.places()
+	return limited
+}
+
+func (g *Gate) hasPlace() bool {
+	n, limited := g.room.places()
+	return !limited || g.inFlight < n
 }
--- a/tier/policy/overload.go
+++ b/tier/policy/overload.go
@@ -6,7 +6,7 @@
 )
 
 // OverloadControl says what a host does about routed requests while there is a shortage of
-// room at the upstreams.
+// capacity at the upstreams.
 type OverloadControl string
 
 const (
@@ -31,6 +31,10 @@
 	Spent time.Duration
 }
 
+// objective returns the objective of a request that arrives now, counted from its first
+// attempt.
+func (d Demand) objective(now time.Duration) time.Duration { return d.ObjectiveAt + d.Spent - now }
+
 // Completion describes how an admitted request left its gate.
 type Completion struct {
 	// Took is the time since the request was admitted.
@@ -38,3 +42,56 @@
 	// Covered is true if the answer has reached the least coverage.
 	Covered bool
 }
+
+// Decision is what a gate decides about a request when it arrives.
+type Decision string
+
+const (
+	// DecisionRun means that the request may start.
+	DecisionRun Decision = "Run"
+	// DecisionWait means that it waits and is expected to meet its objective.
+	DecisionWait Decision = "Wait"
+	// DecisionLate means that it waits and is expected to be answered after its objective.
+	DecisionLate Decision = "Late"
+	// DecisionRefuse means that it is refused.
+	DecisionRefuse Decision = "Refuse"
+)
+
+// Outlook is a decision and the expectation that it is based on.
+type Outlook struct {
+	Decision Decision
+	// Wait is the expected time until a place is free for the request.
+	Wait time.Duration
+	// Ahead is the number of waiting requests that go before it.
+	Ahead int
+}
+
+// ShortageReason is the sign of a shortage; empty if there is none.
+type ShortageReason string
+
+const (
+	// ShortageQueues means that calls wait too long in the queues of the upstreams.
+	ShortageQueues ShortageReason = "Queues"
+	// ShortageShed means that upstreams shed too many calls.
+	ShortageShed ShortageReason = "Shed"
+	// ShortageHost means that this host's processor or link takes too long.
+	ShortageHost ShortageReason = "Host"
+)
+
+// GateState describes a gate for operators.
+type GateState struct {
+	// Base is this host's fair share of the places, Places the limit; Places is 0 while
+	// there is no limit.
+	Base, Places int
+	Limited      bool
+	Reason       ShortageReason
+	// InFlight and Waiting count requests.
+	InFlight, Waiting int
+	WaitingByRank     map[int]int
+	// Refused counts the requests refused since the gate exists.
+	Refused uint64
+	// PerSecond is the number of requests that leave in a second.
+	PerSecond float64
+	// Service is the service time of one call.
+	Service time.Duration
+}
