--- a/tier/policy/gate.go
+++ b/tier/policy/gate.go
@@ -19,6 +19,9 @@
 	// nextPlace is the expected time until the next place is free, in intervals between two
 	// places that become free.
 	nextPlace = 0.5
+	// minShare bounds the share of the places that a class of requests is expected to get,
+	// since waits are divided by it.
+	minShare = 0.01
 	// maxGateRoutes is the number of routes of which a gate keeps the time to coverage.
 	maxGateRoutes = 64
 )
@@ -148,6 +151,10 @@
 // Outlook returns what Enter decided.
 func (t *Ticket) Outlook() Outlook { return t.outlook }
 
+// returned reports whether the request is a retry that waited as long as a refused caller is
+// told at least.
+func (t *Ticket) returned() bool { return t.demand.Spent >= minReturnTime }
+
 // NewGate returns a gate without a limit.
 func NewGate(c GateConfig) *Gate {
 	g := &Gate{
@@ -204,6 +211,7 @@
 		g.refuse(now, t, reasonNoCapacity)
 	default:
 		g.wait(now, t, t.outlook.Decision == DecisionLate)
+		g.displace(now, t)
 	}
 	return t
 }
@@ -312,10 +320,15 @@
 		return Outlook{Decision: DecisionRun}
 	}
 	t.overShare = t.demand.Caller.IsValid() && g.callers.overShare(now, t.demand.Caller)
-	if o := g.expectWait(now, t, false); g.inTime(now+o.Wait, t) {
+	if o := g.expectWait(now, t, false); now+o.Wait <= g.waitUntil(now, t, o.Ahead) {
 		o.Decision = DecisionWait
 		return o
 	}
+	return g.judgeLate(now, t)
+}
+
+// judgeLate decides about a late request that is not in the queue.
+func (g *Gate) judgeLate(now time.Duration, t *Ticket) Outlook {
 	o := g.expectWait(now, t, true)
 	o.Decision = DecisionRefuse
 	if now+o.Wait <= t.lateUntil {
@@ -324,16 +337,38 @@
 	return o
 }
 
+// displace decides again about the last requests of the rank of a ticket that was put before
+// them: it may have taken the place that they were expected to get.
+func (g *Gate) displace(now time.Duration, t *Ticket) {
+	for {
+		last := g.queue.lastLike(t)
+		if last == t {
+			return
+		}
+		g.queue.remove(last)
+		d := g.judgeAgain(now, last)
+		switch {
+		case d == DecisionRefuse:
+			g.refuse(now, last, reasonWaitedTooLong)
+		case d == DecisionLate && !last.late:
+			g.wait(now, last, true)
+		default:
+			g.queue.insert(last)
+			return
+		}
+	}
+}
+
 // judgeAgain decides about a request that has waited. A late one is held until lateUntil,
 // since its wait was expected to end before.
 func (g *Gate) judgeAgain(now time.Duration, t *Ticket) Decision {
-	if t.late {
-		if now < t.lateUntil {
-			return DecisionLate
+	if !t.late {
+		o := g.expectWait(now, t, false)
+		if g.inTime(now+o.Wait, t) && now <= g.waitUntil(now, t, o.Ahead) {
+			return DecisionWait
 		}
-		return DecisionRefuse
 	}
-	return g.judge(now, t).Decision
+	return g.judgeLate(now, t).Decision
 }
 
 // inTime reports whether a request that starts at a time is expected to meet its objective.
@@ -341,6 +376,17 @@
 	return startAt+g.expectedRun(t.demand.Route) <= t.demand.ObjectiveAt
 }
 
+// waitUntil returns until when a request may wait to meet its objective. While the queue of
+// its rank stands, that is half of the time until it would have to start: a long queue
+// serves no more requests than a short one, but later.
+func (g *Gate) waitUntil(now time.Duration, t *Ticket, ahead int) time.Duration {
+	startBy := t.demand.ObjectiveAt - g.expectedRun(t.demand.Route)
+	if ahead == 0 || !g.queue.counts(t.demand.Rank).standing(now) {
+		return startBy
+	}
+	return t.enteredAt + (startBy-t.enteredAt)/standingDivisor
+}
+
 // expectWait returns the expected wait of a ticket that is not in the queue.
 func (g *Gate) expectWait(now time.Duration, t *Ticket, late bool) Outlook {
 	p := g.order(t, late)
@@ -349,24 +395,26 @@
 	if late {
 		own = g.queue.lateBefore(p)
 	}
-	share, least := g.shares(now, p.rank, late)
+	share, least := g.shares(now, p)
 	wait := max(g.untilFree(own, share), g.untilFree(ahead, 1))
 	return Outlook{Wait: min(wait, g.untilFree(own, least)), Ahead: ahead}
 }
 
-// shares returns the share of the places that become free which a rank, or its late
-// requests, can expect, and the share that the order guarantees.
-func (g *Gate) shares(now time.Duration, rank int, late bool) (expected, least float64) {
-	ahead, outranked := g.queue.shareAhead(now, rank, late)
+// shares returns the share of the places that become free which a class of requests can
+// expect, and the share that the order guarantees.
+func (g *Gate) shares(now time.Duration, p queuePosition) (expected, least float64) {
+	s := g.queue.sharesAhead(now, p)
+	turns := g.queue.turnsBehind(p)
 	switch {
-	case late:
-		least = lateShare
-	case outranked:
-		least = lowRankShare / float64(g.lowRanks(rank))
+	case p.late:
+		least = lateShare * (1 - s.lateAhead)
+	case s.outranked:
+		least = lowRankShare / float64(g.lowRanks(p.rank))
 	default:
-		least = 1 - lowRankShare - lateShare
+		least = 1 - turns
 	}
-	return max(1-ahead, least), least
+	least = max(least, minShare)
+	return max(1-s.ahead-turns, least), least
 }
 
 // lowRanks counts the ranks that share the turns of lower ranks with a rank.
@@ -398,9 +446,6 @@
 
 // nextCheck returns when a waiting ticket is checked again.
 func (g *Gate) nextCheck(now time.Duration, t *Ticket) time.Duration {
-	if t.late {
-		return max(t.lateUntil, now+minCheckInterval)
-	}
 	interval := t.demand.objective(t.enteredAt) / checkDivisor
 	return now + max(interval, minCheckInterval)
 }
@@ -417,6 +462,7 @@
 			g.refuse(now, t, reasonWaitedTooLong)
 		default:
 			g.queue.turns++
+			g.queue.counts(t.demand.Rank).observeWait(now, t)
 			g.admitLimited(now, t)
 		}
 	}
@@ -437,7 +483,7 @@
 
 // admitLimited admits a request while there is a limit.
 func (g *Gate) admitLimited(now time.Duration, t *Ticket) {
-	g.queue.counts(t.demand.Rank).count(now, t.late)
+	g.queue.counts(t.demand.Rank).count(now, t)
 	if t.demand.Caller.IsValid() {
 		g.callers.admitted(now, t.demand.Caller)
 	}
--- a/tier/policy/gatequeue.go
+++ b/tier/policy/gatequeue.go
@@ -18,6 +18,9 @@
 	// lowRankShare and lateShare are the shares of the admissions that these turns make.
 	lowRankShare = 1.0 / lowRankTurn
 	lateShare    = 1.0 / lateTurn
+	standingWaitDivisor=8
+	standingDivisor=2
+	standingTime=100*time.Millisecond
 	// rankWindow is the time over which arrivals and admissions of a rank are counted.
 	rankWindow = 2 * time.Second
 )
@@ -29,6 +32,8 @@
 	late bool
 	// overShare is true if the caller uses more than its share.
 	overShare bool
+	// returned is true for a late request that is a retry.
+	returned bool
 	// at orders requests that are otherwise equal.
 	at time.Duration
 	// number is that of the ticket. It makes positions unique.
@@ -37,9 +42,17 @@
 
 // byObjective is the order of admission: by rank, then requests that can meet their
 // objective, then callers within their share, then by objective. A retry has an earlier
-// objective than the requests that arrived after its first attempt.
+// objective than the requests that arrived after its first attempt. Late requests go in the
+// order of their arrival instead, retries that came as they were told first: by objective,
+// the late queue filled with retries of which each displaced another that had waited.
 func byObjective(t *Ticket, late bool) queuePosition {
-	return queuePosition{rank: t.demand.Rank, late: late, overShare: t.overShare, at: t.demand.ObjectiveAt, number: t.number}
+	p := queuePosition{rank: t.demand.Rank, late: late, overShare: t.overShare, number: t.number}
+	if late {
+		p.returned = t.returned()
+		return p
+	}
+	p.at = t.demand.ObjectiveAt
+	return p
 }
 
 func (p queuePosition) compare(o queuePosition) int {
@@ -47,6 +60,7 @@
 		cmp.Compare(p.rank, o.rank),
 		compareBool(p.late, o.late),
 		compareBool(p.overShare, o.overShare),
+		compareBool(!p.returned, !o.returned),
 		cmp.Compare(p.at, o.at),
 		cmp.Compare(p.number, o.number),
 	)
@@ -78,8 +92,28 @@
 // rankCounts counts requests of a rank within rankWindow.
 type rankCounts struct {
 	// arrived counts requests, admitted those admitted to meet their objective,
-	// admittedLate the other admissions.
-	arrived, admitted, admittedLate windowedSum
+	// admittedReturned the late ones that returned, and admittedLate the other late ones.
+	arrived, admitted, admittedReturned, admittedLate windowedSum
+	// standingSince is the first of the latest admissions that all waited long; 0 if the
+	// last one did not.
+	standingSince time.Duration
+}
+
+// observeWait records how long an admitted ticket waited.
+func (c *rankCounts) observeWait(now time.Duration, t *Ticket) {
+	if t.late {
+		return
+	}
+	if now-t.enteredAt <= t.demand.objective(t.enteredAt)/standingWaitDivisor {
+		c.standingSince = 0
+		return
+	}
+	c.standingSince = cmp.Or(c.standingSince, now)
+}
+
+// standing reports whether requests of the rank have waited long for some time.
+func (c *rankCounts) standing(now time.Duration) bool {
+	return c.standingSince > 0 && now-c.standingSince >= standingTime
 }
 
 func (q *gateQueue) len() int { return len(q.waiting) }
@@ -131,6 +165,16 @@
 	}
 }
 
+// lastLike returns the last ticket that has the rank of a ticket in the queue and is late if
+// that one is.
+func (q *gateQueue) lastLike(t *Ticket) *Ticket {
+	p := t.position
+	if p.late {
+		return q.waiting[q.beforeRank(p.rank+1)-1]
+	}
+	return q.waiting[q.beforeLate(p.rank)-1]
+}
+
 // lateBefore counts the late tickets with a lower position.
 func (q *gateQueue) lateBefore(p queuePosition) int {
 	ahead, count := q.before(p), 0
@@ -205,33 +249,68 @@
 
 // admittedShare returns the share of the requests of the rank that were admitted.
 func (c *rankCounts) admittedShare(now time.Duration) float64 {
-	all := c.admitted.sum(now, rankWindow) + c.admittedLate.sum(now, rankWindow)
+	all := c.admitted.sum(now, rankWindow) + c.admittedReturned.sum(now, rankWindow) + c.admittedLate.sum(now, rankWindow)
 	return all / max(c.arrived.sum(now, rankWindow), 1)
 }
 
 // count counts an admission.
-func (c *rankCounts) count(now time.Duration, late bool) {
-	if late {
+func (c *rankCounts) count(now time.Duration, t *Ticket) {
+	switch {
+	case !t.late:
+		c.admitted.add(now, rankWindow, 1)
+	case t.returned():
+		c.admittedReturned.add(now, rankWindow, 1)
+	default:
 		c.admittedLate.add(now, rankWindow, 1)
-		return
 	}
-	c.admitted.add(now, rankWindow, 1)
 }
 
-// shareAhead returns the share of the recent admissions that went to requests which go
-// before those of the rank, and whether any went to a more urgent rank.
-func (q *gateQueue) shareAhead(now time.Duration, rank int, late bool) (share float64, outranked bool) {
-	ahead, all := 0.0, 0.0
+// turnsBehind returns the share of the admissions that goes to waiting requests which go
+// after those of a class in the order but have turns of their own.
+func (q *gateQueue) turnsBehind(p queuePosition) float64 {
+	share := 0.0
+	if q.beforeRank(p.rank+1) < len(q.waiting) {
+		share += lowRankShare
+	}
+	if !p.late && q.firstLate() > 0 {
+		share += lateShare
+	}
+	return share
+}
+
+// admissionShares are shares of the recent admissions of a gate.
+type admissionShares struct {
+	// ahead went to requests that go before those of a class.
+	ahead float64
+	// lateAhead is the share of the late requests that go before those of the class in all
+	// late ones.
+	lateAhead float64
+	// outranked is true if any went to a more urgent rank.
+	outranked bool
+}
+
+// sharesAhead returns the shares of the recent admissions as seen by a class of requests.
+func (q *gateQueue) sharesAhead(now time.Duration, p queuePosition) admissionShares {
+	s := admissionShares{}
+	all, allLate := 0.0, 0.0
 	for r, c := range q.ranks {
-		onTime, afterwards := c.admitted.sum(now, rankWindow), c.admittedLate.sum(now, rankWindow)
-		all += onTime + afterwards
+		onTime, returned, late := c.admitted.sum(now, rankWindow), c.admittedReturned.sum(now, rankWindow), c.admittedLate.sum(now, rankWindow)
+		all += onTime + returned + late
+		allLate += returned + late
 		switch {
-		case r < rank:
-			ahead += onTime + afterwards
-			outranked = outranked || onTime+afterwards > 0
-		case r == rank && late:
-			ahead += onTime
+		case r < p.rank:
+			s.ahead += onTime + returned + late
+			s.lateAhead += returned + late
+			s.outranked = s.outranked || onTime+returned+late > 0
+		case r == p.rank && p.late:
+			s.ahead += onTime
+			if !p.returned {
+				s.ahead += returned
+				s.lateAhead += returned
+			}
 		}
 	}
-	return ahead / max(all, 1), outranked
+	s.ahead /= max(all, 1)
+	s.lateAhead /= max(allLate, 1)
+	return s
 }
