policy: measure room per part, windows per upstream, runs under shortage

Cause: the first limit compared the mean wait over all upstreams with its bound. A few slow upstreams or uneven load between near and far ones pushed the mean over it, so limits stayed at 1 to 4 places with 0.7 of the slots used.

Change: - pressure.go: a part has room while one of its upstreams (a quarter of many) has: few sheds, and a wait on this host plus in the queue below a quarter of the objective. There is a shortage if more parts lack room than the coverage can do without. Upstreams that do not answer say nothing. - room.go: growth by a fifth of the base over the limit in bases, fractional places carried between periods, one decrease per call time, throughput that ignores places nobody wants, shortage of the host, objective per route. - window.go: AIMD window per listed upstream, only under a shortage and if FleetConfig.Overload is set (default off). - occupancy.go, choose.go: calls of all hosts per published slot, service time without the wait; reports are used for 1 s. Relays report loads and waits on request (Gather.Loads). - hedges need a fresh report of a free slot; a part shed twice is given up if the coverage allows; an almost finished call ends instead of being cancelled. - queue.go: rank, can still meet the objective, objective, deadline.

--- a/loomd/serve.go
+++ b/loomd/serve.go
@@ -82,7 +82,7 @@
 	defer closeTracer()
 	k, closeKernel := kernel.New(kernel.Config{
 		Settings: s, Log: log, Tracer: tracer, Started: time.Now(), BootTime: kernel.BootTime, FlushLog: flush,
-		Fleet: policy.NewFleet(policy.FleetConfig{Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}),
+		Fleet: policy.NewFleet(policy.FleetConfig{Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Overload: s.Overload}),
 	})
 	defer closeKernel()
 	cleanUp, err := startPipeline(ctx, k)
--- a/tier/pass/golden_test.go
+++ b/tier/pass/golden_test.go
@@ -27,7 +27,7 @@
 var messages = []any{
 	&batchRequest{
 		ID: "b-1", Route: "Find", RequestID: "r-1", Method: "POST", Head: "POST / HTTP/1.1\r\n", Body: []byte("body"),
-		Upstreams: []string{"U1", "U2"}, Top: 50, TotalParts: 25, FirstMillis: 40, DeadlineMillis: 900, Trace: "00-trace",
+		Upstreams: []string{"U1", "U2"}, Top: 50, TotalParts: 25, FirstMillis: 40, DeadlineMillis: 900, Rank: 2, ObjectiveMillis: 250, Loads: true, Trace: "00-trace",
 	},
 	&batchReply{
 		ID: "b-1",
@@ -38,7 +38,7 @@
 		Records: []byte("0123456789abcdef"), OmittedID: 2, Due: true, ProgressSent: 3,
 		Conditions: []policy.Condition{{Upstream: "U1", Slowness: 4, FaultPercent: 30}}, HeldMicros: 2500,
 	},
-	&callReport{Index: 1, Stamp: "stamp", Outcome: string(policy.CallOK), TookMicros: 1500},
+	&callReport{Index: 1, Stamp: "stamp", Outcome: string(policy.CallOK), TookMicros: 1500, Load: []int{2, 5, 2}, QueuedMicros: 700},
 	&batchStop{ID: "b-1", CallerGone: true},
 	&recordsRequest{ID: "b-1", OmittedID: 2},
 	&recordsReply{Records: []byte("0123456789abcdef")},
--- a/tier/pass/relay_client.go
+++ b/tier/pass/relay_client.go
@@ -129,6 +129,12 @@
 		FirstMillis:    q.firstReplyDelay(batch, roundTrip).Milliseconds(),
 		DeadlineMillis: (q.times.deadline - now).Milliseconds(), Trace: wire.TraceParent(ctx),
 	}
+	if q.gate != nil {
+		in.Loads = true
+		if q.gate.Shortage(now) {
+			in.Rank, in.ObjectiveMillis = q.route.Priority, q.objectiveMillis(now)
+		}
+	}
 	if !e.relay.fullRecordRoutes.enabled(q.route.Name, now) {
 		in.TotalParts = len(q.plan.groups)
 	}
@@ -138,6 +144,12 @@
 	return in
 }
 
+// objectiveMillis returns the time until the request loses its full worth, in milliseconds;
+// at least 1, since 0 stands for none.
+func (q *request) objectiveMillis(now time.Duration) int64 {
+	return max((q.times.startedAt + time.Duration(q.route.Objective) - now).Milliseconds(), 1)
+}
+
 // firstReplyDelay returns how long after it gets a batch the relay sends the first reply,
 // so that it arrives before the calls are hedged. It returns 0 for hedges, which are not
 // hedged again: each is reported as it ends.
@@ -306,6 +318,7 @@
 	}
 	for _, c := range ended {
 		r := runner.Reply[*response]{Outcome: policy.CallOutcome(c.Outcome), Took: time.Duration(c.TookMicros)*time.Microsecond + s.roundTrip}
+		r.RelayedLoad, r.RelayQueued = c.load(), time.Duration(c.QueuedMicros)*time.Microsecond
 		if c.Stamp != "" {
 			r.Outcome, r.Answer = policy.CallOK, &response{block: b}
 		}
--- a/tier/pass/relay_messages.go
+++ b/tier/pass/relay_messages.go
@@ -45,7 +45,15 @@
 	FirstMillis int64
 	// DeadlineMillis is the time until the calls are cancelled, in milliseconds.
 	DeadlineMillis int64
-	Trace          string `json:",omitempty"`
+	// Rank and ObjectiveMillis are the priority of the request and the time until it loses
+	// its full worth. The relay orders the calls that wait for a slot by them. They are set
+	// only while the sender measures a shortage; otherwise the calls are ordered by
+	// DeadlineMillis.
+	Rank            int   `json:",omitempty"`
+	ObjectiveMillis int64 `json:",omitempty"`
+	// Loads is true if the sender uses the loads that upstreams report.
+	Loads bool   `json:",omitempty"`
+	Trace string `json:",omitempty"`
 }
 
 // batchReply reports the calls that ended since the previous reply.
@@ -79,6 +87,26 @@
 	// Outcome is empty if the call succeeded.
 	Outcome    string `json:",omitempty"`
 	TookMicros int64
+	// Load is the load that the upstream reported: its running calls, its waiting calls and
+	// its slots. It is set only if the sender asked for it and the upstream reported it.
+	Load []int `json:",omitempty"`
+	// QueuedMicros is how long the call waited for a slot of the relay; set like Load.
+	QueuedMicros int64 `json:",omitempty"`
+}
+
+// load returns the reported load; zero if there is none.
+func (c *callReport) load() policy.Load {
+	if len(c.Load) != 3 {
+		return policy.Load{}
+	}
+	return policy.Load{Running: c.Load[0], Waiting: c.Load[1], Slots: c.Load[2]}
+}
+
+// setLoad sets the reported load.
+func (c *callReport) setLoad(l policy.Load) {
+	if l.Slots > 0 {
+		c.Load = []int{l.Running, l.Waiting, l.Slots}
+	}
 }
 
 type batchStop struct {
--- a/tier/pass/relay_server.go
+++ b/tier/pass/relay_server.go
@@ -163,13 +163,14 @@
 	defer c.cancel()
 	k := b.engine.kernel
 	started := k.Now()
+	requested := started
 	reply := runner.Reply[*response]{Outcome: policy.CallUnreachable}
 	u, pool := k.Fleet.Find(name), b.engine.connPool(name)
 	switch {
 	case u == nil || pool == nil:
 	case k.Fleet.Stalled(started, u):
 		reply.Outcome = policy.CallStalled
-	case !k.Fleet.Acquire(ctx, u, b.deadline, k.Now):
+	case !k.Fleet.AcquireAs(ctx, b.waiter(u), k.Now):
 		reply.Outcome = policy.CallNotSent
 	default:
 		started = k.Now()
@@ -181,6 +182,10 @@
 		b.releaseSlot(i, c, &reply, started)
 	}
 	out := callReport{Index: i, TookMicros: (k.Now() - started).Microseconds()}
+	if b.in.Loads {
+		out.QueuedMicros = (started - requested).Microseconds()
+		out.setLoad(reply.Load)
+	}
 	if reply.Outcome != policy.CallOK {
 		out.Outcome = string(reply.Outcome)
 		b.endCall(out, nil)
@@ -190,6 +195,15 @@
 	b.endCall(out, reply.Answer.body)
 }
 
+// waiter returns the waiter for a slot of this host at an upstream.
+func (b *servedBatch) waiter(u *policy.Upstream) *policy.Waiter {
+	w := &policy.Waiter{Upstream: u, Deadline: b.deadline}
+	if b.in.ObjectiveMillis > 0 {
+		w.Rank, w.ObjectiveAt = b.in.Rank, b.startedAt+time.Duration(b.in.ObjectiveMillis)*time.Millisecond
+	}
+	return w
+}
+
 // sendCall sends a call that has acquired a slot and returns its result.
 func (b *servedBatch) sendCall(ctx context.Context, pool *connPool, u *policy.Upstream) runner.Reply[*response] {
 	k := b.engine.kernel
--- a/tier/pass/run.go
+++ b/tier/pass/run.go
@@ -1,6 +1,7 @@
 package pass
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -26,7 +27,8 @@
 			Routed: &policy.RoutedConfig{
 				Groups: q.plan.groups, FarPool: far, MaxAttempts: q.route.MaxAttempts,
 				Objective: max(time.Duration(q.route.Objective)-spent, 0), PreferredHall: q.plan.preferredHall,
-				CanRelay: q.route.Gather != nil, NoUpstreamReasons: q.plan.noUpstreamReasons, Shortage: q.shortage(),
+				CanRelay: q.route.Gather != nil, NoUpstreamReasons: q.plan.noUpstreamReasons,
+				Rank: q.route.Priority, Shortage: q.shortage(),
 			},
 		},
 	}, ctx.Done())
@@ -74,7 +76,7 @@
 func (q *request) CallEnded(a policy.Action, r runner.Reply[*response], took time.Duration, over bool) {
 	q.callCounts[a.Part]++
 	if q.gate != nil {
-		q.gate.ObserveCall(q.engine.kernel.Now(), r.Outcome, r.Load, took)
+		q.observeCall(a, &r)
 	}
 	if r.Outcome == policy.CallOK {
 		return
@@ -86,3 +88,12 @@
 		Str("Upstream", a.Upstream.Name).Int("Call", q.callCounts[a.Part]).Str("Outcome", string(r.Outcome)).
 		Int64("TookMillis", took.Milliseconds()).Msg("call ended")
 }
+
+// observeCall reports a call that ended to the gate. A relayed call has the load and the
+// wait that the relay reported.
+func (q *request) observeCall(a policy.Action, r *runner.Reply[*response]) {
+	q.gate.ObserveCallEnd(q.engine.kernel.Now(), policy.CallEnd{
+		Part: a.Part, Coverage: q.class.Coverage, Upstream: a.Upstream.Name, Outcome: r.Outcome,
+		Load: cmp.Or(r.Load, r.RelayedLoad), Queued: a.Queued + r.RelayQueued, Took: r.Took,
+	})
+}
--- a/tier/pass/shares.go
+++ b/tier/pass/shares.go
@@ -105,7 +105,7 @@
 		fraction, hosts = remoteConnectionShare, max(b.hosts-b.inHall, 1)
 	}
 	return policy.Share{
-		Name: l.Name, Slots: max(int(burstFactor*fraction*float64(connections)/hosts), 1),
+		Name: l.Name, Slots: max(int(burstFactor*fraction*float64(connections)/hosts), 1), PublishedSlots: l.Slots,
 		Leaving: l.Leaving || b.directory.Evacuated(l.Hall),
 		Listed:  true, Hall: l.Hall, Near: near, StartedMillis: l.StartedMillis, Cold: e.coldState(l, b),
 	}
--- a/tier/policy/doc.go
+++ b/tier/policy/doc.go
@@ -32,8 +32,8 @@
 //
 // From the state of upstreams at the bottom, through the rules, to the run at the top:
 //
-//   - one upstream: upstream.go, composed of slots.go (with borrowing.go, limit.go and
-//     queue.go), latency.go, condition.go, outlier.go, ejection.go, backoff.go, stall.go,
+//   - one upstream: upstream.go, composed of slots.go (with borrowing.go, limit.go,
+//     window.go and queue.go), latency.go, occupancy.go, condition.go, outlier.go, ejection.go, backoff.go, stall.go,
 //     cold.go, load.go and status.go; kind.go distinguishes declared from listed
 //     upstreams; learn.go updates the state after a call
 //   - all upstreams: fleet.go, with calls.go, statuses.go, conditions.go and snapshot.go;
@@ -47,6 +47,9 @@
 //     classes and of routed requests; classstate.go holds the state that requests of a
 //     class share; quarantine.go judges a request by the crash reports that suspects.go
 //     keeps; crashreport.go and fingerprint.go define these reports and their key
+//   - admission during a shortage: gate.go decides whether a request runs, room.go how many
+//     do, by the pressure on the upstreams that pressure.go measures; overload.go defines
+//     the requests
 //   - differences between requests of a class and routed requests: class.go and
 //     routed.go, behind rules.go
 //   - the run: run.go handles events; pick.go, hedge.go, retry.go and finish.go make the
--- a/tier/policy/layers_test.go
+++ b/tier/policy/layers_test.go
@@ -22,9 +22,10 @@
 	{
 		"outcome.go", "kind.go", "ejection.go", "backoff.go", "outlier.go", "stall.go",
 		"cold.go", "borrowing.go", "limit.go", "latency.go", "condition.go", "load.go", "status.go", "pool.go",
+		"overload.go", "occupancy.go",
 	},
 	// An upstream, composed of these aspects, and the calls that wait for its slots.
-	{"slots.go", "queue.go", "upstream.go", "learn.go"},
+	{"slots.go", "window.go", "queue.go", "upstream.go", "learn.go"},
 	// The state of all upstreams and requests on a host, and the rules based on it.
 	{
 		"fleet.go", "calls.go", "statuses.go", "conditions.go", "coldowner.go", "snapshot.go", "coordinator.go",
--- a/tier/runner/batch.go
+++ b/tier/runner/batch.go
@@ -8,7 +8,7 @@
 	"loomgap/tier/policy"
 )
 
-// sendBatch starts the calls of a batch; e.mu must be held. It releases their slots, since
+// sendBatch starts the calls of a batch; e.mu must be held. It hands over their slots, since
 // another host makes the calls within its own slots. The batch is cancelled once each of its
 // calls has been cancelled or has a reply.
 func (e *execution[R]) sendBatch(b Batch) (granted []*policy.Waiter) {
@@ -24,7 +24,7 @@
 		})}
 		e.calls[a.Attempt] = calls[i]
 		e.run.DelayHedge(a.Attempt)
-		granted = append(granted, e.kernel.Fleet.ReleaseSlot(e.kernel.Now(), a.Upstream)...)
+		granted = append(granted, e.kernel.Fleet.HandOver(e.kernel.Now(), a.Upstream)...)
 	}
 	go func() {
 		defer cancel()
--- a/tier/runner/call.go
+++ b/tier/runner/call.go
@@ -63,7 +63,7 @@
 	e.mu.Unlock()
 	countCall(reply.Outcome)
 	granted := k.Fleet.Finish(now, policy.Call{
-		Upstream: a.Upstream, Pool: a.Pool, Outcome: reply.Outcome, Took: reply.Took, Load: reply.Load,
+		Upstream: a.Upstream, Pool: a.Pool, Outcome: reply.Outcome, Took: reply.Took, Load: reply.Load, RelayedLoad: reply.RelayedLoad,
 		Relayed: c.batched, Lingering: lingering, NewConnReset: reply.NewConnReset && !c.batched,
 	})
 	e.handle(func(now time.Duration) []policy.Action {
--- a/tier/runner/caller.go
+++ b/tier/runner/caller.go
@@ -12,6 +12,10 @@
 	Outcome policy.CallOutcome
 	// Load is the load that the upstream reported; zero if it reported none.
 	Load policy.Load
+	// RelayedLoad is the load that the upstream reported to the relay of a batched call, and
+	// RelayQueued how long the call waited there for a slot; zero if unknown.
+	RelayedLoad policy.Load
+	RelayQueued time.Duration
 	// Answer is the answer; its zero value if there is none.
 	Answer R
 	// NewConnReset is true if a new connection was reset before any answer.
