--- a/tier/policy/room.go
+++ b/tier/policy/room.go
@@ -255,15 +255,17 @@
 }
 
 // hostShort returns ShortageHost if most requests are covered too late although far more are
-// in flight than the base: then this host's processor or link is short. Upstreams that
-// fail slow few requests down, and their reports show their queues.
+// in flight than the base, and the calls that are answered take long as well: then this
+// host's processor or link is short. If upstreams hang or fail, the other calls are answered
+// as fast as usual.
 func (r *roomLimit) hostShort() ShortageReason {
 	if r.late.ended < minEndedRequests {
 		return ""
 	}
 	late := float64(r.late.late) > hostShortageShare*float64(r.late.ended)
 	r.late = lateCounts{}
-	if late && r.period.peak > hostShortageFactor*r.base {
+	slow := r.callTime.Seconds() > shortageWaitShare*r.objective.Seconds()
+	if late && slow && r.period.peak > hostShortageFactor*r.base {
 		return ShortageHost
 	}
 	return ""
