policy: check every 20 ms whether a shortage begins

Cause: the start was checked at the end of periods of 100 ms. At seven times the capacity each host took in ten more requests by then.

Change: roomLimit.start checks at most every 20 ms while there is no limit.

--- a/tier/policy/room.go
+++ b/tier/policy/room.go
@@ -9,6 +9,8 @@
 	// roomPeriod is the time over which requests and their waits are counted before the
 	// limit changes.
 	roomPeriod = 100 * time.Millisecond
+	// startCheckInterval is the interval at which the start of a shortage is checked.
+	startCheckInterval = 20 * time.Millisecond
 	// placesDecrease multiplies the places in use to get the limit when there are signs of
 	// a shortage.
 	placesDecrease = 0.8
@@ -59,6 +61,8 @@
 	perSecond float64
 	// pressedAt is when a request last waited or was refused.
 	pressedAt time.Duration
+	// checkedAt is when it was last checked whether a shortage begins.
+	checkedAt time.Duration
 	// fellAt is when the limit last fell or was set.
 	fellAt time.Duration
 	// reason says why the limit last fell.
@@ -178,6 +182,7 @@
 	r.now = max(r.now, now)
 	p := &r.period
 	p.peak = max(p.peak, inFlight)
+	r.start(now)
 	took := now - p.startedAt
 	if took < roomPeriod {
 		return
@@ -203,15 +208,27 @@
 	r.perSecond += weight * (rate - r.perSecond)
 }
 
+// start sets the limit to the requests in flight if a shortage begins. Waiting for the end of
+// a period would admit as many more requests as the load exceeds the capacity.
+func (r *roomLimit) start(now time.Duration) {
+	if r.limit > 0 || r.period.peak <= r.base || now-r.checkedAt < startCheckInterval {
+		return
+	}
+	r.checkedAt = now
+	reason := r.short(now)
+	if reason == "" {
+		return
+	}
+	r.reason, r.pressedAt, r.fellAt = reason, now, now
+	r.limit = float64(r.period.peak)
+	r.setWhole()
+}
+
 // adjust sets the limit from the observations of a period.
 func (r *roomLimit) adjust(now time.Duration) {
 	short := r.short(now)
 	switch {
 	case r.limit == 0:
-		if short != "" && r.period.peak > r.base {
-			r.reason, r.pressedAt, r.fellAt = short, now, now
-			r.limit = float64(r.period.peak)
-		}
 		return
 	case now-r.pressedAt > shortageEnd:
 		r.limit, r.carry, r.whole = 0, 0, 0
