--- a/loomd/settings.go
+++ b/loomd/settings.go
@@ -74,6 +74,20 @@
 	return err
 }
 
+// overloadValue is a flag value that accepts the words of policy.OverloadControl.
+type overloadValue policy.OverloadControl
+
+func (o *overloadValue) String() string { return string(*o) }
+
+func (o *overloadValue) Set(v string) error {
+	switch c := policy.OverloadControl(v); c {
+	case policy.OverloadNone, policy.OverloadShortage:
+		*o = overloadValue(c)
+		return nil
+	}
+	return fmt.Errorf("unknown overload control %q: use %s or %s", v, policy.OverloadNone, policy.OverloadShortage)
+}
+
 // registerFlags registers a flag for each setting.
 func registerFlags(f *flag.FlagSet, s *kernel.Settings) {
 	f.StringVar(&s.Host, "Host", "", "`name` of this host in the configuration document")
@@ -102,7 +116,8 @@
 	f.Var((*regionList)(&s.Regions), "Regions", "`Hall=Region,...` of the data halls; a hall that is not listed is home only to routes without home regions")
 	f.Float64Var(&s.ColdFactor, "ColdFactor", 1, "maximum requests per second from all hosts to a cold upstream, as a multiple of the ColdRate of its group")
 	f.Float64Var(&s.ColdSlack, "ColdSlack", 0, "additional `requests` per second that a cold upstream may receive")
-	f.StringVar((*string)(&s.Overload), "Overload", string(policy.OverloadNone), "what to do about routed requests while upstreams lack room: `None` or Shortage")
+	s.Overload = policy.OverloadNone
+	f.Var((*overloadValue)(&s.Overload), "Overload", "overload `control` of routed requests: None starts each at once; Shortage lets requests wait or refuses them while the upstreams lack capacity")
 	f.Float64Var(&s.TraceRatio, "TraceRatio", 0, "fraction of requests whose spans are logged, 0 to 1")
 }
 
@@ -169,7 +184,6 @@
 		{s.LinkMbits >= 0, "LinkMbits", "out of range", "use 0 or more"},
 		{s.ColdFactor >= 0 && s.ColdFactor <= 100, "ColdFactor", "out of range", "use 0 to 100"},
 		{s.ColdSlack >= 0 && s.ColdSlack <= 1e6, "ColdSlack", "out of range", "use 0 to 1000000"},
-		{s.Overload == policy.OverloadNone || s.Overload == policy.OverloadShortage, "Overload", "unknown", "use None or Shortage"},
 		{s.LogRate >= 1, "LogRate", "out of range", "use 1 or more"},
 		{s.TraceRatio >= 0 && s.TraceRatio <= 1, "TraceRatio", "out of range", "use 0 to 1"},
 	}
--- a/loomd/settings_test.go
+++ b/loomd/settings_test.go
@@ -4,12 +4,14 @@
 	"errors"
 	"flag"
 	"io"
+	"slices"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"loomgap/tier/kernel"
+	"loomgap/tier/policy"
 )
 
 var goodFlags = []string{
@@ -51,6 +53,8 @@
 		{name: "region without a hall", env: map[string]string{"LOOMD_REGIONS": "East"}, flag: "Regions"},
 		{name: "cold factor", extra: []string{"-ColdFactor", "-1"}, flag: "ColdFactor"},
 		{name: "cold slack", extra: []string{"-ColdSlack", "-1"}, flag: "ColdSlack"},
+		{name: "unknown overload control", env: map[string]string{"LOOMD_OVERLOAD": "shortage"}, flag: "Overload"},
+		{name: "empty overload control", env: map[string]string{"LOOMD_OVERLOAD": ""}, flag: "Overload"},
 		{name: "stop bound", extra: []string{"-StopBound", "0s"}, flag: "StopBound"},
 	}
 	for _, tt := range tests {
@@ -73,6 +77,21 @@
 	}
 }
 
+// TestOverloadControl requires that only the words of the setting are accepted: a misspelt
+// one must not start a host without overload control.
+func TestOverloadControl(t *testing.T) {
+	s, err := settings(goodFlags)
+	assert.NilError(t, err)
+	assert.Equal(t, s.Overload, policy.OverloadNone)
+	for _, c := range []policy.OverloadControl{policy.OverloadNone, policy.OverloadShortage} {
+		s, err := settings(append(slices.Clone(goodFlags), "-Overload", string(c)))
+		assert.NilError(t, err)
+		assert.Equal(t, s.Overload, c)
+	}
+	_, err = settings(append(slices.Clone(goodFlags), "-Overload", "On"))
+	assert.ErrorContains(t, err, `unknown overload control "On": use None or Shortage`)
+}
+
 func TestLaterProcessHasLargerIncarnation(t *testing.T) {
 	now := time.Unix(1_800_000_000, 0)
 	assert.Assert(t, incarnation(now) < incarnation(now.Add(time.Millisecond)))
--- a/tier/kernel/settings.go
+++ b/tier/kernel/settings.go
@@ -68,7 +68,7 @@
 	// ColdFactor and ColdSlack limit the requests that all hosts together send to a
 	// cold upstream within a second: ColdFactor times its rate plus ColdSlack.
 	ColdFactor, ColdSlack float64
-	// Overload says what this host does about routed requests during a shortage.
+	// Overload is the overload control of routed requests; empty for none.
 	Overload policy.OverloadControl
 }
 
