feat: metrics and log fields of the gates

Cause: a request that a gate refuses or delays could not be traced to the decision. Change: pass/gate_report.go counts decisions by route and waits by rank, registers four gauges for each gate and removes them with it, and gives log lines of a refused or delayed request what the gate decided from; the gates' states are registered with the kernel. Lines of requests that ran at once are as before.

--- a/tier/kernel/kernel.go
+++ b/tier/kernel/kernel.go
@@ -34,6 +34,8 @@
 	lastTick atomic.Int64
 	// handlers maps each method to its Handler.
 	handlers sync.Map
+	// gates returns the states of the gates; nil without a plug-in that has gates.
+	gates atomic.Pointer[func() []GateState]
 	// viewCallbacks are called with every new view. They are used on the control thread only.
 	viewCallbacks []func(*View)
 }
--- a/tier/pass/engine.go
+++ b/tier/pass/engine.go
@@ -71,9 +71,11 @@
 	e.handleRelay()
 	e.handleCoordinate()
 	k.OnView(e.applyView)
+	k.RegisterGates(e.gateStates)
 	stopClosing := kernel.RunLoops(context.Background(), e.closeExpired)
 	return e, func() {
 		stopClosing()
+		e.closeGateReports()
 		e.pools.closeAll()
 	}
 }
--- a/tier/pass/gate.go
+++ b/tier/pass/gate.go
@@ -31,6 +31,7 @@
 type gate struct {
 	*policy.Gate
 	baseAt time.Duration
+	report *gateReport
 }
 
 func gateKey(groups []string) uint64 {
@@ -43,7 +44,7 @@
 }
 
 // gateOf returns the gate of a request.
-func (e *engine) gateOf(q *request) *policy.Gate {
+func (e *engine) gateOf(q *request) *gate {
 	key := gateKey(q.plan.groups)
 	now := e.kernel.Now()
 	e.gates.mu.Lock()
@@ -54,13 +55,14 @@
 	g := e.gates.byKey[key]
 	if g == nil {
 		g = &gate{Gate: policy.NewGate(policy.GateConfig{Base: 1}), baseAt: -baseMaxAge}
+		g.report = newGateReport(q.plan.groups, func() policy.GateState { return g.State(e.kernel.Now()) })
 		e.gates.byKey[key] = g
 	}
 	if now-g.baseAt >= baseMaxAge {
 		g.baseAt = now
 		g.SetBase(e.basePlaces(q.view, q.plan.groups, q.route))
 	}
-	return g.Gate
+	return g
 }
 
 // basePlaces returns this host's fair share of the places at a set of groups.
@@ -136,11 +138,13 @@
 			<-t.Decided()
 		case <-ctx.Done():
 			q.gate.Abandon(e.kernel.Now(), t)
+			q.recordDecision(q.gate, t, now)
 			q.log(outcomeCancelled, 0).Msg("request cancelled by caller")
 			return false
 		}
 	}
 	q.admittedAt = e.kernel.Now()
+	q.recordDecision(q.gate, t, now)
 	if r := t.Refusal(); r != nil {
 		q.refuse(w, r.Reason, r.RetryAfter)
 		return false
--- a/tier/pass/outcome.go
+++ b/tier/pass/outcome.go
@@ -60,6 +60,9 @@
 	if q.in.identity.Caller.IsValid() {
 		line = line.Str("Caller", q.in.identity.Caller.String())
 	}
+	if q.gateDecision != nil {
+		line = line.EmbedObject(q.gateDecision)
+	}
 	if q.view.Index != nil {
 		line = line.Uint64("Revision", q.view.Index.Revision).
 			Int64("PlatformAgeMillis", (k.Now() - q.view.PlatformReadAt).Milliseconds())
--- a/tier/pass/serve.go
+++ b/tier/pass/serve.go
@@ -34,8 +34,11 @@
 	callCounts []int
 	// gate is the gate that the request passes and ticket its place there; nil if routed
 	// requests are not limited.
-	gate   *policy.Gate
+	gate   *gate
 	ticket *policy.Ticket
+	// gateDecision is shown in the log; nil unless the gate made the request wait or refused
+	// it.
+	gateDecision *gateDecision
 	// admittedAt is when the gate admitted the request.
 	admittedAt time.Duration
 	// included counts the parts that were merged.
