--- a/tier/policy/gate.go
+++ b/tier/policy/gate.go
@@ -16,6 +16,7 @@
 	// expected is the smoothed time from admission to coverage of each route.
 	expected map[string]time.Duration
 	counts   [4]int
+	refused  uint64
 	returnAt time.Duration
 }
 
@@ -29,6 +30,7 @@
 	decided  chan struct{}
 	checkAt  time.Duration
 	entered  time.Duration
+	outlook  Outlook
 }
 
 func (t *Ticket) Admitted() bool           { return t.admitted }
@@ -36,6 +38,9 @@
 func (t *Ticket) Refusal() *Refusal        { return t.refusal }
 func (t *Ticket) CheckAt() time.Duration   { return t.checkAt }
 
+// Outlook returns what Enter decided about the request.
+func (t *Ticket) Outlook() Outlook { return t.outlook }
+
 // GateConfig configures a gate.
 type GateConfig struct {
 	// Base is this host's share of the places; at least 1.
@@ -54,6 +59,9 @@
 
 func (g *Gate) admit(t *Ticket) {
 	g.inFlight++
+	if t.outlook.Decision == "" {
+		t.outlook.Decision = DecisionRun
+	}
 	t.admitted = true
 	close(t.decided)
 }
@@ -63,6 +71,7 @@
 	at := max(g.returnAt, now+time.Duration(float64(len(g.queue))/g.room.throughput()*1e9))
 	at += time.Duration(1e9 / g.room.throughput())
 	g.returnAt = at
+	g.refused++
 	t.refusal = &Refusal{Reason: reason, RetryAfter: max(min(at-now, left/3), 20*time.Millisecond)}
 	close(t.decided)
 }
@@ -94,6 +103,7 @@
 		}
 	}
 	wait := time.Duration(float64(ahead+1) / rate * 1e9)
+	t.outlook = Outlook{Decision: DecisionWait, Wait: wait, Ahead: ahead}
 	if now+wait+g.expected[d.Route] > d.ObjectiveAt {
 		t.late = true
 		ahead = 0
@@ -103,6 +113,7 @@
 			}
 		}
 		wait = time.Duration(float64(ahead+1) / rate * orderLateShare * 1e9)
+		t.outlook = Outlook{Decision: DecisionLate, Wait: wait, Ahead: ahead}
 		if wait > (d.DeadlineAt-now)/4 {
 			g.refuse(now, t, "no room")
 			return t
@@ -283,6 +294,6 @@
 	defer g.mu.Unlock()
 	return GateState{
 		Base: g.room.base, Places: int(g.room.limit), Limited: g.room.limit > 0, Reason: g.room.reason,
-		InFlight: g.inFlight, Waiting: len(g.queue), PerSecond: g.room.perSecond, Service: g.room.service,
+		InFlight: g.inFlight, Waiting: len(g.queue), Refused: g.refused, PerSecond: g.room.perSecond, Service: g.room.service,
 	}
 }
