feat: loomctl status lists the gates

Cause: nobody could see whether a gate was limited, by how much and why. Change: the status of a host has its gates (optional, so that a host without gates and an older one answer as before), which package pass registers with the kernel.

--- a/loomctl/status.go
+++ b/loomctl/status.go
@@ -4,6 +4,9 @@
 	"context"
 	"flag"
 	"fmt"
+	"maps"
+	"slices"
+	"strings"
 
 	"github.com/google/subcommands"
 
@@ -55,4 +58,29 @@
 			fmt.Printf("Upstream %s: cold, called by %s alone\n", u.Name, u.ColdOwner)
 		}
 	}
+	for _, g := range s.Gates {
+		fmt.Println(describeGate(g))
+	}
+}
+
+// describeGate describes a gate in one line.
+func describeGate(g *opsgen.GateStatus) string {
+	limit := "no limit"
+	if g.Limited {
+		limit = fmt.Sprintf("limited (%s) to %d places", g.Reason, g.Places)
+	}
+	return fmt.Sprintf("Gate %s: %s, base %d, %d in flight, %d waiting%s, %d refused recently, %d in all, %.1f per second, call %d us",
+		g.Groups, limit, g.Base, g.InFlight, g.Waiting, waitingByRank(g), g.RefusedRecently, g.Refused, g.PerSecond, g.ServiceMicros)
+}
+
+// waitingByRank lists the waiting requests of each rank; empty if none wait.
+func waitingByRank(g *opsgen.GateStatus) string {
+	var out []string
+	for _, rank := range slices.Sorted(maps.Keys(g.WaitingByRank)) {
+		out = append(out, fmt.Sprintf("%d of rank %d", g.WaitingByRank[rank], rank))
+	}
+	if len(out) == 0 {
+		return ""
+	}
+	return " (" + strings.Join(out, ", ") + ")"
 }
--- a/tier/design/design.go
+++ b/tier/design/design.go
@@ -157,6 +157,24 @@
 	Required("Name", "State", "ColdOwner", "InUse", "Share", "Queued", "LatencyMicros", "Oldest", "Newest")
 })
 
+// GateStatus is the gate of one set of groups.
+var GateStatus = Type("GateStatus", func() {
+	Attribute("Groups", String, "Set of groups: its first group and the number of groups")
+	Attribute("Base", UInt32, "Fair share of this host of the places")
+	Attribute("Places", UInt32, "Requests that may be in flight; 0 while there is no limit")
+	Attribute("Limited", Boolean, "Whether a shortage is measured")
+	Attribute("Reason", String, "Sign of the last shortage: Queues, Shed or Host; empty for none")
+	Attribute("InFlight", UInt32, "Requests in flight")
+	Attribute("Waiting", UInt32, "Requests that wait")
+	Attribute("WaitingByRank", MapOf(Int, UInt32), "Requests that wait, by rank")
+	Attribute("Refused", UInt64, "Requests refused since the gate exists")
+	Attribute("RefusedRecently", UInt64, "Requests refused within the last 10 to 20 seconds")
+	Attribute("PerSecond", Float64, "Requests that leave in a second")
+	Attribute("ServiceMicros", UInt64, "Service time of one call in microseconds")
+	Required("Groups", "Base", "Places", "Limited", "Reason", "InFlight", "Waiting", "WaitingByRank", "Refused",
+		"RefusedRecently", "PerSecond", "ServiceMicros")
+})
+
 var _ = Service("ops", func() {
 	Description("Serves operators, at an address of its own.")
 	Error("Busy", faultType, "The host takes no new work")
@@ -178,6 +196,7 @@
 			Attribute("InFlight", Int64, "Requests in flight")
 			Attribute("Members", ArrayOf(Member))
 			Attribute("Upstreams", ArrayOf(UpstreamStatus))
+			Attribute("Gates", ArrayOf(GateStatus), "Gates of routed requests; hosts without overload control have none")
 			Required("Host", "Hall", "Region", "EvacuatedHalls", "Incarnation", "State", "Revision", "Digest", "Refused",
 				"PlatformSilentMillis", "Watching", "InFlight", "Members", "Upstreams")
 		})
--- a/tier/entry/operate.go
+++ b/tier/entry/operate.go
@@ -88,9 +88,24 @@
 		})
 	}
 	slices.SortFunc(out.Upstreams, func(a, b *opsgen.UpstreamStatus) int { return cmp.Compare(a.Name, b.Name) })
+	for _, g := range k.Gates() {
+		out.Gates = append(out.Gates, gateStatus(&g))
+	}
 	return out, nil
 }
 
+func gateStatus(g *kernel.GateState) *opsgen.GateStatus {
+	waiting := make(map[int]uint32, len(g.WaitingByRank))
+	for rank, n := range g.WaitingByRank {
+		waiting[rank] = uint32(n)
+	}
+	return &opsgen.GateStatus{
+		Groups: g.Groups, Base: uint32(max(g.Base, 0)), Places: uint32(max(g.Places, 0)), Limited: g.Limited, Reason: string(g.Reason),
+		InFlight: uint32(max(g.InFlight, 0)), Waiting: uint32(max(g.Waiting, 0)), WaitingByRank: waiting,
+		Refused: g.Refused, RefusedRecently: g.RefusedRecently, PerSecond: g.PerSecond, ServiceMicros: uint64(g.Service.Microseconds()),
+	}
+}
+
 // upstreamState returns the most important state of an upstream. An upstream of an evacuated
 // hall gets no requests, whatever its other states.
 func upstreamState(u *policy.UpstreamState) string {
--- a/tier/gen/http/ops/client/encode_decode.go
+++ b/tier/gen/http/ops/client/encode_decode.go
@@ -259,3 +259,32 @@
 
 	return res
 }
+
+// unmarshalGateStatusResponseBodyToOpsGateStatus builds a value of type
+// *ops.GateStatus from a value of type *GateStatusResponseBody.
+func unmarshalGateStatusResponseBodyToOpsGateStatus(v *GateStatusResponseBody) *ops.GateStatus {
+	if v == nil {
+		return nil
+	}
+	res := &ops.GateStatus{
+		Groups:          *v.Groups,
+		Base:            *v.Base,
+		Places:          *v.Places,
+		Limited:         *v.Limited,
+		Reason:          *v.Reason,
+		InFlight:        *v.InFlight,
+		Waiting:         *v.Waiting,
+		Refused:         *v.Refused,
+		RefusedRecently: *v.RefusedRecently,
+		PerSecond:       *v.PerSecond,
+		ServiceMicros:   *v.ServiceMicros,
+	}
+	res.WaitingByRank = make(map[int]uint32, len(v.WaitingByRank))
+	for key, val := range v.WaitingByRank {
+		tk := key
+		tv := val
+		res.WaitingByRank[tk] = tv
+	}
+
+	return res
+}
--- a/tier/gen/http/ops/client/types.go
+++ b/tier/gen/http/ops/client/types.go
@@ -38,6 +38,8 @@
 	InFlight  *int64                        `form:"InFlight,omitempty" json:"InFlight,omitempty" xml:"InFlight,omitempty"`
 	Members   []*MemberResponseBody         `form:"Members,omitempty" json:"Members,omitempty" xml:"Members,omitempty"`
 	Upstreams []*UpstreamStatusResponseBody `form:"Upstreams,omitempty" json:"Upstreams,omitempty" xml:"Upstreams,omitempty"`
+	// Gates of routed requests; hosts without overload control have none
+	Gates []*GateStatusResponseBody `form:"Gates,omitempty" json:"Gates,omitempty" xml:"Gates,omitempty"`
 }
 
 // DocumentResponseBody is the type of the "ops" service "document" endpoint
@@ -87,6 +89,34 @@
 	Newest *uint64 `form:"Newest,omitempty" json:"Newest,omitempty" xml:"Newest,omitempty"`
 }
 
+// GateStatusResponseBody is used to define fields on response body types.
+type GateStatusResponseBody struct {
+	// Set of groups: its first group and the number of groups
+	Groups *string `form:"Groups,omitempty" json:"Groups,omitempty" xml:"Groups,omitempty"`
+	// Fair share of this host of the places
+	Base *uint32 `form:"Base,omitempty" json:"Base,omitempty" xml:"Base,omitempty"`
+	// Requests that may be in flight; 0 while there is no limit
+	Places *uint32 `form:"Places,omitempty" json:"Places,omitempty" xml:"Places,omitempty"`
+	// Whether a shortage is measured
+	Limited *bool `form:"Limited,omitempty" json:"Limited,omitempty" xml:"Limited,omitempty"`
+	// Sign of the last shortage: Queues, Shed or Host; empty for none
+	Reason *string `form:"Reason,omitempty" json:"Reason,omitempty" xml:"Reason,omitempty"`
+	// Requests in flight
+	InFlight *uint32 `form:"InFlight,omitempty" json:"InFlight,omitempty" xml:"InFlight,omitempty"`
+	// Requests that wait
+	Waiting *uint32 `form:"Waiting,omitempty" json:"Waiting,omitempty" xml:"Waiting,omitempty"`
+	// Requests that wait, by rank
+	WaitingByRank map[int]uint32 `form:"WaitingByRank,omitempty" json:"WaitingByRank,omitempty" xml:"WaitingByRank,omitempty"`
+	// Requests refused since the gate exists
+	Refused *uint64 `form:"Refused,omitempty" json:"Refused,omitempty" xml:"Refused,omitempty"`
+	// Requests refused within the last 10 to 20 seconds
+	RefusedRecently *uint64 `form:"RefusedRecently,omitempty" json:"RefusedRecently,omitempty" xml:"RefusedRecently,omitempty"`
+	// Requests that leave in a second
+	PerSecond *float64 `form:"PerSecond,omitempty" json:"PerSecond,omitempty" xml:"PerSecond,omitempty"`
+	// Service time of one call in microseconds
+	ServiceMicros *uint64 `form:"ServiceMicros,omitempty" json:"ServiceMicros,omitempty" xml:"ServiceMicros,omitempty"`
+}
+
 // NewStatusResultOK builds a "ops" service "status" endpoint result from a
 // HTTP "OK" response.
 func NewStatusResultOK(body *StatusResponseBody) *ops.StatusResult {
@@ -123,6 +153,16 @@
 		}
 		v.Upstreams[i] = unmarshalUpstreamStatusResponseBodyToOpsUpstreamStatus(val)
 	}
+	if body.Gates != nil {
+		v.Gates = make([]*ops.GateStatus, len(body.Gates))
+		for i, val := range body.Gates {
+			if val == nil {
+				v.Gates[i] = nil
+				continue
+			}
+			v.Gates[i] = unmarshalGateStatusResponseBodyToOpsGateStatus(val)
+		}
+	}
 
 	return v
 }
@@ -212,6 +252,13 @@
 			}
 		}
 	}
+	for _, e := range body.Gates {
+		if e != nil {
+			if err2 := ValidateGateStatusResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
 	return
 }
 
@@ -301,3 +348,45 @@
 	}
 	return
 }
+
+// ValidateGateStatusResponseBody runs the validations defined on
+// GateStatusResponseBody
+func ValidateGateStatusResponseBody(body *GateStatusResponseBody) (err error) {
+	if body.Groups == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("Groups", "body"))
+	}
+	if body.Base == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("Base", "body"))
+	}
+	if body.Places == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("Places", "body"))
+	}
+	if body.Limited == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("Limited", "body"))
+	}
+	if body.Reason == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("Reason", "body"))
+	}
+	if body.InFlight == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("InFlight", "body"))
+	}
+	if body.Waiting == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("Waiting", "body"))
+	}
+	if body.WaitingByRank == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("WaitingByRank", "body"))
+	}
+	if body.Refused == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("Refused", "body"))
+	}
+	if body.RefusedRecently == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("RefusedRecently", "body"))
+	}
+	if body.PerSecond == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("PerSecond", "body"))
+	}
+	if body.ServiceMicros == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ServiceMicros", "body"))
+	}
+	return
+}
--- a/tier/gen/http/ops/server/encode_decode.go
+++ b/tier/gen/http/ops/server/encode_decode.go
@@ -118,3 +118,31 @@
 
 	return res
 }
+
+// marshalOpsGateStatusToGateStatusResponseBody builds a value of type
+// *GateStatusResponseBody from a value of type *ops.GateStatus.
+func marshalOpsGateStatusToGateStatusResponseBody(v *ops.GateStatus) *GateStatusResponseBody {
+	res := &GateStatusResponseBody{
+		Groups:          v.Groups,
+		Base:            v.Base,
+		Places:          v.Places,
+		Limited:         v.Limited,
+		Reason:          v.Reason,
+		InFlight:        v.InFlight,
+		Waiting:         v.Waiting,
+		Refused:         v.Refused,
+		RefusedRecently: v.RefusedRecently,
+		PerSecond:       v.PerSecond,
+		ServiceMicros:   v.ServiceMicros,
+	}
+	if v.WaitingByRank != nil {
+		res.WaitingByRank = make(map[int]uint32, len(v.WaitingByRank))
+		for key, val := range v.WaitingByRank {
+			tk := key
+			tv := val
+			res.WaitingByRank[tk] = tv
+		}
+	}
+
+	return res
+}
--- a/tier/gen/http/ops/server/types.go
+++ b/tier/gen/http/ops/server/types.go
@@ -36,6 +36,8 @@
 	InFlight  int64                         `form:"InFlight" json:"InFlight" xml:"InFlight"`
 	Members   []*MemberResponseBody         `form:"Members" json:"Members" xml:"Members"`
 	Upstreams []*UpstreamStatusResponseBody `form:"Upstreams" json:"Upstreams" xml:"Upstreams"`
+	// Gates of routed requests; hosts without overload control have none
+	Gates []*GateStatusResponseBody `form:"Gates,omitempty" json:"Gates,omitempty" xml:"Gates,omitempty"`
 }
 
 // DocumentResponseBody is the type of the "ops" service "document" endpoint
@@ -85,6 +87,34 @@
 	Newest uint64 `form:"Newest" json:"Newest" xml:"Newest"`
 }
 
+// GateStatusResponseBody is used to define fields on response body types.
+type GateStatusResponseBody struct {
+	// Set of groups: its first group and the number of groups
+	Groups string `form:"Groups" json:"Groups" xml:"Groups"`
+	// Fair share of this host of the places
+	Base uint32 `form:"Base" json:"Base" xml:"Base"`
+	// Requests that may be in flight; 0 while there is no limit
+	Places uint32 `form:"Places" json:"Places" xml:"Places"`
+	// Whether a shortage is measured
+	Limited bool `form:"Limited" json:"Limited" xml:"Limited"`
+	// Sign of the last shortage: Queues, Shed or Host; empty for none
+	Reason string `form:"Reason" json:"Reason" xml:"Reason"`
+	// Requests in flight
+	InFlight uint32 `form:"InFlight" json:"InFlight" xml:"InFlight"`
+	// Requests that wait
+	Waiting uint32 `form:"Waiting" json:"Waiting" xml:"Waiting"`
+	// Requests that wait, by rank
+	WaitingByRank map[int]uint32 `form:"WaitingByRank" json:"WaitingByRank" xml:"WaitingByRank"`
+	// Requests refused since the gate exists
+	Refused uint64 `form:"Refused" json:"Refused" xml:"Refused"`
+	// Requests refused within the last 10 to 20 seconds
+	RefusedRecently uint64 `form:"RefusedRecently" json:"RefusedRecently" xml:"RefusedRecently"`
+	// Requests that leave in a second
+	PerSecond float64 `form:"PerSecond" json:"PerSecond" xml:"PerSecond"`
+	// Service time of one call in microseconds
+	ServiceMicros uint64 `form:"ServiceMicros" json:"ServiceMicros" xml:"ServiceMicros"`
+}
+
 // NewStatusResponseBody builds the HTTP response body from the result of the
 // "status" endpoint of the "ops" service.
 func NewStatusResponseBody(res *ops.StatusResult) *StatusResponseBody {
@@ -133,6 +163,16 @@
 	} else {
 		body.Upstreams = []*UpstreamStatusResponseBody{}
 	}
+	if res.Gates != nil {
+		body.Gates = make([]*GateStatusResponseBody, len(res.Gates))
+		for i, val := range res.Gates {
+			if val == nil {
+				body.Gates[i] = nil
+				continue
+			}
+			body.Gates[i] = marshalOpsGateStatusToGateStatusResponseBody(val)
+		}
+	}
 	return body
 }
 
--- a/tier/gen/ops/service.go
+++ b/tier/gen/ops/service.go
@@ -54,6 +54,33 @@
 	Message string
 }
 
+type GateStatus struct {
+	// Set of groups: its first group and the number of groups
+	Groups string
+	// Fair share of this host of the places
+	Base uint32
+	// Requests that may be in flight; 0 while there is no limit
+	Places uint32
+	// Whether a shortage is measured
+	Limited bool
+	// Sign of the last shortage: Queues, Shed or Host; empty for none
+	Reason string
+	// Requests in flight
+	InFlight uint32
+	// Requests that wait
+	Waiting uint32
+	// Requests that wait, by rank
+	WaitingByRank map[int]uint32
+	// Requests refused since the gate exists
+	Refused uint64
+	// Requests refused within the last 10 to 20 seconds
+	RefusedRecently uint64
+	// Requests that leave in a second
+	PerSecond float64
+	// Service time of one call in microseconds
+	ServiceMicros uint64
+}
+
 type Member struct {
 	Name        string
 	Incarnation string
@@ -85,6 +112,8 @@
 	InFlight  int64
 	Members   []*Member
 	Upstreams []*UpstreamStatus
+	// Gates of routed requests; hosts without overload control have none
+	Gates []*GateStatus
 }
 
 type UpstreamStatus struct {
--- a/tier/kernel/status_test.go
+++ b/tier/kernel/status_test.go
@@ -58,6 +58,13 @@
 	k.Do(func(*kernel.State) { close(done) })
 	<-done
 	k.SetPhase(kernel.PhaseReady)
+	k.RegisterGates(func() []kernel.GateState {
+		limited := policy.GateState{
+			Base: 3, Places: 8, Limited: true, Reason: policy.ShortageQueues, InFlight: 7, Waiting: 5,
+			WaitingByRank: map[int]int{0: 1, 2: 4}, Refused: 70, PerSecond: 31.5, Service: 28 * time.Millisecond,
+		}
+		return []kernel.GateState{{Groups: "Orders/1"}, {GateState: limited, Groups: "S0/90", RefusedRecently: 12}}
+	})
 	golden.Assert(t, status(t, at), "status-full.json")
 }
 
