--- a/tier/entry/client_test.go
+++ b/tier/entry/client_test.go
@@ -2,11 +2,16 @@
 
 import (
 	"errors"
+	"io"
 	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
 
+	"loomgap/tier/config"
 	"loomgap/tier/policy"
 	"loomgap/tier/wire"
 )
@@ -55,3 +60,32 @@
 		})
 	}
 }
+
+// TestStatusErrorIsReadable guards against an error text that formats an error which is nil.
+func TestStatusErrorIsReadable(t *testing.T) {
+	tests := []struct {
+		name   string
+		status int
+		body   string
+		want   string
+	}{
+		{"another status with a valid body", http.StatusServiceUnavailable, "{}", "status call answered with 503 Service Unavailable"},
+		{"another status with an invalid body", http.StatusBadGateway, "<html>", "status call answered with 502 Bad Gateway"},
+		{"invalid body", http.StatusOK, "<html>", "decode status: "},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.WriteHeader(tt.status)
+				_, _ = io.WriteString(w, tt.body)
+			}))
+			defer server.Close()
+			at := netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
+			c := newClient(&config.Upstream{Address: at}, 1)
+			defer c.close()
+			_, err := c.status(t.Context())
+			assert.ErrorContains(t, err, tt.want)
+			assert.Assert(t, !strings.Contains(err.Error(), "%!"), "%v", err)
+		})
+	}
+}
--- a/tier/entry/status.go
+++ b/tier/entry/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"sync"
@@ -34,6 +35,9 @@
 	confirmIntervals = 10
 )
 
+// errStatusCall is wrapped when an upstream answers a status call with another status than 200.
+var errStatusCall = errors.New("status call answered with")
+
 // statusReader polls the status endpoints of upstreams. It learns which snapshots they hold
 // and whether they are leaving. A status is only a hint and never counts as evidence that an
 // upstream is healthy.
@@ -144,9 +148,12 @@
 	if r.err != nil {
 		return nil, r.err
 	}
+	if r.status != http.StatusOK {
+		return nil, fmt.Errorf("%w %d %s", errStatusCall, r.status, http.StatusText(r.status))
+	}
 	var s wire.StatusReply
-	if err := json.Unmarshal(r.body, &s); err != nil || r.status != http.StatusOK {
-		return nil, fmt.Errorf("status %d: %w", r.status, err)
+	if err := json.Unmarshal(r.body, &s); err != nil {
+		return nil, fmt.Errorf("decode status: %w", err)
 	}
 	return &s, nil
 }
