policy: one ranking of hosts for cold upstreams and platform readers

Cause: ColdOwner and readerRanking both rank coordinators first and then by rendezvous hashing, each in its own words. Change: both use policy.HostRank. Coordinators is left alone: it ranks by distance first.

--- a/tier/peers/reader.go
+++ b/tier/peers/reader.go
@@ -102,9 +102,9 @@
 	return minSecondReadAge + time.Duration(xxhash.Sum64String("start "+host)%uint64(secondReadSpread))
 }
 
-// readerRanking ranks hosts for reading the platform and announcing its content: by capacity
-// class first, since an announcer sends each change to all hosts of its hall, then by
-// rendezvous hashing.
+// readerRanking ranks hosts for reading the platform and announcing its content by
+// policy.HostRank: strong hosts first, since an announcer sends each change to all hosts of its
+// hall.
 type readerRanking struct {
 	settings *kernel.Settings
 	members  map[string]kernel.Member
@@ -122,21 +122,12 @@
 
 // compare orders two hosts, the higher ranked first.
 func (r *readerRanking) compare(a, b string) int {
-	return cmp.Or(
-		cmp.Compare(r.capacityClass(a), r.capacityClass(b)),
-		cmp.Compare(policy.RendezvousHash(watchKey, a), policy.RendezvousHash(watchKey, b)),
-		cmp.Compare(a, b),
-	)
+	return policy.HostRank{Key: watchKey, Strongest: r.maxCapacity}.Compare(r.candidate(a), r.candidate(b))
 }
 
-// capacityClass is 0 for a host with enough capacity to coordinate (policy.IsCoordinator) and
-// 1 for others. A host of unknown capacity is assumed to have that of this host.
-func (r *readerRanking) capacityClass(host string) int {
-	capacity := cmp.Or(r.members[host].Capacity, r.settings.Capacity())
-	if policy.IsCoordinator(capacity, r.maxCapacity) {
-		return 0
-	}
-	return 1
+// candidate describes a host. One of unknown capacity is assumed to have that of this host.
+func (r *readerRanking) candidate(host string) policy.Candidate {
+	return policy.Candidate{Host: host, Capacity: cmp.Or(r.members[host].Capacity, r.settings.Capacity())}
 }
 
 func (r *readerRanking) ranksBefore(host string) bool { return r.compare(host, r.settings.Host) < 0 }
--- a/tier/policy/coldowner.go
+++ b/tier/policy/coldowner.go
@@ -1,7 +1,6 @@
 package policy
 
 import (
-	"cmp"
 	"slices"
 	"time"
 )
@@ -15,13 +14,10 @@
 // strong hosts of the upstream's hall, and the same for all hosts with the same view of the
 // hall. It returns an empty string if the hall has no host.
 func ColdOwner(upstream string, hall []Candidate) string {
-	hosts := strongHosts(hall, greatestCapacity(hall, 0))
-	if len(hosts) == 0 {
+	if len(hall) == 0 {
 		return ""
 	}
-	return slices.MinFunc(hosts, func(a, b Candidate) int {
-		return cmp.Compare(RendezvousHash(upstream, a.Host), RendezvousHash(upstream, b.Host))
-	}).Host
+	return slices.MinFunc(hall, HostRank{Key: upstream, Strongest: greatestCapacity(hall, 0)}.Compare).Host
 }
 
 // SetColdOwners sets the owner of each throttled upstream. self is the name of this host.
