policy: the budget of a class and the retry budget of a group are told apart

Cause: budget.go held the hedge and retry budgets of a class together with the token bucket that the unrelated retry budgets of routed requests use. Change: tokenbucket.go has the bucket, classbudget.go the type classBudget with its constants (classBudgetStart, classBudgetDepth, classBudgetRequests); RetryBudget and classBudget refer to each other. No behavior changes. The layer test lists the new files.

--- a/tier/policy/classstate.go
+++ b/tier/policy/classstate.go
@@ -3,7 +3,7 @@
 // classState is the state that the requests of a class share on one host.
 type classState struct {
 	// hedges and retries are the budgets for the hedges and retries of the class.
-	hedges, retries budget
+	hedges, retries classBudget
 	// cost is the smoothed number of parts of a request; 0 before the first request.
 	cost float64
 	// worth is the worth of a request as last configured.
@@ -15,7 +15,7 @@
 // class returns the state of a class and creates it on first use. The fleet must be locked.
 func (f *Fleet) class(name string) *classState {
 	return getOrCreate(f.classes, name, func() *classState {
-		return &classState{hedges: budget{budgetStart}, retries: budget{budgetStart}}
+		return &classState{hedges: newClassBudget(), retries: newClassBudget()}
 	})
 }
 
--- a/tier/policy/layers_test.go
+++ b/tier/policy/layers_test.go
@@ -27,8 +27,8 @@
 	{"slots.go", "queue.go", "upstream.go", "learn.go"},
 	// The state of all upstreams and requests on a host, and the rules based on it.
 	{
-		"fleet.go", "calls.go", "statuses.go", "conditions.go", "coldowner.go", "snapshot.go", "coordinator.go",
-		"placement.go", "margin.go", "plugin.go", "choose.go", "budget.go", "recent.go", "retrybudget.go",
+		"fleet.go", "calls.go", "statuses.go", "conditions.go", "hostrank.go", "coldowner.go", "snapshot.go", "coordinator.go",
+		"placement.go", "margin.go", "plugin.go", "choose.go", "tokenbucket.go", "classbudget.go", "recent.go", "retrybudget.go",
 		"fingerprint.go", "quarantine.go", "suspects.go", "crashreport.go", "classstate.go",
 	},
 }
--- a/tier/policy/retrybudget.go
+++ b/tier/policy/retrybudget.go
@@ -2,18 +2,6 @@
 
 import "time"
 
-// takeProbabilistic takes a token. If less than one token is left, it takes the rest and
-// succeeds with the corresponding probability, so that many hosts that each earn little can
-// still spend what they earn in total.
-func (b *budget) takeProbabilistic(r Random) bool {
-	if b.take() {
-		return true
-	}
-	p := b.tokens
-	b.tokens = 0
-	return r.Float64() < p
-}
-
 const (
 	// retryBudgetShare is the share of the allowed retries that hosts may use. The rest
 	// allows for windows that are not aligned between hosts.
@@ -29,7 +17,7 @@
 )
 
 // RetryBudget limits the calls beyond the first, hedges and retries, that this host makes
-// to a group.
+// to a group for routed requests. It is unrelated to classBudget.
 type RetryBudget struct {
 	// Ratio is how many retries one request earns.
 	Ratio float64
@@ -89,7 +77,7 @@
 // slack is the reserve: it pays only for retries of failed calls, without which a part
 // would be missing, and never for hedges.
 type groupRetries struct {
-	saved budget
+	saved tokenBucket
 	// spent sums what was spent within the window.
 	spent windowedSum
 }
@@ -143,7 +131,7 @@
 // retriesOf returns the remaining retries for a group. The fleet must be locked.
 func (f *Fleet) retriesOf(group string) *groupRetries {
 	return getOrCreate(f.retries, group, func() *groupRetries {
-		return &groupRetries{saved: budget{f.retryBudgets.of(group).Depth * initialRetryShare}}
+		return &groupRetries{saved: tokenBucket{f.retryBudgets.of(group).Depth * initialRetryShare}}
 	})
 }
 
