soak: overload of all hosts and of one hall

Cause: no soak had callers that ask for more than the upstreams have, so the guarantees were not checked while requests are refused for lack of capacity. The check that a refusal is true now covers repeatable requests and gathers also.

--- a/loomfake/soak_test.go
+++ b/loomfake/soak_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -187,6 +188,10 @@
 			s.addArrival("single1", "x", 0)
 			s.requests = append(s.requests, soakRequest{id: "x", kind: "unsafe", status: 503})
 		}},
+		{"a refusal is true", func(s *soak) {
+			s.addArrival("set0-a1", "x", 0)
+			s.requests = append(s.requests, soakRequest{id: "x", kind: "gather", status: 503})
+		}},
 		{"attempts", func(s *soak) {
 			for _, n := range []string{"single1", "single2", "single3"} {
 				s.addArrival(n, "x", 0)
@@ -264,6 +269,35 @@
 	}
 }
 
+// TestUpstreamSlotsQueueAndShed guards against an overload without effect: an upstream must run
+// no more requests than it has slots, shed those beyond its queue and report both.
+func TestUpstreamSlotsQueueAndShed(t *testing.T) {
+	l := newUpstreamSlots()
+	end, started := make(chan struct{}), make(chan struct{}, soakSlots+soakQueue)
+	var all sync.WaitGroup
+	for range soakSlots + soakQueue {
+		assert.Assert(t, l.reserve())
+		all.Go(func() { l.run(t.Context(), func() { started <- struct{}{}; <-end }) })
+	}
+	for range soakSlots {
+		<-started
+	}
+	assert.Assert(t, !l.reserve())
+	assert.Equal(t, l.load(), "4,12,4")
+	assert.Equal(t, len(started), 0)
+	close(end)
+	all.Wait()
+	assert.Equal(t, l.load(), "0,0,4")
+	assert.Assert(t, l.reserve())
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	for range soakSlots {
+		<-l.free
+	}
+	l.run(ctx, func() { t.Error("a request whose caller left runs") })
+	assert.Equal(t, l.load(), "0,0,4")
+}
+
 // TestConcurrentRequestsAreNotCompared checks that checkVersions reports a refused request
 // only if it was sent after a served one had ended: a host may apply a version while both
 // are in flight.
--- a/loomfake/soakcaller.go
+++ b/loomfake/soakcaller.go
@@ -18,7 +18,7 @@
 const (
 	soakRequestTimeout = 3 * time.Second
 	soakDialTimeout    = time.Second
-	// soakThinkTime is the pause between an answer and the next request.
+	// soakThinkTime is the pause between an answer and the next request without overload.
 	soakThinkTime = 15 * time.Millisecond
 )
 
@@ -54,8 +54,8 @@
 
 // runCaller sends requests until ctx ends. It stays with a host while the connection
 // lasts, and moves on to the next one after an error.
-func (s *soak) runCaller(ctx context.Context, index int) {
-	c := &caller{host: index % len(s.hosts)}
+func (s *soak) runCaller(ctx context.Context, c *caller) {
+	index := s.callers.Add(1)
 	defer c.close()
 	for i := 0; ctx.Err() == nil; i++ {
 		req := soakRequest{id: fmt.Sprintf("%d-%d-%d", s.Seed, index, i), host: c.host, sentAt: s.now()}
@@ -82,17 +82,19 @@
 		s.mu.Unlock()
 		if req.err != nil {
 			c.close()
-			c.host = (c.host + 1) % len(s.hosts)
+			c.host = (c.host + c.step) % len(s.hosts)
 		}
-		sleepContext(ctx, soakThinkTime)
+		sleepContext(ctx, c.pause)
 	}
 }
 
 // caller is a client with at most one connection. Unlike http.Client it never retries a
 // request.
 type caller struct {
-	// host is the index of the host.
-	host int
+	// host is the index of the host. After an error the caller moves on by step hosts.
+	host, step int
+	// pause is the time between an answer and the next request.
+	pause time.Duration
 	// conn is nil while there is no connection; reader reads from it.
 	conn   net.Conn
 	reader *bufio.Reader
--- a/loomfake/soakcheck.go
+++ b/loomfake/soakcheck.go
@@ -74,9 +74,9 @@
 	runs := c.runs[req.id]
 	if req.kind == kindUnsafe {
 		c.expect("at most once", len(runs) <= 1, "%s ran %d times", req.id, len(runs))
-		if req.status == http.StatusServiceUnavailable || req.status == http.StatusTooManyRequests {
-			c.expect("a refusal is true", len(runs) == 0, "%s was refused and ran", req.id)
-		}
+	}
+	if req.status == http.StatusServiceUnavailable || req.status == http.StatusTooManyRequests {
+		c.expect("a refusal is true", len(runs) == 0, "%s was refused and ran", req.id)
 	}
 	if req.err != nil && len(runs) > 0 {
 		c.expect("a planned stop cuts nothing", !c.duringPlannedStop(req), "%s was cut by host %d: %v", req.id, req.host, req.err)
--- a/loomfake/soakrun.go
+++ b/loomfake/soakrun.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -41,6 +42,10 @@
 	// publishMu is held while a configuration is written, so that concurrent faults
 	// write their versions to the store in order.
 	publishMu sync.Mutex
+	// serviceTime is the service time of upstreams without faults, in nanoseconds.
+	serviceTime atomic.Int64
+	// callers counts the callers that were started.
+	callers atomic.Int64
 
 	// mu guards the fields below.
 	mu        sync.Mutex
@@ -113,10 +118,12 @@
 	}
 	var wg sync.WaitGroup
 	for i := range s.Callers {
-		wg.Go(func() { s.runCaller(callers, i) })
+		c := &caller{host: i % len(s.hosts), step: 1, pause: soakThinkTime}
+		wg.Go(func() { s.runCaller(callers, c) })
 	}
 	sleepContext(ctx, soakWarmup)
 	faults, stopFaults := context.WithTimeout(ctx, s.FaultDuration)
+	wg.Go(func() { s.injectOverload(faults) })
 	s.injectFaults(faults)
 	stopFaults()
 	s.clearFaults()
--- a/loomfake/soakupstream.go
+++ b/loomfake/soakupstream.go
@@ -17,7 +17,7 @@
 type arrival struct {
 	at time.Duration
 	id string
-	// ran is false if the upstream refused the request.
+	// ran is true once the upstream runs the request.
 	ran bool
 }
 
@@ -30,6 +30,9 @@
 	// address is the address of the link.
 	address netip.AddrPort
 	now     func() time.Duration
+	// serviceTime returns the current service time without faults.
+	serviceTime func() time.Duration
+	slots       *upstreamSlots
 
 	// mu guards the fields below.
 	mu     sync.Mutex
@@ -59,17 +62,30 @@
 	h := platform.Headers
 	u.mu.Lock()
 	f := u.faults
-	shed := rand.Float64() < f.Shed || r.Header.Get(h.Upstream) != u.Name
-	u.arrivals = append(u.arrivals, arrival{at: u.now(), id: r.Header.Get(h.RequestID), ran: !shed})
+	shed := rand.Float64() < f.Shed || r.Header.Get(h.Upstream) != u.Name || !u.slots.reserve()
+	n := len(u.arrivals)
+	u.arrivals = append(u.arrivals, arrival{at: u.now(), id: r.Header.Get(h.RequestID)})
 	u.mu.Unlock()
 	if shed {
 		w.Header().Set(h.RequestID, r.Header.Get(h.RequestID))
 		w.Header().Set(h.NotRun, "1")
+		w.Header().Set(h.Load, u.slots.load())
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	u.slots.run(r.Context(), func() {
+		u.mu.Lock()
+		u.arrivals[n].ran = true
+		u.mu.Unlock()
+		u.serve(w, r, f)
+	})
+}
+
+// serve runs a request under the given faults.
+func (u *soakUpstream) serve(w http.ResponseWriter, r *http.Request, f soakUpstreamFaults) {
+	h := platform.Headers
 	select {
-	case <-time.After(f.Slow):
+	case <-time.After(f.Slow + u.serviceTime()):
 	case <-r.Context().Done():
 		return
 	}
@@ -104,7 +120,11 @@
 	s.mu.Lock()
 	n := len(s.upstreams)
 	s.mu.Unlock()
-	u := &soakUpstream{Upstream: mock.Upstream{Name: fmt.Sprintf("u-%d", n), Body: body}, group: group, hall: hall, now: s.now}
+	slots := newUpstreamSlots()
+	u := &soakUpstream{
+		Upstream: mock.Upstream{Name: fmt.Sprintf("u-%d", n), Body: body, Load: slots.load}, group: group, hall: hall, now: s.now,
+		serviceTime: func() time.Duration { return time.Duration(s.serviceTime.Load()) }, slots: slots,
+	}
 	addr, err := s.serveLoopback(u)
 	if err != nil {
 		return err
@@ -131,7 +151,7 @@
 func (s *soak) sendReport(u *soakUpstream) error {
 	u.reportCount++
 	return s.store.Report(u.Name, platform.Upstream{
-		Group: u.group, Address: u.address, Hall: u.hall, Slots: 4, State: u.state, Sequence: u.reportCount,
+		Group: u.group, Address: u.address, Hall: u.hall, Slots: soakSlots, State: u.state, Sequence: u.reportCount,
 	})
 }
 
