pass: the report of a gate needs no field of a ticket

The gate of load-gate keeps the demand of a ticket to itself, and load-place counts declined requests at the coordinator: the report takes route and rank from the request, the request has its gate's report beside the gate, and the second count of declines is dropped.

--- a/tier/pass/coordinate_client.go
+++ b/tier/pass/coordinate_client.go
@@ -190,7 +190,6 @@
 	}
 	s.recordFirstResponse(time.Duration(s.reply.HeldMicros) * time.Microsecond)
 	if s.reply.Declined != "" {
-		countDeclined(s.reply.Declined)
 		e.hosts.declined(s.target.Host, e.kernel.Now(), s.reply.Declined)
 		s.log().Str("Declined", string(s.reply.Declined)).Msg("request declined by coordinator")
 		return nil
--- a/tier/pass/gate.go
+++ b/tier/pass/gate.go
@@ -44,7 +44,7 @@
 }
 
 // gateOf returns the gate of a request.
-func (e *engine) gateOf(q *request) *gate {
+func (e *engine) gateOf(q *request) *policy.Gate {
 	key := gateKey(q.plan.groups)
 	now := e.kernel.Now()
 	e.gates.mu.Lock()
@@ -62,7 +62,8 @@
 		g.baseAt = now
 		g.SetBase(e.basePlaces(q.view, q.plan.groups, q.route))
 	}
-	return g
+	q.gateReport = g.report
+	return g.Gate
 }
 
 // basePlaces returns this host's fair share of the places at a set of groups.
@@ -138,13 +139,13 @@
 			<-t.Decided()
 		case <-ctx.Done():
 			q.gate.Abandon(e.kernel.Now(), t)
-			q.recordDecision(q.gate, t, now)
+			q.recordDecision(t, now)
 			q.log(outcomeCancelled, 0).Msg("request cancelled by caller")
 			return false
 		}
 	}
 	q.admittedAt = e.kernel.Now()
-	q.recordDecision(q.gate, t, now)
+	q.recordDecision(t, now)
 	if r := t.Refusal(); r != nil {
 		q.refuse(w, r.Reason, r.RetryAfter)
 		return false
--- a/tier/pass/gate_report.go
+++ b/tier/pass/gate_report.go
@@ -137,18 +137,18 @@
 
 // recordDecision counts the decision about the request, which arrived at the gate at the
 // given time. Unless the request ran at once, all its later log lines show the decision.
-func (q *request) recordDecision(g *gate, t *policy.Ticket, arrivedAt time.Duration) {
+func (q *request) recordDecision(t *policy.Ticket, arrivedAt time.Duration) {
 	now := q.engine.kernel.Now()
-	d := &gateDecision{Outlook: t.Outlook(), rank: t.Demand.Rank, waited: now - arrivedAt}
+	d := &gateDecision{Outlook: t.Outlook(), rank: q.route.Priority, waited: now - arrivedAt}
 	if t.Refusal() != nil {
 		d.Decision = policy.DecisionRefuse
-		g.report.refused.add(now)
+		q.gateReport.refused.add(now)
 	}
-	countDecision(t.Demand.Route, d)
+	countDecision(q.route.Name, d)
 	if d.Decision == policy.DecisionRun {
 		return
 	}
-	s := g.State(now)
+	s := q.gate.State(now)
 	d.places, d.inFlight = s.Places, s.InFlight
 	q.gateDecision = d
 }
@@ -161,8 +161,3 @@
 		metrics.GetOrCreateHistogram(`loomgap_gate_wait_seconds{Rank="` + strconv.Itoa(d.rank) + `"}`).Update(d.waited.Seconds())
 	}
 }
-
-// countDeclined counts a request that a coordinator declined.
-func countDeclined(reason declineReason) {
-	metrics.GetOrCreateCounter(`loomgap_forward_declined_total{Reason="` + string(reason) + `"}`).Inc()
-}
--- a/tier/pass/serve.go
+++ b/tier/pass/serve.go
@@ -34,8 +34,10 @@
 	callCounts []int
 	// gate is the gate that the request passes and ticket its place there; nil if routed
 	// requests are not limited.
-	gate   *gate
+	gate   *policy.Gate
 	ticket *policy.Ticket
+	// gateReport is the report of the gate.
+	gateReport *gateReport
 	// gateDecision is shown in the log; nil unless the gate made the request wait or refused
 	// it.
 	gateDecision *gateDecision
