--- a/tier/policy/doc.go
+++ b/tier/policy/doc.go
@@ -42,12 +42,11 @@
 //     coldowner.go selects the host that calls a cold upstream, by hostrank.go
 //   - rules for requests: placement.go decides where a request may go, coordinator.go
 //     which host executes it, admit.go and retryafter.go whether it is refused and until
-//     when, and margin.go how much of its deadline is reserved; classbudget.go pays for
-//     the hedges and retries of a class, retrybudget.go (with recent.go, a sliding window)
-//     for those of routed requests by group, both with tokenbucket.go; classstate.go holds
-//     the state that requests of a class share; quarantine.go judges a request by the
-//     crash reports that suspects.go keeps; crashreport.go and fingerprint.go define these
-//     reports and their key
+//     when, and margin.go how much of its deadline is reserved; classbudget.go and
+//     retrybudget.go (with tokenbucket.go and recent.go) pay for the hedges and retries of
+//     classes and of routed requests; classstate.go holds the state that requests of a
+//     class share; quarantine.go judges a request by the crash reports that suspects.go
+//     keeps; crashreport.go and fingerprint.go define these reports and their key
 //   - differences between requests of a class and routed requests: class.go and
 //     routed.go, behind rules.go
 //   - the run: run.go handles events; pick.go, hedge.go, retry.go and finish.go make the
