--- a/tier/pass/gate.go
+++ b/tier/pass/gate.go
@@ -139,13 +139,13 @@
 			<-t.Decided()
 		case <-ctx.Done():
 			q.gate.Abandon(e.kernel.Now(), t)
-			q.recordDecision(t, now)
+			q.recordDecision(t.Outlook(), t.Refusal() != nil, now)
 			q.log(outcomeCancelled, 0).Msg("request cancelled by caller")
 			return false
 		}
 	}
 	q.admittedAt = e.kernel.Now()
-	q.recordDecision(t, now)
+	q.recordDecision(t.Outlook(), t.Refusal() != nil, now)
 	if r := t.Refusal(); r != nil {
 		q.refuse(w, r.Reason, r.RetryAfter)
 		return false
--- a/tier/pass/gate_report.go
+++ b/tier/pass/gate_report.go
@@ -136,11 +136,12 @@
 }
 
 // recordDecision counts the decision about the request, which arrived at the gate at the
-// given time. Unless the request ran at once, all its later log lines show the decision.
-func (q *request) recordDecision(t *policy.Ticket, arrivedAt time.Duration) {
+// given time. o is what the gate decided then, refused is true if it refused the request, then
+// or later. Unless the request ran at once, all its later log lines show the decision.
+func (q *request) recordDecision(o policy.Outlook, refused bool, arrivedAt time.Duration) {
 	now := q.engine.kernel.Now()
-	d := &gateDecision{Outlook: t.Outlook(), rank: q.route.Priority, waited: now - arrivedAt}
-	if t.Refusal() != nil {
+	d := &gateDecision{Outlook: o, rank: q.route.Priority, waited: now - arrivedAt}
+	if refused {
 		d.Decision = policy.DecisionRefuse
 		q.gateReport.refused.add(now)
 	}
--- a/tier/pass/gate_report_test.go
+++ b/tier/pass/gate_report_test.go
@@ -16,26 +16,6 @@
 	"loomgap/tier/policy"
 )
 
-// limitedGate returns a gate with a limit of one place, which is taken, after half of its
-// calls were shed.
-func limitedGate(now time.Duration) *policy.Gate {
-	g := policy.NewGate(policy.GateConfig{Base: 1})
-	d := policy.Demand{Route: "Search", ObjectiveAt: now + time.Second, DeadlineAt: now + time.Minute}
-	tickets := []*policy.Ticket{g.Enter(now, d), g.Enter(now, d), g.Enter(now, d)}
-	for period := range 20 {
-		at := now + time.Duration(period+1)*50*time.Millisecond
-		for call := range 100 {
-			o := policy.CallOK
-			if call%2 == 0 {
-				o = policy.CallShed
-			}
-			g.ObserveCall(at, o, policy.Load{}, 10*time.Millisecond)
-		}
-		tickets = append(tickets, g.Enter(at, d))
-	}
-	return g
-}
-
 // metricLines returns the lines of all metrics that begin with a prefix.
 func metricLines(prefix string) (out []string) {
 	var text bytes.Buffer
@@ -82,55 +62,68 @@
 	assert.Equal(t, c.count(41*time.Second), uint64(1))
 }
 
+// newReportedGate gives a host a gate for one group, and returns a request at it.
+func newReportedGate(h *host, group string, rank int) *request {
+	g := &gate{Gate: policy.NewGate(policy.GateConfig{Base: 1})}
+	g.report = newGateReport([]string{group}, func() policy.GateState { return g.State(h.kernel.Now()) })
+	h.engine.gates.byKey = map[uint64]*gate{1: g}
+	return &request{
+		engine: h.engine, view: h.kernel.View(), route: &config.Route{Name: group, Priority: rank},
+		in: inboundRequest{id: "r-1"}, gate: g.Gate, gateReport: g.report,
+	}
+}
+
 // TestRefusalByGateIsExplained requires that the log line of a refused request has what the
-// gate based its decision on, and that the refusal is counted.
+// gate based its decision on, and that the refusal is counted. A request that had to wait
+// first counts as refused, not as one that waited.
 func TestRefusalByGateIsExplained(t *testing.T) {
 	var log lockedBuffer
 	h := newHost(t, hostConfig{name: "H1", hall: "A", log: &log})
-	now := h.kernel.Now()
-	g := &gate{Gate: limitedGate(now)}
-	g.report = newGateReport([]string{"Explained"}, func() policy.GateState { return g.State(h.kernel.Now()) })
-	h.engine.gates.byKey = map[uint64]*gate{1: g}
-	now += 2 * time.Second
-	r := g.Enter(now, policy.Demand{Route: "Explained", Rank: 2, ObjectiveAt: now, DeadlineAt: now + time.Millisecond})
-	assert.Assert(t, r.Refusal() != nil)
-
-	q := &request{
-		engine: h.engine, view: h.kernel.View(), route: &config.Route{Name: "Explained", Priority: 2},
-		in: inboundRequest{id: "refused"}, gate: g.Gate, gateReport: g.report, ticket: r,
-	}
-	q.recordDecision(r, h.kernel.Now())
+	q := newReportedGate(h, "Explained", 2)
+	q.recordDecision(policy.Outlook{Decision: policy.DecisionLate, Wait: 1500 * time.Millisecond, Ahead: 7}, true, h.kernel.Now()-time.Second)
 	w := httptest.NewRecorder()
-	q.refuse(w, r.Refusal().Reason, r.Refusal().RetryAfter)
+	q.refuse(w, "no capacity", 30*time.Millisecond)
 
 	assert.Equal(t, w.Code, http.StatusServiceUnavailable)
 	var line map[string]any
 	assert.NilError(t, json.Unmarshal([]byte(log.String()), &line), "%s", log.String())
-	for _, name := range []string{"Reason", "RetryMillis", "Rank", "Ahead", "Places", "InFlight", "ExpectedWaitMillis", "WaitedMillis"} {
-		assert.Assert(t, line[name] != nil, "%s is missing in %v", name, line)
+	for name, want := range map[string]any{
+		"Reason": "no capacity", "Decision": "Refuse", "Rank": 2.0, "Ahead": 7.0, "Places": 0.0, "InFlight": 0.0, "ExpectedWaitMillis": 1500.0,
+	} {
+		assert.Equal(t, line[name], want, "%s in %v", name, line)
 	}
-	assert.Equal(t, line["Decision"], string(policy.DecisionRefuse))
-	assert.Equal(t, line["Rank"], 2.0)
+	assert.Assert(t, line["WaitedMillis"].(float64) >= 1000, "%v", line)
+	assert.Assert(t, line["RetryMillis"] != nil, "%v", line)
 	assert.DeepEqual(t, metricLines(`loomgap_gate_decisions_total{Route="Explained"`),
 		[]string{`loomgap_gate_decisions_total{Route="Explained",Decision="Refuse"} 1`})
 
 	states := h.kernel.Gates()
 	assert.Equal(t, len(states), 1)
 	assert.Equal(t, states[0].Groups, "Explained/1")
-	assert.Assert(t, states[0].Limited)
 	assert.Equal(t, states[0].RefusedRecently, uint64(1))
 }
 
+// TestWaitAtGateIsMeasured requires that the wait of a request that is answered is in its log
+// line and in the histogram of its rank.
+func TestWaitAtGateIsMeasured(t *testing.T) {
+	var log lockedBuffer
+	h := newHost(t, hostConfig{name: "H1", hall: "A", log: &log})
+	q := newReportedGate(h, "Waited", 76)
+	q.recordDecision(policy.Outlook{Decision: policy.DecisionWait, Wait: 20 * time.Millisecond, Ahead: 1}, false, h.kernel.Now())
+	q.log(outcomeServed, http.StatusOK).Msg("request answered")
+	assert.Assert(t, strings.Contains(log.String(), `"Decision":"Wait","Rank":76,"Ahead":1`), "%s", log.String())
+	assert.Equal(t, len(metricLines(`loomgap_gate_decisions_total{Route="Waited",Decision="Wait"} 1`)), 1)
+	assert.Equal(t, len(metricLines(`loomgap_gate_wait_seconds_count{Rank="76"} 1`)), 1)
+	assert.Equal(t, h.kernel.Gates()[0].RefusedRecently, uint64(0))
+}
+
 // TestRequestThatRunsAtOnceIsLoggedAsBefore guards against additional log fields and times
 // while there is no shortage.
 func TestRequestThatRunsAtOnceIsLoggedAsBefore(t *testing.T) {
 	var log lockedBuffer
 	h := newHost(t, hostConfig{name: "H1", hall: "A", log: &log})
-	now := h.kernel.Now()
-	g := policy.NewGate(policy.GateConfig{Base: 1})
-	r := g.Enter(now, policy.Demand{Route: "AtOnce", Rank: 77, ObjectiveAt: now + time.Second, DeadlineAt: now + time.Minute})
-	q := &request{engine: h.engine, view: h.kernel.View(), route: &config.Route{Name: "AtOnce", Priority: 77}, gate: g}
-	q.recordDecision(r, now)
+	q := newReportedGate(h, "AtOnce", 77)
+	q.recordDecision(policy.Outlook{Decision: policy.DecisionRun}, false, h.kernel.Now())
 	q.log(outcomeServed, http.StatusOK).Msg("request answered")
 	assert.Assert(t, !strings.Contains(log.String(), "Decision"), "%s", log.String())
 	assert.Equal(t, len(metricLines(`loomgap_gate_decisions_total{Route="AtOnce",Decision="Run"} 1`)), 1)
