--- a/tier/pass/coordinate_client.go
+++ b/tier/pass/coordinate_client.go
@@ -154,7 +154,7 @@
 		SpentMicros: spent.Microseconds(), LeftMillis: (q.times.deadline - now).Milliseconds(), Trace: wire.TraceParent(ctx),
 	}
 	if e.limitsLoad() {
-		out.SpentBeforeMicros = q.spentBeforeThis().Microseconds()
+		out.SpentBeforeMicros = q.spentBefore.Microseconds()
 	}
 	return out
 }
--- a/tier/pass/coordinate_room_test.go
+++ b/tier/pass/coordinate_room_test.go
@@ -66,7 +66,7 @@
 // gate returns the gate of the gather at a host.
 func (h *host) gate() *policy.Gate {
 	r := h.kernel.View().Index.RouteByName("Find")
-	return h.engine.gateOf(&request{engine: h.engine, view: h.kernel.View(), route: r, plan: plan{groups: r.Gather.Groups}})
+	return h.engine.gateOf(&request{engine: h.engine, view: h.kernel.View(), route: r, plan: plan{groups: r.Gather.Groups}}).Gate
 }
 
 // useUpRoom brings the gate of a host into a shortage in which requests of rank 0 use all places and
--- a/tier/pass/engine.go
+++ b/tier/pass/engine.go
@@ -28,6 +28,7 @@
 	coordinators coordinators
 	overhead     overhead
 	gates        gates
+	stated       statedTimes
 	// start opens once there is a configuration to serve requests with.
 	start startGate
 	// preconnected are the hosts that connections were opened to in advance; used on the
@@ -72,9 +73,11 @@
 	e.handleRelay()
 	e.handleCoordinate()
 	k.OnView(e.applyView)
+	k.RegisterGates(e.gateStates)
 	stopClosing := kernel.RunLoops(context.Background(), e.closeExpired)
 	return e, func() {
 		stopClosing()
+		e.closeGateReports()
 		e.pools.closeAll()
 	}
 }
@@ -83,6 +86,8 @@
 func (e *engine) closeExpired(ctx context.Context) {
 	for ctx.Err() == nil {
 		e.pools.closeExpired()
+		e.dropIdleGates()
+		e.forgetStatedTimes()
 		kernel.Sleep(ctx, sweepInterval)
 	}
 }
--- a/tier/pass/gate.go
+++ b/tier/pass/gate.go
@@ -3,112 +3,19 @@
 import (
 	"context"
 	"net/http"
-	"slices"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
-	"loomgap/tier/config"
-	"loomgap/tier/kernel"
 	"loomgap/tier/policy"
 )
 
-// queueFactor is how many requests have room at an upstream for each of its slots: one
-// that runs and one that waits, so that a slot does not idle between two calls.
-const queueFactor = 2
-
-// baseMaxAge is how long the share of the room is used before it is computed again.
-const baseMaxAge = time.Second
-
-// gates holds the gate of each set of groups. It is safe for concurrent use; the zero value
-// is ready to use.
-type gates struct {
-	mu    sync.Mutex
-	byKey map[uint64]*gate
-}
-
-type gate struct {
-	*policy.Gate
-	baseAt time.Duration
-}
-
-func gateKey(groups []string) uint64 {
-	h := xxhash.New()
-	for _, g := range groups {
-		_, _ = h.WriteString(g)
-		_, _ = h.Write([]byte{0})
-	}
-	return h.Sum64()
-}
-
-// gateOf returns the gate of a request.
-func (e *engine) gateOf(q *request) *policy.Gate {
-	key := gateKey(q.plan.groups)
-	now := e.kernel.Now()
-	e.gates.mu.Lock()
-	defer e.gates.mu.Unlock()
-	if e.gates.byKey == nil {
-		e.gates.byKey = map[uint64]*gate{}
-	}
-	g := e.gates.byKey[key]
-	if g == nil {
-		g = &gate{Gate: policy.NewGate(policy.GateConfig{Base: 1}), baseAt: -baseMaxAge}
-		e.gates.byKey[key] = g
-	}
-	if now-g.baseAt >= baseMaxAge {
-		g.baseAt = now
-		g.SetBase(e.basePlaces(q.view, q.plan.groups, q.route))
-	}
-	return g.Gate
-}
-
-// basePlaces returns this host's fair share of the places at a set of groups.
-func (e *engine) basePlaces(v *kernel.View, groups []string, r *config.Route) int {
-	slots := make([]int, 0, len(groups))
-	for _, n := range groups {
-		sum := 0
-		for _, l := range v.Directory.Group(n) {
-			if !l.Leaving {
-				sum += l.Slots
-			}
-		}
-		slots = append(slots, sum)
-	}
-	slices.Sort(slots)
-	return max(queueFactor*slots[len(slots)/2]/e.executors(v, r), 1)
-}
-
-// executors counts the hosts that execute requests of a route.
-func (e *engine) executors(v *kernel.View, r *config.Route) int {
-	strongest := e.self().Capacity
-	all := 1
-	for _, m := range v.Members {
-		if m.Active() {
-			all++
-		}
-	}
-	if r.Gather == nil {
-		return all
-	}
-	cands := *e.coordinators.candidates.Load()
-	for _, c := range cands {
-		strongest = max(strongest, c.Capacity)
-	}
-	n := 1
-	for _, c := range cands {
-		if policy.IsCoordinator(c.Capacity, strongest) {
-			n++
-		}
-	}
-	return n
-}
+// This file is the stage of a request at the gate of its groups.
 
 // limitsLoad reports whether requests pass a gate.
 func (e *engine) limitsLoad() bool { return e.kernel.Settings.Overload == policy.OverloadShortage }
 
 // findGate plans the request, finds its gate and returns it.
-func (q *request) findGate() *policy.Gate {
+func (q *request) findGate() *gate {
 	if q.gate == nil {
 		q.makePlan()
 		q.gate = q.engine.gateOf(q)
@@ -118,26 +25,13 @@
 
 // demand describes the request to its gate.
 func (q *request) demand() policy.Demand {
-	spent := q.spentBeforeThis()
 	return policy.Demand{
 		Route: q.route.Name, Rank: q.route.Priority, Caller: q.in.identity.Caller,
-		ObjectiveAt: q.times.startedAt + time.Duration(q.class.Patience) - spent, DeadlineAt: q.times.deadline,
-		Spent: spent,
+		ObjectiveAt: q.times.startedAt + time.Duration(q.class.Patience) - q.spentBefore, DeadlineAt: q.times.deadline,
+		Spent: q.spentBefore,
 	}
 }
 
-// spentBeforeThis returns the time between the caller's first attempt and this one, as far as
-// known.
-func (q *request) spentBeforeThis() time.Duration {
-	if q.spentBefore > 0 {
-		return q.spentBefore
-	}
-	if full := q.times.startedAt + time.Duration(q.route.TimeLimit); full-q.times.deadline > 50*time.Millisecond {
-		return min(full-q.times.deadline, time.Duration(q.route.Objective))
-	}
-	return 0
-}
-
 // outlook returns what the gate would decide about the request.
 func (q *request) outlook() policy.Outlook {
 	return q.findGate().Outlook(q.engine.kernel.Now(), q.demand())
@@ -181,17 +75,21 @@
 		return true
 	}
 	g := q.findGate()
-	now := e.kernel.Now()
-	q.ticket = g.Enter(now, q.demand())
-	q.admittedAt = now
-	if !q.awaitTicket(ctx, now) {
+	arrivedAt := e.kernel.Now()
+	q.ticket = g.Enter(arrivedAt, q.demand())
+	decided := q.awaitTicket(ctx)
+	if !decided {
 		g.Abandon(e.kernel.Now(), q.ticket)
-		q.log(outcomeCancelled, 0).Msg("request cancelled by caller")
-		return false
 	}
 	q.admittedAt = e.kernel.Now()
-	if r := q.ticket.Refusal(); r != nil {
-		q.refuse(w, r.Reason, r.RetryAfter)
+	refusal := q.ticket.Refusal()
+	q.recordDecision(q.ticket.Outlook(), refusal != nil, arrivedAt)
+	switch {
+	case !decided:
+		q.log(outcomeCancelled, 0).Msg("request cancelled by caller")
+		return false
+	case refusal != nil:
+		q.refuse(w, refusal.Reason, refusal.RetryAfter)
 		return false
 	}
 	return true
@@ -199,29 +97,30 @@
 
 // awaitTicket waits until the gate has decided about the request. It returns false if the
 // context ends before that.
-func (q *request) awaitTicket(ctx context.Context, now time.Duration) bool {
-	t := q.ticket
-	select {
-	case <-t.Decided():
-		return true
-	default:
-	}
-	timer := time.NewTimer(t.CheckAt() - now)
-	defer timer.Stop()
-	select {
-	case <-t.Decided():
-	case <-timer.C:
-		q.gate.Check(q.engine.kernel.Now(), t)
-		<-t.Decided()
-	case <-ctx.Done():
-		return false
+func (q *request) awaitTicket(ctx context.Context) bool {
+	t, k := q.ticket, q.engine.kernel
+	for {
+		select {
+		case <-t.Decided():
+			return true
+		default:
+		}
+		timer := time.NewTimer(t.CheckAt() - k.Now())
+		select {
+		case <-t.Decided():
+		case <-timer.C:
+			q.gate.Check(k.Now(), t)
+		case <-ctx.Done():
+			timer.Stop()
+			return false
+		}
+		timer.Stop()
 	}
-	return true
 }
 
-// leaveGate frees the place of the request.
+// leaveGate frees the place of the request, if it has one.
 func (q *request) leaveGate(covered bool) {
-	if q.gate == nil || q.ticket == nil {
+	if q.ticket == nil {
 		return
 	}
 	now := q.engine.kernel.Now()
@@ -235,3 +134,63 @@
 	}
 	return func() bool { return q.gate.Shortage(q.engine.kernel.Now()) }
 }
+
+// noteStatedTime sets the time spent before this attempt from the time that the caller still
+// waits. It counts up to the objective, beyond which it makes no difference.
+func (q *request) noteStatedTime(stated time.Duration) {
+	e := q.engine
+	if e.limitsLoad() {
+		q.spentBefore = min(e.stated.spent(e.kernel.Now(), q.route.Name, stated), time.Duration(q.route.Objective))
+	}
+}
+
+// statedTimes holds the longest time that callers of each route lately stated they would
+// wait. First attempts state it in full, so a shorter time shows how much of it has passed
+// since. It is safe for concurrent use; the zero value is ready to use.
+type statedTimes struct {
+	mu      sync.Mutex
+	byRoute map[string]*statedTime
+}
+
+// statedTimeInterval is the length of the intervals of which the current and the previous
+// one count, so that a limit that callers lowered is forgotten.
+const statedTimeInterval = 30 * time.Second
+
+// statedTime is the longest stated time in the current and in the previous interval.
+type statedTime struct {
+	startedAt         time.Duration
+	current, previous time.Duration
+}
+
+// spent records a stated time and returns by how much it is shorter than the longest one.
+func (s *statedTimes) spent(now time.Duration, route string, stated time.Duration) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.byRoute == nil {
+		s.byRoute = map[string]*statedTime{}
+	}
+	t := getOrCreate(s.byRoute, route)
+	if now-t.startedAt >= statedTimeInterval {
+		t.startedAt, t.previous, t.current = now, t.current, 0
+	}
+	t.current = max(t.current, stated)
+	return max(t.current, t.previous) - stated
+}
+
+// forget drops the routes that no document names any more.
+func (s *statedTimes) forget(exists func(route string) bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for name := range s.byRoute {
+		if !exists(name) {
+			delete(s.byRoute, name)
+		}
+	}
+}
+
+// forgetStatedTimes drops the stated times of routes that the document no longer names.
+func (e *engine) forgetStatedTimes() {
+	if index := e.kernel.View().Index; index != nil {
+		e.stated.forget(func(route string) bool { return index.RouteByName(route) != nil })
+	}
+}
--- a/tier/pass/inbound.go
+++ b/tier/pass/inbound.go
@@ -107,7 +107,9 @@
 			q.reject(w, http.StatusBadRequest, outcomeInvalid, "header "+q.engine.headers.DeadlineMillis+": write milliseconds above 0")
 			return false
 		}
-		limit = min(limit, time.Duration(millis)*time.Millisecond)
+		stated := time.Duration(millis) * time.Millisecond
+		limit = min(limit, stated)
+		q.noteStatedTime(stated)
 	}
 	q.times.deadline = q.times.startedAt + limit - min(deadlineReserve, limit/deadlineReserveDivisor)
 	return true
--- a/tier/pass/serve.go
+++ b/tier/pass/serve.go
@@ -34,12 +34,15 @@
 	callCounts []int
 	// gate is the gate that the request passes and ticket its place there; nil if routed
 	// requests are not limited.
-	gate   *policy.Gate
+	gate   *gate
 	ticket *policy.Ticket
+	// gateDecision is shown in the log; nil unless the gate made the request wait or refused
+	// it.
+	gateDecision *gateDecision
 	// admittedAt is when the gate admitted the request.
 	admittedAt time.Duration
-	// spentBefore is the time between the caller's first attempt and this one, as known to
-	// the host that forwarded the request; 0 if unknown.
+	// spentBefore is the time between the caller's first attempt and this one, as far as
+	// known.
 	spentBefore time.Duration
 	// included counts the parts that were merged.
 	included int
--- a/tier/policy/gatequeue.go
+++ b/tier/policy/gatequeue.go
@@ -16,11 +16,11 @@
 	// lateTurnOffset is the first turn of a late request.
 	lateTurnOffset = 2
 	// lowRankShare and lateShare are the shares of the admissions that these turns make.
-	lowRankShare = 1.0 / lowRankTurn
-	lateShare    = 1.0 / lateTurn
-	standingWaitDivisor=8
-	standingDivisor=2
-	standingTime=100*time.Millisecond
+	lowRankShare        = 1.0 / lowRankTurn
+	lateShare           = 1.0 / lateTurn
+	standingWaitDivisor = 8
+	standingDivisor     = 2
+	standingTime        = 100 * time.Millisecond
 	// rankWindow is the time over which arrivals and admissions of a rank are counted.
 	rankWindow = 2 * time.Second
 )
--- a/tier/policy/shortage_model_test.go
+++ b/tier/policy/shortage_model_test.go
@@ -409,7 +409,7 @@
 	return &m.figures
 }
 
-func quantileOf(all []time.Duration, q float64) time.Duration {
+func timeQuantile(all []time.Duration, q float64) time.Duration {
 	if len(all) == 0 {
 		return 0
 	}
@@ -441,8 +441,8 @@
 func (m *shortageModel) report(d time.Duration) string {
 	f := &m.figures
 	return fmt.Sprintf("%.2f of the capacity, %.2f within the objective, took %s %s, waits %s %s, shed %d of %d, mean limit %.1f",
-		m.throughput(d), f.metShare(), quantileOf(f.took, 0.5), quantileOf(f.took, 0.8),
-		quantileOf(f.waits, 0.5), quantileOf(f.waits, 0.8), f.sheds, f.calls, m.meanLimit())
+		m.throughput(d), f.metShare(), timeQuantile(f.took, 0.5), timeQuantile(f.took, 0.8),
+		timeQuantile(f.waits, 0.5), timeQuantile(f.waits, 0.8), f.sheds, f.calls, m.meanLimit())
 }
 
 // throughput is the rate of covered gathers as a share of the capacity.
