pass: tests of coordinators tell executing hosts by their log

Cause: TestAllHostsStartAtOnce failed once in 15 runs beside busy processes: a host that executes a gather may have another one make calls as a relay, so calls do not show which one executed it. Change: a host has executed a request if it logged the answer.

--- a/tier/pass/coordinate_room_test.go
+++ b/tier/pass/coordinate_room_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -20,12 +21,29 @@
 	*forwardSetup
 	// near and far are the strong hosts.
 	near, far *host
+	logs      map[*host]*lockedBuffer
 }
 
 func newRoomSetup(t *testing.T, overload policy.OverloadControl) *roomSetup {
 	return newRoomSetupWithDocument(t, overload, roomDoc())
 }
 
+// start starts a host with a log.
+func (s *roomSetup) start(t *testing.T, name, hall string, cores float64, overload policy.OverloadControl) *host {
+	log := &lockedBuffer{}
+	h := newHost(t, hostConfig{name: name, hall: hall, peers: s.network, cores: cores, regions: eastWestRegions, overload: overload, log: log})
+	h.engine.coordinate.heartbeat = heartbeatTimeouts{first: testTimeout, next: testTimeout}
+	s.network.addHost(h)
+	s.logs[h] = log
+	return h
+}
+
+// executed reports whether a host has answered a request by calls of its own. It may also have made
+// calls as a relay of another one.
+func (s *roomSetup) executed(h *host) bool {
+	return strings.Contains(s.logs[h].String(), `"message":"request answered"`)
+}
+
 // roomDoc returns a document with a gather of rank 1, with an objective that a busy machine meets.
 func roomDoc() config.Document {
 	d := longObjectiveDoc(0.8, 15)
@@ -34,15 +52,9 @@
 }
 
 func newRoomSetupWithDocument(t *testing.T, overload policy.OverloadControl, d config.Document) *roomSetup {
-	w := newNetwork()
-	start := func(name, hall string, cores float64) *host {
-		h := newHost(t, hostConfig{name: name, hall: hall, peers: w, cores: cores, regions: eastWestRegions, overload: overload})
-		h.engine.coordinate.heartbeat = heartbeatTimeouts{first: testTimeout, next: testTimeout}
-		w.hosts[name] = h
-		return h
-	}
-	s := &roomSetup{forwardSetup: &forwardSetup{network: w, weak: start("Weak", "A", 0.2)}}
-	s.near, s.far = start("Near", "A", 1), start("Far", "B", 1)
+	s := &roomSetup{forwardSetup: &forwardSetup{network: newNetwork()}, logs: map[*host]*lockedBuffer{}}
+	s.weak = s.start(t, "Weak", "A", 0.2, overload)
+	s.near, s.far = s.start(t, "Near", "A", 1, overload), s.start(t, "Far", "B", 1, overload)
 	s.upstreams = newShardUpstreams(t, s.weak, [2]string{"A", "B"}, replyWithPart)
 	s.weak.applyDocument(d)
 	for _, h := range []*host{s.near, s.far} {
@@ -154,7 +166,7 @@
 	s.near.useUpRoom()
 	s.assertServed(t, s.weak.find("one"), "one")
 	assert.Equal(t, s.network.callCount(methodCoordinate), 2)
-	assert.Assert(t, !s.near.madeCalls() && s.far.madeCalls() && !s.weak.madeCalls())
+	assert.Assert(t, !s.executed(s.near) && s.executed(s.far) && !s.executed(s.weak))
 	_, known := s.weak.known("Near")
 	assert.Assert(t, known)
 
@@ -169,7 +181,7 @@
 	s := newRoomSetup(t, policy.OverloadShortage)
 	s.network.callBeforeNext(methodCoordinateBegin, func() { s.near.useUpRoom() })
 	s.assertServed(t, s.weak.find("one"), "one")
-	assert.Assert(t, !s.near.madeCalls() && s.far.madeCalls())
+	assert.Assert(t, !s.executed(s.near) && s.executed(s.far))
 }
 
 // TestLastCoordinatorDecides guards against a request that is declined by all and then executed by
@@ -185,8 +197,7 @@
 // TestAtMostTwoCoordinatorsAreTried has three coordinators without room: the second one decides.
 func TestAtMostTwoCoordinatorsAreTried(t *testing.T) {
 	s := newRoomSetup(t, policy.OverloadShortage)
-	third := newHost(t, hostConfig{name: "Third", hall: "B", peers: s.network, regions: eastWestRegions, overload: policy.OverloadShortage})
-	s.network.addHost(third)
+	third := s.start(t, "Third", "B", 1, policy.OverloadShortage)
 	third.share(s.weak, roomDoc())
 	third.kernel.SetPhase(kernel.PhaseReady)
 	s.weak.addMember(third)
@@ -195,7 +206,7 @@
 	}
 	s.assertRefused(t, s.weak.find("one"), "one")
 	assert.Equal(t, s.network.callCount(methodCoordinate), 2)
-	assert.Assert(t, !s.weak.madeCalls())
+	assert.Assert(t, !s.executed(s.weak))
 }
 
 // TestOnlyCoordinatorDoesNotDecline has no other host to try.
@@ -226,7 +237,7 @@
 	s.near.kernel.Settings.Overload = policy.OverloadNone
 	s.assertServed(t, s.weak.find("one"), "one")
 	assert.Equal(t, s.network.callCount(methodCoordinate), 1)
-	assert.Assert(t, s.near.madeCalls())
+	assert.Assert(t, s.executed(s.near))
 }
 
 // TestControlOff guards against any effect of the gates while the control is off.
@@ -236,7 +247,7 @@
 	s.assertServed(t, s.weak.find("one"), "one")
 	s.assertServed(t, s.near.find("two"), "two")
 	assert.Equal(t, s.network.callCount(methodCoordinate), 1)
-	assert.Assert(t, !s.far.madeCalls())
+	assert.Assert(t, !s.executed(s.far))
 }
 
 // TestControlOffAtSender guards against a sender that lets coordinators decline although its control
@@ -259,7 +270,7 @@
 		s.assertServed(t, s.weak.find(id), id)
 	}
 	assert.Equal(t, s.network.callCount(methodCoordinate), 5)
-	assert.Assert(t, s.near.madeCalls() && !s.far.madeCalls())
+	assert.Assert(t, s.executed(s.near) && !s.executed(s.far))
 }
 
 // TestRoomIsReported checks that a coordinator reports its room only during a shortage, and that
@@ -304,7 +315,7 @@
 	s.network.setUnreachable("Far")
 	s.assertRefused(t, s.weak.find("two"), "two")
 	assert.Equal(t, s.network.callCount(methodCoordinate), 3)
-	assert.Assert(t, !s.near.madeCalls() && !s.weak.madeCalls())
+	assert.Assert(t, !s.executed(s.near) && !s.executed(s.weak))
 }
 
 // TestLinkFailsInOneDirection loses the heartbeats of all coordinators: none is told to begin, and
@@ -315,7 +326,7 @@
 	s.network.losePushes()
 	s.weak.engine.coordinate.heartbeat.first = 50 * time.Millisecond
 	s.assertServed(t, s.weak.find("one"), "one")
-	assert.Assert(t, !s.near.madeCalls() && !s.far.madeCalls() && s.weak.madeCalls())
+	assert.Assert(t, !s.executed(s.near) && !s.executed(s.far) && s.executed(s.weak))
 }
 
 // TestHomesTakePrecedenceOverRoom guards against a request that leaves its home regions because
@@ -379,7 +390,7 @@
 				s.assertRefused(t, r, "one")
 			}
 			assert.Equal(t, s.network.callCount(methodCoordinate), tt.forwards)
-			assert.Equal(t, s.far.madeCalls(), tt.byFar)
+			assert.Equal(t, s.executed(s.far), tt.byFar)
 		})
 	}
 }
