policy: late requests get a bounded share of the places, shortage by the needs of each route

The wait at upstreams was judged by the shortest objective of one route and the coverage of another.

--- a/tier/pass/gate.go
+++ b/tier/pass/gate.go
@@ -26,7 +26,7 @@
 // demand describes the request to its gate.
 func (q *request) demand() policy.Demand {
 	return policy.Demand{
-		Route: q.route.Name, Rank: q.route.Priority, Caller: q.in.identity.Caller,
+		Route: q.route.Name, Rank: q.route.Priority, Coverage: q.class.Coverage, Caller: q.in.identity.Caller,
 		ObjectiveAt: q.times.startedAt + time.Duration(q.class.Patience) - q.spentBefore, DeadlineAt: q.times.deadline,
 		Spent: q.spentBefore,
 	}
--- a/tier/policy/gate.go
+++ b/tier/policy/gate.go
@@ -22,6 +22,8 @@
 	// minShare bounds the share of the places that a class of requests is expected to get,
 	// since waits are divided by it.
 	minShare = 0.01
+	// maxRunShare bounds the expected time of a run, as a share of the objective.
+	maxRunShare = 0.8
 	// maxGateRoutes is the number of routes of which a gate keeps the time to coverage.
 	maxGateRoutes = 64
 )
@@ -42,6 +44,7 @@
 	returns returnSchedule
 	callers callerLedger
 	order   queueOrder
+	late    lateBudget
 	// inFlight counts the tickets that are admitted and have not left.
 	inFlight int
 	// entered counts all tickets, refused those that were refused.
@@ -185,7 +188,7 @@
 func (g *Gate) Enter(now time.Duration, d Demand) *Ticket {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.room.setRouteObjective(d.Route, d.objective(now))
+	g.room.setRouteNeed(d.Route, routeNeed{objective: d.objective(now), coverage: d.Coverage})
 	g.tick(now)
 	g.admitWaiting(now)
 	t := g.newTicket(now, d)
@@ -196,6 +199,10 @@
 		return t
 	}
 	g.queue.counts(d.Rank).arrived.add(now, rankWindow, 1)
+	g.late.earn(now, g.throughput())
+	if g.inTime(now, t) {
+		g.late.inTimeAt = now
+	}
 	t.outlook = g.judge(now, t)
 	switch t.outlook.Decision {
 	case DecisionRun:
@@ -313,7 +320,7 @@
 
 // judge decides about a request that is not in the queue.
 func (g *Gate) judge(now time.Duration, t *Ticket) Outlook {
-	if g.queue.len() == 0 && g.hasPlace() {
+	if g.mayRun(now, t) {
 		return Outlook{Decision: DecisionRun}
 	}
 	t.overShare = t.demand.Caller.IsValid() && g.callers.overShare(now, t.demand.Caller)
@@ -324,6 +331,18 @@
 	return g.judgeLate(now, t)
 }
 
+// mayRun reports whether a request that is not in the queue may run at once. One that can
+// meet its objective goes before late ones that wait for their share.
+func (g *Gate) mayRun(now time.Duration, t *Ticket) bool {
+	if !g.hasPlace() {
+		return false
+	}
+	if g.inTime(now, t) {
+		return g.queue.firstInTime() < 0
+	}
+	return g.queue.len() == 0 && g.late.allowed(now)
+}
+
 // judgeLate decides about a late request that is not in the queue.
 func (g *Gate) judgeLate(now time.Duration, t *Ticket) Outlook {
 	o := g.expectWait(now, t, true)
@@ -369,14 +388,22 @@
 
 // inTime reports whether a request that starts at a time is expected to meet its objective.
 func (g *Gate) inTime(startAt time.Duration, t *Ticket) bool {
-	return startAt+g.expectedRun(t.demand.Route) <= t.demand.ObjectiveAt
+	return startAt+g.runTime(t) <= t.demand.ObjectiveAt
+}
+
+// runTime returns the expected time of the run of a request. It is at most
+// maxRunShare of the objective: with a longer one, all requests would count as late, and
+// none would run in time from which the estimate could recover.
+func (g *Gate) runTime(t *Ticket) time.Duration {
+	objective := t.demand.objective(t.enteredAt)
+	return min(g.expectedRun(t.demand.Route), time.Duration(maxRunShare*float64(objective)))
 }
 
 // waitUntil returns until when a request may wait to meet its objective. While the queue of
 // its rank stands, that is half of the time until it would have to start: a long queue
 // serves no more requests than a short one, but later.
 func (g *Gate) waitUntil(now time.Duration, t *Ticket, ahead int) time.Duration {
-	startBy := t.demand.ObjectiveAt - g.expectedRun(t.demand.Route)
+	startBy := t.demand.ObjectiveAt - g.runTime(t)
 	if ahead == 0 || !g.queue.counts(t.demand.Rank).standing(now) {
 		return startBy
 	}
@@ -450,6 +477,13 @@
 func (g *Gate) admitWaiting(now time.Duration) {
 	for g.queue.len() > 0 && g.hasPlace() {
 		t := g.queue.next(now)
+		if t.late && g.limited() && !g.late.allowed(now) {
+			i := g.queue.firstInTime()
+			if i < 0 {
+				break
+			}
+			t = g.queue.waiting[i]
+		}
 		g.queue.remove(t)
 		switch {
 		case !t.late && !g.inTime(now, t):
@@ -480,6 +514,9 @@
 // admitLimited admits a request while there is a limit.
 func (g *Gate) admitLimited(now time.Duration, t *Ticket) {
 	g.queue.counts(t.demand.Rank).count(now, t)
+	if t.late || !g.inTime(now, t) {
+		g.late.spend()
+	}
 	if t.demand.Caller.IsValid() {
 		g.callers.admitted(now, t.demand.Caller)
 	}
--- a/tier/policy/gatequeue.go
+++ b/tier/policy/gatequeue.go
@@ -207,6 +207,12 @@
 	return q.waiting[i]
 }
 
+// firstInTime returns the index of the first ticket that can meet its objective, or -1 if
+// there is none.
+func (q *gateQueue) firstInTime() int {
+	return slices.IndexFunc(q.waiting, func(t *Ticket) bool { return !t.late })
+}
+
 // firstLate returns the index of the first late ticket, or 0 if there is none.
 func (q *gateQueue) firstLate() int {
 	found := 0
--- a/tier/policy/overload.go
+++ b/tier/policy/overload.go
@@ -22,6 +22,8 @@
 	Route string
 	// Rank is the priority of the route; 0 is the most urgent.
 	Rank int
+	// Coverage is the share of the parts, 0 to 1, that an answer needs; 0 if unknown.
+	Coverage float64
 	// Caller is the address of the caller; the zero value if unknown.
 	Caller netip.Addr
 	// ObjectiveAt is when an answer loses its full worth, DeadlineAt when the answer is due.
--- a/tier/policy/pressure.go
+++ b/tier/policy/pressure.go
@@ -160,14 +160,14 @@
 }
 
 // short returns the sign of a shortage, or "" if there is none.
-func (s *roomPressure) short(now, objective, service time.Duration) ShortageReason {
-	if s.calls < minPressureCalls || objective == 0 {
+func (s *roomPressure) short(now time.Duration, need routeNeed, service time.Duration) ShortageReason {
+	if s.calls < minPressureCalls || need.objective == 0 {
 		return ""
 	}
 	known := 0
 	without := map[ShortageReason]int{}
 	for i := range s.parts {
-		reason, ok := s.parts[i].short(now, objective, service)
+		reason, ok := s.parts[i].short(now, need.objective, service)
 		if !ok {
 			continue
 		}
@@ -177,7 +177,7 @@
 		}
 	}
 	queues, all := without[ShortageQueues], without[ShortageQueues]+without[ShortageShed]
-	spare := (1 - cmp.Or(s.coverage, 1)) * float64(known)
+	spare := (1 - cmp.Or(need.coverage, s.coverage, 1)) * float64(known)
 	switch {
 	case float64(queues) > spare:
 		return ShortageQueues
--- a/tier/policy/pressure_test.go
+++ b/tier/policy/pressure_test.go
@@ -77,7 +77,7 @@
 					}
 				}
 			}
-			assert.Equal(t, s.short(now+tt.age, 300*ms, 20*ms), tt.want)
+			assert.Equal(t, s.short(now+tt.age, routeNeed{objective: 300 * ms}, 20*ms), tt.want)
 		})
 	}
 }
@@ -86,10 +86,10 @@
 func TestPressureNeedsCalls(t *testing.T) {
 	var s roomPressure
 	for range minPressureCalls {
-		assert.Equal(t, s.short(time.Second, time.Millisecond, time.Millisecond), ShortageReason(""))
+		assert.Equal(t, s.short(time.Second, routeNeed{objective: time.Millisecond}, time.Millisecond), ShortageReason(""))
 		s.observe(time.Second, &CallEnd{Upstream: "U", Outcome: CallOK, Load: Load{Waiting: 9, Slots: 1}, Took: time.Second})
 	}
-	assert.Equal(t, s.short(time.Second, time.Millisecond, time.Millisecond), ShortageQueues)
+	assert.Equal(t, s.short(time.Second, routeNeed{objective: time.Millisecond}, time.Millisecond), ShortageQueues)
 }
 
 // TestPressureForgetsUpstreams guards against growing memory while upstreams come and go.
--- a/tier/policy/room.go
+++ b/tier/policy/room.go
@@ -49,8 +49,8 @@
 	whole int
 	// objective is the tightest objective of the requests seen; 0 if none was.
 	objective time.Duration
-	// byRoute is the objective of each route, as far as known.
-	byRoute map[string]time.Duration
+	// byRoute has what the requests of each route need, as far as known.
+	byRoute map[string]routeNeed
 	// service is the smoothed service time of a call, without its wait at the upstream;
 	// callTime includes the wait.
 	service, callTime time.Duration
@@ -97,20 +97,30 @@
 	}
 }
 
-// setRouteObjective records the objective of a request of a route. The longest one seen is
-// that of the route: what a request has left when it arrives may be less, for example after
-// this host was paused, and does not make queues a shortage.
-func (r *roomLimit) setRouteObjective(route string, o time.Duration) {
-	if o <= r.byRoute[route] {
+// routeNeed is what the requests of a route need.
+type routeNeed struct {
+	// objective is the longest time that a request had for its objective.
+	objective time.Duration
+	// coverage is the share of the parts, 0 to 1, that an answer needs; 0 if unknown.
+	coverage float64
+}
+
+// setRouteNeed records what a request of a route needs. The longest objective seen is that
+// of the route: what a request has left when it arrives may be less, for example after this
+// host was paused, and does not make queues a shortage.
+func (r *roomLimit) setRouteNeed(route string, n routeNeed) {
+	known := r.byRoute[route]
+	if n.objective <= known.objective && n.coverage == known.coverage {
 		return
 	}
-	if r.byRoute == nil {
-		r.byRoute = map[string]time.Duration{}
+	if r.byRoute == nil || len(r.byRoute) >= maxGateRoutes {
+		r.byRoute = map[string]routeNeed{}
 	}
-	r.byRoute[route] = o
+	n.objective = max(n.objective, known.objective)
+	r.byRoute[route] = n
 	r.objective = 0
-	for _, o := range r.byRoute {
-		r.setObjective(o)
+	for _, other := range r.byRoute {
+		r.setObjective(other.objective)
 	}
 }
 
@@ -265,8 +275,10 @@
 
 // short returns the sign of a shortage, or "" if there is none.
 func (r *roomLimit) short(now time.Duration) ShortageReason {
-	if reason := r.pressure.short(now, r.objective, r.service); reason != "" {
-		return reason
+	for _, n := range r.byRoute {
+		if reason := r.pressure.short(now, n, r.service); reason != "" {
+			return reason
+		}
 	}
 	return r.hostShort()
 }
--- a/tier/policy/room_test.go
+++ b/tier/policy/room_test.go
@@ -144,7 +144,7 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			r := newRoomLimit(4)
-			r.setRouteObjective("Find", objective)
+			r.setRouteNeed("Find", routeNeed{objective: objective})
 			for now := time.Duration(0); now < time.Second; now += 10 * time.Millisecond {
 				r.observe(now, CallEnd{Upstream: "U", Outcome: CallOK, Took: tt.call})
 				r.observeEnd(now, tt.inFlight, Completion{Took: tt.took, Covered: tt.covered}, objective)
@@ -161,7 +161,7 @@
 func TestShortageStartsAndEnds(t *testing.T) {
 	const ms = time.Millisecond
 	r := newRoomLimit(4)
-	r.setRouteObjective("Find", 100*ms)
+	r.setRouteNeed("Find", routeNeed{objective: 100*ms})
 	busy := CallEnd{Upstream: "U", Outcome: CallOK, Load: Load{Running: 2, Waiting: 8, Slots: 2}, Took: 100 * ms}
 	now := time.Duration(0)
 	step := func(inFlight int, used bool) {
@@ -210,11 +210,11 @@
 // left lowers for good.
 func TestObjectiveOfPausedHost(t *testing.T) {
 	r := newRoomLimit(1)
-	r.setRouteObjective("Find", 300*time.Millisecond)
-	r.setRouteObjective("Find", -time.Second)
-	r.setRouteObjective("Find", time.Millisecond)
+	r.setRouteNeed("Find", routeNeed{objective: 300*time.Millisecond})
+	r.setRouteNeed("Find", routeNeed{objective: -time.Second})
+	r.setRouteNeed("Find", routeNeed{objective: time.Millisecond})
 	assert.Equal(t, r.objective, 300*time.Millisecond)
-	r.setRouteObjective("Get", 120*time.Millisecond)
+	r.setRouteNeed("Get", routeNeed{objective: 120*time.Millisecond})
 	assert.Equal(t, r.objective, 120*time.Millisecond)
 	r.setObjective(-time.Second)
 	assert.Equal(t, r.objective, 120*time.Millisecond)
--- a/tier/policy/shortage_model_test.go
+++ b/tier/policy/shortage_model_test.go
@@ -252,7 +252,7 @@
 		h.fleet.Apply(0, shares)
 		h.replicas = h.fleet.Resolve(names)
 		h.room = newRoomLimit(2 * c.slots * c.replicas / c.hosts)
-		h.room.setRouteObjective(route.Name, c.objective)
+		h.room.setRouteNeed(route.Name, routeNeed{objective: c.objective})
 		h.room.limit = c.startLimit
 		h.room.setWhole()
 		m.hosts = append(m.hosts, h)
