--- a/tier/pass/relay_client.go
+++ b/tier/pass/relay_client.go
@@ -29,6 +29,10 @@
 	firstReplyMargin = 4 * time.Millisecond
 	// minFirstReplyDelay is the minimum time that the calls have until the first reply.
 	minFirstReplyDelay = 5 * time.Millisecond
+	// shortageReportDivisor divides the objective to get the interval at which a relay reports
+	// during a shortage. A gather holds its place until enough parts are known here; while
+	// relays held back the parts that had ended, it took about twice as long as its calls.
+	shortageReportDivisor = 8
 	// progressBacklog limits the progress messages of a batch that are not handled yet.
 	progressBacklog = 64
 	// progressGrace limits the wait for progress messages that were sent before the last
@@ -133,6 +137,7 @@
 		in.Loads = true
 		if q.gate.Shortage(now) {
 			in.Rank, in.ObjectiveMillis = q.route.Priority, q.objectiveMillis(now)
+			in.ReportMillis = max(time.Duration(q.route.Objective).Milliseconds()/shortageReportDivisor, 1)
 		}
 	}
 	if !e.relay.fullRecordRoutes.enabled(q.route.Name, now) {
--- a/tier/pass/relay_messages.go
+++ b/tier/pass/relay_messages.go
@@ -43,6 +43,9 @@
 	// FirstMillis is the time until the first reply is due, in milliseconds; with 0, each
 	// call is reported as it ends.
 	FirstMillis int64
+	// ReportMillis is the interval at which calls that have ended are reported before the
+	// first reply is due, in milliseconds; 0 for none. The sender sets it during a shortage.
+	ReportMillis int64 `json:",omitempty"`
 	// DeadlineMillis is the time until the calls are cancelled, in milliseconds.
 	DeadlineMillis int64
 	// Rank and ObjectiveMillis are the priority of the request and the time until it loses
--- a/tier/pass/relay_server.go
+++ b/tier/pass/relay_server.go
@@ -38,6 +38,8 @@
 	// startedAt is when the calls began, firstDueAt when the first reply is due, and deadline
 	// when the calls are cancelled.
 	startedAt, firstDueAt, deadline time.Duration
+	// reportInterval is batchRequest.ReportMillis.
+	reportInterval time.Duration
 	// cancel cancels all calls.
 	cancel context.CancelFunc
 
@@ -131,7 +133,8 @@
 	b := &servedBatch{
 		engine: e, in: in, identity: e.identityOf(in), cancel: cancel,
 		startedAt: now, firstDueAt: now + min(time.Duration(in.FirstMillis)*time.Millisecond, left), deadline: now + left,
-		unreported: unreported{merger: merger{top: in.Top}}, openCalls: len(in.Upstreams), calls: map[int]*servedCall{},
+		reportInterval: time.Duration(in.ReportMillis) * time.Millisecond,
+		unreported:     unreported{merger: merger{top: in.Top}}, openCalls: len(in.Upstreams), calls: map[int]*servedCall{},
 		finished: make(chan struct{}), changed: make(chan struct{}, 1),
 	}
 	e.relay.served.add(in.ID, b)
@@ -296,14 +299,16 @@
 }
 
 // waitUntilDue waits until a reply is due: when all calls have ended; when the first reply
-// is due; soon after a call has failed, so that another upstream can be called; and, once
+// is due; soon after a call has failed, so that another upstream can be called; once
 // the first reply was due, soon after any call has ended, so that one call that hangs does
-// not delay the others.
+// not delay the others; and before that at each report interval, if any call has ended.
 func (b *servedBatch) waitUntilDue(now time.Duration) {
 	firstDuePassed := now >= b.firstDueAt
 	until := b.firstDueAt
 	if firstDuePassed {
 		until = b.deadline
+	} else if b.reportInterval > 0 {
+		until = min(until, now+b.reportInterval)
 	}
 	timer := time.NewTimer(until - now)
 	defer timer.Stop()
@@ -312,7 +317,12 @@
 		case <-b.finished:
 			return
 		case <-timer.C:
-			return
+			now = b.engine.kernel.Now()
+			if firstDuePassed || now >= b.firstDueAt || b.hasUnreported() {
+				return
+			}
+			until = min(b.firstDueAt, now+b.reportInterval)
+			timer.Reset(until - now)
 		case <-b.changed:
 			now = b.engine.kernel.Now()
 			b.mu.Lock()
@@ -326,6 +336,13 @@
 	}
 }
 
+// hasUnreported reports whether a call has ended that was not reported.
+func (b *servedBatch) hasUnreported() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.unreported.calls) > 0
+}
+
 // notDelivered reports whether an error proves that a message did not reach its host and so
 // had no effect there.
 func notDelivered(err error) bool { return errors.Is(err, peers.ErrNoPeer) }
