--- a/tier/policy/gate.go
+++ b/tier/policy/gate.go
@@ -23,7 +23,7 @@
 	// since waits are divided by it.
 	minShare = 0.01
 	// maxRunShare bounds the expected time of a run, as a share of the objective.
-	maxRunShare = 0.8
+	maxRunShare = 0.93
 	// maxGateRoutes is the number of routes of which a gate keeps the time to coverage.
 	maxGateRoutes = 64
 )
