--- a/tier/pass/gates.go
+++ b/tier/pass/gates.go
@@ -17,7 +17,7 @@
 	// placesPerSlot is the number of requests that have room for each slot of a shard. A
 	// gather holds the slot of a shard for a part of its time only, until its slowest parts
 	// arrive, so with one request for each slot most slots would be idle.
-	placesPerSlot = 2
+	placesPerSlot = 4
 	// baseMaxAge is how long a host's share of the places is used before it is computed
 	// again from the directory and the members.
 	baseMaxAge = time.Second
