pass: Retry-After of a gate's refusal is sent as the gate assigned it

Cause: refuse extends each time by up to a half. Change: refuseAtGate sends the time unchanged. Result: TestRefusalByGateIsExplained fails with refuse (0.037 instead of 0.030) and passes now.

--- a/tier/pass/gate.go
+++ b/tier/pass/gate.go
@@ -89,7 +89,7 @@
 		q.log(outcomeCancelled, 0).Msg("request cancelled by caller")
 		return false
 	case refusal != nil:
-		q.refuse(w, refusal.Reason, refusal.RetryAfter)
+		q.refuseAtGate(w, refusal)
 		return false
 	}
 	return true
--- a/tier/pass/gate_report_test.go
+++ b/tier/pass/gate_report_test.go
@@ -82,18 +82,19 @@
 	q := newReportedGate(h, "Explained", 2)
 	q.recordDecision(policy.Outlook{Decision: policy.DecisionLate, Wait: 1500 * time.Millisecond, Ahead: 7}, true, h.kernel.Now()-time.Second)
 	w := httptest.NewRecorder()
-	q.refuse(w, "no capacity", 30*time.Millisecond)
+	q.refuseAtGate(w, &policy.Refusal{Reason: "no capacity", RetryAfter: 30 * time.Millisecond})
 
 	assert.Equal(t, w.Code, http.StatusServiceUnavailable)
+	assert.Equal(t, w.Header().Get("Retry-After"), "0.030", "the gate's time is not changed")
 	var line map[string]any
 	assert.NilError(t, json.Unmarshal([]byte(log.String()), &line), "%s", log.String())
 	for name, want := range map[string]any{
 		"Reason": "no capacity", "Decision": "Refuse", "Rank": 2.0, "Ahead": 7.0, "Places": 0.0, "InFlight": 0.0, "ExpectedWaitMillis": 1500.0,
+		"RetryMillis": 30.0,
 	} {
 		assert.Equal(t, line[name], want, "%s in %v", name, line)
 	}
 	assert.Assert(t, line["WaitedMillis"].(float64) >= 1000, "%v", line)
-	assert.Assert(t, line["RetryMillis"] != nil, "%v", line)
 	assert.DeepEqual(t, metricLines(`loomgap_gate_decisions_total{Route="Explained"`),
 		[]string{`loomgap_gate_decisions_total{Route="Explained",Decision="Refuse"} 1`})
 
--- a/tier/pass/refuse.go
+++ b/tier/pass/refuse.go
@@ -13,11 +13,12 @@
 //
 //	retryAfterNoConfig         there is no configuration yet
 //	the remaining quarantine   the request is quarantined
-//	policy.Refusal             the run was not admitted
+//	policy.Refusal             the gate or the run did not admit the request
 //	retryAfterNoUpstream       too few groups have an upstream
 //	retryAfterUpstreams        calls were made, and no upstream ran any
 //
-// refuse adds jitter to each of them.
+// refuse adds jitter to each of them. refuseAtGate does not, since the gate assigns the times
+// one after the other with a jitter of its own.
 const (
 	// retryAfterNoConfig applies on a host without a configuration, which reads the
 	// platform as soon as it starts.
@@ -58,7 +59,16 @@
 // refuse responds that the request did not run and may be retried after the given time,
 // extended by jitter.
 func (q *request) refuse(w http.ResponseWriter, reason string, after time.Duration) {
-	after += rand.N(time.Duration(retryAfterJitter * float64(after)))
+	q.respondNotRun(w, reason, after+rand.N(time.Duration(retryAfterJitter*float64(after))))
+}
+
+// refuseAtGate responds that the gate refused the request.
+func (q *request) refuseAtGate(w http.ResponseWriter, r *policy.Refusal) {
+	q.respondNotRun(w, r.Reason, r.RetryAfter)
+}
+
+// respondNotRun responds that the request did not run and may be retried after the given time.
+func (q *request) respondNotRun(w http.ResponseWriter, reason string, after time.Duration) {
 	q.log(outcomeNotRun, http.StatusServiceUnavailable).Str("Reason", reason).
 		Int64("RetryMillis", after.Milliseconds()).Msg("request refused")
 	w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
