soak: most callers of an overload honor Retry-After

Change: they pause for 5 ms, two thirds of them honor Retry-After, and there are eight times as many callers instead of five, so that gates refuse.

--- a/loomfake/soakcaller.go
+++ b/loomfake/soakcaller.go
@@ -84,7 +84,7 @@
 			c.close()
 			c.host = (c.host + c.step) % len(s.hosts)
 		}
-		sleepContext(ctx, c.pause)
+		sleepContext(ctx, max(c.pause, c.retryAfter(&req)))
 	}
 }
 
@@ -95,6 +95,8 @@
 	host, step int
 	// pause is the time between an answer and the next request.
 	pause time.Duration
+	// honorsRetryAfter is true if the caller waits as long as a refusal says.
+	honorsRetryAfter bool
 	// conn is nil while there is no connection; reader reads from it.
 	conn   net.Conn
 	reader *bufio.Reader
@@ -102,6 +104,18 @@
 	generation int
 }
 
+// retryAfter returns how long the caller waits because of the answer to a request.
+func (c *caller) retryAfter(req *soakRequest) time.Duration {
+	if !c.honorsRetryAfter || req.status != http.StatusServiceUnavailable {
+		return 0
+	}
+	seconds, err := strconv.ParseFloat(req.header.Get("Retry-After"), 64)
+	if err != nil {
+		return 0
+	}
+	return time.Duration(seconds * float64(time.Second))
+}
+
 func (c *caller) connect(h *soakHost) error {
 	if c.conn != nil {
 		return nil
--- a/loomfake/soakload.go
+++ b/loomfake/soakload.go
@@ -11,8 +11,13 @@
 // Overload of a soak.
 const (
 	// soakSurgeFactor is the number of callers during an overload, as a multiple of the
-	// normal one. The additional callers do not pause between requests.
-	soakSurgeFactor = 5
+	// normal one.
+	soakSurgeFactor = 8
+	// soakSurgePause is the pause of the additional callers between an answer and the next
+	// request. Without any, a host that starts refuses thousands of requests in a second.
+	soakSurgePause = 5 * time.Millisecond
+	// soakImpatientEvery is the number of additional callers of which one ignores Retry-After.
+	soakImpatientEvery = 3
 	// soakSurgeService is the service time of a request at an upstream during an overload. The
 	// slots are then in use, although the additional callers wait for their answers.
 	soakSurgeService = 40 * time.Millisecond
@@ -67,7 +72,7 @@
 	defer s.serviceTime.Store(0)
 	var callers sync.WaitGroup
 	for i := range (soakSurgeFactor - 1) * s.Callers {
-		c := &caller{host: (kind.first + i*kind.step) % len(s.hosts), step: kind.step}
+		c := &caller{host: (kind.first + i*kind.step) % len(s.hosts), step: kind.step, pause: soakSurgePause, honorsRetryAfter: i%soakImpatientEvery > 0}
 		callers.Go(func() { s.runCaller(ctx, c) })
 	}
 	callers.Wait()
