replay: routed gathers under overload through the real gate

Cause: nothing measured the gate in virtual time before it runs on hosts.

Change: a site of routed requests with several coordinators, whose upstreams report their load, and callers that retry. Connections closed by cancelled calls take time to open again.

--- a/tier/replay/call.go
+++ b/tier/replay/call.go
@@ -22,6 +22,10 @@
 	// execution is the execution that the call belongs to; nil for the inner call of a
 	// relayed one.
 	execution *execution
+	// connectTime is the time to open the connection of the call; 0 for an idle one.
+	connectTime time.Duration
+	// load is the load that the upstream reported with its answer; zero if there is none.
+	load policy.Load
 	// inner is the call that the owner of the upstream makes for a relayed call; nil for
 	// others.
 	inner *call
@@ -30,11 +34,15 @@
 }
 
 func (k *call) start() {
-	k.world.after(k.delay, func() { k.upstream.arrive(k) })
+	k.world.after(k.connectTime+k.delay, func() { k.upstream.arrive(k) })
 }
 
 func (k *call) reply(o policy.CallOutcome) {
-	k.world.after(k.delay, func() { k.finish(o) })
+	load := k.upstream.load()
+	k.world.after(k.delay, func() {
+		k.load = load
+		k.finish(o)
+	})
 }
 
 func (k *call) finish(o policy.CallOutcome) {
--- a/tier/replay/case.go
+++ b/tier/replay/case.go
@@ -80,9 +80,14 @@
 	// delay is the one-way network delay between host and upstream, relayDelay the
 	// one between two hosts.
 	delay, relayDelay time.Duration
-	capacity          capacity
-	faults            faults
-	loads             []load
+	// connectTime is the time to open a connection. A cancelled call closes its
+	// connection.
+	connectTime time.Duration
+	// reportLoad makes upstreams report their load with each answer.
+	reportLoad bool
+	capacity   capacity
+	faults     faults
+	loads      []load
 }
 
 // slotsOf returns the number of an upstream's slots that belong to a host.
--- a/tier/replay/execution.go
+++ b/tier/replay/execution.go
@@ -23,6 +23,10 @@
 	// onEnd, if not nil, receives the answer and the time it took. The answer is nil
 	// if the request was refused.
 	onEnd func(answer *policy.Result, took time.Duration)
+	// onMerge, if not nil, is called for each part that is included in the answer.
+	onMerge func()
+	// onCall, if not nil, receives how each call ended.
+	onCall func(o policy.CallOutcome, l policy.Load, took time.Duration)
 }
 
 // neverWake is the wakeAt of a finished execution.
@@ -84,6 +88,10 @@
 			e.calls[a.Attempt].linger(a.Outcome, policy.LingerDuration)
 		case policy.ActionReleaseSlot:
 			policy.NotifyGranted(e.host.fleet.ReleaseSlot(w.now, a.Upstream))
+		case policy.ActionMerge:
+			if e.onMerge != nil {
+				e.onMerge()
+			}
 		case policy.ActionFinish:
 			e.finish()
 		default:
@@ -114,15 +122,13 @@
 	w := e.host.world
 	index := w.upstreamIndices[a.Upstream.Name]
 	sent := w.now
-	k := &call{world: w, upstream: w.upstreams[index], delay: w.site.delay(e.host, index), execution: e}
+	k := &call{world: w, upstream: w.upstreams[index], delay: w.site.delay(e.host, index), execution: e, connectTime: e.host.takeConnection(index)}
 	e.host.fleet.RecordSent(sent, a.Upstream)
 	k.done = func(o policy.CallOutcome) {
-		w.site.process(e.host, func() {
-			policy.NotifyGranted(e.host.fleet.Finish(w.now, policy.Call{
-				Upstream: a.Upstream, Pool: a.Pool, Outcome: o, Took: w.now - sent, Lingering: k.lingering,
-			}))
-			e.perform(e.run.Reply(w.now, a.Attempt, o))
-		})
+		if !k.cancelled {
+			e.host.returnConnection(index)
+		}
+		w.site.process(e.host, func() { e.endCall(k, a, o, w.now-sent) })
 	}
 	e.calls[a.Attempt] = k
 	owner := w.hosts[index%len(w.hosts)]
@@ -132,3 +138,15 @@
 	}
 	k.start()
 }
+
+// endCall records how a call ended and passes its outcome to the run.
+func (e *execution) endCall(k *call, a policy.Action, o policy.CallOutcome, took time.Duration) {
+	now := e.host.world.now
+	policy.NotifyGranted(e.host.fleet.Finish(now, policy.Call{
+		Upstream: a.Upstream, Pool: a.Pool, Outcome: o, Took: took, Lingering: k.lingering, Load: k.load,
+	}))
+	if e.onCall != nil {
+		e.onCall(o, k.load, took)
+	}
+	e.perform(e.run.Reply(now, a.Attempt, o))
+}
--- /dev/null
+++ b/tier/replay/overload_site_test.go
@@ -0,0 +1,352 @@
+package replay
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"loomgap/tier/config"
+	"loomgap/tier/policy"
+)
+
+// overloadRoute is a route with its normal traffic.
+type overloadRoute struct {
+	config.Route
+	// rate is the number of requests per second at normal traffic.
+	rate float64
+	// service is the mean service time of one part.
+	service time.Duration
+}
+
+// overloadParams describes a case of routed requests under load.
+type overloadParams struct {
+	control policy.OverloadControl
+	routes  []overloadRoute
+	// traffic returns the multiple of the normal traffic during the load.
+	traffic func(route, hall int) float64
+	// slow makes three in ten upstreams three times slower during the load.
+	slow bool
+	// eagerOneIn makes one caller in n retry immediately; 0 for none.
+	eagerOneIn int
+}
+
+// Size of the modelled deployment. The load on a shard does not depend on the number of
+// shards. With 20 shards an answer with a coverage of 0.95 may lack one.
+const (
+	overloadHalls    = 3
+	overloadHosts    = 6
+	overloadShards   = 20
+	overloadReplicas = 3
+	overloadSlots    = 2
+	overloadBacklog  = 12
+	// overloadConnections is the number of connections that an upstream accepts from all
+	// hosts.
+	overloadConnections = 58
+)
+
+// Times of a case. Hosts learn the latencies at normal traffic before the load starts.
+const (
+	loadFrom     = 2 * time.Second
+	loadUntil    = 7 * time.Second
+	overloadTail = 3 * time.Second
+)
+
+const (
+	// placesPerSlot is the number of places per slot, as in package pass.
+	placesPerSlot = 2
+	// callerDelay is the one-way network delay between callers and hosts.
+	callerDelay = 3 * time.Millisecond
+	// slowdown is how many times slower a slow upstream is.
+	slowdown = 3
+	// serviceSigma is the standard deviation of the logarithm of service times.
+	serviceSigma = 0.35
+)
+
+// arrivalStream is the second word of the PCG seed of the arrivals.
+const arrivalStream = 43
+
+// peak returns the highest multiple of the normal traffic of a route.
+func (p *overloadParams) peak(route int) float64 {
+	out := 1.0
+	for i := range overloadHalls {
+		out = max(out, p.traffic(route, i))
+	}
+	return out
+}
+
+// setup returns the case.
+func (p *overloadParams) setup(name string) Case {
+	c := Case{
+		Name: name, Seed: 1, duration: loadUntil + overloadTail, hosts: overloadHosts, shards: overloadShards, replicas: overloadReplicas,
+		capacity: capacity{slots: overloadSlots, backlog: overloadBacklog, serviceTime: time.Millisecond, sigma: serviceSigma},
+		delay:    250 * time.Microsecond, connectTime: 6 * time.Millisecond, reportLoad: true,
+	}
+	for i := range p.routes {
+		r := &p.routes[i]
+		c.loads = append(c.loads, load{class: r.Class(), shards: overloadShards, rate: r.rate * p.peak(i)})
+	}
+	return c
+}
+
+// runOverload replays a case.
+func runOverload(t *testing.T, name string, p overloadParams) *overloadReport {
+	t.Helper()
+	s := &overloadSite{params: &p, report: newOverloadReport(name, &p)}
+	w, err := newWorld(p.setup(name), func(w *world) site {
+		s.routedSite = routedSite{
+			classSite: classSite{w}, states: make([]upstreamState, overloadShards*overloadReplicas),
+			routed: &routedParams{
+				halls: overloadHalls, farDelay: 8 * time.Millisecond, ratio: 0.2, slack: 45, window: 10 * time.Second,
+				connections: overloadConnections / overloadHosts,
+			},
+		}
+		return s
+	})
+	assert.NilError(t, err)
+	w.arrivals = rand.New(rand.NewPCG(w.config.Seed, arrivalStream))
+	w.run()
+	for _, h := range w.hosts {
+		s.report.newConnections += h.newConnections
+	}
+	return s.report
+}
+
+// overloadSite is a site whose callers ask for gathers of several routes. Each host has a
+// gate, unless control is off.
+type overloadSite struct {
+	routedSite
+	params *overloadParams
+	// gates holds the gates of the hosts, by index; empty without control.
+	gates []*policy.Gate
+	// waiting holds the attempts at each gate that are not decided yet, by host index.
+	waiting [overloadHosts][]*gatedAttempt
+	report  *overloadReport
+}
+
+var _ site = (*overloadSite)(nil)
+
+func (s *overloadSite) setUpHost(h *host) {
+	s.routedSite.setUpHost(h)
+	if s.params.control == policy.OverloadNone {
+		return
+	}
+	base := max(placesPerSlot*overloadReplicas*overloadSlots/overloadHosts, 1)
+	s.gates = append(s.gates, policy.NewGate(policy.GateConfig{Base: base}))
+}
+
+// isSlow reports whether an upstream is slow during the load: one of each shard, except in
+// every tenth shard, and each time in the next hall.
+func isSlow(upstream int) bool {
+	shard := upstream / overloadReplicas
+	return shard%10 != 9 && upstream%overloadReplicas == shard%overloadReplicas
+}
+
+func (s *overloadSite) underLoad() bool {
+	return s.world.now >= loadFrom && s.world.now < loadUntil
+}
+
+// accept drops cancelled calls from the queue, whose connections are closed.
+func (s *overloadSite) accept(u *upstream, _ *call) bool {
+	kept := u.backlog[:0]
+	for _, k := range u.backlog {
+		if !k.cancelled {
+			kept = append(kept, k)
+		}
+	}
+	u.backlog = kept
+	return true
+}
+
+// startCall runs a call for the service time of its route.
+func (s *overloadSite) startCall(u *upstream, k *call) bool {
+	w := s.world
+	mean := float64(s.params.routes[k.execution.load].service)
+	if s.params.slow && s.underLoad() && isSlow(u.index) {
+		mean *= slowdown
+	}
+	took := mean * math.Exp(serviceSigma*w.random.NormFloat64()-serviceSigma*serviceSigma/2)
+	w.after(time.Duration(took), func() {
+		if k.holdsSlot {
+			k.holdsSlot = false
+			u.release(k)
+			k.reply(policy.CallOK)
+		}
+	})
+	return false
+}
+
+// gatedAttempt is an attempt of a caller at a host.
+type gatedAttempt struct {
+	request   *overloadRequest
+	host      *host
+	arrivedAt time.Duration
+	// deadline is when the host must answer.
+	deadline time.Duration
+	// ticket is nil without control.
+	ticket *policy.Ticket
+	// admittedAt is when the attempt was admitted, left is true once its place is free.
+	admittedAt time.Duration
+	left       bool
+}
+
+func (s *overloadSite) gate(h *host) *policy.Gate {
+	if len(s.gates) == 0 {
+		return nil
+	}
+	return s.gates[h.index]
+}
+
+// arrive passes an attempt through the gate of its host.
+func (s *overloadSite) arrive(a *gatedAttempt) {
+	w, g := s.world, s.gate(a.host)
+	a.arrivedAt = w.now
+	if g == nil {
+		s.startAttempt(a)
+		return
+	}
+	r := &s.params.routes[a.request.route]
+	spent := w.now - callerDelay - a.request.askedAt
+	a.ticket = g.Enter(w.now, policy.Demand{
+		Route: r.Name, Rank: r.Priority, Caller: a.request.caller.address,
+		ObjectiveAt: w.now + time.Duration(r.Class().Patience) - spent, DeadlineAt: a.deadline, Spent: spent,
+	})
+	s.waiting[a.host.index] = append(s.waiting[a.host.index], a)
+	s.settle(a.host)
+	s.scheduleCheck(a)
+}
+
+// minCheckInterval is the shortest time between two checks of an attempt that waits.
+const minCheckInterval = time.Millisecond
+
+// scheduleCheck checks an attempt that waits when its ticket asks for it, and at its
+// deadline at the latest.
+func (s *overloadSite) scheduleCheck(a *gatedAttempt) {
+	if a.decided() {
+		return
+	}
+	w, g := s.world, s.gate(a.host)
+	at := min(max(a.ticket.CheckAt(), w.now+minCheckInterval), a.deadline)
+	w.after(at-w.now, func() {
+		if a.decided() {
+			return
+		}
+		g.Check(w.now, a.ticket)
+		if w.now >= a.deadline && !a.decided() {
+			s.abandon(a)
+		}
+		s.settle(a.host)
+		s.scheduleCheck(a)
+	})
+}
+
+func (a *gatedAttempt) decided() bool {
+	select {
+	case <-a.ticket.Decided():
+		return true
+	default:
+		return a.left
+	}
+}
+
+// abandon ends an attempt whose caller left before the gate decided.
+func (s *overloadSite) abandon(a *gatedAttempt) {
+	a.left = true
+	s.gate(a.host).Abandon(s.world.now, a.ticket)
+}
+
+// settle starts or refuses the attempts that the gate of a host has decided. It must be
+// called after each call of the gate.
+func (s *overloadSite) settle(h *host) {
+	var decided, waiting []*gatedAttempt
+	for _, a := range s.waiting[h.index] {
+		if a.decided() {
+			decided = append(decided, a)
+		} else {
+			waiting = append(waiting, a)
+		}
+	}
+	s.waiting[h.index] = waiting
+	for _, a := range decided {
+		s.continueDecided(a)
+	}
+}
+
+func (s *overloadSite) continueDecided(a *gatedAttempt) {
+	now := s.world.now
+	refusal := a.ticket.Refusal()
+	switch {
+	case a.left:
+		s.answer(a, response{kind: responseFailed})
+	case refusal != nil:
+		s.report.countRefusal(a, now)
+		s.answer(a, response{kind: responseRefused, retryAfter: refusal.RetryAfter})
+	default:
+		s.startAttempt(a)
+	}
+}
+
+// leave frees the place of an attempt.
+func (s *overloadSite) leave(a *gatedAttempt, covered bool) {
+	if a.ticket == nil || a.left {
+		return
+	}
+	a.left = true
+	now := s.world.now
+	s.gate(a.host).Leave(now, a.ticket, policy.Completion{Took: now - a.admittedAt, Covered: covered})
+	s.settle(a.host)
+}
+
+// startAttempt starts the run of an attempt.
+func (s *overloadSite) startAttempt(a *gatedAttempt) {
+	w, q, g := s.world, a.request, s.gate(a.host)
+	r := &s.params.routes[q.route]
+	a.admittedAt = w.now
+	run := s.runConfig(a.host, &r.Route, r.Class(), w.now-a.arrivedAt)
+	run.Deadline = a.deadline
+	if g != nil {
+		run.Routed.Shortage = func() bool { return g.Shortage(w.now) }
+	}
+	required, included := r.Gather.Coverage*overloadShards, 0
+	e := a.host.newExecution(q.route, overloadShards)
+	e.onMerge = func() {
+		if included++; float64(included) >= required {
+			s.leave(a, true)
+		}
+	}
+	e.onCall = func(o policy.CallOutcome, l policy.Load, took time.Duration) {
+		s.report.countCall(w.now, o)
+		if g != nil {
+			g.ObserveCall(w.now, o, l, took)
+			s.settle(a.host)
+		}
+	}
+	e.onEnd = func(answer *policy.Result, _ time.Duration) {
+		s.leave(a, false)
+		s.answer(a, responseOf(answer, required))
+	}
+	e.start(run)
+}
+
+// responseOf returns the response for the answer of a run, which is nil if the run was
+// refused.
+func responseOf(answer *policy.Result, required float64) response {
+	switch {
+	case answer == nil:
+		return response{kind: responseRefused}
+	case float64(answer.Included) >= required:
+		return response{kind: responseServed}
+	default:
+		return response{kind: responseFailed}
+	}
+}
+
+// answer returns a response to the caller.
+func (s *overloadSite) answer(a *gatedAttempt, r response) {
+	s.world.after(callerDelay, func() { s.receive(a.request, r) })
+}
+
+func hallName(i int) string { return fmt.Sprint("Hall", i) }
--- a/tier/replay/routed_site_test.go
+++ b/tier/replay/routed_site_test.go
@@ -25,6 +25,9 @@
 	farDelay time.Duration
 	// ratio and slack limit the retries of all hosts at a shard.
 	ratio, slack float64
+	// connections is each host's share of the connections to an upstream; 0 for as many as
+	// the upstream runs and queues calls.
+	connections int
 	// window is the period in which the platform counts retries. With 0 hosts only use
 	// the retries that their requests have earned.
 	window time.Duration
@@ -155,11 +158,15 @@
 
 func (s *routedSite) setUpHost(h *host) {
 	c := &s.world.config
+	connections := s.routed.connections
+	if connections == 0 {
+		connections = c.capacity.slots + c.capacity.backlog
+	}
 	var shares []policy.Share
 	for i := range s.upstreamCount() {
 		hall := s.routed.hall(i)
 		shares = append(shares, policy.Share{
-			Name: upstreamName(i), Slots: c.capacity.slots + c.capacity.backlog, Listed: true,
+			Name: upstreamName(i), Slots: connections, Listed: true,
 			Hall: hall, Near: hall == s.routed.hall(h.index),
 		})
 	}
@@ -276,30 +283,38 @@
 // startGather makes a host run a gather.
 func (s *routedSite) startGather(h *host, g gather) {
 	w, c := s.world, s.routed
-	class := c.class()
 	spent := w.now - g.startedAt + g.returnDelay
-	class.Patience = config.Duration(max(time.Duration(class.Patience)-spent, 0))
-	names, groups := make([][]string, w.config.shards), make([]string, w.config.shards)
-	for i := range names {
-		groups[i] = fmt.Sprint("G", i)
-		for r := range w.config.replicas {
-			names[i] = append(names[i], upstreamName(i*w.config.replicas+r))
-		}
-	}
-	near, far := h.fleet.RoutedLatencyPools(c.route.Name)
 	e := h.newExecution(g.load, w.config.shards)
 	e.startedAt = g.startedAt - g.returnDelay
 	e.onEnd = func(answer *policy.Result, took time.Duration) { s.recordEnd(e, g, answer, took) }
 	if g.request != nil {
 		s.attempts[e] = &attempt{request: g.request}
 	}
-	e.start(policy.RunConfig{
-		Pool: near, Class: &class, Replicas: h.fleet.Resolve(names), Identity: s.identity(g.request),
-		Deadline: w.now + time.Duration(c.route.TimeLimit),
+	run := s.runConfig(h, &c.route, c.class(), spent)
+	run.Identity = s.identity(g.request)
+	run.Deadline = w.now + time.Duration(c.route.TimeLimit)
+	e.start(run)
+}
+
+// runConfig describes a gather of a route over all shards. spent is the time since the
+// gather arrived.
+func (s *routedSite) runConfig(h *host, r *config.Route, class config.Class, spent time.Duration) policy.RunConfig {
+	c := &s.world.config
+	class.Patience = config.Duration(max(time.Duration(class.Patience)-spent, 0))
+	names, groups := make([][]string, c.shards), make([]string, c.shards)
+	for i := range names {
+		groups[i] = fmt.Sprint("G", i)
+		for n := range c.replicas {
+			names[i] = append(names[i], upstreamName(i*c.replicas+n))
+		}
+	}
+	near, far := h.fleet.RoutedLatencyPools(r.Name)
+	return policy.RunConfig{
+		Pool: near, Class: &class, Replicas: h.fleet.Resolve(names),
 		Routed: &policy.RoutedConfig{
-			Groups: groups, FarPool: far, MaxAttempts: c.route.MaxAttempts, Objective: max(time.Duration(c.route.Objective)-spent, 0),
+			Groups: groups, FarPool: far, MaxAttempts: r.MaxAttempts, Objective: max(time.Duration(r.Objective)-spent, 0),
 		},
-	})
+	}
 }
 
 // recordEnd adds the score of a gather's answer and finishes the caller's attempt.
--- a/tier/replay/site.go
+++ b/tier/replay/site.go
@@ -37,14 +37,34 @@
 	fleet *policy.Fleet
 	// pool holds the latencies of requests of a class; nil for routed requests.
 	pool *policy.LatencyPool
+	// idleConnections counts the open connections without a call, by upstream index.
+	idleConnections map[int]int
+	// newConnections counts the connections that the host has opened.
+	newConnections int
 }
 
 func newHost(w *world, index int) *host {
-	h := &host{world: w, index: index, fleet: policy.NewFleet(policy.FleetConfig{Random: w.random})}
+	h := &host{
+		world: w, index: index, fleet: policy.NewFleet(policy.FleetConfig{Random: w.random}), idleConnections: map[int]int{},
+	}
 	w.site.setUpHost(h)
 	return h
 }
 
+// takeConnection takes an idle connection to an upstream, or a new one. It returns the time to
+// open it.
+func (h *host) takeConnection(upstream int) time.Duration {
+	if h.idleConnections[upstream] > 0 {
+		h.idleConnections[upstream]--
+		return 0
+	}
+	h.newConnections++
+	return h.world.config.connectTime
+}
+
+// returnConnection keeps the connection of a call that was answered.
+func (h *host) returnConnection(upstream int) { h.idleConnections[upstream]++ }
+
 func upstreamName(i int) string { return fmt.Sprintf("U%d", i) }
 
 // classSite is the site of requests of a class. Replica r of shard i is upstream i+r,
--- a/tier/replay/upstream.go
+++ b/tier/replay/upstream.go
@@ -31,6 +31,15 @@
 	return oneIn(f.slowOneIn, u.index) && now >= f.slowFrom && (f.slowUntil == 0 || now < f.slowUntil)
 }
 
+// load returns the load that the upstream reports; zero if it reports none.
+func (u *upstream) load() policy.Load {
+	c := &u.world.config
+	if !c.reportLoad {
+		return policy.Load{}
+	}
+	return policy.Load{Running: len(u.running), Waiting: len(u.backlog), Slots: c.capacity.slots}
+}
+
 func (u *upstream) serviceTime() time.Duration {
 	w := u.world
 	f := &w.config.faults
--- a/tier/replay/world.go
+++ b/tier/replay/world.go
@@ -19,9 +19,12 @@
 	queue        eventQueue
 	lastSequence uint64
 	random       *rand.Rand
-	site         site
-	upstreams    []*upstream
-	hosts        []*host
+	// arrivals is the random source of the arrivals, which is random unless two replays must
+	// have the same arrivals whatever their hosts decide.
+	arrivals  *rand.Rand
+	site      site
+	upstreams []*upstream
+	hosts     []*host
 	// results has one element for each load of the case.
 	results []*classResult
 	// upstreamIndices maps the name of an upstream to its index.
@@ -40,6 +43,7 @@
 
 func newWorld(c Case, newSite func(*world) site) (*world, error) {
 	w := &world{config: c, random: rand.New(rand.NewPCG(c.Seed, seedStream)), upstreamIndices: map[string]int{}}
+	w.arrivals = w.random
 	w.site = newSite(w)
 	for i := range w.site.upstreamCount() {
 		w.upstreams = append(w.upstreams, newUpstream(w, i))
@@ -79,7 +83,7 @@
 		return fmt.Errorf("load %s: rate or number of shards out of range (rate must be above 0, shards 1 to %d)", l.class.Name, w.config.shards)
 	}
 	gap := func() time.Duration {
-		return time.Duration(w.random.ExpFloat64() / l.rate * float64(time.Second))
+		return time.Duration(w.arrivals.ExpFloat64() / l.rate * float64(time.Second))
 	}
 	var next func()
 	next = func() {
