replay: the load of section 1 at full size

Cause: with 20 shards and 6 coordinators a host has 2 places as its share and a gather lacks at most one part, which is easier than 90 shards and 12 coordinators.

Change: the size is a parameter; one test replays deployment A at full size.

--- a/tier/replay/overload_caller_test.go
+++ b/tier/replay/overload_caller_test.go
@@ -75,7 +75,7 @@
 // send sends the next attempt of a request to a random host of the caller's hall.
 func (s *overloadSite) send(q *overloadRequest) {
 	w := s.world
-	perHall := overloadHosts / overloadHalls
+	perHall := s.params.size.hosts / overloadHalls
 	h := w.hosts[q.caller.hall+overloadHalls*w.random.IntN(perHall)]
 	a := &gatedAttempt{request: q, host: h, deadline: s.givesUpAt(q) - callerDelay}
 	w.after(callerDelay, func() { s.arrive(a) })
--- a/tier/replay/overload_site_test.go
+++ b/tier/replay/overload_site_test.go
@@ -25,6 +25,7 @@
 // overloadParams describes a case of routed requests under load.
 type overloadParams struct {
 	control policy.OverloadControl
+	size    overloadSize
 	routes  []overloadRoute
 	// traffic returns the multiple of the normal traffic during the load.
 	traffic func(route, hall int) float64
@@ -34,12 +35,23 @@
 	eagerOneIn int
 }
 
-// Size of the modelled deployment. The load on a shard does not depend on the number of
-// shards. With 20 shards an answer with a coverage of 0.95 may lack one.
+// overloadSize is the number of coordinators and shards of a deployment. The load on a shard
+// does not depend on it.
+type overloadSize struct {
+	hosts, shards int
+}
+
+// Sizes of deployments.
+var (
+	// smallSize keeps a case within a second of real time. With 20 shards an answer with a
+	// coverage of 0.95 may lack one.
+	smallSize = overloadSize{hosts: 6, shards: 20}
+	// fullSize is that of deployment A.
+	fullSize = overloadSize{hosts: 12, shards: 90}
+)
+
 const (
 	overloadHalls    = 3
-	overloadHosts    = 6
-	overloadShards   = 20
 	overloadReplicas = 3
 	overloadSlots    = 2
 	overloadBacklog  = 12
@@ -81,13 +93,13 @@
 // setup returns the case.
 func (p *overloadParams) setup(name string) Case {
 	c := Case{
-		Name: name, Seed: 1, duration: loadUntil + overloadTail, hosts: overloadHosts, shards: overloadShards, replicas: overloadReplicas,
+		Name: name, Seed: 1, duration: loadUntil + overloadTail, hosts: p.size.hosts, shards: p.size.shards, replicas: overloadReplicas,
 		capacity: capacity{slots: overloadSlots, backlog: overloadBacklog, serviceTime: time.Millisecond, sigma: serviceSigma},
 		delay:    250 * time.Microsecond, connectTime: 6 * time.Millisecond, reportLoad: true,
 	}
 	for i := range p.routes {
 		r := &p.routes[i]
-		c.loads = append(c.loads, load{class: r.Class(), shards: overloadShards, rate: r.rate * p.peak(i)})
+		c.loads = append(c.loads, load{class: r.Class(), shards: p.size.shards, rate: r.rate * p.peak(i)})
 	}
 	return c
 }
@@ -95,13 +107,13 @@
 // runOverload replays a case.
 func runOverload(t *testing.T, name string, p overloadParams) *overloadReport {
 	t.Helper()
-	s := &overloadSite{params: &p, report: newOverloadReport(name, &p)}
+	s := &overloadSite{params: &p, report: newOverloadReport(name, &p), waiting: make([][]*gatedAttempt, p.size.hosts)}
 	w, err := newWorld(p.setup(name), func(w *world) site {
 		s.routedSite = routedSite{
-			classSite: classSite{w}, states: make([]upstreamState, overloadShards*overloadReplicas),
+			classSite: classSite{w}, states: make([]upstreamState, p.size.shards*overloadReplicas),
 			routed: &routedParams{
 				halls: overloadHalls, farDelay: 8 * time.Millisecond, ratio: 0.2, slack: 45, window: 10 * time.Second,
-				connections: overloadConnections / overloadHosts,
+				connections: max(overloadConnections/p.size.hosts, 1),
 			},
 		}
 		return s
@@ -123,7 +135,7 @@
 	// gates holds the gates of the hosts, by index; empty without control.
 	gates []*policy.Gate
 	// waiting holds the attempts at each gate that are not decided yet, by host index.
-	waiting [overloadHosts][]*gatedAttempt
+	waiting [][]*gatedAttempt
 	report  *overloadReport
 }
 
@@ -134,7 +146,7 @@
 	if s.params.control == policy.OverloadNone {
 		return
 	}
-	base := max(placesPerSlot*overloadReplicas*overloadSlots/overloadHosts, 1)
+	base := max(placesPerSlot*overloadReplicas*overloadSlots/s.params.size.hosts, 1)
 	s.gates = append(s.gates, policy.NewGate(policy.GateConfig{Base: base}))
 }
 
@@ -310,8 +322,8 @@
 	if g != nil {
 		run.Routed.Shortage = func() bool { return g.Shortage(w.now) }
 	}
-	required, included := r.Gather.Coverage*overloadShards, 0
-	e := a.host.newExecution(q.route, overloadShards)
+	required, included := r.Gather.Coverage*float64(s.params.size.shards), 0
+	e := a.host.newExecution(q.route, s.params.size.shards)
 	e.onMerge = func() {
 		if included++; float64(included) >= required {
 			s.leave(a, true)
--- a/tier/replay/overload_test.go
+++ b/tier/replay/overload_test.go
@@ -107,7 +107,7 @@
 	var all sync.WaitGroup
 	for i, f := range kneeLoads {
 		all.Go(func() {
-			r := runOverload(t, t.Name(), overloadParams{control: policy.OverloadNone, routes: routes, traffic: ofCapacity(f, routes)})
+			r := runOverload(t, t.Name(), overloadParams{control: policy.OverloadNone, size: smallSize, routes: routes, traffic: ofCapacity(f, routes)})
 			onTime[i] = r.of(ofAll).onTime
 		})
 	}
@@ -147,7 +147,7 @@
 // against urgent requests that miss their objective then.
 func TestTwiceTheCapacity(t *testing.T) {
 	forDeployments(t, func(t *testing.T, routes []overloadRoute) {
-		_, on := compareControl(t, overloadParams{routes: routes, traffic: ofCapacity(2, routes)})
+		_, on := compareControl(t, overloadParams{size: smallSize, routes: routes, traffic: ofCapacity(2, routes)})
 		checkTargets(t, on)
 		checkKnee(t, on, kneeOf(t, routes))
 		checkUrgent(t, on)
@@ -175,7 +175,7 @@
 // served.
 func TestSevenTimesTheCapacity(t *testing.T) {
 	forDeployments(t, func(t *testing.T, routes []overloadRoute) {
-		_, on := compareControl(t, overloadParams{routes: routes, traffic: ofCapacity(7, routes)})
+		_, on := compareControl(t, overloadParams{size: smallSize, routes: routes, traffic: ofCapacity(7, routes)})
 		checkTargets(t, on)
 		checkKnee(t, on, kneeOf(t, routes))
 	})
@@ -184,7 +184,7 @@
 // TestStepOfFiveSeconds guards against a limit that outlasts the overload.
 func TestStepOfFiveSeconds(t *testing.T) {
 	forDeployments(t, func(t *testing.T, routes []overloadRoute) {
-		_, on := compareControl(t, overloadParams{routes: routes, traffic: ofCapacity(1.5, routes)})
+		_, on := compareControl(t, overloadParams{size: smallSize, routes: routes, traffic: ofCapacity(1.5, routes)})
 		checkTargets(t, on)
 		after := on.of(ofAfter)
 		assert.Check(t, after.refused == 0 && after.failed == 0, "%+v", after)
@@ -198,7 +198,7 @@
 		for i := range routes {
 			t.Run(routes[i].Name, func(t *testing.T) {
 				normal := ofCapacity(0.5, routes)
-				_, on := compareControl(t, overloadParams{routes: routes, traffic: func(route, hall int) float64 {
+				_, on := compareControl(t, overloadParams{size: smallSize, routes: routes, traffic: func(route, hall int) float64 {
 					if route == i {
 						return 8 * normal(route, hall)
 					}
@@ -214,7 +214,7 @@
 // others have free slots. The load is the capacity of healthy upstreams.
 func TestThreeInTenUpstreamsSlower(t *testing.T) {
 	forDeployments(t, func(t *testing.T, routes []overloadRoute) {
-		_, on := compareControl(t, overloadParams{routes: routes, traffic: ofCapacity(1, routes), slow: true})
+		_, on := compareControl(t, overloadParams{size: smallSize, routes: routes, traffic: ofCapacity(1, routes), slow: true})
 		checkTargets(t, on)
 	})
 }
@@ -223,7 +223,7 @@
 // by retrying.
 func TestThirdOfCallersRetryingImmediately(t *testing.T) {
 	forDeployments(t, func(t *testing.T, routes []overloadRoute) {
-		_, on := compareControl(t, overloadParams{routes: routes, traffic: ofCapacity(2, routes), eagerOneIn: 3})
+		_, on := compareControl(t, overloadParams{size: smallSize, routes: routes, traffic: ofCapacity(2, routes), eagerOneIn: 3})
 		checkTargets(t, on)
 		checkSteady(t, on)
 	})
@@ -243,14 +243,21 @@
 // TestSevenTimesTheTrafficWithSlowUpstreamsAndRetries guards against the congestion collapse
 // of docs/design/LOAD.md, section 1.
 func TestSevenTimesTheTrafficWithSlowUpstreamsAndRetries(t *testing.T) {
-	forDeployments(t, func(t *testing.T, routes []overloadRoute) {
-		_, on := compareControl(t, overloadParams{routes: routes, traffic: ofCapacity(failingLoad, routes), slow: true, eagerOneIn: 3})
-		checkTargets(t, on)
-		checkSteady(t, on)
-		all := on.of(ofAll)
-		fits := on.fitting() * float64(all.asked)
-		assert.Check(t, float64(all.onTime) >= minKneeShare*fits, "%d on time, %.0f fit", all.onTime, fits)
-	})
+	forDeployments(t, func(t *testing.T, routes []overloadRoute) { testFailingLoad(t, smallSize, routes) })
+}
+
+// TestSevenTimesTheTrafficAtFullSize guards against a limit that is too coarse when a host has
+// a single place as its share.
+func TestSevenTimesTheTrafficAtFullSize(t *testing.T) { testFailingLoad(t, fullSize, deploymentA()) }
+
+func testFailingLoad(t *testing.T, size overloadSize, routes []overloadRoute) {
+	t.Helper()
+	_, on := compareControl(t, overloadParams{size: size, routes: routes, traffic: ofCapacity(failingLoad, routes), slow: true, eagerOneIn: 3})
+	checkTargets(t, on)
+	checkSteady(t, on)
+	all := on.of(ofAll)
+	fits := on.fitting() * float64(all.asked)
+	assert.Check(t, float64(all.onTime) >= minKneeShare*fits, "%d on time, %.0f fit", all.onTime, fits)
 }
 
 // TestHallAtFiveTimes and TestHallAtTenTimes guard against a hall whose callers are refused
@@ -262,7 +269,7 @@
 func testBusyHall(t *testing.T, traffic float64) {
 	forDeployments(t, func(t *testing.T, routes []overloadRoute) {
 		normal := ofCapacity(0.2, routes)
-		_, on := compareControl(t, overloadParams{routes: routes, traffic: func(route, hall int) float64 {
+		_, on := compareControl(t, overloadParams{size: smallSize, routes: routes, traffic: func(route, hall int) float64 {
 			if hall == 0 {
 				return traffic * normal(route, hall)
 			}
@@ -277,7 +284,7 @@
 // TestCallersRetryingAsTold guards against a Retry-After at which there is no room.
 func TestCallersRetryingAsTold(t *testing.T) {
 	forDeployments(t, func(t *testing.T, routes []overloadRoute) {
-		_, on := compareControl(t, overloadParams{routes: routes, traffic: ofCapacity(1.5, routes)})
+		_, on := compareControl(t, overloadParams{size: smallSize, routes: routes, traffic: ofCapacity(1.5, routes)})
 		checkTargets(t, on)
 		kept := share(on.kept, on.promised)
 		assert.Check(t, on.promised > 0 && kept >= minKeptShare, "%d came as told, share served: %.3f", on.promised, kept)
@@ -288,7 +295,7 @@
 func TestControlChangesNothingBelowKnee(t *testing.T) {
 	forDeployments(t, func(t *testing.T, routes []overloadRoute) {
 		for _, slow := range []bool{false, true} {
-			off, on := compareControl(t, overloadParams{routes: routes, traffic: times(3), slow: slow})
+			off, on := compareControl(t, overloadParams{size: smallSize, routes: routes, traffic: times(3), slow: slow})
 			assert.Equal(t, off.String(), on.String())
 		}
 	})
--- a/tier/replay/upstream.go
+++ b/tier/replay/upstream.go
@@ -37,7 +37,13 @@
 	if !c.reportLoad {
 		return policy.Load{}
 	}
-	return policy.Load{Running: len(u.running), Waiting: len(u.backlog), Slots: c.capacity.slots}
+	waiting := 0
+	for _, k := range u.backlog {
+		if !k.cancelled {
+			waiting++
+		}
+	}
+	return policy.Load{Running: len(u.running), Waiting: waiting, Slots: c.capacity.slots}
 }
 
 func (u *upstream) serviceTime() time.Duration {
