replay: show slots in use, waits and run times under overload

Cause: the counts say that answers come late, not why.

Change: the report samples the upstreams and has the times of admitted attempts at the gate and from there to the least coverage.

--- a/tier/replay/overload_report_test.go
+++ b/tier/replay/overload_report_test.go
@@ -56,6 +56,11 @@
 	// calls and sheds count the calls that ended during the load.
 	calls, sheds   int
 	newConnections int
+	// waits and runs hold the times of admitted attempts from arrival to admission and from
+	// there to the least coverage.
+	waits, runs []time.Duration
+	// running, queued and slots sum samples of the upstreams.
+	running, queued, slots int
 }
 
 func newOverloadReport(name string, p *overloadParams) *overloadReport {
@@ -127,6 +132,20 @@
 	}
 }
 
+// countStart counts the wait of an attempt that is admitted.
+func (r *overloadReport) countStart(a *gatedAttempt) {
+	if len(r.talliesOf(a.request)) > 1 {
+		r.waits = append(r.waits, a.admittedAt-a.arrivedAt)
+	}
+}
+
+// countCovered counts the run of an attempt whose answer has the least coverage.
+func (r *overloadReport) countCovered(a *gatedAttempt, now time.Duration) {
+	if len(r.talliesOf(a.request)) > 1 {
+		r.runs = append(r.runs, now-a.admittedAt)
+	}
+}
+
 // countCall counts a call that ended.
 func (r *overloadReport) countCall(now time.Duration, o policy.CallOutcome) {
 	if now < loadFrom || now >= loadUntil {
@@ -200,5 +219,8 @@
 		fit*float64(r.of(ofAll).asked), r.of(ofAll).asked, 100*fit, r.bySecond, r.refusedBySecond)
 	fmt.Fprintf(&out, "calls %d, shed %d (%.2f%%), new connections %d; came as told %d, then served %d\n",
 		r.calls, r.sheds, 100*share(r.sheds, r.calls), r.newConnections, r.promised, r.kept)
+	fmt.Fprintf(&out, "slots in use %.2f, calls queued per slot %.2f; wait p50 %.0f ms, p90 %.0f ms; run p50 %.0f ms, p90 %.0f ms\n",
+		share(r.running, r.slots), share(r.queued, r.slots), millis(quantile(r.waits, 0.5)), millis(quantile(r.waits, 0.9)),
+		millis(quantile(r.runs, 0.5)), millis(quantile(r.runs, 0.9)))
 	return out.String()
 }
--- a/tier/replay/overload_site_test.go
+++ b/tier/replay/overload_site_test.go
@@ -120,6 +120,7 @@
 	})
 	assert.NilError(t, err)
 	w.arrivals = rand.New(rand.NewPCG(w.config.Seed, arrivalStream))
+	w.after(loadFrom, s.sample)
 	w.run()
 	for _, h := range w.hosts {
 		s.report.newConnections += h.newConnections
@@ -161,6 +162,23 @@
 	return s.world.now >= loadFrom && s.world.now < loadUntil
 }
 
+// sampleInterval is the time between two samples of the upstreams.
+const sampleInterval = 10 * time.Millisecond
+
+// sample counts the calls at the upstreams during the load.
+func (s *overloadSite) sample() {
+	if !s.underLoad() {
+		return
+	}
+	for _, u := range s.world.upstreams {
+		l := u.load()
+		s.report.running += l.Running
+		s.report.queued += l.Waiting
+		s.report.slots += l.Slots
+	}
+	s.world.after(sampleInterval, s.sample)
+}
+
 // accept drops cancelled calls from the queue, whose connections are closed.
 func (s *overloadSite) accept(u *upstream, _ *call) bool {
 	kept := u.backlog[:0]
@@ -317,16 +335,21 @@
 	w, q, g := s.world, a.request, s.gate(a.host)
 	r := &s.params.routes[q.route]
 	a.admittedAt = w.now
+	s.report.countStart(a)
 	run := s.runConfig(a.host, &r.Route, r.Class(), w.now-a.arrivedAt)
 	run.Deadline = a.deadline
 	if g != nil {
 		run.Routed.Shortage = func() bool { return g.Shortage(w.now) }
 	}
 	required, included := r.Gather.Coverage*float64(s.params.size.shards), 0
+	covered := func() {
+		s.report.countCovered(a, w.now)
+		s.leave(a, true)
+	}
 	e := a.host.newExecution(q.route, s.params.size.shards)
 	e.onMerge = func() {
-		if included++; float64(included) >= required {
-			s.leave(a, true)
+		if included++; float64(included) >= required && float64(included-1) < required {
+			covered()
 		}
 	}
 	e.onCall = func(o policy.CallOutcome, l policy.Load, took time.Duration) {
