--- a/tier/policy/action.go
+++ b/tier/policy/action.go
@@ -36,6 +36,8 @@
 	// HedgeIn is the delay between sending an attempt and hedging it; 0 if it is not
 	// hedged.
 	HedgeIn time.Duration
+	// Queued is how long a sent attempt waited for its slot on this host.
+	Queued time.Duration
 	// Outcome is the outcome to report for a cancelled attempt.
 	Outcome CallOutcome
 }
--- a/tier/policy/attempt.go
+++ b/tier/policy/attempt.go
@@ -55,6 +55,9 @@
 	p := &r.parts[i]
 	n := len(r.attempts)
 	w := &Waiter{Upstream: u, Deadline: r.request.Deadline, Granted: func() { r.request.Granted(n) }}
+	if r.shortage {
+		w.Rank, w.ObjectiveAt = r.request.Routed.Rank, r.objectiveAt()
+	}
 	granted, queued := u.acquireOrQueue(w)
 	p.tries++
 	p.tried = append(p.tried, u)
@@ -65,7 +68,7 @@
 		}
 		return out
 	}
-	r.attempts = append(r.attempts, attempt{part: i, upstream: u, phase: phaseQueued, waiter: w})
+	r.attempts = append(r.attempts, attempt{part: i, upstream: u, phase: phaseQueued, waiter: w, queuedAt: now})
 	p.active = append(p.active, n)
 	if granted {
 		r.leaveQueues(i, n)
@@ -74,6 +77,11 @@
 	return out
 }
 
+// objectiveAt returns when the answer of a routed request loses its full worth; above 0.
+func (r *Run) objectiveAt() time.Duration {
+	return max(r.times.admittedAt+r.request.Routed.Objective, 1)
+}
+
 // send sends an attempt that holds a slot.
 func (r *Run) send(now time.Duration, n int, out []Action) []Action {
 	a := &r.attempts[n]
@@ -85,7 +93,7 @@
 	r.parts[a.part].sends++
 	r.parts[a.part].arrivals++
 	r.wakeBy(r.hedgeTime(now, a))
-	send := Action{Kind: ActionSend, Attempt: n, Part: a.part, Upstream: a.upstream, Pool: r.rules.poolOf(a.upstream)}
+	send := Action{Kind: ActionSend, Attempt: n, Part: a.part, Upstream: a.upstream, Pool: r.rules.poolOf(a.upstream), Queued: now - a.queuedAt}
 	if !r.parts[a.part].hedged {
 		send.HedgeIn = a.hedgeDelay
 	}
@@ -93,12 +101,12 @@
 }
 
 // includePart includes a part in the answer and cancels its other attempts.
-func (r *Run) includePart(i int, out []Action) []Action {
+func (r *Run) includePart(now time.Duration, i int, out []Action) []Action {
 	p := &r.parts[i]
 	p.closed = true
 	r.progress.included++
 	r.progress.open--
-	return r.cancel(i, CallCancelled, out)
+	return r.cancel(now, i, CallCancelled, out)
 }
 
 func (r *Run) markMissing(i int, reason query.Reason) {
@@ -109,13 +117,28 @@
 
 // mayLinger reports whether an attempt that is no longer needed may continue: its upstream
 // must be near, the caller still connected, and the request repeatable and not suspected.
-func (r *Run) mayLinger(a *attempt) bool {
-	return a.upstream.near && r.request.Repeatable && !r.callerGone && !r.suspected() && a.upstream.tryLinger()
+// During a shortage, it also continues if it is almost finished.
+func (r *Run) mayLinger(now time.Duration, a *attempt) bool {
+	if !a.upstream.near || !r.request.Repeatable || r.callerGone || r.suspected() {
+		return false
+	}
+	return r.shortage && r.almostFinished(now, a) || a.upstream.tryLinger()
+}
+
+// newConnectionTime is the time that a new connection to an upstream takes. Cancelling a
+// call closes its connection, so ending a call that needs less time costs less.
+const newConnectionTime = 6 * time.Millisecond
+
+// almostFinished reports whether a call is expected to end before a new connection to its
+// upstream could be made.
+func (r *Run) almostFinished(now time.Duration, a *attempt) bool {
+	remaining := a.upstream.latency.orDefault(r.rules.poolOf(a.upstream).median()) - (now - a.sentAt)
+	return remaining >= 0 && remaining <= newConnectionTime
 }
 
 // cancel cancels all attempts of a part. A call that can show when its upstream responds
 // again continues for LingerDuration.
-func (r *Run) cancel(i int, o CallOutcome, out []Action) []Action {
+func (r *Run) cancel(now time.Duration, i int, o CallOutcome, out []Action) []Action {
 	p := &r.parts[i]
 	for _, n := range p.active {
 		a := &r.attempts[n]
@@ -125,7 +148,7 @@
 			a.phase = phaseDone
 		case phaseSent:
 			kind := ActionCancel
-			if r.mayLinger(a) {
+			if r.mayLinger(now, a) {
 				kind = ActionLinger
 			}
 			out = append(out, Action{Kind: kind, Attempt: n, Part: i, Upstream: a.upstream, Outcome: o})
--- a/tier/policy/calls.go
+++ b/tier/policy/calls.go
@@ -10,10 +10,12 @@
 func (f *Fleet) Finish(now time.Duration, c Call) []*Waiter {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	c.Upstream.learn(now, c)
 	if c.Relayed {
+		c.Upstream.slots.relayed = max(c.Upstream.slots.relayed-1, 0)
+		c.Upstream.learn(now, c)
 		return nil
 	}
+	c.Upstream.learn(now, c)
 	c.Upstream.slots.inUse--
 	return c.Upstream.grant(now)
 }
@@ -27,6 +29,16 @@
 	return u.grant(now)
 }
 
+// HandOver releases the slot of a call that another host makes. It returns the waiters that
+// were granted a slot, for NotifyGranted.
+func (f *Fleet) HandOver(now time.Duration, u *Upstream) []*Waiter {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	u.slots.relayed++
+	u.slots.inUse--
+	return u.grant(now)
+}
+
 // RecordSent records that a call to an upstream is being sent.
 func (f *Fleet) RecordSent(now time.Duration, u *Upstream) {
 	f.mu.Lock()
@@ -69,13 +81,19 @@
 // Acquire waits for a slot outside a run until the deadline or the end of the context, and
 // reports whether the slot was granted. The caller must release it.
 func (f *Fleet) Acquire(ctx context.Context, u *Upstream, deadline time.Duration, now func() time.Duration) bool {
+	return f.AcquireAs(ctx, &Waiter{Upstream: u, Deadline: deadline}, now)
+}
+
+// AcquireAs is Acquire for a waiter that may have a rank and an objective. Its Granted is
+// set.
+func (f *Fleet) AcquireAs(ctx context.Context, w *Waiter, now func() time.Duration) bool {
 	got := make(chan struct{})
-	w := &Waiter{Upstream: u, Deadline: deadline, Granted: func() { close(got) }}
-	granted, queued := f.AcquireOrQueue(w)
+	w.Granted = func() { close(got) }
+	granted, queued := f.acquireAs(now(), w)
 	if !queued {
 		return granted
 	}
-	timer := time.NewTimer(deadline - now())
+	timer := time.NewTimer(w.Deadline - now())
 	defer timer.Stop()
 	select {
 	case <-got:
@@ -89,3 +107,14 @@
 	// The slot may have been granted in the meantime.
 	return w.index == indexGranted
 }
+
+// acquireAs is AcquireOrQueue for a waiter whose objective, if it has one, shows that its
+// request runs under a shortage.
+func (f *Fleet) acquireAs(now time.Duration, w *Waiter) (granted, queued bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if w.ObjectiveAt > 0 {
+		w.Upstream.slots.window.noteShortage(now)
+	}
+	return w.Upstream.acquireOrQueue(w)
+}
--- a/tier/policy/choose.go
+++ b/tier/policy/choose.go
@@ -87,6 +87,11 @@
 	if !u.near {
 		score *= farFactor
 	}
+	return addPenalties(now, u, score)
+}
+
+// addPenalties adds the penalties of an upstream that is in backoff or ejected to its score.
+func addPenalties(now time.Duration, u *Upstream, score float64) float64 {
 	if u.backoff.active(now) {
 		score += outlierPenalty
 	}
@@ -95,3 +100,31 @@
 	}
 	return score
 }
+
+// shortageChooser is a chooser that ranks upstreams differently during a shortage.
+type shortageChooser interface {
+	// shortageScore is chooser.score during a shortage. p holds the latencies of near
+	// calls, also for a far upstream.
+	shortageScore(now time.Duration, u *Upstream, p *LatencyPool, r Random) float64
+}
+
+var _ shortageChooser = leastLatency{}
+
+// shortageScore counts the calls of all hosts per slot that the upstream published. The
+// latency of the pool includes the waits in queues, which all upstreams of a part share, and
+// the slowness excludes them.
+func (leastLatency) shortageScore(now time.Duration, u *Upstream, p *LatencyPool, r Random) float64 {
+	slowness, faults := u.condition.expected(now, u.Name)
+	if u.occupancy.slowness > 0 {
+		slowness = u.occupancy.slowness
+	}
+	score := p.median().Seconds() * slowness * (1 + u.expectedQueue(now)) * jitter(r)
+	if !u.near {
+		score *= farFactor
+	}
+	score += faults * faultCost.Seconds()
+	if u.stalled(now) {
+		score += stalledPenalty
+	}
+	return addPenalties(now, u, score)
+}
--- a/tier/policy/finish.go
+++ b/tier/policy/finish.go
@@ -25,6 +25,12 @@
 	return possible == p.parts || float64(possible) >= coverage*float64(p.parts)
 }
 
+// coversWithoutOne reports whether the answer reaches a coverage, 0 to 1, if all open parts
+// but one arrive.
+func (p *progress) coversWithoutOne(coverage float64) bool {
+	return float64(p.included+p.open-1) >= coverage*float64(p.parts)
+}
+
 // finishIfDone finishes the run if it is done, and otherwise starts deferred parts.
 func (r *Run) finishIfDone(now time.Duration, out []Action) []Action {
 	if r.finished {
@@ -70,7 +76,7 @@
 		if !r.request.Repeatable && r.hasCall(p) {
 			r.outcomeUnknown = true
 		}
-		out = r.cancel(i, CallLate, out)
+		out = r.cancel(now, i, CallLate, out)
 		reason := query.ReasonLate
 		if p.deferred {
 			reason = query.ReasonSuspected
--- a/tier/policy/fleet.go
+++ b/tier/policy/fleet.go
@@ -26,12 +26,16 @@
 	conditions map[string]*hallConditions
 	// quarantine tracks the requests that crash upstreams.
 	quarantine quarantine
+	// overload says whether listed upstreams get windows during a shortage.
+	overload OverloadControl
 }
 
 // FleetConfig configures a fleet.
 type FleetConfig struct {
 	// Random is used only while the fleet is locked.
 	Random Random
+	// Overload says what the host does during a shortage; empty stands for OverloadNone.
+	Overload OverloadControl
 }
 
 // NewFleet returns an empty fleet.
@@ -45,6 +49,7 @@
 		retries:    map[string]*groupRetries{},
 		conditions: map[string]*hallConditions{},
 		quarantine: quarantine{suspects: map[Fingerprint]*suspect{}},
+		overload:   c.Overload,
 	}
 }
 
@@ -57,6 +62,9 @@
 	// MaxSlots is how many calls it may have in progress while the upstream does not shed.
 	// It equals Slots if it is less.
 	MaxSlots int
+	// PublishedSlots is how many calls the upstream runs concurrently, for all hosts
+	// together; 0 if unknown.
+	PublishedSlots int
 	// Leaving is true if the upstream must not get new calls.
 	Leaving bool
 	// Listed is true for an upstream that registered itself with the platform, false for
@@ -120,10 +128,12 @@
 	}
 	u.startedMillis = max(u.startedMillis, s.StartedMillis)
 	u.slots.set(s.Slots, s.MaxSlots)
+	u.slots.published = s.PublishedSlots
 	u.leaving = s.Leaving || u.replaced
 	u.kind, u.near, u.hall = &declaredKind, s.Near, s.Hall
 	if s.Listed {
 		u.kind = &listedKind
+		u.limitsShortage = f.overload == OverloadShortage
 		u.condition.hall = f.hallConditions(s.Hall)
 		u.cold.update(now, s.Cold)
 		f.trackCold(now, u)
--- a/tier/policy/hedge.go
+++ b/tier/policy/hedge.go
@@ -37,6 +37,9 @@
 	// HedgeSuspected means that the request may crash upstreams, or that no upstream has
 	// answered it yet and another call is already hedged.
 	HedgeSuspected HedgeSkipReason = "Doubted"
+	// HedgeShortage means that there is a shortage and no upstream of the part is known to
+	// have a free slot.
+	HedgeShortage HedgeSkipReason = "Shortage"
 )
 
 // hedge makes a second call for a part whose first call is slow, or records why it does
@@ -60,6 +63,8 @@
 	}
 	u := r.hedgeTarget(now, i)
 	switch {
+	case u == nil && r.shortage:
+		return nil, HedgeShortage
 	case u == nil:
 		return nil, HedgeNoUpstream
 	case u.cold.throttled(now):
@@ -75,7 +80,13 @@
 
 // hedgeTarget returns the upstream that may get the hedge of a part: the best eligible one
 // that was not tried, else the same one again, else any that was not tried.
+//
+// During a shortage, it is the best eligible one that was not tried and is known to have a
+// free slot: a hedge that waits in a queue delays another request and its own.
 func (r *Run) hedgeTarget(now time.Duration, i int) *Upstream {
+	if r.shortage {
+		return r.pickIf(now, i, func(u *Upstream) bool { return u.eligible(now) && u.hasSlot() && u.reportsFreeSlot(now) })
+	}
 	if u := r.pick(now, i, onlyEligible); u != nil && u.hasSlot() {
 		return u
 	}
--- a/tier/policy/isolation.go
+++ b/tier/policy/isolation.go
@@ -85,7 +85,7 @@
 // isolate cancels the calls in progress once the request becomes suspected, since they
 // would crash their upstreams too, and defers their parts. A part without attempts left
 // keeps its calls.
-func (r *Run) isolate(out []Action) []Action {
+func (r *Run) isolate(now time.Duration, out []Action) []Action {
 	if !r.suspected() || r.suspicion.reported {
 		return out
 	}
@@ -97,7 +97,7 @@
 		for _, n := range p.active {
 			p.tried = removeFirst(p.tried, r.attempts[n].upstream)
 		}
-		out = r.postpone(i, CallCancelled, out)
+		out = r.postpone(now, i, CallCancelled, out)
 	}
 	return out
 }
@@ -115,17 +115,17 @@
 		return r.finish(now, out)
 	}
 	if r.rules.attemptsLeft(&r.parts[i]) {
-		return r.postpone(i, CallLate, out)
+		return r.postpone(now, i, CallLate, out)
 	}
-	out = r.cancel(i, CallLate, out)
+	out = r.cancel(now, i, CallLate, out)
 	r.markMissing(i, query.ReasonLate)
 	return out
 }
 
 // postpone cancels the calls of a part and defers it for another attempt.
-func (r *Run) postpone(i int, o CallOutcome, out []Action) []Action {
+func (r *Run) postpone(now time.Duration, i int, o CallOutcome, out []Action) []Action {
 	p := &r.parts[i]
-	out = r.cancel(i, o, out)
+	out = r.cancel(now, i, o, out)
 	p.retryDue = true
 	r.deferPart(i)
 	return out
--- a/tier/policy/learn.go
+++ b/tier/policy/learn.go
@@ -13,6 +13,9 @@
 	// Load is the load that the upstream reported with its answer; zero if it reported
 	// none.
 	Load Load
+	// RelayedLoad is the load that a relay reported for the upstream of a relayed call. It
+	// is used during a shortage only.
+	RelayedLoad Load
 	// Relayed is true for a call that another host made. It held no slot on this host.
 	Relayed bool
 	// Lingering is true for a call that continued although it was no longer needed.
@@ -32,6 +35,25 @@
 	u.learnHealth(now, c.Outcome)
 	u.updateOutlier(c.Pool)
 	u.learnSlots(c)
+	if u.limitsShortage {
+		u.learnOccupancy(now, c)
+	}
+}
+
+// learnOccupancy updates what is used during a shortage.
+func (u *Upstream) learnOccupancy(now time.Duration, c Call) {
+	l := c.Load
+	inProgress := u.slots.inUse + u.slots.relayed
+	if c.Relayed {
+		l = c.RelayedLoad
+	} else {
+		inProgress--
+		u.slots.window.observe(now, &c, u.slots.inUse, u.slots.withBorrowed())
+	}
+	u.occupancy.update(now, l, inProgress)
+	if c.Outcome == CallOK {
+		u.occupancy.observe(c.Took, c.Pool.median(), l)
+	}
 }
 
 func (u *Upstream) learnStall(now time.Duration, c Call) {
--- a/tier/policy/part.go
+++ b/tier/policy/part.go
@@ -22,6 +22,8 @@
 	// sends counts the attempts that were sent, arrivals the attempts that may have reached an
 	// upstream, and ran the attempts that an upstream may have run.
 	sends, arrivals, ran int
+	// sheds counts the attempts that were shed.
+	sheds int
 	// hedged is true once a second replica was called. There is no third call.
 	hedged bool
 	// hedgeSkipped is why the part was not hedged when that was last considered.
@@ -49,7 +51,8 @@
 	part     int
 	upstream *Upstream
 	phase    phase
-	sentAt   time.Duration
+	// queuedAt is when the attempt requested its slot, sentAt when it was sent.
+	queuedAt, sentAt time.Duration
 	// hedgeDelay is the delay after sentAt until the attempt is hedged.
 	hedgeDelay time.Duration
 	// waiter is the attempt's entry in the queue of the upstream.
@@ -68,6 +71,9 @@
 	if !o.arrived() {
 		p.arrivals--
 	}
+	if o == CallShed {
+		p.sheds++
+	}
 }
 
 // hasCall reports whether a call of a part is in progress.
--- a/tier/policy/pick.go
+++ b/tier/policy/pick.go
@@ -18,11 +18,16 @@
 // eligible. It uses the state at the time of the call; only what upstreams report about
 // themselves may be older.
 func (r *Run) pick(now time.Duration, i int, eligible bool) *Upstream {
+	return r.pickIf(now, i, func(u *Upstream) bool { return !eligible || u.eligible(now) })
+}
+
+// pickIf is pick with a condition on the upstream.
+func (r *Run) pickIf(now time.Duration, i int, allowed func(*Upstream) bool) *Upstream {
 	p := &r.parts[i]
 	var best *Upstream
 	lowest := math.Inf(1)
 	for _, u := range p.replicas {
-		if !r.canCall(now, p, u) || eligible && !u.eligible(now) {
+		if !r.canCall(now, p, u) || !allowed(u) {
 			continue
 		}
 		s := r.score(now, u)
@@ -47,5 +52,9 @@
 }
 
 func (r *Run) score(now time.Duration, u *Upstream) float64 {
+	if c, ok := r.chooser.(shortageChooser); ok && r.shortage {
+		u.slots.window.noteShortage(now)
+		return c.shortageScore(now, u, r.request.Pool, r.fleet.random) * min(r.rules.hallFactor(u), otherHallShortageFactor)
+	}
 	return r.chooser.score(now, u, r.rules.poolOf(u), r.fleet.random) * r.rules.hallFactor(u)
 }
--- a/tier/policy/queue.go
+++ b/tier/policy/queue.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"cmp"
 	"container/heap"
 	"time"
 )
@@ -19,10 +20,19 @@
 // Waiter is a call that waits for a slot.
 type Waiter struct {
 	Upstream *Upstream
-	// Deadline orders the queue. A waiter is never granted a slot after its deadline.
+	// Deadline orders waiters without an objective. A waiter is never granted a slot after
+	// its deadline.
 	Deadline time.Duration
+	// ObjectiveAt is when the request of the waiter loses its full worth. It is set only
+	// during a shortage, otherwise 0.
+	ObjectiveAt time.Duration
+	// Rank is the priority of the request; 0 is the most urgent. It is 0 if ObjectiveAt is
+	// 0.
+	Rank int
 	// Granted is called without locks held when the waiter is granted a slot.
 	Granted func()
+	// late is true once the request can no longer meet its objective.
+	late bool
 	// index is the position in the queue, or indexNone or indexGranted.
 	index int
 }
@@ -56,11 +66,12 @@
 	}
 }
 
-// grant grants free slots to the waiters with the earliest deadlines. It drops waiters past
-// their deadline, whose requests were answered by then.
+// grant grants free slots to the waiters that come first. It drops waiters past their
+// deadline, whose requests were answered by then.
 func (u *Upstream) grant(now time.Duration) []*Waiter {
 	var out []*Waiter
 	for u.slots.queue.Len() > 0 && u.hasSlot() {
+		u.slots.queue.moveLate(now + u.latency.smoothed)
 		w := heap.Pop(&u.slots.queue).(*Waiter)
 		if w.Deadline <= now {
 			continue
@@ -72,14 +83,43 @@
 	return out
 }
 
-// waiters is a queue ordered by deadline, for container/heap.
+// moveLate moves waiters that cannot meet their objective, because their calls would be
+// answered at answeredAt, behind the others of their rank until one comes first that can or
+// that was late before. Those that it does not look at have later objectives.
+func (q *waiters) moveLate(answeredAt time.Duration) {
+	for first := (*q)[0]; first.ObjectiveAt > 0 && !first.late && answeredAt > first.ObjectiveAt; first = (*q)[0] {
+		first.late = true
+		heap.Fix(q, 0)
+	}
+}
+
+// objective returns the time that orders waiters of the same rank.
+func (w *Waiter) objective() time.Duration { return cmp.Or(w.ObjectiveAt, w.Deadline) }
+
+// before reports whether a waiter comes before another one: by rank, then those that can
+// still meet their objective, then by objective, then by deadline. Without ranks and
+// objectives, this is the order by deadline.
+func (w *Waiter) before(o *Waiter) bool {
+	switch {
+	case w.Rank != o.Rank:
+		return w.Rank < o.Rank
+	case w.late != o.late:
+		return o.late
+	case w.objective() != o.objective():
+		return w.objective() < o.objective()
+	default:
+		return w.Deadline < o.Deadline
+	}
+}
+
+// waiters is a queue ordered by Waiter.before, for container/heap.
 type waiters []*Waiter
 
 var _ heap.Interface = (*waiters)(nil)
 
 func (q waiters) Len() int { return len(q) }
 
-func (q waiters) Less(i, j int) bool { return q[i].Deadline < q[j].Deadline }
+func (q waiters) Less(i, j int) bool { return q[i].before(q[j]) }
 
 func (q waiters) Swap(i, j int) {
 	q[i], q[j] = q[j], q[i]
--- a/tier/policy/retry.go
+++ b/tier/policy/retry.go
@@ -9,6 +9,9 @@
 	// shedPauseJitter is the largest random addition to the pause, as a multiple of the
 	// median latency. It spreads the retries of calls that were shed together.
 	shedPauseJitter = 1.0
+	// maxShedsInShortage is the number of shed calls after which a part that the required
+	// coverage does not need is given up during a shortage.
+	maxShedsInShortage = 2
 )
 
 type nextStep string
@@ -33,6 +36,8 @@
 		return stepGiveUp
 	case len(p.active) > 0:
 		return stepWait
+	case r.shortage && o == CallShed && p.sheds >= maxShedsInShortage && r.progress.coversWithoutOne(r.request.Class.Coverage):
+		return stepGiveUp
 	case !r.rules.attemptsLeft(p) || !r.rules.payRetry(now, i, p, o):
 		return stepGiveUp
 	case r.pick(now, i, onlyEligible) != nil:
--- a/tier/policy/room.go
+++ b/tier/policy/room.go
@@ -6,149 +6,266 @@
 )
 
 const (
-	// roomPeriod is the time over which the signs of a shortage are collected.
+	// roomPeriod is the time over which requests and their waits are counted before the
+	// limit changes.
 	roomPeriod = 100 * time.Millisecond
-	// minPeriodCalls is the fewest calls of a period that can show a shortage.
-	minPeriodCalls = 20
-	// shortageShedShare is the share of shed calls above which there is a shortage.
-	shortageShedShare = 0.1
-	// shortageWaitShare is the share of the tightest objective above which the expected wait
-	// in the queues of the upstreams is a shortage.
-	shortageWaitShare = 0.25
-	// placesDecrease multiplies the requests in flight to get the limit after a period with
+	// placesDecrease multiplies the places in use to get the limit when there are signs of
 	// a shortage.
 	placesDecrease = 0.8
-	// placesIncrease is the relative growth of the limit in a period without a shortage.
+	// placesIncrease is the relative growth of the limit in a period without such signs.
 	placesIncrease = 0.1
+	// minPlacesIncrease is the least growth of the limit in a period, in places. With a
+	// whole place, a limit of 1 or 2 would double between two looks at the queues.
+	minPlacesIncrease = 0.2
 	// shortageEnd is how long after the last request that waited or was refused a shortage
 	// ends.
 	shortageEnd = 2 * time.Second
-	// roomWeight is the weight of one call in the smoothed service time.
-	roomWeight = 0.02
-	// throughputWeight is the weight of one period in the smoothed throughput.
-	throughputWeight = 0.3
+	// hostShortageFactor is the number of bases that must be in flight before late answers
+	// show a shortage of this host.
+	hostShortageFactor = 2
+	// hostShortageShare is the share of the requests that must be late to show it.
+	hostShortageShare = 0.5
+	// minEndedRequests is the fewest requests that can show it.
+	minEndedRequests = 5
+	// throughputWindow is the time over which the throughput is smoothed.
+	throughputWindow = 500 * time.Millisecond
+	// callTimeWeight is the weight of one call in the smoothed call time.
+	callTimeWeight = 0.02
 )
 
 // roomLimit limits the requests in flight at a gate. Without a shortage there is no limit.
 // It is used with the gate locked.
 type roomLimit struct {
-	// base is this host's share of the room; the limit is never lower.
+	// base is this host's share of the places; the limit is never lower.
 	base int
-	// limit is the number of requests that may be in flight; 0 without a shortage.
+	// limit is the number of requests that may be in flight, on average over periods; 0
+	// without a shortage.
 	limit float64
+	// carry is the part of the limit that the whole places of the past periods left out,
+	// from 0 to 1. Over several periods the places add up to the limit.
+	carry float64
+	// whole is the limit in whole places for the current period.
+	whole int
 	// objective is the tightest objective of the requests seen; 0 if none was.
 	objective time.Duration
-	// service is the smoothed service time of a call, without its wait at the upstream.
-	service time.Duration
-	period  roomPeriodCounts
+	// byRoute is the objective of each route, as far as known.
+	byRoute map[string]time.Duration
+	// service is the smoothed service time of a call, without its wait at the upstream;
+	// callTime includes the wait.
+	service, callTime time.Duration
+	pressure          roomPressure
+	period            roomPeriodCounts
+	late              lateCounts
 	// perSecond is the smoothed number of requests that leave in a second; 0 if unknown.
 	perSecond float64
 	// pressedAt is when a request last waited or was refused.
 	pressedAt time.Duration
+	// fellAt is when the limit last fell or was set.
+	fellAt time.Duration
 	// reason says why the limit last fell.
 	reason ShortageReason
+	// now is when the limit was last used.
+	now time.Duration
 }
 
 // roomPeriodCounts are the observations of one period.
 type roomPeriodCounts struct {
 	startedAt time.Duration
-	// calls counts the calls that ended, sheds those that were shed.
-	calls, sheds int
-	// reports counts the calls with a load report, waiting sums the calls per slot that waited.
-	reports int
-	waiting float64
 	// ended counts the requests that left.
 	ended int
+	// peak is the largest number of requests in flight seen.
+	peak int
 	// used is true if the limit was reached.
 	used bool
 }
 
+// lateCounts counts the requests that ended and those that were covered too late, until
+// there are enough to judge.
+type lateCounts struct{ ended, late int }
+
 func newRoomLimit(base int) roomLimit { return roomLimit{base: max(base, 1)} }
 
 func (r *roomLimit) setBase(places int) { r.base = max(places, 1) }
 
+// setObjective records the objective of a request of an unknown route.
 func (r *roomLimit) setObjective(o time.Duration) {
-	if r.objective == 0 || o < r.objective {
+	if o > 0 && (r.objective == 0 || o < r.objective) {
 		r.objective = o
 	}
 }
 
-// observeCall records a call of an admitted request.
-func (r *roomLimit) observeCall(o CallOutcome, l Load, took time.Duration) {
-	p := &r.period
-	p.calls++
-	if o == CallShed {
-		p.sheds++
+// setRouteObjective records the objective of a request of a route. The longest one seen is
+// that of the route: what a request has left when it arrives may be less, for example after
+// this host was paused, and does not make queues a shortage.
+func (r *roomLimit) setRouteObjective(route string, o time.Duration) {
+	if o <= r.byRoute[route] {
+		return
+	}
+	if r.byRoute == nil {
+		r.byRoute = map[string]time.Duration{}
 	}
-	if l.Slots == 0 {
+	r.byRoute[route] = o
+	r.objective = 0
+	for _, o := range r.byRoute {
+		r.setObjective(o)
+	}
+}
+
+// CallEnd describes a call that ended, for the gate of its request.
+type CallEnd struct {
+	// Part is the index of the part in the request. All requests of a gate have the same
+	// parts.
+	Part int
+	// Coverage is the share of the parts, 0 to 1, that the answer needs; 0 if unknown.
+	Coverage float64
+	// Upstream is the name of the upstream.
+	Upstream string
+	Outcome  CallOutcome
+	// Load is the load that the upstream reported, also through a relay; zero if none.
+	Load Load
+	// Queued is how long the call waited for a slot on this host, and on a relay. Took is
+	// the time from sending it to its outcome.
+	Queued, Took time.Duration
+}
+
+// ObserveCallEnd is ObserveCall for a call whose part and upstream are known, so that one
+// upstream or one group cannot pass for all.
+func (g *Gate) ObserveCallEnd(now time.Duration, c CallEnd) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.room.observe(now, c)
+}
+
+// observeCall records a call of an admitted request whose part is unknown.
+func (r *roomLimit) observeCall(o CallOutcome, l Load, took time.Duration) {
+	r.observe(r.now, CallEnd{Outcome: o, Load: l, Took: took})
+}
+
+// observe records a call of an admitted request.
+func (r *roomLimit) observe(now time.Duration, c CallEnd) {
+	r.now = max(r.now, now)
+	r.pressure.observe(r.now, &c)
+	if c.Outcome != CallOK {
 		return
 	}
-	waiting := float64(l.Waiting) / float64(l.Slots)
-	p.reports++
-	p.waiting += waiting
-	if o != CallOK {
+	smooth(&r.callTime, c.Took, callTimeWeight)
+	if c.Load.Slots > 0 {
+		smooth(&r.service, serviceTime(c.Took, c.Load), callTimeWeight)
+	}
+}
+
+// smooth adds a value to a smoothed time. The first value sets it.
+func smooth(t *time.Duration, value time.Duration, weight float64) {
+	if *t == 0 {
+		*t = value
 		return
 	}
-	own := float64(took) / (1 + waiting)
-	if r.service == 0 {
-		r.service = time.Duration(own)
+	*t += time.Duration(weight * float64(value-*t))
+}
+
+// observeEnd records that an admitted request left. inFlight does not count it. objective
+// is the time that it had for its objective when it was admitted.
+func (r *roomLimit) observeEnd(now time.Duration, inFlight int, c Completion, objective time.Duration) {
+	r.period.ended++
+	r.late.ended++
+	if c.Covered && c.Took > objective {
+		r.late.late++
 	}
-	r.service += time.Duration(roomWeight * (own - float64(r.service)))
+	r.tick(now, inFlight)
 }
 
 // tick ends the period if it is over.
 func (r *roomLimit) tick(now time.Duration, inFlight int) {
+	r.now = max(r.now, now)
 	p := &r.period
+	p.peak = max(p.peak, inFlight)
 	took := now - p.startedAt
 	if took < roomPeriod {
 		return
 	}
-	rate := float64(p.ended) / took.Seconds()
+	r.updateThroughput(took)
+	r.adjust(now)
+	r.setWhole()
+	r.period = roomPeriodCounts{startedAt: now, peak: inFlight}
+}
+
+// updateThroughput smooths the rate at which requests leave. While there are places that
+// nobody wants, the rate is that of the demand and only shows that the throughput is no
+// lower.
+func (r *roomLimit) updateThroughput(took time.Duration) {
+	rate := float64(r.period.ended) / took.Seconds()
+	if r.limit > 0 && !r.period.used && rate < r.perSecond {
+		return
+	}
 	if r.perSecond == 0 {
 		r.perSecond = rate
 	}
-	r.perSecond += throughputWeight * (rate - r.perSecond)
-	r.adjust(now, max(inFlight, p.ended))
-	r.period = roomPeriodCounts{startedAt: now}
+	weight := 1 - math.Exp(-took.Seconds()/throughputWindow.Seconds())
+	r.perSecond += weight * (rate - r.perSecond)
 }
 
 // adjust sets the limit from the observations of a period.
-func (r *roomLimit) adjust(now time.Duration, inFlight int) {
-	short := r.short()
+func (r *roomLimit) adjust(now time.Duration) {
+	short := r.short(now)
 	switch {
-	case short != "" && (r.limit > 0 || inFlight > r.base):
-		r.reason = short
-		if r.limit == 0 {
-			r.pressedAt = now
+	case r.limit == 0:
+		if short != "" && r.period.peak > r.base {
+			r.reason, r.pressedAt, r.fellAt = short, now, now
+			r.limit = float64(r.period.peak)
 		}
-		from := float64(inFlight)
-		if r.limit > 0 {
-			from = min(r.limit, from)
-		}
-		r.limit = max(placesDecrease*from, float64(r.base))
-	case r.limit > 0 && r.period.used:
-		r.limit += max(placesIncrease*r.limit, 1)
+		return
+	case now-r.pressedAt > shortageEnd:
+		r.limit, r.carry, r.whole = 0, 0, 0
+	case short != "":
+		r.fall(now, short)
+	case r.period.used:
+		r.limit += max(placesIncrease*r.limit, minPlacesIncrease)
 	}
-	if r.limit > 0 && now-r.pressedAt > shortageEnd {
-		r.limit = 0
+}
+
+// fall lowers the limit. It waits until calls that were sent after the last time have ended,
+// since the queues show the effect only then.
+func (r *roomLimit) fall(now time.Duration, reason ShortageReason) {
+	if now-r.fellAt < r.callTime {
+		return
 	}
+	from := r.limit
+	if r.period.peak < int(r.limit) {
+		from = float64(r.period.peak)
+	}
+	r.reason, r.fellAt = reason, now
+	r.limit = max(placesDecrease*from, float64(r.base))
 }
 
-// short returns the sign of a shortage in the current period, or "" if there is none.
-func (r *roomLimit) short() ShortageReason {
-	p := &r.period
-	if p.calls < minPeriodCalls {
-		return ""
+// setWhole sets the whole places of the next period.
+func (r *roomLimit) setWhole() {
+	if r.limit == 0 {
+		return
 	}
-	if float64(p.sheds) > shortageShedShare*float64(p.calls) {
-		return ShortageShed
+	sum := r.limit + r.carry
+	r.whole = int(sum)
+	r.carry = sum - float64(r.whole)
+}
+
+// short returns the sign of a shortage, or "" if there is none.
+func (r *roomLimit) short(now time.Duration) ShortageReason {
+	if reason := r.pressure.short(now, r.objective, r.service); reason != "" {
+		return reason
 	}
-	if p.reports == 0 || r.objective == 0 {
+	return r.hostShort()
+}
+
+// hostShort returns ShortageHost if most requests are covered too late although far more are
+// in flight than the base: then this host's processor or link is short. Upstreams that
+// fail slow few requests down, and their reports show their queues.
+func (r *roomLimit) hostShort() ShortageReason {
+	if r.late.ended < minEndedRequests {
 		return ""
 	}
-	wait := p.waiting / float64(p.reports) * r.service.Seconds()
-	if wait > shortageWaitShare*r.objective.Seconds() {
-		return ShortageQueues
+	late := float64(r.late.late) > hostShortageShare*float64(r.late.ended)
+	r.late = lateCounts{}
+	if late && r.period.peak > hostShortageFactor*r.base {
+		return ShortageHost
 	}
 	return ""
 }
@@ -158,7 +275,7 @@
 	if r.limit == 0 {
 		return math.MaxInt, false
 	}
-	return int(r.limit), true
+	return max(r.whole, r.base), true
 }
 
 // throughput returns the expected number of requests that leave in a second; above 0.
--- a/tier/policy/routed.go
+++ b/tier/policy/routed.go
@@ -31,6 +31,10 @@
 	// preferred hall. It exceeds the usual difference between similar upstreams, so that
 	// calls to other halls go to the same hall.
 	otherHallFactor = 1.2
+	// otherHallShortageFactor is otherHallFactor during a shortage. Multiplied by farFactor
+	// and the largest jitter, it is below 1+minQueueWait, so that a free slot in another
+	// hall is used before a queue.
+	otherHallShortageFactor = 1.1
 )
 
 // RoutedConfig holds the settings that only routed requests have.
@@ -52,6 +56,9 @@
 	// NoUpstreamReasons holds for each part why it has no upstream to call; empty for parts
 	// that have one.
 	NoUpstreamReasons []query.Reason
+	// Rank is the priority of the request; 0 is the most urgent. It is used during a
+	// shortage only.
+	Rank int
 	// Shortage reports whether the gate of the request measures a shortage; nil for never.
 	Shortage func() bool
 }
--- a/tier/policy/run.go
+++ b/tier/policy/run.go
@@ -52,7 +52,10 @@
 	callerGone bool
 	// outcomeUnknown is true once a non-repeatable attempt may have run without an answer.
 	outcomeUnknown bool
-	suspicion      suspicion
+	// shortage is true if the gate of the request measured a shortage when the current
+	// event began.
+	shortage  bool
+	suspicion suspicion
 }
 
 type runTimes struct {
@@ -94,6 +97,7 @@
 // Begin admits and starts the request. If the request is refused, which means that it has
 // not run and never will, the error is a *Refusal.
 func (r *Run) Begin(now time.Duration) ([]Action, error) {
+	r.updateShortage()
 	r.fleet.mu.Lock()
 	defer r.fleet.mu.Unlock()
 	id := r.suspicion.identity
@@ -119,6 +123,13 @@
 	return r.finishIfDone(now, out), nil
 }
 
+// updateShortage asks whether there is a shortage. The fleet must not be locked, because the
+// answer takes the lock of the gate.
+func (r *Run) updateShortage() {
+	q := r.request.Routed
+	r.shortage = q != nil && q.Shortage != nil && q.Shortage()
+}
+
 // Granted must be called when a queued attempt is granted a slot.
 func (r *Run) Granted(now time.Duration, n int) []Action {
 	a := &r.attempts[n]
@@ -126,6 +137,7 @@
 		a.phase = phaseDone
 		return r.releaseSlot(n)
 	}
+	r.updateShortage()
 	r.fleet.mu.Lock()
 	defer r.fleet.mu.Unlock()
 	if a.upstream.leaving {
@@ -166,12 +178,13 @@
 		}
 		return nil
 	}
+	r.updateShortage()
 	r.fleet.mu.Lock()
 	defer r.fleet.mu.Unlock()
 	if o == CallOK {
 		r.recordAnswer()
 		out := []Action{{Kind: ActionMerge, Attempt: n, Part: a.part, Upstream: a.upstream}}
-		return r.finishIfDone(now, r.includePart(a.part, out))
+		return r.finishIfDone(now, r.includePart(now, a.part, out))
 	}
 	if o == CallCrashed && r.recordCrash(now, a) {
 		r.outcomeUnknown = !r.request.Repeatable
@@ -180,7 +193,7 @@
 	}
 	out := r.handleFailure(now, a.part, o)
 	if o == CallCrashed && r.suspicion.crashes == suspectAfterCrashes {
-		out = r.isolate(out)
+		out = r.isolate(now, out)
 	}
 	return r.finishIfDone(now, out)
 }
@@ -190,6 +203,7 @@
 	if r.finished {
 		return nil
 	}
+	r.updateShortage()
 	r.fleet.mu.Lock()
 	defer r.fleet.mu.Unlock()
 	if now >= r.request.Deadline {
--- a/tier/policy/slots.go
+++ b/tier/policy/slots.go
@@ -17,6 +17,13 @@
 	inUse     int
 	borrowing borrowing
 	limit     callLimit
+	// published is the number of slots that the upstream published in its listing; 0 if
+	// unknown. Unlike share, it is its capacity for all hosts together.
+	published int
+	// relayed counts the calls that other hosts make for this one. They hold no slot here.
+	relayed int
+	// window is used only if the fleet is configured for shortages.
+	window window
 	// queue holds the calls that wait for a slot.
 	queue waiters
 }
@@ -33,12 +40,20 @@
 // allowed returns how many calls this host may have in progress now, without considering
 // slow start.
 func (s *slots) allowed() int {
+	n := s.withBorrowed()
 	if s.limit.active() {
-		return min(s.withBorrowed(), s.limit.calls)
+		n = min(n, s.limit.calls)
 	}
-	return s.withBorrowed()
+	if s.window.active() {
+		n = min(n, s.window.limit())
+	}
+	return n
 }
 
+// own returns how many calls of this host are in progress or wait for a slot, including
+// those that other hosts make for it.
+func (s *slots) own() int { return s.inUse + s.relayed + s.queue.Len() }
+
 // callsPerSlot returns how many calls, running and queued, a new call finds per slot of the
 // share.
 func (s *slots) callsPerSlot() float64 {
--- a/tier/policy/upstream.go
+++ b/tier/policy/upstream.go
@@ -40,6 +40,11 @@
 	condition condition
 	load      queueReport
 	status    status
+
+	// limitsShortage is true for a listed upstream of a fleet that is configured for
+	// shortages. Otherwise the window and the occupancy are not updated.
+	limitsShortage bool
+	occupancy      occupancy
 }
 
 func (u *Upstream) hasSlot() bool {
@@ -74,6 +79,39 @@
 	}
 }
 
+// minQueueWait is the least expected wait at an upstream without a free slot, in service
+// times, so that a free slot farther away is used first.
+const minQueueWait = 0.5
+
+// publishedSlots returns how many calls the upstream runs concurrently, as far as known.
+func (u *Upstream) publishedSlots() int {
+	switch {
+	case u.slots.published > 0:
+		return u.slots.published
+	case u.occupancy.slots > 0:
+		return u.occupancy.slots
+	default:
+		return max(u.slots.share, 1)
+	}
+}
+
+// expectedQueue returns how long a new call is expected to wait at the upstream, in service
+// times, from the calls of all hosts; 0 if it has a free slot.
+func (u *Upstream) expectedQueue(now time.Duration) float64 {
+	slots := float64(u.publishedSlots())
+	excess := float64(u.slots.own()) + u.occupancy.expectedOthers(now) + 1 - slots
+	if excess < minQueueWait {
+		return 0
+	}
+	return max(excess/slots, minQueueWait)
+}
+
+// reportsFreeSlot reports whether a fresh report and this host's own calls leave a slot
+// free.
+func (u *Upstream) reportsFreeSlot(now time.Duration) bool {
+	return u.occupancy.fresh(now) && u.occupancy.others+u.slots.own() < u.publishedSlots()
+}
+
 func (u *Upstream) expectedWait(p *LatencyPool) time.Duration {
 	s := &u.slots
 	if s.share == 0 || s.excess() == 0 {
--- a/tier/policy/words_test.go
+++ b/tier/policy/words_test.go
@@ -30,7 +30,7 @@
 			query.ReasonMalformed, query.ReasonEvacuated, query.ReasonOutsideHomes, query.ReasonCold, query.ReasonSuspected, query.ReasonQuarantined,
 		), "Late Unreachable Refused SnapshotGone Moved Garbage Evacuated Away Cold Suspected Quarantined"},
 		{"verdicts", words(VerdictClean, VerdictSuspected, VerdictQuarantined), "Sound Suspected Quarantined"},
-		{"obstacles to a hedge", words(HedgeNoUpstream, HedgeNoSlot, HedgeCold, HedgeNoBudget, HedgeSuspected), "NoUpstream NoSlot Cold NoBudget Doubted"},
+		{"obstacles to a hedge", words(HedgeNoUpstream, HedgeNoSlot, HedgeCold, HedgeNoBudget, HedgeSuspected, HedgeShortage), "NoUpstream NoSlot Cold NoBudget Doubted Shortage"},
 		{"actions", words(ActionSend, ActionCancel, ActionLinger, ActionMerge, ActionReleaseSlot, ActionFinish), "Send Cancel Linger Take Free Finish"},
 		{"refusal", words(ReasonQuarantined), "the request has crashed the upstreams that ran it"},
 		{"error", words((&Refusal{Reason: "full", RetryAfter: time.Second}).Error()), "not run: full; ask again in 1s"},
