--- /dev/null
+++ b/tier/policy/gatequeue.go
@@ -0,0 +1,316 @@
+package policy
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// lowRankTurn is the number of admissions of which one goes to a rank lower than the
+	// next one in order.
+	lowRankTurn = 4
+	// lateTurn is the number of admissions of which one goes to a late request. Its turns
+	// are not those of lower ranks, so that both keep their share.
+	lateTurn = 8
+	// lateTurnOffset is the first turn of a late request.
+	lateTurnOffset = 2
+	// lowRankShare and lateShare are the shares of the admissions that these turns make.
+	lowRankShare = 1.0 / lowRankTurn
+	lateShare    = 1.0 / lateTurn
+	standingWaitDivisor=8
+	standingDivisor=2
+	standingTime=100*time.Millisecond
+	// rankWindow is the time over which arrivals and admissions of a rank are counted.
+	rankWindow = 2 * time.Second
+)
+
+// queuePosition orders the waiting requests of a gate. The lowest goes first.
+type queuePosition struct {
+	rank int
+	// late is true if the request can't meet its objective.
+	late bool
+	// overShare is true if the caller uses more than its share.
+	overShare bool
+	// returned is true for a late request that is a retry.
+	returned bool
+	// at orders requests that are otherwise equal.
+	at time.Duration
+	// number is that of the ticket. It makes positions unique.
+	number uint64
+}
+
+// byObjective is the order of admission: by rank, then requests that can meet their
+// objective, then callers within their share, then by objective. A retry has an earlier
+// objective than the requests that arrived after its first attempt. Late requests go in the
+// order of their arrival instead, retries that came as they were told first: by objective,
+// the late queue filled with retries of which each displaced another that had waited.
+func byObjective(t *Ticket, late bool) queuePosition {
+	p := queuePosition{rank: t.demand.Rank, late: late, overShare: t.overShare, number: t.number}
+	if late {
+		p.returned = t.returned()
+		return p
+	}
+	p.at = t.demand.ObjectiveAt
+	return p
+}
+
+func (p queuePosition) compare(o queuePosition) int {
+	return cmp.Or(
+		cmp.Compare(p.rank, o.rank),
+		compareBool(p.late, o.late),
+		compareBool(p.overShare, o.overShare),
+		compareBool(!p.returned, !o.returned),
+		cmp.Compare(p.at, o.at),
+		cmp.Compare(p.number, o.number),
+	)
+}
+
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
+		return 1
+	}
+}
+
+// gateQueue holds the waiting requests of a gate. It is used with the gate locked.
+type gateQueue struct {
+	// waiting is sorted by position. An insertion moves at most a few thousand pointers,
+	// which takes about a microsecond, and a count of the requests ahead is a search.
+	waiting []*Ticket
+	// turns counts the admissions from the queue.
+	turns uint64
+	// ranks holds the counts of each rank seen during the shortage.
+	ranks map[int]*rankCounts
+}
+
+// rankCounts counts requests of a rank within rankWindow.
+type rankCounts struct {
+	// arrived counts requests, admitted those admitted to meet their objective,
+	// admittedReturned the late ones that returned, and admittedLate the other late ones.
+	arrived, admitted, admittedReturned, admittedLate windowedSum
+	// standingSince is the first of the latest admissions that all waited long; 0 if the
+	// last one did not.
+	standingSince time.Duration
+}
+
+// observeWait records how long an admitted ticket waited.
+func (c *rankCounts) observeWait(now time.Duration, t *Ticket) {
+	if t.late {
+		return
+	}
+	if now-t.enteredAt <= t.demand.objective(t.enteredAt)/standingWaitDivisor {
+		c.standingSince = 0
+		return
+	}
+	c.standingSince = cmp.Or(c.standingSince, now)
+}
+
+// standing reports whether requests of the rank have waited long for some time.
+func (c *rankCounts) standing(now time.Duration) bool {
+	return c.standingSince > 0 && now-c.standingSince >= standingTime
+}
+
+func (q *gateQueue) len() int { return len(q.waiting) }
+
+func (q *gateQueue) insert(t *Ticket) {
+	q.waiting = slices.Insert(q.waiting, q.before(t.position), t)
+}
+
+// remove removes a ticket that is in the queue.
+func (q *gateQueue) remove(t *Ticket) {
+	i := q.before(t.position)
+	q.waiting = slices.Delete(q.waiting, i, i+1)
+}
+
+// before counts the tickets with a lower position.
+func (q *gateQueue) before(p queuePosition) int {
+	i, _ := slices.BinarySearchFunc(q.waiting, p, func(t *Ticket, p queuePosition) int { return t.position.compare(p) })
+	return i
+}
+
+// beforeRank counts the tickets of more urgent ranks.
+func (q *gateQueue) beforeRank(rank int) int {
+	i, _ := slices.BinarySearchFunc(q.waiting, rank, func(t *Ticket, r int) int { return cmp.Compare(t.position.rank, r) })
+	return i
+}
+
+// beforeLate counts the tickets ahead of the late ones of a rank.
+func (q *gateQueue) beforeLate(rank int) int {
+	i, _ := slices.BinarySearchFunc(q.waiting, rank, func(t *Ticket, r int) int {
+		if t.position.rank == r && t.position.late {
+			return 1
+		}
+		return cmp.Or(cmp.Compare(t.position.rank, r), -1)
+	})
+	return i
+}
+
+// eachRank calls do for each rank with a waiting request, the most urgent first, until do
+// returns false. The tickets from first up to late can meet their objective, those from
+// late up to end can't.
+func (q *gateQueue) eachRank(do func(rank, first, late, end int) bool) {
+	for first := 0; first < len(q.waiting); {
+		rank := q.waiting[first].position.rank
+		late, end := q.beforeLate(rank), q.beforeRank(rank+1)
+		if !do(rank, first, late, end) {
+			return
+		}
+		first = end
+	}
+}
+
+// lastLike returns the last ticket that has the rank of a ticket in the queue and is late if
+// that one is.
+func (q *gateQueue) lastLike(t *Ticket) *Ticket {
+	p := t.position
+	if p.late {
+		return q.waiting[q.beforeRank(p.rank+1)-1]
+	}
+	return q.waiting[q.beforeLate(p.rank)-1]
+}
+
+// lateBefore counts the late tickets with a lower position.
+func (q *gateQueue) lateBefore(p queuePosition) int {
+	ahead, count := q.before(p), 0
+	q.eachRank(func(_, _, late, end int) bool {
+		count += max(min(end, ahead)-late, 0)
+		return end < ahead
+	})
+	return count
+}
+
+// next returns the ticket to admit next. The queue must not be empty.
+func (q *gateQueue) next(now time.Duration) *Ticket {
+	turn := q.turns + 1
+	i := 0
+	switch {
+	case turn%lateTurn == lateTurnOffset:
+		i = q.firstLate()
+	case turn%lowRankTurn == 0:
+		i = q.firstOfLowRank(now)
+	}
+	return q.waiting[i]
+}
+
+// firstLate returns the index of the first late ticket, or 0 if there is none.
+func (q *gateQueue) firstLate() int {
+	found := 0
+	q.eachRank(func(_, _, late, end int) bool {
+		if late < end {
+			found = late
+		}
+		return late == end
+	})
+	return found
+}
+
+// firstOfLowRank returns the index of the first ticket of the rank, other than the most
+// urgent one that waits, whose requests have been admitted at the lowest rate. It returns 0
+// if only one rank waits. Ranks that ask equally much take turns.
+func (q *gateQueue) firstOfLowRank(now time.Duration) int {
+	found, lowest := 0, 0.0
+	q.eachRank(func(rank, first, _, _ int) bool {
+		if first == 0 {
+			return true
+		}
+		rate := q.counts(rank).admittedShare(now)
+		if found == 0 || rate < lowest {
+			found, lowest = first, rate
+		}
+		return true
+	})
+	return found
+}
+
+// waitingByRank counts the waiting requests of each rank.
+func (q *gateQueue) waitingByRank() map[int]int {
+	counts := map[int]int{}
+	q.eachRank(func(rank, first, _, end int) bool {
+		counts[rank] = end - first
+		return true
+	})
+	return counts
+}
+
+func (q *gateQueue) counts(rank int) *rankCounts {
+	c := q.ranks[rank]
+	if c == nil {
+		c = &rankCounts{}
+		q.ranks[rank] = c
+	}
+	return c
+}
+
+// admittedShare returns the share of the requests of the rank that were admitted.
+func (c *rankCounts) admittedShare(now time.Duration) float64 {
+	all := c.admitted.sum(now, rankWindow) + c.admittedReturned.sum(now, rankWindow) + c.admittedLate.sum(now, rankWindow)
+	return all / max(c.arrived.sum(now, rankWindow), 1)
+}
+
+// count counts an admission.
+func (c *rankCounts) count(now time.Duration, t *Ticket) {
+	switch {
+	case !t.late:
+		c.admitted.add(now, rankWindow, 1)
+	case t.returned():
+		c.admittedReturned.add(now, rankWindow, 1)
+	default:
+		c.admittedLate.add(now, rankWindow, 1)
+	}
+}
+
+// turnsBehind returns the share of the admissions that goes to waiting requests which go
+// after those of a class in the order but have turns of their own.
+func (q *gateQueue) turnsBehind(p queuePosition) float64 {
+	share := 0.0
+	if q.beforeRank(p.rank+1) < len(q.waiting) {
+		share += lowRankShare
+	}
+	if !p.late && q.firstLate() > 0 {
+		share += lateShare
+	}
+	return share
+}
+
+// admissionShares are shares of the recent admissions of a gate.
+type admissionShares struct {
+	// ahead went to requests that go before those of a class.
+	ahead float64
+	// lateAhead is the share of the late requests that go before those of the class in all
+	// late ones.
+	lateAhead float64
+	// outranked is true if any went to a more urgent rank.
+	outranked bool
+}
+
+// sharesAhead returns the shares of the recent admissions as seen by a class of requests.
+func (q *gateQueue) sharesAhead(now time.Duration, p queuePosition) admissionShares {
+	s := admissionShares{}
+	all, allLate := 0.0, 0.0
+	for r, c := range q.ranks {
+		onTime, returned, late := c.admitted.sum(now, rankWindow), c.admittedReturned.sum(now, rankWindow), c.admittedLate.sum(now, rankWindow)
+		all += onTime + returned + late
+		allLate += returned + late
+		switch {
+		case r < p.rank:
+			s.ahead += onTime + returned + late
+			s.lateAhead += returned + late
+			s.outranked = s.outranked || onTime+returned+late > 0
+		case r == p.rank && p.late:
+			s.ahead += onTime
+			if !p.returned {
+				s.ahead += returned
+				s.lateAhead += returned
+			}
+		}
+	}
+	s.ahead /= max(all, 1)
+	s.lateAhead /= max(allLate, 1)
+	return s
+}
