--- a/tier/replay/case.go
+++ b/tier/replay/case.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"loomgap/tier/config"
+	"loomgap/tier/policy"
 )
 
 // sharing is the way in which the hosts of a hall share the slots of an upstream.
@@ -85,9 +86,11 @@
 	connectTime time.Duration
 	// reportLoad makes upstreams report their load with each answer.
 	reportLoad bool
-	capacity   capacity
-	faults     faults
-	loads      []load
+	// overload says what hosts do during a shortage; empty for nothing.
+	overload policy.OverloadControl
+	capacity capacity
+	faults   faults
+	loads    []load
 }
 
 // slotsOf returns the number of an upstream's slots that belong to a host.
--- a/tier/replay/execution.go
+++ b/tier/replay/execution.go
@@ -26,7 +26,7 @@
 	// onMerge, if not nil, is called for each part that is included in the answer.
 	onMerge func()
 	// onCall, if not nil, receives how each call ended.
-	onCall func(o policy.CallOutcome, l policy.Load, took time.Duration)
+	onCall func(policy.CallEnd)
 }
 
 // neverWake is the wakeAt of a finished execution.
@@ -146,7 +146,9 @@
 		Upstream: a.Upstream, Pool: a.Pool, Outcome: o, Took: took, Lingering: k.lingering, Load: k.load,
 	}))
 	if e.onCall != nil {
-		e.onCall(o, k.load, took)
+		e.onCall(policy.CallEnd{
+			Part: a.Part, Upstream: a.Upstream.Name, Outcome: o, Load: k.load, Queued: a.Queued, Took: took,
+		})
 	}
 	e.perform(e.run.Reply(now, a.Attempt, o))
 }
--- a/tier/replay/overload_report_test.go
+++ b/tier/replay/overload_report_test.go
@@ -59,6 +59,9 @@
 	// calls and sheds count the calls that ended during the load.
 	calls, sheds   int
 	newConnections int
+	// decisions counts attempts by route, what their gate decided when they arrived and how
+	// they ended.
+	decisions map[string]int
 	// waits and runs hold the times of admitted attempts from arrival to admission and from
 	// there to the least coverage.
 	waits, runs []time.Duration
@@ -67,7 +70,7 @@
 }
 
 func newOverloadReport(name string, p *overloadParams) *overloadReport {
-	return &overloadReport{name: name, params: p, tallies: map[string]*tally{}}
+	return &overloadReport{name: name, params: p, tallies: map[string]*tally{}, decisions: map[string]int{}}
 }
 
 func (r *overloadReport) of(name string) *tally {
@@ -135,6 +138,22 @@
 	}
 }
 
+// countDecision counts an attempt that passed a gate.
+func (r *overloadReport) countDecision(a *gatedAttempt, k responseKind, now time.Duration) {
+	if a.ticket == nil || len(r.talliesOf(a.request)) <= 1 {
+		return
+	}
+	route := &r.params.routes[a.request.route]
+	attempt, end := "first", string(k)
+	if a.request.retries > 0 {
+		attempt = "retry"
+	}
+	if k == responseServed && now-a.request.askedAt > time.Duration(route.Objective) {
+		end += " late"
+	}
+	r.decisions[fmt.Sprintf("%s %s, %s: %s", route.Name, attempt, a.ticket.Outlook().Decision, end)]++
+}
+
 // countStart counts the wait of an attempt that is admitted.
 func (r *overloadReport) countStart(a *gatedAttempt) {
 	if len(r.talliesOf(a.request)) > 1 {
@@ -225,5 +244,8 @@
 	fmt.Fprintf(&out, "slots in use %.2f, calls queued per slot %.2f; wait p50 %.0f ms, p90 %.0f ms; run p50 %.0f ms, p90 %.0f ms\n",
 		share(r.running, r.slots), share(r.queued, r.slots), millis(quantile(r.waits, 0.5)), millis(quantile(r.waits, 0.9)),
 		millis(quantile(r.runs, 0.5)), millis(quantile(r.runs, 0.9)))
+	for _, name := range slices.Sorted(maps.Keys(r.decisions)) {
+		fmt.Fprintf(&out, "%s %d; ", name, r.decisions[name])
+	}
 	return out.String()
 }
--- a/tier/replay/overload_site_test.go
+++ b/tier/replay/overload_site_test.go
@@ -81,6 +81,9 @@
 // arrivalStream is the second word of the PCG seed of the arrivals.
 const arrivalStream = 43
 
+// gateStream is that of the gate of the first host.
+const gateStream = 100
+
 // peak returns the highest multiple of the normal traffic of a route.
 func (p *overloadParams) peak(route int) float64 {
 	out := 1.0
@@ -95,7 +98,7 @@
 	c := Case{
 		Name: name, Seed: 1, duration: loadUntil + overloadTail, hosts: p.size.hosts, shards: p.size.shards, replicas: overloadReplicas,
 		capacity: capacity{slots: overloadSlots, backlog: overloadBacklog, serviceTime: time.Millisecond, sigma: serviceSigma},
-		delay:    250 * time.Microsecond, connectTime: 6 * time.Millisecond, reportLoad: true,
+		delay:    250 * time.Microsecond, connectTime: 6 * time.Millisecond, reportLoad: true, overload: p.control,
 	}
 	for i := range p.routes {
 		r := &p.routes[i]
@@ -148,7 +151,8 @@
 		return
 	}
 	base := max(placesPerSlot*overloadReplicas*overloadSlots/s.params.size.hosts, 1)
-	s.gates = append(s.gates, policy.NewGate(policy.GateConfig{Base: base}))
+	random := rand.New(rand.NewPCG(s.world.config.Seed, gateStream+uint64(h.index)))
+	s.gates = append(s.gates, policy.NewGate(policy.GateConfig{Base: base, Random: random}))
 }
 
 // isSlow reports whether an upstream is slow during the load: one of each shard, except in
@@ -338,6 +342,7 @@
 	s.report.countStart(a)
 	run := s.runConfig(a.host, &r.Route, r.Class(), w.now-a.arrivedAt)
 	run.Deadline = a.deadline
+	run.Routed.Rank = r.Priority
 	if g != nil {
 		run.Routed.Shortage = func() bool { return g.Shortage(w.now) }
 	}
@@ -352,10 +357,11 @@
 			covered()
 		}
 	}
-	e.onCall = func(o policy.CallOutcome, l policy.Load, took time.Duration) {
-		s.report.countCall(w.now, o)
+	e.onCall = func(c policy.CallEnd) {
+		s.report.countCall(w.now, c.Outcome)
 		if g != nil {
-			g.ObserveCall(w.now, o, l, took)
+			c.Coverage = r.Gather.Coverage
+			g.ObserveCallEnd(w.now, c)
 			s.settle(a.host)
 		}
 	}
@@ -381,6 +387,7 @@
 
 // answer returns a response to the caller.
 func (s *overloadSite) answer(a *gatedAttempt, r response) {
+	s.report.countDecision(a, r.kind, s.world.now)
 	s.world.after(callerDelay, func() { s.receive(a.request, r) })
 }
 
--- a/tier/replay/routed_site_test.go
+++ b/tier/replay/routed_site_test.go
@@ -166,7 +166,7 @@
 	for i := range s.upstreamCount() {
 		hall := s.routed.hall(i)
 		shares = append(shares, policy.Share{
-			Name: upstreamName(i), Slots: connections, Listed: true,
+			Name: upstreamName(i), Slots: connections, PublishedSlots: c.capacity.slots, Listed: true,
 			Hall: hall, Near: hall == s.routed.hall(h.index),
 		})
 	}
--- a/tier/replay/site.go
+++ b/tier/replay/site.go
@@ -45,7 +45,7 @@
 
 func newHost(w *world, index int) *host {
 	h := &host{
-		world: w, index: index, fleet: policy.NewFleet(policy.FleetConfig{Random: w.random}), idleConnections: map[int]int{},
+		world: w, index: index, fleet: policy.NewFleet(policy.FleetConfig{Random: w.random, Overload: w.config.overload}), idleConnections: map[int]int{},
 	}
 	w.site.setUpHost(h)
 	return h
