--- a/tier/replay/doc.go
+++ b/tier/replay/doc.go
@@ -10,8 +10,9 @@
 // case.go defines a case, world.go the event loop and the clock, site.go the hosts and
 // upstreams for requests of a class, and upstream.go the fake upstream. execution.go
 // and call.go carry out the actions of a policy.Run and serve as an example of how to
-// embed package policy. The tests define further sites, for routed requests and for
-// requests that crash upstreams.
+// embed package policy. The tests define further sites, for routed requests, for
+// requests that crash upstreams, and for routed requests under overload, with a gate on
+// each host.
 //
 // A replay runs in the goroutine that calls Run. Replays share no state, so several
 // can run concurrently.
--- a/tier/replay/overload_report_test.go
+++ b/tier/replay/overload_report_test.go
@@ -15,8 +15,8 @@
 	asked, onTime, late, refused, failed int
 	// refusals holds the times from the arrival of an attempt to its refusal.
 	refusals []time.Duration
-	// waits holds the same times as a share of the objective.
-	waits []float64
+	// refusalShares holds the same times as shares of the objective.
+	refusalShares []float64
 }
 
 func (c *tally) served() int { return c.onTime + c.late }
@@ -135,7 +135,7 @@
 	r.refusedBySecond[min(int(now/time.Second), len(r.refusedBySecond)-1)]++
 	for _, c := range r.talliesOf(a.request) {
 		c.refusals = append(c.refusals, after)
-		c.waits = append(c.waits, float64(after)/float64(objective))
+		c.refusalShares = append(c.refusalShares, float64(after)/float64(objective))
 	}
 }
 
--- a/tier/replay/overload_test.go
+++ b/tier/replay/overload_test.go
@@ -137,7 +137,7 @@
 	all := r.of(ofAll)
 	shed := share(r.sheds, r.calls)
 	assert.Check(t, shed < maxShedShare, "share of calls shed: %.4f", shed)
-	wait := quantile(all.waits, 0.99)
+	wait := quantile(all.refusalShares, 0.99)
 	assert.Check(t, wait <= maxRefusalWait, "refused after %.3f of the objective", wait)
 	for i := range r.params.routes {
 		name := r.params.routes[i].Name
