--- a/tier/policy/doc.go
+++ b/tier/policy/doc.go
@@ -32,8 +32,8 @@
 //
 // From the state of upstreams at the bottom, through the rules, to the run at the top:
 //
-//   - one upstream: upstream.go, composed of slots.go (with borrowing.go, limit.go and
-//     queue.go), latency.go, condition.go, outlier.go, ejection.go, backoff.go, stall.go,
+//   - one upstream: upstream.go, composed of slots.go (with borrowing.go, limit.go,
+//     window.go and queue.go), latency.go, occupancy.go, condition.go, outlier.go, ejection.go, backoff.go, stall.go,
 //     cold.go, load.go and status.go; kind.go distinguishes declared from listed
 //     upstreams; learn.go updates the state after a call
 //   - all upstreams: fleet.go, with calls.go, statuses.go, conditions.go and snapshot.go;
@@ -51,6 +51,9 @@
 //     whether a request runs, waits or is refused, with gatequeue.go as its queue,
 //     coveragetime.go for the expected time of a run, room.go for the number of places and
 //     returns.go for when a refused caller may retry
+//   - admission during a shortage: gate.go decides whether a request runs, room.go how many
+//     do, by the pressure on the upstreams that pressure.go measures; overload.go defines
+//     the requests
 //   - differences between requests of a class and routed requests: class.go and
 //     routed.go, behind rules.go
 //   - the run: run.go handles events; pick.go, hedge.go, retry.go and finish.go make the
--- a/tier/policy/pressure.go
+++ b/tier/policy/pressure.go
@@ -1,6 +1,8 @@
 package policy
 
 import (
+	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -11,9 +13,9 @@
 	shortageWaitShare = 0.25
 	// shortageShedShare is the share of shed calls above which an upstream has no room.
 	shortageShedShare = 0.1
-	// minShortParts is the fewest parts without room that show a shortage of a gather, so
-	// that one group with a fault of its own does not.
-	minShortParts = 2
+	// minSheddingParts is the fewest parts of a gather whose shed calls show a shortage, so
+	// that one group that sheds for a fault of its own does not.
+	minSheddingParts = 2
 	// roomyUpstreamShare is the share of the upstreams of a part that may have room although
 	// the part has none: of many upstreams, some report a short queue by chance.
 	roomyUpstreamShare = 0.25
@@ -25,6 +27,9 @@
 	minPressureCalls = 5
 	// shedWeight is the weight of one call in the smoothed share of shed calls.
 	shedWeight = 0.1
+	// shedHalfLife is the time in which that share halves without calls, since a queue that
+	// was full drains while its upstream is avoided.
+	shedHalfLife = 100 * time.Millisecond
 	// upstreamServiceWeight is the weight of one call in the service time of one upstream.
 	upstreamServiceWeight = 0.2
 )
@@ -35,7 +40,7 @@
 type roomPressure struct {
 	// parts holds what is known of the upstreams of each part, by index.
 	parts []roomPart
-	// coverage is the tightest coverage of the requests seen. A gather is as slow as the
+	// coverage is the tightest coverage of the requests seen; 0 if unknown. A gather is as slow as the
 	// slowest parts that it needs, so the room of these counts.
 	coverage float64
 	// calls counts recent calls; each second, older ones lose half their weight.
@@ -94,12 +99,11 @@
 }
 
 func (u *roomUpstream) observe(now time.Duration, c *CallEnd) {
-	u.answeredAt, u.queued = now, c.Queued
-	shed := 0.0
+	u.shed = (1 - shedWeight) * u.shedShare(now)
 	if c.Outcome == CallShed {
-		shed = 1
+		u.shed += shedWeight
 	}
-	u.shed += shedWeight * (shed - u.shed)
+	u.answeredAt, u.queued = now, c.Queued
 	if c.Load.Slots == 0 {
 		return
 	}
@@ -109,14 +113,19 @@
 	}
 }
 
+// shedShare returns the share of shed calls.
+func (u *roomUpstream) shedShare(now time.Duration) float64 {
+	return u.shed * math.Exp2(-(now-u.answeredAt).Seconds()/shedHalfLife.Seconds())
+}
+
 // obstacle returns why an upstream has no room, or "" if it has. service is the service
 // time of other upstreams.
-func (u *roomUpstream) obstacle(objective, service time.Duration) ShortageReason {
+func (u *roomUpstream) obstacle(now, objective, service time.Duration) ShortageReason {
 	if u.service > 0 {
 		service = u.service
 	}
 	switch {
-	case u.shed > shortageShedShare:
+	case u.shedShare(now) > shortageShedShare:
 		return ShortageShed
 	case u.queued.Seconds()+u.waiting*service.Seconds() > shortageWaitShare*objective.Seconds():
 		return ShortageQueues
@@ -135,7 +144,7 @@
 			continue
 		}
 		total++
-		if o := u.obstacle(objective, service); o != "" {
+		if o := u.obstacle(now, objective, service); o != "" {
 			reason = o
 		} else {
 			roomy++
@@ -167,13 +176,14 @@
 			without[reason]++
 		}
 	}
-	queues, shed := without[ShortageQueues], without[ShortageShed]
+	queues, all := without[ShortageQueues], without[ShortageQueues]+without[ShortageShed]
+	spare := (1 - cmp.Or(s.coverage, 1)) * float64(known)
 	switch {
-	case queues+shed < min(minShortParts, known) || float64(queues+shed) <= (1-s.coverage)*float64(known):
-		return ""
-	case shed > queues:
+	case float64(queues) > spare:
+		return ShortageQueues
+	case float64(all) > spare && all >= min(minSheddingParts, known):
 		return ShortageShed
 	default:
-		return ShortageQueues
+		return ""
 	}
 }
--- a/tier/policy/room.go
+++ b/tier/policy/room.go
@@ -12,11 +12,10 @@
 	// placesDecrease multiplies the places in use to get the limit when there are signs of
 	// a shortage.
 	placesDecrease = 0.8
-	// placesIncrease is the relative growth of the limit in a period without such signs.
-	placesIncrease = 0.1
-	// minPlacesIncrease is the least growth of the limit in a period, in places. With a
-	// whole place, a limit of 1 or 2 would double between two looks at the queues.
-	minPlacesIncrease = 0.2
+	// placesIncrease is the growth of the limit in a period without such signs, in bases. It
+	// does not depend on the limit, so that the limits of hosts that share upstreams become
+	// equal. A whole place would double the limit of a host with a base of 1.
+	placesIncrease = 0.2
 	// shortageEnd is how long after the last request that waited or was refused a shortage
 	// ends.
 	shortageEnd = 2 * time.Second
@@ -219,7 +218,7 @@
 	case short != "":
 		r.fall(now, short)
 	case r.period.used:
-		r.limit += max(placesIncrease*r.limit, minPlacesIncrease)
+		r.limit += placesIncrease * float64(r.base) * float64(r.base) / r.limit
 	}
 }
 
@@ -256,15 +255,17 @@
 }
 
 // hostShort returns ShortageHost if most requests are covered too late although far more are
-// in flight than the base: then this host's processor or link is short. Upstreams that
-// fail slow few requests down, and their reports show their queues.
+// in flight than the base, and the calls that are answered take long as well: then this
+// host's processor or link is short. If upstreams hang or fail, the other calls are answered
+// as fast as usual.
 func (r *roomLimit) hostShort() ShortageReason {
 	if r.late.ended < minEndedRequests {
 		return ""
 	}
 	late := float64(r.late.late) > hostShortageShare*float64(r.late.ended)
 	r.late = lateCounts{}
-	if late && r.period.peak > hostShortageFactor*r.base {
+	slow := r.callTime.Seconds() > shortageWaitShare*r.objective.Seconds()
+	if late && slow && r.period.peak > hostShortageFactor*r.base {
 		return ShortageHost
 	}
 	return ""
--- a/tier/policy/shortage_model_test.go
+++ b/tier/policy/shortage_model_test.go
@@ -29,8 +29,12 @@
 	// offered is how many requests each host starts in a second; without a limit it starts
 	// all. 0 means that each host has as many in flight as it may.
 	offered float64
+	// busyHallFactor multiplies the load of the hosts of the first hall; 0 stands for 1.
+	busyHallFactor float64
 	// startLimit is the limit at the start; 0 for none.
 	startLimit float64
+	// overload configures the fleets; without it the limits are not used either.
+	overload OverloadControl
 	// noReports keeps upstreams from reporting their load.
 	noReports bool
 	// fault changes an upstream of the model before the start.
@@ -55,9 +59,6 @@
 // modelFigures are measured from the time from on.
 type modelFigures struct {
 	from         time.Duration
-	busy         time.Duration
-	busySlow     time.Duration
-	hostWaits    []time.Duration
 	calls, sheds int
 	waits        []time.Duration
 	ended, met   int
@@ -104,14 +105,16 @@
 
 // modelUpstream runs up to its slots of calls and queues others.
 type modelUpstream struct {
-	model          *shortageModel
-	name, hall     string
-	part           int
-	service        time.Duration
-	running        int
-	waiting        []*modelCall
-	shedAll, hangs bool
-	pausedUntil    time.Duration
+	model      *shortageModel
+	name, hall string
+	part       int
+	service    time.Duration
+	running    int
+	waiting    []*modelCall
+	// shedAll, fails and hangs are faults of its own.
+	shedAll, fails, hangs bool
+	// pausedUntil is when calls that start earlier begin to be processed.
+	pausedUntil time.Duration
 }
 
 type modelCall struct {
@@ -141,6 +144,8 @@
 	switch {
 	case u.hangs:
 		return
+	case u.fails:
+		u.answer(c, CallFailed)
 	case u.shedAll || u.running >= m.config.slots && len(u.waiting) >= m.config.queue:
 		if m.now >= f.from {
 			f.sheds++
@@ -162,11 +167,6 @@
 	ends := max(m.now, u.pausedUntil) + took
 	if m.now >= m.figures.from {
 		m.figures.waits = append(m.figures.waits, m.now-c.arrivedAt)
-		m.figures.busy += took
-		if u.service > m.config.service {
-			m.figures.busySlow += took
-		}
-		m.figures.hostWaits = append(m.figures.hostWaits, c.action.Queued)
 	}
 	m.after(ends-m.now, func() {
 		u.running--
@@ -243,7 +243,7 @@
 	}
 	for i := range c.hosts {
 		h := &modelHost{model: m, hall: fmt.Sprint("Hall", i%c.halls)}
-		h.fleet = NewFleet(FleetConfig{Random: rand.New(rand.NewPCG(uint64(i), 3)), Overload: OverloadShortage})
+		h.fleet = NewFleet(FleetConfig{Random: rand.New(rand.NewPCG(uint64(i), 3)), Overload: c.overload})
 		setRetryBudget(h.fleet, ShareRetryBudget(0.2, 50, float64(c.hosts)))
 		var shares []Share
 		for _, u := range m.upstreams {
@@ -261,6 +261,15 @@
 	return m
 }
 
+// offered returns how many requests the host starts in a second.
+func (h *modelHost) offered() float64 {
+	c := &h.model.config
+	if h.hall == "Hall0" && c.busyHallFactor > 0 {
+		return c.busyHallFactor * c.offered
+	}
+	return c.offered
+}
+
 // offer starts requests at the offered rate, or as many as the limit allows.
 func (h *modelHost) offer() {
 	m := h.model
@@ -269,8 +278,8 @@
 	}
 	h.room.tick(m.now, h.inFlight)
 	if m.config.offered > 0 {
-		m.after(time.Duration(m.random.ExpFloat64()/m.config.offered*float64(time.Second)), h.offer)
-		if n, limited := h.room.places(); limited && h.inFlight >= n {
+		m.after(time.Duration(m.random.ExpFloat64()/h.offered()*float64(time.Second)), h.offer)
+		if n, limited := h.room.places(); limited && h.inFlight >= n && m.config.overload == OverloadShortage {
 			h.room.period.used, h.room.pressedAt = true, m.now
 			return
 		}
@@ -301,7 +310,7 @@
 	near, far := h.fleet.RoutedLatencyPools("Find")
 	routed := &RoutedConfig{
 		Groups: make([]string, m.config.parts), FarPool: far, MaxAttempts: 3, Objective: m.config.objective,
-		Shortage: func() bool { _, limited := h.room.places(); return limited },
+		Shortage: func() bool { _, limited := h.room.places(); return limited && m.config.overload == OverloadShortage },
 	}
 	for i := range routed.Groups {
 		routed.Groups[i] = fmt.Sprint("G", i)
@@ -371,7 +380,9 @@
 		if covered && took <= m.config.objective {
 			m.figures.met++
 		}
-		m.figures.took = append(m.figures.took, took)
+		if covered {
+			m.figures.took = append(m.figures.took, took)
+		}
 	}
 	if m.config.offered == 0 {
 		m.after(0, h.fill)
@@ -398,11 +409,6 @@
 	return &m.figures
 }
 
-// utilization is the share of the slots that were busy.
-func (m *shortageModel) utilization(d time.Duration) float64 {
-	return m.figures.busy.Seconds() / (d.Seconds() * float64(m.config.slots*len(m.upstreams)))
-}
-
 func quantileOf(all []time.Duration, q float64) time.Duration {
 	if len(all) == 0 {
 		return 0
@@ -411,8 +417,8 @@
 	return s[int(q*float64(len(s)-1))]
 }
 
-// limits returns the mean limit of the hosts.
-func (m *shortageModel) limits() float64 {
+// meanLimit returns the mean limit of the hosts.
+func (m *shortageModel) meanLimit() float64 {
 	total := 0.0
 	for _, h := range m.hosts {
 		total += h.room.limit
@@ -434,7 +440,28 @@
 
 func (m *shortageModel) report(d time.Duration) string {
 	f := &m.figures
-	return fmt.Sprintf("rate %.2f ", float64(f.ended)/d.Seconds()/m.capacity()) + fmt.Sprintf("slow %.2f hostwait p80 %s p95 %s ", f.busySlow.Seconds()/(d.Seconds()*float64(m.config.slots*len(m.upstreams))*max(m.config.slowShare, 1e-9)), quantileOf(f.hostWaits, .8), quantileOf(f.hostWaits, .95)) + fmt.Sprintf("utilization %.2f limit %.1f ended %d met %.2f took p50 %s p80 %s p95 %s wait p50 %s p80 %s p95 %s calls %d shed %.4f",
-		m.utilization(d), m.limits(), f.ended, float64(f.met)/float64(max(f.ended, 1)), quantileOf(f.took, 0.5), quantileOf(f.took, 0.8), quantileOf(f.took, 0.95),
-		quantileOf(f.waits, 0.5), quantileOf(f.waits, 0.8), quantileOf(f.waits, 0.95), f.calls, float64(f.sheds)/float64(max(f.calls, 1)))
+	return fmt.Sprintf("%.2f of the capacity, %.2f within the objective, took %s %s, waits %s %s, shed %d of %d, mean limit %.1f",
+		m.throughput(d), f.metShare(), quantileOf(f.took, 0.5), quantileOf(f.took, 0.8),
+		quantileOf(f.waits, 0.5), quantileOf(f.waits, 0.8), f.sheds, f.calls, m.meanLimit())
+}
+
+// throughput is the rate of covered gathers as a share of the capacity.
+func (m *shortageModel) throughput(d time.Duration) float64 {
+	return float64(len(m.figures.took)) / d.Seconds() / m.capacity()
+}
+
+// metShare is the share of the requests that were covered within the objective.
+func (f *modelFigures) metShare() float64 { return float64(f.met) / float64(max(f.ended, 1)) }
+
+func (f *modelFigures) shedShare() float64 { return float64(f.sheds) / float64(max(f.calls, 1)) }
+
+// limited counts the hosts that measure a shortage.
+func (m *shortageModel) limited() int {
+	n := 0
+	for _, h := range m.hosts {
+		if _, limited := h.room.places(); limited {
+			n++
+		}
+	}
+	return n
 }
--- a/tier/policy/window.go
+++ b/tier/policy/window.go
@@ -21,6 +21,8 @@
 	calls float64
 	// answers counts answers without a sign of shortage since the window last changed.
 	answers int
+	// full is true if as many calls as it allows were in progress since it last changed.
+	full bool
 	// fellAt is when the window last decreased. Calls that were sent earlier do not
 	// decrease it again, since they met the calls that it no longer allows.
 	fellAt time.Duration
@@ -73,7 +75,7 @@
 	if !w.active() {
 		from = float64(inUse)
 	}
-	w.calls, w.answers, w.fellAt = max(windowDecrease*from, minWindow), 0, now
+	w.calls, w.answers, w.full, w.fellAt = max(windowDecrease*from, minWindow), 0, false, now
 }
 
 // increase adds one call for each window of answers, if the window was used.
@@ -85,14 +87,12 @@
 		w.calls = 0
 		return
 	}
-	if inUse < w.limit() {
-		return
-	}
+	w.full = w.full || inUse >= w.limit()
 	w.answers++
-	if w.answers < w.limit() {
+	if !w.full || w.answers < w.limit() {
 		return
 	}
-	w.calls, w.answers = w.calls+1, 0
+	w.calls, w.answers, w.full = w.calls+1, 0, false
 	if w.calls >= float64(share) {
 		w.calls = 0
 	}
