--- a/tier/pass/coordinators.go
+++ b/tier/pass/coordinators.go
@@ -2,7 +2,9 @@
 
 import (
 	"maps"
+	"math/rand/v2"
 	"sync/atomic"
+	"time"
 
 	"loomgap/tier/config"
 	"loomgap/tier/kernel"
@@ -14,6 +16,10 @@
 // most calls would go to another hall again.
 const minUpstreamShare = 0.5
 
+// refusalShare is the share of the objective within which a request is refused if it cannot be
+// served.
+const refusalShare = 0.1
+
 // coordinators holds the hosts that may execute gathers for others. It is written on the
 // control thread and read by requests.
 type coordinators struct {
@@ -57,15 +63,71 @@
 	return out
 }
 
+// triedCoordinators are the hosts that a request was sent to and that did not begin.
+type triedCoordinators struct {
+	hosts map[string]bool
+	// declinedBy is the hall of one that declined the request for lack of room; empty if
+	// none has.
+	declinedBy string
+}
+
 // coordinator selects the host that is to execute the request; false means this one.
-func (q *request) coordinator(tried map[string]bool) (policy.Candidate, bool) {
+func (q *request) coordinator(tried triedCoordinators) (policy.ChosenCoordinator, bool) {
 	e := q.engine
-	allowed := e.placement(q.view).AllowedHosts(*e.coordinators.candidates.Load(), q.route.Homes)
-	best := policy.Coordinators(e.self(), e.hosts.candidates(allowed, e.kernel.Now(), tried))
+	all := *e.coordinators.candidates.Load()
+	allowed := e.placement(q.view).AllowedHosts(all, q.route.Homes)
+	cands := e.hosts.candidates(allowed, e.kernel.Now(), tried.hosts)
+	if e.limitsLoad() {
+		return q.coordinatorByRoom(cands, policy.SelfExecutes(e.self(), all), tried)
+	}
+	best := policy.Coordinators(e.self(), cands)
 	if len(best) == 0 {
-		return policy.Candidate{}, false
+		return policy.ChosenCoordinator{}, false
+	}
+	return policy.ChosenCoordinator{Candidate: best[0]}, true
+}
+
+// coordinatorByRoom selects the host that is to execute the request by the room that the
+// candidates have reported. A host that executes requests itself uses another one only while
+// its own gate has no room.
+func (q *request) coordinatorByRoom(cands []policy.Candidate, executes bool, tried triedCoordinators) (policy.ChosenCoordinator, bool) {
+	e := q.engine
+	c := policy.CoordinatorChoice{
+		Now: e.kernel.Now(), Self: e.self(), SelfExecutes: executes, All: cands, DeclinedBy: tried.declinedBy,
+		Objective: time.Duration(q.route.Objective), Random: rand.IntN,
+	}
+	if executes && !q.mayHandOver(&c, len(tried.hosts)) {
+		return policy.ChosenCoordinator{}, false
+	}
+	e.hosts.addRooms(c.All, gateKey(q.route.Gather.Groups))
+	chosen, ok := c.Choose()
+	if !ok || chosen.Host == c.Self.Host {
+		return policy.ChosenCoordinator{}, false
+	}
+	if !executes && len(tried.hosts)+1 >= maxCoordinatorAttempts {
+		chosen.MayDecline = false
+	}
+	return chosen, true
+}
+
+// mayHandOver reports whether a host that executes requests itself lets another one execute
+// the request: its own gate has no room, and there is time for an answer that the other has none
+// either. A refusal is due within refusalShare of the objective. It adds what is known of the own
+// gate to the choice.
+func (q *request) mayHandOver(c *policy.CoordinatorChoice, attempts int) bool {
+	spent := c.Now - q.times.startedAt
+	if len(c.All) == 0 || attempts > 0 && spent > time.Duration(refusalShare*float64(q.route.Objective)) {
+		return false
+	}
+	o := q.outlook()
+	if !q.engine.isBusy(o) {
+		return false
+	}
+	c.Self.Room.Observe(c.Now, (*policy.RoomReport)(q.roomReporter()()))
+	if o.Decision != policy.DecisionRefuse {
+		c.OwnWait = o.Wait
 	}
-	return best[0], true
+	return true
 }
 
 func (e *engine) self() policy.Candidate {
--- a/tier/pass/engine.go
+++ b/tier/pass/engine.go
@@ -28,6 +28,7 @@
 	coordinators coordinators
 	overhead     overhead
 	gates        gates
+	stated       statedTimes
 	// start opens once there is a configuration to serve requests with.
 	start startGate
 	// preconnected are the hosts that connections were opened to in advance; used on the
@@ -55,7 +56,8 @@
 // coordinateState is the state of both ends of the coordinator protocol: this host as a
 // sender of requests and as a coordinator.
 type coordinateState struct {
-	inboxes inboxes[struct{}]
+	// inboxes get the room of each heartbeat.
+	inboxes inboxes[*roomReport]
 	served  registry[*servedRequest]
 	// heartbeat holds the timeouts for requests sent; only tests change it.
 	heartbeat heartbeatTimeouts
@@ -71,9 +73,11 @@
 	e.handleRelay()
 	e.handleCoordinate()
 	k.OnView(e.applyView)
+	k.RegisterGates(e.gateStates)
 	stopClosing := kernel.RunLoops(context.Background(), e.closeExpired)
 	return e, func() {
 		stopClosing()
+		e.closeGateReports()
 		e.pools.closeAll()
 	}
 }
@@ -82,6 +86,8 @@
 func (e *engine) closeExpired(ctx context.Context) {
 	for ctx.Err() == nil {
 		e.pools.closeExpired()
+		e.dropIdleGates()
+		e.forgetStatedTimes()
 		kernel.Sleep(ctx, sweepInterval)
 	}
 }
--- a/tier/pass/relay_shortage_test.go
+++ b/tier/pass/relay_shortage_test.go
@@ -70,7 +70,7 @@
 	const ms = time.Millisecond
 	h := newHost(t, hostConfig{name: "H1", hall: "A"})
 	now := h.kernel.Now()
-	gate := func(waiting int) *policy.Gate {
+	withWaiting := func(waiting int) *gate {
 		g := policy.NewGate(policy.GateConfig{Base: 1})
 		demand := policy.Demand{Route: "Find", ObjectiveAt: now + 100*ms, DeadlineAt: now + time.Second}
 		for range 4 {
@@ -82,17 +82,17 @@
 			})
 		}
 		g.Enter(now+200*ms, demand)
-		return g
+		return &gate{Gate: g}
 	}
 	tests := []struct {
 		name    string
-		gate    *policy.Gate
+		gate    *gate
 		rank    int
 		ordered bool
 	}{
 		{"no gate", nil, 0, false},
-		{"no shortage", gate(0), 0, false},
-		{"a shortage", gate(8), 2, true},
+		{"no shortage", withWaiting(0), 0, false},
+		{"a shortage", withWaiting(8), 2, true},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/tier/pass/serve.go
+++ b/tier/pass/serve.go
@@ -34,10 +34,16 @@
 	callCounts []int
 	// gate is the gate that the request passes and ticket its place there; nil if routed
 	// requests are not limited.
-	gate   *policy.Gate
+	gate   *gate
 	ticket *policy.Ticket
+	// gateDecision is shown in the log; nil unless the gate made the request wait or refused
+	// it.
+	gateDecision *gateDecision
 	// admittedAt is when the gate admitted the request.
 	admittedAt time.Duration
+	// spentBefore is the time between the caller's first attempt and this one, as far as
+	// known.
+	spentBefore time.Duration
 	// included counts the parts that were merged.
 	included int
 	// outcome is the last outcome that was logged.
@@ -116,7 +122,7 @@
 		q.log(outcomeCancelled, 0).Msg("request cancelled by caller")
 		return
 	}
-	q.plan = q.engine.plan(q.view, q.route)
+	q.makePlan()
 	if !q.plan.covers(q.class) {
 		q.refuse(w, "too few groups have an upstream", retryAfterNoUpstream)
 		return
--- a/tier/policy/gate.go
+++ b/tier/policy/gate.go
@@ -60,8 +60,8 @@
 	// gate locked, so it may not be shared with other gates unless it is safe for concurrent
 	// use.
 	Random Random
-	// Callers judges which callers use more than their share; nil if none does. It is used
-	// with the gate locked.
+	// Callers judges which callers use more than their share; nil for the usual rule. It is
+	// used with the gate locked.
 	Callers callerLedger
 	// order is the order of the waiting requests; nil for byObjective.
 	order queueOrder
@@ -166,7 +166,7 @@
 		expected: map[string]*coverageTimes{},
 	}
 	if g.callers == nil {
-		g.callers = noLedger{}
+		g.callers = newCallerShares()
 	}
 	if g.order == nil {
 		g.order = byObjective
@@ -174,13 +174,6 @@
 	return g
 }
 
-// noLedger judges that no caller uses more than its share.
-type noLedger struct{}
-
-func (noLedger) admitted(time.Duration, netip.Addr)               {}
-func (noLedger) refused(time.Duration, netip.Addr, time.Duration) {}
-func (noLedger) overShare(time.Duration, netip.Addr) bool         { return false }
-
 // SetBase sets this host's fair share of the places; it is at least 1.
 func (g *Gate) SetBase(places int) {
 	g.mu.Lock()
@@ -192,7 +185,7 @@
 func (g *Gate) Enter(now time.Duration, d Demand) *Ticket {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.room.setObjective(d.objective(now))
+	g.room.setRouteObjective(d.Route, d.objective(now))
 	g.tick(now)
 	g.admitWaiting(now)
 	t := g.newTicket(now, d)
@@ -259,7 +252,9 @@
 		g.queue.remove(t)
 		t.state = ticketGone
 	case ticketAdmitted:
-		g.free(now, t)
+		g.free(t)
+		g.tick(now)
+		g.admitWaiting(now)
 	default:
 	}
 }
@@ -273,7 +268,9 @@
 	}
 	g.coverageTimesOf(t.demand.Route).record(c)
 	g.holds.record(c)
-	g.free(now, t)
+	g.free(t)
+	g.room.observeEnd(now, g.inFlight, c, t.demand.objective(t.enteredAt))
+	g.admitWaiting(now)
 }
 
 // ObserveCall records the outcome of a call of an admitted request, from which a shortage is
@@ -510,12 +507,9 @@
 }
 
 // free frees the place of an admitted ticket.
-func (g *Gate) free(now time.Duration, t *Ticket) {
+func (g *Gate) free(t *Ticket) {
 	t.state = ticketGone
 	g.inFlight--
-	g.room.period.ended++
-	g.tick(now)
-	g.admitWaiting(now)
 }
 
 // expectedRun returns the expected time of a run of a route, or 0 if it is not known.
--- a/tier/policy/room_test.go
+++ b/tier/policy/room_test.go
@@ -38,7 +38,7 @@
 			f := m.measure(settle, span)
 			t.Log(m.report(span))
 			assert.Check(t, m.throughput(span) >= placesDecrease, "throughput")
-			assert.Check(t, quantileOf(f.took, 0.8) <= c.objective, "the 0.8 quantile is within the objective")
+			assert.Check(t, timeQuantile(f.took, 0.8) <= c.objective, "the 0.8 quantile is within the objective")
 			assert.Check(t, f.shedShare() < 0.01, "hardly any calls are shed")
 			assert.Check(t, m.limited() == c.hosts)
 		})
@@ -256,7 +256,7 @@
 			f := m.measure(time.Second, span)
 			t.Log(m.report(span))
 			assert.Check(t, m.throughput(span) >= placesDecrease)
-			assert.Check(t, quantileOf(f.took, 0.8) <= m.config.objective && f.metShare() >= 0.8)
+			assert.Check(t, timeQuantile(f.took, 0.8) <= m.config.objective && f.metShare() >= 0.8)
 			assert.Check(t, f.shedShare() < 0.01)
 		})
 	}
