trial: replay of the placement of gathers under overload

Hosts whose gate is busy hand requests over by policy.CoordinatorChoice; reports of room come with replies and heartbeats.

--- a/tier/replay/overload_report_test.go
+++ b/tier/replay/overload_report_test.go
@@ -60,6 +60,8 @@
 	calls, sheds   int
 	shedBySecond   [(loadUntil + overloadTail) / time.Second]int
 	newConnections int
+	// handedOver and declined count attempts sent to another host and declined there.
+	handedOver, declined int
 	// decisions counts attempts by route, what their gate decided when they arrived and how
 	// they ended.
 	decisions map[string]int
@@ -248,6 +250,7 @@
 		fit*float64(r.of(ofAll).asked), r.of(ofAll).asked, 100*fit, r.bySecond, r.refusedBySecond)
 	fmt.Fprintf(&out, "calls %d, shed %d (%.2f%%) by second %v, new connections %d; came as told %d, then served %d\n",
 		r.calls, r.sheds, 100*share(r.sheds, r.calls), r.shedBySecond, r.newConnections, r.promised, r.kept)
+	fmt.Fprintf(&out, "handed over %d, declined %d; ", r.handedOver, r.declined)
 	fmt.Fprintf(&out, "slots in use %.2f, calls queued per slot %.2f; wait p50 %.0f ms, p90 %.0f ms; run p50 %.0f ms, p90 %.0f ms\n",
 		share(r.running, r.slots), share(r.queued, r.slots), millis(quantile(r.waits, 0.5)), millis(quantile(r.waits, 0.9)),
 		millis(quantile(r.runs, 0.5)), millis(quantile(r.runs, 0.9)))
--- a/tier/replay/overload_site_test.go
+++ b/tier/replay/overload_site_test.go
@@ -140,13 +140,17 @@
 	gates []*policy.Gate
 	// waiting holds the attempts at each gate that are not decided yet, by host index.
 	waiting [][]*gatedAttempt
-	report  *overloadReport
+	// known is what each host knows of the others, by index.
+	known  []knownHosts
+	report *overloadReport
 }
 
 var _ site = (*overloadSite)(nil)
 
 func (s *overloadSite) setUpHost(h *host) {
 	s.routedSite.setUpHost(h)
+	n := s.params.size.hosts
+	s.known = append(s.known, knownHosts{rooms: make([]policy.KnownRoom, n), pending: make([]int, n)})
 	if s.params.control == policy.OverloadNone {
 		return
 	}
@@ -220,6 +224,11 @@
 	arrivedAt time.Duration
 	// deadline is when the host must answer.
 	deadline time.Duration
+	// tried holds the other hosts that it was handed over to, returnDelay is the delay from
+	// the host that executes it.
+	tried       map[*host]bool
+	returnDelay time.Duration
+	answered    bool
 	// ticket is nil without control.
 	ticket *policy.Ticket
 	// admittedAt is when the attempt was admitted, left is true once its place is free.
@@ -234,7 +243,7 @@
 	return s.gates[h.index]
 }
 
-// arrive passes an attempt through the gate of its host.
+// arrive starts an attempt at the host that received it, or passes it through a gate.
 func (s *overloadSite) arrive(a *gatedAttempt) {
 	w, g := s.world, s.gate(a.host)
 	a.arrivedAt = w.now
@@ -242,12 +251,22 @@
 		s.startAttempt(a)
 		return
 	}
+	s.place(a)
+}
+
+// demand describes an attempt to a gate.
+func (s *overloadSite) demand(a *gatedAttempt) policy.Demand {
 	r := &s.params.routes[a.request.route]
-	spent := w.now - callerDelay - a.request.askedAt
-	a.ticket = g.Enter(w.now, policy.Demand{
+	spent := a.arrivedAt - callerDelay - a.request.askedAt
+	return policy.Demand{
 		Route: r.Name, Rank: r.Priority, Caller: a.request.caller.address,
-		ObjectiveAt: w.now + time.Duration(r.Class().Patience) - spent, DeadlineAt: a.deadline, Spent: spent,
-	})
+		ObjectiveAt: a.arrivedAt + time.Duration(r.Class().Patience) - spent, DeadlineAt: a.deadline, Spent: spent,
+	}
+}
+
+// enter passes an attempt through the gate of the host that executes it.
+func (s *overloadSite) enter(a *gatedAttempt) {
+	a.ticket = s.gate(a.host).Enter(s.world.now, s.demand(a))
 	s.waiting[a.host.index] = append(s.waiting[a.host.index], a)
 	s.settle(a.host)
 	s.scheduleCheck(a)
@@ -388,7 +407,8 @@
 // answer returns a response to the caller.
 func (s *overloadSite) answer(a *gatedAttempt, r response) {
 	s.report.countDecision(a, r.kind, s.world.now)
-	s.world.after(callerDelay, func() { s.receive(a.request, r) })
+	a.answered = true
+	s.world.after(a.returnDelay+callerDelay, func() { s.receive(a.request, r) })
 }
 
 func hallName(i int) string { return fmt.Sprint("Hall", i) }
