replay: the choice of coordinators as package pass makes it

Cause: a busy hall showed nothing of the placement of gathers.

Change: hosts whose gate has no room hand requests over by CoordinatorChoice with their own wait and the hall that declined; the time spent counts up to the objective, as in package pass.

--- a/tier/replay/overload_place_test.go
+++ b/tier/replay/overload_place_test.go
@@ -9,8 +9,8 @@
 
 const (
 	// maxHandOvers is the number of other hosts that a request is sent to, and handOverShare
-	// the share of the objective within which it may be sent to another one, as in package
-	// pass.
+	// the share of the objective within which it may be sent to the second one, as in
+	// package pass.
 	maxHandOvers  = 2
 	handOverShare = 0.1
 	// heartbeatInterval is the time between two reports of the room during a request.
@@ -28,7 +28,7 @@
 func (s *overloadSite) place(a *gatedAttempt) {
 	objective := float64(s.params.routes[a.request.route].Objective)
 	inTime := float64(s.world.now-a.arrivedAt) <= handOverShare*objective
-	if !inTime || len(a.tried) >= maxHandOvers || !s.isBusy(a.host, a) {
+	if len(a.tried) > 0 && !inTime || len(a.tried) >= maxHandOvers || !s.isBusy(a.host, a) {
 		s.enter(a)
 		return
 	}
@@ -63,6 +63,10 @@
 		Objective: time.Duration(s.params.routes[a.request.route].Objective),
 	}
 	c.Self.Room.Observe(w.now, s.room(a.host))
+	if o := s.gate(a.host).Outlook(w.now, s.demand(a)); o.Decision != policy.DecisionRefuse {
+		c.OwnWait = o.Wait
+	}
+	c.DeclinedBy = a.declinedBy
 	byName := map[string]*host{}
 	for _, h := range w.hosts {
 		if h != a.host && !a.tried[h] {
@@ -113,6 +117,7 @@
 			known.pending[to.index]--
 			if declined {
 				s.report.declined++
+				a.declinedBy = s.routed.hall(to.index)
 				known.rooms[to.index].Declined(w.now)
 				s.place(a)
 				return
--- a/tier/replay/overload_site_test.go
+++ b/tier/replay/overload_site_test.go
@@ -225,8 +225,9 @@
 	// deadline is when the host must answer.
 	deadline time.Duration
 	// tried holds the other hosts that it was handed over to, returnDelay is the delay from
-	// the host that executes it.
+	// the host that executes it, declinedBy the hall of the one that declined it last.
 	tried       map[*host]bool
+	declinedBy  string
 	returnDelay time.Duration
 	answered    bool
 	// ticket is nil without control.
@@ -257,7 +258,7 @@
 // demand describes an attempt to a gate.
 func (s *overloadSite) demand(a *gatedAttempt) policy.Demand {
 	r := &s.params.routes[a.request.route]
-	spent := a.arrivedAt - callerDelay - a.request.askedAt
+	spent := min(a.arrivedAt-callerDelay-a.request.askedAt, time.Duration(r.Objective))
 	return policy.Demand{
 		Route: r.Name, Rank: r.Priority, Caller: a.request.caller.address,
 		ObjectiveAt: a.arrivedAt + time.Duration(r.Class().Patience) - spent, DeadlineAt: a.deadline, Spent: spent,
