--- a/tier/policy/gate.go
+++ b/tier/policy/gate.go
@@ -16,6 +16,10 @@
 	// lateHoldDivisor divides the time to the deadline to get how long a late request may
 	// wait.
 	lateHoldDivisor = 4
+	// lateEnterShare is the share of that time within which the wait of a late request must
+	// be expected to end when it arrives. At the full time, half of the last ones were
+	// refused after all.
+	lateEnterShare = 0.75
 	// nextPlace is the expected time until the next place is free, in intervals between two
 	// places that become free.
 	nextPlace = 0.5
@@ -320,18 +324,19 @@
 		return Outlook{Decision: DecisionRun}
 	}
 	t.overShare = t.demand.Caller.IsValid() && g.callers.overShare(now, t.demand.Caller)
-	if o := g.expectWait(now, t, false); now+o.Wait <= g.waitUntil(now, t, o.Ahead) {
+	if o := g.expectWait(now, t, false); now+o.Wait <= g.waitUntil(now, t, o.Ahead, standingEnterShare) {
 		o.Decision = DecisionWait
 		return o
 	}
 	return g.judgeLate(now, t)
 }
 
-// judgeLate decides about a late request that is not in the queue.
+// judgeLate decides about a late request that is not in the queue and did not wait as a late
+// one.
 func (g *Gate) judgeLate(now time.Duration, t *Ticket) Outlook {
 	o := g.expectWait(now, t, true)
 	o.Decision = DecisionRefuse
-	if now+o.Wait <= t.lateUntil {
+	if float64(o.Wait) <= lateEnterShare*float64(t.lateUntil-now) {
 		o.Decision = DecisionLate
 	}
 	return o
@@ -361,13 +366,17 @@
 
 // judgeAgain decides about a request that has waited and is not in the queue.
 func (g *Gate) judgeAgain(now time.Duration, t *Ticket) Decision {
-	if !t.late {
-		o := g.expectWait(now, t, false)
-		if g.inTime(now+o.Wait, t) && now <= g.waitUntil(now, t, o.Ahead) {
-			return DecisionWait
-		}
+	o := g.expectWait(now, t, t.late)
+	switch {
+	case t.late && now+o.Wait <= t.lateUntil:
+		return DecisionLate
+	case t.late:
+		return DecisionRefuse
+	case g.inTime(now+o.Wait, t) && now <= g.waitUntil(now, t, o.Ahead, standingCutShare):
+		return DecisionWait
+	default:
+		return g.judgeLate(now, t).Decision
 	}
-	return g.judgeLate(now, t).Decision
 }
 
 // inTime reports whether a request that starts at a time is expected to meet its objective.
@@ -376,14 +385,14 @@
 }
 
 // waitUntil returns until when a request may wait to meet its objective. While the queue of
-// its rank stands, that is half of the time until it would have to start: a long queue
+// its rank stands, that is a share of the time until it would have to start: a long queue
 // serves no more requests than a short one, but later.
-func (g *Gate) waitUntil(now time.Duration, t *Ticket, ahead int) time.Duration {
+func (g *Gate) waitUntil(now time.Duration, t *Ticket, ahead int, share float64) time.Duration {
 	startBy := t.demand.ObjectiveAt - g.expectedRun(t.demand.Route)
 	if ahead == 0 || !g.queue.counts(t.demand.Rank).standing(now) {
 		return startBy
 	}
-	return t.enteredAt + (startBy-t.enteredAt)/standingDivisor
+	return t.enteredAt + time.Duration(share*float64(startBy-t.enteredAt))
 }
 
 // expectWait returns the expected wait of a ticket that is not in the queue.
--- a/tier/policy/gatequeue.go
+++ b/tier/policy/gatequeue.go
@@ -23,10 +23,13 @@
 	standingWaitDivisor = 8
 	// standingTime is how long all admissions must have waited longer than that.
 	standingTime = 100 * time.Millisecond
-	// standingDivisor divides the time until a request would have to start to get how long
-	// it may wait in a queue that stands. Without this cut, the requests waited up to their
-	// last possible start, and a fifth of the answers were late.
-	standingDivisor = 2
+	// standingEnterShare is the share of the time until a request would have to start that
+	// its wait in a queue that stands may be expected to take. Without this cut, requests
+	// waited up to their last possible start, and a quarter of the answers were late.
+	standingEnterShare = 0.5
+	// standingCutShare is the share after which a request that is not the next one is cut
+	// from a queue that stands.
+	standingCutShare = 0.75
 	// minAdmissions is the number of admissions within rankWindow from which late requests
 	// can tell that they get more than their turns.
 	minAdmissions = 16
--- a/tier/policy/words_test.go
+++ b/tier/policy/words_test.go
@@ -32,6 +32,10 @@
 		{"verdicts", words(VerdictClean, VerdictSuspected, VerdictQuarantined), "Sound Suspected Quarantined"},
 		{"obstacles to a hedge", words(HedgeNoUpstream, HedgeNoSlot, HedgeCold, HedgeNoBudget, HedgeSuspected), "NoUpstream NoSlot Cold NoBudget Doubted"},
 		{"actions", words(ActionSend, ActionCancel, ActionLinger, ActionMerge, ActionReleaseSlot, ActionFinish), "Send Cancel Linger Take Free Finish"},
+		{"overload control", words(OverloadNone, OverloadShortage), "None Shortage"},
+		{"decisions of a gate", words(DecisionRun, DecisionWait, DecisionLate, DecisionRefuse), "Run Wait Late Refuse"},
+		{"signs of a shortage", words(ShortageQueues, ShortageShed, ShortageHost), "Queues Shed Host"},
+		{"refusals by a gate", words(reasonNoCapacity, reasonWaitedTooLong), "no capacity is expected in time no capacity became free in time"},
 		{"refusal", words(ReasonQuarantined), "the request has crashed the upstreams that ran it"},
 		{"error", words((&Refusal{Reason: "full", RetryAfter: time.Second}).Error()), "not run: full; ask again in 1s"},
 	}
