--- a/tier/policy/doc.go
+++ b/tier/policy/doc.go
@@ -54,7 +54,8 @@
 //   - callers that use more than their share during a shortage: callers.go
 //   - overload control of routed requests: overload.go defines its terms; gate.go decides
 //     whether a request runs, waits or is refused, with gatequeue.go as its queue,
-//     coveragetime.go for the expected time of a run, room.go for the number of places and
+//     coveragetime.go for the expected time of a run, sharebudget.go for the
+//     share of late requests and lower ranks, room.go for the number of places and
 //     returns.go for when a refused caller may retry
 //   - admission during a shortage: gate.go decides whether a request runs, room.go how many
 //     do, by the pressure on the upstreams that pressure.go measures; overload.go defines
