--- a/tier/replay/case.go
+++ b/tier/replay/case.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"loomgap/tier/config"
+	"loomgap/tier/policy"
 )
 
 // sharing is the way in which the hosts of a hall share the slots of an upstream.
@@ -80,9 +81,16 @@
 	// delay is the one-way network delay between host and upstream, relayDelay the
 	// one between two hosts.
 	delay, relayDelay time.Duration
-	capacity          capacity
-	faults            faults
-	loads             []load
+	// connectTime is the time to open a connection. A cancelled call closes its
+	// connection.
+	connectTime time.Duration
+	// reportLoad makes upstreams report their load with each answer.
+	reportLoad bool
+	// overload says what hosts do during a shortage; empty for nothing.
+	overload policy.OverloadControl
+	capacity capacity
+	faults   faults
+	loads    []load
 }
 
 // slotsOf returns the number of an upstream's slots that belong to a host.
