policy: the package comment lists each file once

Cause: the merge left two versions of two paragraphs; latebudget.go was not listed. Result: TestDocNamesAllFiles failed before and passes now.

--- a/tier/policy/doc.go
+++ b/tier/policy/doc.go
@@ -41,24 +41,19 @@
 //   - rules for upstreams: choose.go ranks them, with plugin.go as its registry;
 //     coldowner.go selects the host that calls a cold upstream, by hostrank.go
 //   - rules for requests: placement.go decides where a request may go, coordinator.go
-//     which host executes it (by the room that coordinators report, roomreport.go, during
-//     a shortage), admit.go and retryafter.go whether it is refused and until
-//     when, and margin.go how much of its deadline is reserved; budget.go and
-//     retrybudget.go (with recent.go, a sliding window) pay for the hedges and retries of
-//     which host executes it, admit.go and retryafter.go whether it is refused and until
-//     when, and margin.go how much of its deadline is reserved; classbudget.go and
-//     retrybudget.go (with tokenbucket.go and recent.go) pay for the hedges and retries of
-//     classes and of routed requests; classstate.go holds the state that requests of a
-//     class share; quarantine.go judges a request by the crash reports that suspects.go
-//     keeps; crashreport.go and fingerprint.go define these reports and their key
-//   - callers that use more than their share during a shortage: callers.go
+//     which host executes it (during a shortage by the room that coordinators report,
+//     roomreport.go), admit.go and retryafter.go whether it is refused and until when, and
+//     margin.go how much of its deadline is reserved; classbudget.go and retrybudget.go
+//     (with tokenbucket.go and recent.go) pay for the hedges and retries of classes and of
+//     routed requests; classstate.go holds the state that requests of a class share;
+//     quarantine.go judges a request by the crash reports that suspects.go keeps;
+//     crashreport.go and fingerprint.go define these reports and their key
 //   - overload control of routed requests: overload.go defines its terms; gate.go decides
 //     whether a request runs, waits or is refused, with gatequeue.go as its queue,
-//     coveragetime.go for the expected time of a run, room.go for the number of places and
-//     returns.go for when a refused caller may retry
-//   - admission during a shortage: gate.go decides whether a request runs, room.go how many
-//     do, by the pressure on the upstreams that pressure.go measures; overload.go defines
-//     the requests
+//     latebudget.go for the share of late requests, coveragetime.go for the expected time of
+//     a run, callers.go for callers that use more than their share, and returns.go for when a
+//     refused caller may retry; room.go decides how many requests run, by the pressure on
+//     the upstreams that pressure.go measures
 //   - differences between requests of a class and routed requests: class.go and
 //     routed.go, behind rules.go
 //   - the run: run.go handles events; pick.go, hedge.go, retry.go and finish.go make the
