--- a/tier/policy/gate.go
+++ b/tier/policy/gate.go
@@ -16,12 +16,27 @@
 	// lateHoldDivisor divides the time to the deadline to get how long a late request may
 	// wait.
 	lateHoldDivisor = 4
+	// lateEnterShare is the share of that time within which the wait of a late request must
+	// be expected to end when it arrives. At the full time, half of the last ones were
+	// refused after all.
+	lateEnterShare = 0.75
 	// nextPlace is the expected time until the next place is free, in intervals between two
 	// places that become free.
 	nextPlace = 0.5
 	// minShare bounds the share of the places that a class of requests is expected to get,
 	// since waits are divided by it.
 	minShare = 0.01
+	// firstLateHoldDivisor divides the objective to get how long a first attempt that is
+	// late may wait: within a tenth of the objective a request is served or refused.
+	firstLateHoldDivisor = 10
+	// lateIdleTime is how long no request that can meet its objective must have come before
+	// late requests may take all places.
+	lateIdleTime = 100 * time.Millisecond
+	// reservationTime is how long after the refusal of an urgent request free places are
+	// kept for requests of its rank. The next one is expected within that time.
+	reservationTime = 100 * time.Millisecond
+	// maxGateRanks is the number of ranks of which a gate keeps the last refusal.
+	maxGateRanks = 64
 	// maxRunShare bounds the expected time of a run, as a share of the objective.
 	maxRunShare = 0.93
 	// maxGateRoutes is the number of routes of which a gate keeps the time to coverage.
@@ -44,7 +59,13 @@
 	returns returnSchedule
 	callers callerLedger
 	order   queueOrder
-	late    lateBudget
+	// late and low bound the late requests and those of outranked ranks that run.
+	late, low shareBudget
+	// inTimeAt is when a request that could meet its objective last came.
+	inTimeAt time.Duration
+	// refusedAt is when a request of each rank was last refused, for at most maxGateRanks
+	// ranks.
+	refusedAt map[int]time.Duration
 	// inFlight counts the tickets that are admitted and have not left.
 	inFlight int
 	// entered counts all tickets, refused those that were refused.
@@ -167,6 +188,8 @@
 		callers:  c.Callers,
 		order:    c.order,
 		expected: map[string]*coverageTimes{},
+		late:     shareBudget{share: lateShare},
+		low:      shareBudget{share: lowRankShare},
 	}
 	if g.callers == nil {
 		g.callers = newCallerShares()
@@ -200,8 +223,9 @@
 	}
 	g.queue.counts(d.Rank).arrived.add(now, rankWindow, 1)
 	g.late.earn(now, g.throughput())
+	g.low.earn(now, g.throughput())
 	if g.inTime(now, t) {
-		g.late.inTimeAt = now
+		g.inTimeAt = now
 	}
 	t.outlook = g.judge(now, t)
 	switch t.outlook.Decision {
@@ -239,14 +263,8 @@
 	if t.state != ticketWaiting {
 		return
 	}
-	g.queue.remove(t)
-	switch g.judgeAgain(now, t) {
-	case DecisionRefuse:
-		g.refuse(now, t, reasonWaitedTooLong)
-	case DecisionLate:
-		g.wait(now, t, true)
-	default:
-		g.wait(now, t, false)
+	if g.keep(now, t) {
+		t.checkAt = g.nextCheck(now, t)
 	}
 }
 
@@ -314,7 +332,7 @@
 func (g *Gate) newTicket(now time.Duration, d Demand) *Ticket {
 	return &Ticket{
 		gate: g, demand: d, number: g.entered + 1, enteredAt: now, decided: make(chan struct{}),
-		lateUntil: now + max(d.DeadlineAt-now, 0)/lateHoldDivisor,
+		lateUntil: now + lateHold(now, &d),
 	}
 }
 
@@ -324,30 +342,65 @@
 		return Outlook{Decision: DecisionRun}
 	}
 	t.overShare = t.demand.Caller.IsValid() && g.callers.overShare(now, t.demand.Caller)
-	if o := g.expectWait(now, t, false); now+o.Wait <= g.waitUntil(now, t, o.Ahead) {
+	if o := g.expectWait(now, t, false); now+o.Wait <= g.waitUntil(now, t, o.Ahead, standingEnterShare) {
 		o.Decision = DecisionWait
 		return o
 	}
 	return g.judgeLate(now, t)
 }
 
+// lateHold returns how long a late request may wait. A first attempt waits only briefly, since
+// a refusal helps the caller only if it comes early. One that returned is served if
+// possible, since no caller is told to return twice.
+func lateHold(now time.Duration, d *Demand) time.Duration {
+	if d.Spent >= minReturnTime {
+		return max(d.DeadlineAt-now, 0) / lateHoldDivisor
+	}
+	return d.objective(now) / firstLateHoldDivisor
+}
+
 // mayRun reports whether a request that is not in the queue may run at once. One that can
 // meet its objective goes before late ones that wait for their share.
 func (g *Gate) mayRun(now time.Duration, t *Ticket) bool {
 	if !g.hasPlace() {
 		return false
 	}
-	if g.inTime(now, t) {
-		return g.queue.firstInTime() < 0
+	if !g.inTime(now, t) {
+		return g.queue.len() == 0 && g.mayRunLate(now)
+	}
+	if g.reserved(now, t.demand.Rank) {
+		return false
+	}
+	first := g.queue.firstInTime()
+	return first < 0 || g.queue.waiting[first].demand.Rank > t.demand.Rank
+}
+
+// mayRunLate reports whether a late request may run now. If no request that can meet its
+// objective has come for lateIdleTime, late ones may take all places.
+func (g *Gate) mayRunLate(now time.Duration) bool {
+	return g.late.available() || now-g.inTimeAt >= lateIdleTime
+}
+
+// reserved reports whether free places are kept for ranks more urgent than a given one,
+// because a request of such a rank was refused lately. The lower ranks keep their share.
+func (g *Gate) reserved(now time.Duration, rank int) bool {
+	if g.low.available() {
+		return false
+	}
+	for r, at := range g.refusedAt {
+		if r < rank && now-at < reservationTime {
+			return true
+		}
 	}
-	return g.queue.len() == 0 && g.late.allowed(now)
+	return false
 }
 
-// judgeLate decides about a late request that is not in the queue.
+// judgeLate decides about a late request that is not in the queue and did not wait as a late
+// one.
 func (g *Gate) judgeLate(now time.Duration, t *Ticket) Outlook {
 	o := g.expectWait(now, t, true)
 	o.Decision = DecisionRefuse
-	if now+o.Wait <= t.lateUntil {
+	if float64(o.Wait) <= lateEnterShare*float64(t.lateUntil-now) {
 		o.Decision = DecisionLate
 	}
 	return o
@@ -356,34 +409,35 @@
 // displace decides again about the last requests of the rank of a ticket that was put before
 // them: it may have taken the place that they were expected to get.
 func (g *Gate) displace(now time.Duration, t *Ticket) {
-	for {
-		last := g.queue.lastLike(t)
-		if last == t {
-			return
-		}
-		g.queue.remove(last)
-		d := g.judgeAgain(now, last)
-		switch {
-		case d == DecisionRefuse:
-			g.refuse(now, last, reasonWaitedTooLong)
-		case d == DecisionLate && !last.late:
-			g.wait(now, last, true)
-		default:
-			g.queue.insert(last)
-			return
-		}
+	for last := g.queue.lastLike(t); last != t && !g.keep(now, last); {
+		last = g.queue.lastLike(t)
 	}
 }
 
-// judgeAgain decides about a request that has waited and is not in the queue.
-func (g *Gate) judgeAgain(now time.Duration, t *Ticket) Decision {
-	if !t.late {
-		o := g.expectWait(now, t, false)
-		if g.inTime(now+o.Wait, t) && now <= g.waitUntil(now, t, o.Ahead) {
-			return DecisionWait
-		}
+// keep reports whether a waiting request can still be answered as expected. One that can't
+// is moved to the late requests or refused.
+func (g *Gate) keep(now time.Duration, t *Ticket) bool {
+	if g.fits(now, t) {
+		return true
+	}
+	g.queue.remove(t)
+	if !t.late && g.judgeLate(now, t).Decision == DecisionLate {
+		g.wait(now, t, true)
+		return false
+	}
+	g.refuse(now, t, reasonWaitedTooLong)
+	return false
+}
+
+// fits reports whether a waiting request is expected to be admitted in time. The bounds are
+// wider than when it arrived, so that it is not refused for a small change of the
+// expectation.
+func (g *Gate) fits(now time.Duration, t *Ticket) bool {
+	o := g.expectWait(now, t, t.late)
+	if t.late {
+		return now+o.Wait <= t.lateUntil
 	}
-	return g.judgeLate(now, t).Decision
+	return g.inTime(now+o.Wait, t) && now <= g.waitUntil(now, t, o.Ahead, standingCutShare)
 }
 
 // inTime reports whether a request that starts at a time is expected to meet its objective.
@@ -400,17 +454,18 @@
 }
 
 // waitUntil returns until when a request may wait to meet its objective. While the queue of
-// its rank stands, that is half of the time until it would have to start: a long queue
+// its rank stands, that is a share of the time until it would have to start: a long queue
 // serves no more requests than a short one, but later.
-func (g *Gate) waitUntil(now time.Duration, t *Ticket, ahead int) time.Duration {
+func (g *Gate) waitUntil(now time.Duration, t *Ticket, ahead int, share float64) time.Duration {
 	startBy := t.demand.ObjectiveAt - g.runTime(t)
-	if ahead == 0 || !g.queue.counts(t.demand.Rank).standing(now) {
+	if ahead == 0 || !g.queue.standing(now, t.demand.Rank) {
 		return startBy
 	}
-	return t.enteredAt + (startBy-t.enteredAt)/standingDivisor
+	return t.enteredAt + time.Duration(share*float64(startBy-t.enteredAt))
 }
 
-// expectWait returns the expected wait of a ticket that is not in the queue.
+// expectWait returns the expected wait of a ticket in the position that it has, or would
+// have, in the queue.
 func (g *Gate) expectWait(now time.Duration, t *Ticket, late bool) Outlook {
 	p := g.order(t, late)
 	ahead := g.queue.before(p)
@@ -418,6 +473,9 @@
 	if late {
 		own = g.queue.lateBefore(p)
 	}
+	if !late && own == 0 && g.low.available() && g.queue.outranked(p.rank) {
+		return Outlook{Wait: g.untilFree(0, 1), Ahead: ahead}
+	}
 	share, least := g.shares(now, p)
 	wait := max(g.untilFree(own, share), g.untilFree(ahead, 1))
 	return Outlook{Wait: min(wait, g.untilFree(own, least)), Ahead: ahead}
@@ -476,13 +534,9 @@
 // admitWaiting admits waiting requests while there are free places.
 func (g *Gate) admitWaiting(now time.Duration) {
 	for g.queue.len() > 0 && g.hasPlace() {
-		t := g.queue.next(now)
-		if t.late && g.limited() && !g.late.allowed(now) {
-			i := g.queue.firstInTime()
-			if i < 0 {
-				break
-			}
-			t = g.queue.waiting[i]
+		t := g.nextToRun(now)
+		if t == nil {
+			break
 		}
 		g.queue.remove(t)
 		switch {
@@ -491,7 +545,6 @@
 		case t.late && now > t.lateUntil:
 			g.refuse(now, t, reasonWaitedTooLong)
 		default:
-			g.queue.turns++
 			g.queue.counts(t.demand.Rank).observeWait(now, t)
 			g.admitLimited(now, t)
 		}
@@ -501,6 +554,32 @@
 	}
 }
 
+// nextToRun returns the waiting ticket that may run next, or nil if the free places are kept
+// for others. The queue must not be empty.
+func (g *Gate) nextToRun(now time.Duration) *Ticket {
+	t := g.queue.waiting[0]
+	if !g.limited() {
+		return t
+	}
+	if i := g.queue.firstLate(); i > 0 && g.late.available() {
+		t = g.queue.waiting[i]
+	}
+	if i := g.queue.firstOfLowRank(now); i > 0 && g.low.available() {
+		t = g.queue.waiting[i]
+	}
+	if t.late && !g.mayRunLate(now) {
+		i := g.queue.firstInTime()
+		if i < 0 {
+			return nil
+		}
+		t = g.queue.waiting[i]
+	}
+	if g.reserved(now, t.demand.Rank) {
+		return nil
+	}
+	return t
+}
+
 // moveToLate lets a ticket that can't meet its objective any more wait with the late ones,
 // or refuses it if it has waited for too long.
 func (g *Gate) moveToLate(now time.Duration, t *Ticket) {
@@ -517,6 +596,9 @@
 	if t.late || !g.inTime(now, t) {
 		g.late.spend()
 	}
+	if g.queue.outranked(t.demand.Rank) {
+		g.low.spend()
+	}
 	if t.demand.Caller.IsValid() {
 		g.callers.admitted(now, t.demand.Caller)
 	}
@@ -532,6 +614,7 @@
 func (g *Gate) refuse(now time.Duration, t *Ticket, reason string) {
 	g.pressed(now)
 	g.refused++
+	g.noteRefusal(now, t.demand.Rank)
 	in := g.bookReturn(now, t.demand)
 	if t.demand.Caller.IsValid() {
 		g.callers.refused(now, t.demand.Caller, now+in)
@@ -541,6 +624,14 @@
 	close(t.decided)
 }
 
+// noteRefusal records that a request of a rank was refused.
+func (g *Gate) noteRefusal(now time.Duration, rank int) {
+	if g.refusedAt == nil || len(g.refusedAt) >= maxGateRanks {
+		g.refusedAt = map[int]time.Duration{}
+	}
+	g.refusedAt[rank] = now
+}
+
 // bookReturn returns after what time the caller of a refused request may retry. The
 // throughput is that which the rank can expect: at that of all ranks, callers came back
 // before there were places for them, and each displaced another request.
--- a/tier/policy/gatequeue.go
+++ b/tier/policy/gatequeue.go
@@ -7,26 +7,23 @@
 )
 
 const (
-	// lowRankTurn is the number of admissions of which one goes to a rank lower than the
-	// next one in order.
-	lowRankTurn = 4
-	// lateTurn is the number of admissions of which one goes to a late request. Its turns
-	// are not those of lower ranks, so that both keep their share.
-	lateTurn = 8
-	// lateTurnOffset is the first turn of a late request.
-	lateTurnOffset = 2
-	// lowRankShare and lateShare are the shares of the admissions that these turns make.
-	lowRankShare = 1.0 / lowRankTurn
-	lateShare    = 1.0 / lateTurn
+	// lowRankShare is the share of the places that goes to requests of ranks that are
+	// outranked, so that no rank starves.
+	lowRankShare = 0.25
+	// lateShare is the share of the places that goes to late requests.
+	lateShare = 0.125
 	// standingWaitDivisor divides the objective to get the wait above which an admission
 	// shows that a queue stands: one that only smooths bursts is empty in between.
 	standingWaitDivisor = 8
 	// standingTime is how long all admissions must have waited longer than that.
 	standingTime = 100 * time.Millisecond
-	// standingDivisor divides the time until a request would have to start to get how long
-	// it may wait in a queue that stands. Without this cut, the requests waited up to their
-	// last possible start, and a fifth of the answers were late.
-	standingDivisor = 2
+	// standingEnterShare is the share of the time until a request would have to start that
+	// its wait in a queue that stands may be expected to take. Without this cut, requests
+	// waited up to their last possible start, and a quarter of the answers were late.
+	standingEnterShare = 0.5
+	// standingCutShare is the share after which a request that is not the next one is cut
+	// from a queue that stands.
+	standingCutShare = 0.75
 	// minAdmissions is the number of admissions within rankWindow from which late requests
 	// can tell that they get more than their turns.
 	minAdmissions = 16
@@ -92,8 +89,6 @@
 	// waiting is sorted by position. A count of the requests ahead is a search; an insertion
 	// moves the pointers behind it, which is fast for a few thousand.
 	waiting []*Ticket
-	// turns counts the admissions from the queue.
-	turns uint64
 	// ranks holds the counts of each rank seen during the shortage.
 	ranks map[int]*rankCounts
 }
@@ -120,9 +115,10 @@
 	c.standingSince = cmp.Or(c.standingSince, now)
 }
 
-// standing reports whether requests of the rank have waited long for some time.
-func (c *rankCounts) standing(now time.Duration) bool {
-	return c.standingSince > 0 && now-c.standingSince >= standingTime
+// standing reports whether requests of a rank have waited long for some time.
+func (q *gateQueue) standing(now time.Duration, rank int) bool {
+	c := q.ranks[rank]
+	return c != nil && c.standingSince > 0 && now-c.standingSince >= standingTime
 }
 
 func (q *gateQueue) len() int { return len(q.waiting) }
@@ -194,25 +190,22 @@
 	return count
 }
 
-// next returns the ticket to admit next. The queue must not be empty.
-func (q *gateQueue) next(now time.Duration) *Ticket {
-	turn := q.turns + 1
-	i := 0
-	switch {
-	case turn%lateTurn == lateTurnOffset:
-		i = q.firstLate()
-	case turn%lowRankTurn == 0:
-		i = q.firstOfLowRank(now)
-	}
-	return q.waiting[i]
-}
-
 // firstInTime returns the index of the first ticket that can meet its objective, or -1 if
 // there is none.
 func (q *gateQueue) firstInTime() int {
 	return slices.IndexFunc(q.waiting, func(t *Ticket) bool { return !t.late })
 }
 
+// outranked reports whether requests of a more urgent rank came during the shortage.
+func (q *gateQueue) outranked(rank int) bool {
+	for r := range q.ranks {
+		if r < rank {
+			return true
+		}
+	}
+	return false
+}
+
 // firstLate returns the index of the first late ticket, or 0 if there is none.
 func (q *gateQueue) firstLate() int {
 	found := 0
