--- a/tier/policy/gate.go
+++ b/tier/policy/gate.go
@@ -59,8 +59,8 @@
 	returns returnSchedule
 	callers callerLedger
 	order   queueOrder
-	// late and low bound the late requests and those of outranked ranks that run.
-	late, low shareBudget
+	// late bounds the late requests that run.
+	late shareBudget
 	// inTimeAt is when a request that could meet its objective last came.
 	inTimeAt time.Duration
 	// refusedAt is when a request of each rank was last refused, for at most maxGateRanks
@@ -189,7 +189,6 @@
 		order:    c.order,
 		expected: map[string]*coverageTimes{},
 		late:     shareBudget{share: lateShare},
-		low:      shareBudget{share: lowRankShare},
 	}
 	if g.callers == nil {
 		g.callers = newCallerShares()
@@ -222,8 +221,6 @@
 		return t
 	}
 	g.queue.counts(d.Rank).arrived.add(now, rankWindow, 1)
-	g.late.earn(now, g.throughput())
-	g.low.earn(now, g.throughput())
 	if g.inTime(now, t) {
 		g.inTimeAt = now
 	}
@@ -384,7 +381,7 @@
 // reserved reports whether free places are kept for ranks more urgent than a given one,
 // because a request of such a rank was refused lately. The lower ranks keep their share.
 func (g *Gate) reserved(now time.Duration, rank int) bool {
-	if g.low.available() {
+	if g.queue.hasBudget(rank) {
 		return false
 	}
 	for r, at := range g.refusedAt {
@@ -473,7 +470,7 @@
 	if late {
 		own = g.queue.lateBefore(p)
 	}
-	if !late && own == 0 && g.low.available() && g.queue.outranked(p.rank) {
+	if !late && own == 0 && g.queue.hasBudget(p.rank) {
 		return Outlook{Wait: g.untilFree(0, 1), Ahead: ahead}
 	}
 	share, least := g.shares(now, p)
@@ -533,6 +530,7 @@
 
 // admitWaiting admits waiting requests while there are free places.
 func (g *Gate) admitWaiting(now time.Duration) {
+	g.earnShares(now)
 	for g.queue.len() > 0 && g.hasPlace() {
 		t := g.nextToRun(now)
 		if t == nil {
@@ -554,6 +552,25 @@
 	}
 }
 
+// earnShares adds to the budgets of late requests and of the ranks that are outranked, which
+// divide their share by what they ask: from one budget, the rank that asks most took it all.
+func (g *Gate) earnShares(now time.Duration) {
+	throughput := g.throughput()
+	g.late.earn(now, throughput)
+	asked := 0.0
+	for rank, c := range g.queue.ranks {
+		if g.queue.outranked(rank) {
+			asked += c.arrived.sum(now, rankWindow)
+		}
+	}
+	for rank, c := range g.queue.ranks {
+		if asked > 0 && g.queue.outranked(rank) {
+			c.budget.share = lowRankShare * c.arrived.sum(now, rankWindow) / asked
+			c.budget.earn(now, throughput)
+		}
+	}
+}
+
 // nextToRun returns the waiting ticket that may run next, or nil if the free places are kept
 // for others. The queue must not be empty.
 func (g *Gate) nextToRun(now time.Duration) *Ticket {
@@ -564,7 +581,7 @@
 	if i := g.queue.firstLate(); i > 0 && g.late.available() {
 		t = g.queue.waiting[i]
 	}
-	if i := g.queue.firstOfLowRank(now); i > 0 && g.low.available() {
+	if i := g.queue.firstOfLowRank(now); i > 0 {
 		t = g.queue.waiting[i]
 	}
 	if t.late && !g.mayRunLate(now) {
@@ -596,8 +613,8 @@
 	if t.late || !g.inTime(now, t) {
 		g.late.spend()
 	}
-	if g.queue.outranked(t.demand.Rank) {
-		g.low.spend()
+	if c := g.queue.counts(t.demand.Rank); c.budget.share > 0 {
+		c.budget.spend()
 	}
 	if t.demand.Caller.IsValid() {
 		g.callers.admitted(now, t.demand.Caller)
--- a/tier/policy/gatequeue.go
+++ b/tier/policy/gatequeue.go
@@ -11,7 +11,7 @@
 	// outranked, so that no rank starves.
 	lowRankShare = 0.25
 	// lateShare is the share of the places that goes to late requests.
-	lateShare = 0.125
+	lateShare = 1.0 / 16
 	// standingWaitDivisor divides the objective to get the wait above which an admission
 	// shows that a queue stands: one that only smooths bursts is empty in between.
 	standingWaitDivisor = 8
@@ -98,6 +98,8 @@
 	// arrived counts requests, admitted those admitted to meet their objective,
 	// admittedReturned the late ones that returned, and admittedLate the other late ones.
 	arrived, admitted, admittedReturned, admittedLate windowedSum
+	// budget is the share of the rank in the places while it is outranked.
+	budget shareBudget
 	// standingSince is the first of the latest admissions that all waited long; 0 if the
 	// last one did not.
 	standingSince time.Duration
@@ -218,16 +220,23 @@
 	return found
 }
 
+// hasBudget reports whether a rank that is outranked has a place left in its budget.
+func (q *gateQueue) hasBudget(rank int) bool {
+	c := q.ranks[rank]
+	return c != nil && c.budget.available()
+}
+
 // firstOfLowRank returns the index of the first ticket of the rank, other than the most
-// urgent one that waits, whose requests have been admitted at the lowest rate. It returns 0
-// if only one rank waits. Ranks that ask equally much take turns.
+// urgent one that waits, that has a place left in its budget and whose requests have been
+// admitted at the lowest rate. It returns 0 if there is none.
 func (q *gateQueue) firstOfLowRank(now time.Duration) int {
 	found, lowest := 0, 0.0
 	q.eachRank(func(rank, first, _, _ int) bool {
-		if first == 0 {
+		c := q.counts(rank)
+		if first == 0 || !c.budget.available() {
 			return true
 		}
-		rate := q.counts(rank).admittedShare(now)
+		rate := c.admittedShare(now)
 		if found == 0 || rate < lowest {
 			found, lowest = first, rate
 		}
