--- a/tier/policy/gate.go
+++ b/tier/policy/gate.go
@@ -442,7 +442,7 @@
 
 // inTime reports whether a request that starts at a time is expected to meet its objective.
 func (g *Gate) inTime(startAt time.Duration, t *Ticket) bool {
-	return startAt+g.runTime(t) <= t.demand.ObjectiveAt
+	return startAt+g.runTime(t) <= t.demand.dueAt()
 }
 
 // runTime returns the expected time of the run of a request. It is at most
@@ -457,7 +457,7 @@
 // its rank stands, that is a share of the time until it would have to start: a long queue
 // serves no more requests than a short one, but later.
 func (g *Gate) waitUntil(now time.Duration, t *Ticket, ahead int, share float64) time.Duration {
-	startBy := t.demand.ObjectiveAt - g.runTime(t)
+	startBy := t.demand.dueAt() - g.runTime(t)
 	if ahead == 0 || !g.queue.standing(now, t.demand.Rank) {
 		return startBy
 	}
--- a/tier/policy/overload.go
+++ b/tier/policy/overload.go
@@ -37,6 +37,10 @@
 // attempt.
 func (d Demand) objective(now time.Duration) time.Duration { return d.ObjectiveAt + d.Spent - now }
 
+// dueAt returns until when a request can be answered in time: its objective, or its deadline
+// if its caller waits for less than that.
+func (d Demand) dueAt() time.Duration { return min(d.ObjectiveAt, d.DeadlineAt) }
+
 // Completion describes how an admitted request left its gate.
 type Completion struct {
 	// Took is the time since the request was admitted.
