--- a/tier/pass/inbound.go
+++ b/tier/pass/inbound.go
@@ -107,9 +107,9 @@
 			q.reject(w, http.StatusBadRequest, outcomeInvalid, "header "+q.engine.headers.DeadlineMillis+": write milliseconds above 0")
 			return false
 		}
-		stated := time.Duration(millis) * time.Millisecond
-		limit = min(limit, stated)
-		q.noteStatedTime(stated)
+		limit = min(limit, time.Duration(millis)*time.Millisecond)
+		// A time beyond the limit of the route would make all other requests look like retries.
+		q.noteStatedTime(limit)
 	}
 	q.times.deadline = q.times.startedAt + limit - min(deadlineReserve, limit/deadlineReserveDivisor)
 	return true
