--- a/tier/policy/gate.go
+++ b/tier/policy/gate.go
@@ -384,9 +384,11 @@
 // reserved reports whether free places are kept for ranks more urgent than a given one,
 // because a request of such a rank was refused lately. The lower ranks keep their share.
 func (g *Gate) reserved(now time.Duration, rank int) bool {
-	if g.low.available() {
-		return false
-	}
+	return !g.low.available() && g.refusedLately(now, rank)
+}
+
+// refusedLately reports whether a request of a more urgent rank was refused lately.
+func (g *Gate) refusedLately(now time.Duration, rank int) bool {
 	for r, at := range g.refusedAt {
 		if r < rank && now-at < reservationTime {
 			return true
@@ -395,6 +397,13 @@
 	return false
 }
 
+// overtakes reports whether a request of a rank runs before one of a more urgent rank, which
+// waits or would have run if it had waited. Other requests of lower ranks do not use up the
+// share of low ranks: a rank that gets most places would leave none to those below it.
+func (g *Gate) overtakes(now time.Duration, rank int) bool {
+	return g.queue.beforeRank(rank) > 0 || g.refusedLately(now, rank)
+}
+
 // judgeLate decides about a late request that is not in the queue and did not wait as a late
 // one.
 func (g *Gate) judgeLate(now time.Duration, t *Ticket) Outlook {
@@ -596,7 +605,7 @@
 	if t.late || !g.inTime(now, t) {
 		g.late.spend()
 	}
-	if g.queue.outranked(t.demand.Rank) {
+	if g.overtakes(now, t.demand.Rank) {
 		g.low.spend()
 	}
 	if t.demand.Caller.IsValid() {
