--- a/tier/policy/attempt.go
+++ b/tier/policy/attempt.go
@@ -58,6 +58,7 @@
 	if r.shortage {
 		w.Rank, w.ObjectiveAt = r.request.Routed.Rank, r.objectiveAt()
 	}
+	u.slots.window.expire(now)
 	granted, queued := u.acquireOrQueue(w)
 	p.tries++
 	p.tried = append(p.tried, u)
--- a/tier/policy/calls.go
+++ b/tier/policy/calls.go
@@ -113,6 +113,7 @@
 func (f *Fleet) acquireAs(now time.Duration, w *Waiter) (granted, queued bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	w.Upstream.slots.window.expire(now)
 	if w.ObjectiveAt > 0 {
 		w.Upstream.slots.window.noteShortage(now)
 	}
--- a/tier/policy/pick.go
+++ b/tier/policy/pick.go
@@ -53,6 +53,7 @@
 
 func (r *Run) score(now time.Duration, u *Upstream) float64 {
 	if c, ok := r.chooser.(shortageChooser); ok && r.shortage {
+		u.slots.window.expire(now)
 		u.slots.window.noteShortage(now)
 		return c.shortageScore(now, u, r.request.Pool, r.fleet.random) * min(r.rules.hallFactor(u), otherHallShortageFactor)
 	}
--- a/tier/policy/window.go
+++ b/tier/policy/window.go
@@ -45,11 +45,17 @@
 	return w.shortageAt > 0 && now-w.shortageAt <= windowRetention
 }
 
+// expire removes the window if no run under a shortage considered the upstream lately.
+func (w *window) expire(now time.Duration) {
+	if !w.relevant(now) {
+		*w = window{shortageAt: w.shortageAt}
+	}
+}
+
 // observe updates the window after a call of this host. inUse counts the calls in progress,
 // including this one, and share is the limit that applies without a window.
 func (w *window) observe(now time.Duration, c *Call, inUse, share int) {
-	if !w.relevant(now) {
-		*w = window{shortageAt: w.shortageAt}
+	if w.expire(now); !w.relevant(now) {
 		return
 	}
 	switch {
--- a/tier/policy/window_test.go
+++ b/tier/policy/window_test.go
@@ -116,3 +116,18 @@
 	t.Logf("windows %.1f and %.1f", sums[0]/15000, sums[1]/15000)
 	assert.Assert(t, ratio > 0.75 && ratio < 1/0.75, "%f", ratio)
 }
+
+// TestWindowOfAnIdleUpstreamEnds guards against a window that still limits the calls to an
+// upstream that had none since the shortage ended.
+func TestWindowOfAnIdleUpstreamEnds(t *testing.T) {
+	const now = time.Minute
+	f := NewFleet(FleetConfig{Random: rand.New(rand.NewPCG(1, 2)), Overload: OverloadShortage})
+	f.Apply(0, []Share{{Name: "U", Slots: 10, Listed: true}})
+	u := f.Find("U")
+	u.latency.samples = slowStartSamples
+	u.slots.window = window{calls: 1, signAt: now - time.Hour, shortageAt: now - time.Hour}
+	for range 3 {
+		granted, _ := f.acquireAs(now, &Waiter{Upstream: u, Deadline: 2 * now, ObjectiveAt: now + time.Second, Granted: func() {}})
+		assert.Assert(t, granted)
+	}
+}
