--- a/tier/policy/gate.go
+++ b/tier/policy/gate.go
@@ -701,9 +701,12 @@
 	}
 }
 
-// pressed records that a request waits or is refused: the places are used, and the shortage
-// goes on.
+// pressed records that a request waits or is refused. If all places are used, the shortage
+// goes on. Free places that are kept for others, or from late requests, do not prolong it.
 func (g *Gate) pressed(now time.Duration) {
+	if g.hasPlace() {
+		return
+	}
 	g.room.period.used = true
 	g.room.pressedAt = now
 }
