pass: mark the gate of the report tests as used

The engine drops gates that were idle for a minute. The tests put in a gate by hand with the time of last use 0, on a host that is a minute old, so it was dropped before the tests looked at its state. The tests now also hold the lock when they set the gate.

--- a/tier/pass/gate_report_test.go
+++ b/tier/pass/gate_report_test.go
@@ -62,10 +62,13 @@
 	assert.Equal(t, c.count(41*time.Second), uint64(1))
 }
 
-// newReportedGate gives a host a gate for one group, and returns a request at it.
+// newReportedGate gives a host a gate for one group that a request has just used, and returns a
+// request at it. An idle gate would be dropped during the test.
 func newReportedGate(h *host, group string, rank int) *request {
-	g := &gate{Gate: policy.NewGate(policy.GateConfig{Base: 1})}
+	g := &gate{Gate: policy.NewGate(policy.GateConfig{Base: 1}), usedAt: h.kernel.Now()}
 	g.report = newGateReport([]string{group}, func() policy.GateState { return g.State(h.kernel.Now()) })
+	h.engine.gates.mu.Lock()
+	defer h.engine.gates.mu.Unlock()
 	h.engine.gates.byKey = map[uint64]*gate{1: g}
 	return &request{
 		engine: h.engine, view: h.kernel.View(), route: &config.Route{Name: group, Priority: rank},
