pass: set up shortages and retries for the current gate in the room tests

The gate keeps a share of the places for lower ranks, so with requests of rank 0 alone a gather waited for that share until its objective instead of being refused. TestCoordinatorHandsOver failed, and seven other tests passed only after 10 s. useUpRoom now has gathers wait until the gate refuses one at once, and checks that it refuses the next one too. Tests that only need a shortage use startShortage.

TestSpentBeforeIsForwarded reads the time that the caller states, from which the time since the first attempt is now derived. It also checks a first attempt and the objective at the coordinator.

--- a/tier/pass/coordinate_room_test.go
+++ b/tier/pass/coordinate_room_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"strings"
 	"testing"
@@ -81,28 +82,33 @@
 	return h.engine.gateOf(&request{engine: h.engine, view: h.kernel.View(), route: r, plan: plan{groups: r.Gather.Groups}}).Gate
 }
 
-// useUpRoom brings the gate of a host into a shortage in which requests of rank 0 use all places and
-// more of them wait than can be served in time, and returns a function that ends them. The gate's
-// times are an hour ahead, so that the shortage does not end during the test.
-func (h *host) useUpRoom() (release func()) {
+// startShortage brings the gate of a host into a shortage in which requests of rank 0 use all places
+// and more of them wait. Their times are an hour ahead, so that the shortage does not end during the
+// test. It returns a function that has a further request enter the gate, and one that ends them all.
+func (h *host) startShortage() (enter func(now time.Duration, d policy.Demand) *policy.Ticket, release func()) {
 	const inFlight, waiting, calls = 50, 200, 200
 	g, now := h.gate(), h.kernel.Now()+time.Hour
 	var tickets []*policy.Ticket
-	enter := func(n int) {
+	enter = func(now time.Duration, d policy.Demand) *policy.Ticket {
+		t := g.Enter(now, d)
+		tickets = append(tickets, t)
+		return t
+	}
+	enterUrgent := func(n int) {
 		for range n {
-			tickets = append(tickets, g.Enter(now, policy.Demand{Route: "Other", ObjectiveAt: now + time.Hour, DeadlineAt: now + 4*time.Hour}))
+			enter(now, policy.Demand{Route: "Other", ObjectiveAt: now + time.Hour, DeadlineAt: now + 4*time.Hour})
 		}
 	}
-	enter(inFlight)
+	enterUrgent(inFlight)
 	for end := now + 5*time.Second; !g.Shortage(now) && now < end; now += 20 * time.Millisecond {
 		for range calls {
 			g.ObserveCall(now, policy.CallShed, policy.Load{}, time.Millisecond)
 		}
-		enter(1)
+		enterUrgent(1)
 	}
 	assert.Assert(h.t, g.Shortage(now))
-	enter(waiting)
-	return func() {
+	enterUrgent(waiting)
+	return enter, func() {
 		for len(tickets) > 0 {
 			k := tickets[0]
 			tickets = tickets[1:]
@@ -111,9 +117,38 @@
 			}
 			// Each one that leaves admits the next.
 			<-k.Decided()
-			g.Leave(now, k, policy.Completion{Took: time.Millisecond, Covered: true})
+			g.Leave(h.kernel.Now(), k, policy.Completion{Took: time.Millisecond, Covered: true})
+		}
+	}
+}
+
+// useUpRoom brings the gate of a host into a shortage in which it refuses gathers at once, and
+// returns a function that ends it. More gathers wait than can be served in time: with requests of
+// rank 0 alone, a gather would wait for the share of the lower ranks.
+func (h *host) useUpRoom() (release func()) {
+	const (
+		maxWaiting = 100
+		// The gathers of the test come after those that wait here. It is less than the second
+		// in which the gate expects the next place to become free.
+		sooner = 250 * time.Millisecond
+	)
+	enter, release := h.startShortage()
+	r, c := h.kernel.View().Index.Route("shop.example", "/find/x")
+	gather := func(now time.Duration) policy.Demand {
+		return policy.Demand{Route: "Other", Rank: r.Priority, ObjectiveAt: now + time.Duration(c.Patience), DeadlineAt: now + time.Duration(r.TimeLimit)}
+	}
+	for waiting := 0; ; waiting++ {
+		assert.Assert(h.t, waiting < maxWaiting, "no gather is refused")
+		now := h.kernel.Now()
+		d := gather(now)
+		d.ObjectiveAt -= sooner
+		if enter(now, d).Refusal() != nil {
+			break
 		}
 	}
+	now := h.kernel.Now()
+	assert.Equal(h.t, h.gate().Outlook(now, gather(now)).Decision, policy.DecisionRefuse)
+	return release
 }
 
 // known returns what the host knows of the room of another one.
@@ -281,7 +316,7 @@
 	_, known := s.weak.known("Near")
 	assert.Assert(t, !known)
 
-	release := s.near.useUpRoom()
+	_, release := s.near.startShortage()
 	release()
 	s.assertServed(t, s.weak.find("two"), "two")
 	assert.Equal(t, s.network.callCount(methodCoordinate), 2, "the coordinator has room again")
@@ -298,7 +333,10 @@
 // that reports it.
 func TestRoomInReply(t *testing.T) {
 	s := newRoomSetup(t, policy.OverloadShortage)
-	s.network.callBeforeNext(methodCoordinateBegin, func() { s.near.useUpRoom()() })
+	s.network.callBeforeNext(methodCoordinateBegin, func() {
+		_, release := s.near.startShortage()
+		release()
+	})
 	s.assertServed(t, s.weak.find("one"), "one")
 	_, known := s.weak.known("Near")
 	assert.Assert(t, known)
@@ -396,22 +434,32 @@
 }
 
 // TestSpentBeforeIsForwarded checks that a coordinator orders a retry by the time of its first
-// attempt, as far as the sender knows it.
+// attempt, as far as the sender knows it from the times that callers state.
 func TestSpentBeforeIsForwarded(t *testing.T) {
 	s := newRoomSetup(t, policy.OverloadShortage)
 	v := s.weak.kernel.View()
-	route := v.Index.RouteByName("Find")
-	now := s.weak.kernel.Now()
-	q := &request{
-		engine: s.weak.engine, view: v, route: route,
-		times: requestTimes{startedAt: now, deadline: now + time.Duration(route.TimeLimit) - 5*time.Second},
-		in:    inboundRequest{id: "one", hostName: "shop.example", path: "/find/x"},
+	read := func(stated time.Duration) *request {
+		r := httptest.NewRequest(http.MethodGet, "http://shop.example/find/x", http.NoBody)
+		r.Header.Set(names.DeadlineMillis, strconv.FormatInt(stated.Milliseconds(), 10))
+		q := &request{
+			engine: s.weak.engine, view: v, times: requestTimes{startedAt: s.weak.kernel.Now()},
+			in: inboundRequest{id: "one", method: http.MethodGet},
+		}
+		w := httptest.NewRecorder()
+		assert.Assert(t, q.findRoute(w, r) && q.read(w, r), "%d %s", w.Code, w.Body)
+		return q
 	}
+	limit := time.Duration(v.Index.RouteByName("Find").TimeLimit)
+	assert.Equal(t, read(limit).coordinateRequest(t.Context()).SpentBeforeMicros, int64(0), "a first attempt")
+	q := read(limit - 5*time.Second)
 	in := q.coordinateRequest(t.Context())
 	assert.Equal(t, in.SpentBeforeMicros, (5 * time.Second).Microseconds())
 	got, declined := s.near.engine.accept(in)
 	assert.Equal(t, declined, declineReason(""))
-	assert.Equal(t, got.demand().Spent, 5*time.Second)
+	d := got.demand()
+	assert.Equal(t, d.Spent, 5*time.Second)
+	assert.Equal(t, d.ObjectiveAt, got.times.startedAt+time.Duration(got.class.Patience)-5*time.Second)
 	q.engine.kernel.Settings.Overload = policy.OverloadNone
 	assert.Equal(t, q.coordinateRequest(t.Context()).SpentBeforeMicros, int64(0))
+	assert.Equal(t, read(limit-5*time.Second).coordinateRequest(t.Context()).SpentBeforeMicros, int64(0))
 }
