pass: pin ReportMillis in the messages between hosts

The field was added to batchRequest without a value in the test of all messages, which requires every field to be set. Only the full batchRequest changes; empty messages stay as they were, since the field is omitted when 0.

--- a/tier/pass/golden_test.go
+++ b/tier/pass/golden_test.go
@@ -27,7 +27,8 @@
 var messages = []any{
 	&batchRequest{
 		ID: "b-1", Route: "Find", RequestID: "r-1", Method: "POST", Head: "POST / HTTP/1.1\r\n", Body: []byte("body"),
-		Upstreams: []string{"U1", "U2"}, Top: 50, TotalParts: 25, FirstMillis: 40, DeadlineMillis: 900, Rank: 2, ObjectiveMillis: 250, Loads: true, Trace: "00-trace",
+		Upstreams: []string{"U1", "U2"}, Top: 50, TotalParts: 25, FirstMillis: 40, DeadlineMillis: 900, Rank: 2, ObjectiveMillis: 250, Loads: true,
+		ReportMillis: 20, Trace: "00-trace",
 	},
 	&batchReply{
 		ID: "b-1",
