--- a/tier/policy/gate.go
+++ b/tier/policy/gate.go
@@ -35,6 +35,9 @@
 	// reservationTime is how long after the refusal of an urgent request free places are
 	// kept for requests of its rank. The next one is expected within that time.
 	reservationTime = 100 * time.Millisecond
+	// fullMemory is how long after a request found all places used its upstreams count as
+	// short of room for the runs of others; several times the run of a gather.
+	fullMemory = 500 * time.Millisecond
 	// maxGateRanks is the number of ranks of which a gate keeps the last refusal.
 	maxGateRanks = 64
 	// maxRunShare bounds the expected time of a run, as a share of the objective.
@@ -63,6 +66,9 @@
 	late shareBudget
 	// inTimeAt is when a request that could meet its objective last came.
 	inTimeAt time.Duration
+	// fullAt is when a request last waited or was refused because all places were used; 0
+	// for never.
+	fullAt time.Duration
 	// refusedAt is when a request of each rank was last refused, for at most maxGateRanks
 	// ranks.
 	refusedAt map[int]time.Duration
@@ -303,11 +309,13 @@
 	g.room.observeCall(o, l, took)
 }
 
-// Shortage reports whether a shortage of capacity is measured.
-func (g *Gate) Shortage(time.Duration) bool {
+// Shortage reports whether a shortage of capacity is measured and requests lately waited or
+// were refused. Runs decide differently then. Without the second condition, slow upstreams
+// under a load that all places serve were taken for a shortage, and answers came late.
+func (g *Gate) Shortage(now time.Duration) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.limited()
+	return g.limited() && g.fullAt > 0 && now-g.fullAt < fullMemory
 }
 
 // State describes the gate.
@@ -717,7 +725,7 @@
 		return
 	}
 	g.room.period.used = true
-	g.room.pressedAt = now
+	g.room.pressedAt, g.fullAt = now, now
 }
 
 func (g *Gate) limited() bool {
