--- a/tier/pass/gate.go
+++ b/tier/pass/gate.go
@@ -32,7 +32,7 @@
 	}
 }
 
-// outlook returns what the gate would decide about the request.
+// outlook returns what the gate would decide about the request now. It changes nothing.
 func (q *request) outlook() policy.Outlook {
 	return q.findGate().Outlook(q.engine.kernel.Now(), q.demand())
 }
@@ -50,8 +50,8 @@
 	}
 }
 
-// roomReporter returns a function that reports the room at the gate of the request; nil without
-// a shortage. It may be called concurrently with the request.
+// roomReporter returns a function that reports the room at the gate of the request. It reports
+// nil without a shortage, and may be called concurrently with the request.
 func (q *request) roomReporter() func() *roomReport {
 	e := q.engine
 	if !e.limitsLoad() {
--- a/tier/policy/gate.go
+++ b/tier/policy/gate.go
@@ -491,20 +491,20 @@
 // expect, and the share that the order guarantees.
 func (g *Gate) shares(now time.Duration, p queuePosition) (expected, least float64) {
 	s := g.queue.sharesAhead(now, p)
-	turns := g.queue.turnsBehind(p)
+	behind := g.queue.sharesBehind(p)
 	switch {
 	case p.late:
 		least = lateShare * (1 - s.lateAhead)
 	case s.outranked:
 		least = lowRankShare / float64(g.lowRanks(p.rank))
 	default:
-		least = 1 - turns
+		least = 1 - behind
 	}
 	least = max(least, minShare)
-	return max(1-s.ahead-turns, least), least
+	return max(1-s.ahead-behind, least), least
 }
 
-// lowRanks counts the ranks that share the turns of lower ranks with a rank.
+// lowRanks counts the ranks that share the budget of lower ranks with a rank.
 func (g *Gate) lowRanks(rank int) int {
 	count := 1
 	g.queue.eachRank(func(r, first, _, _ int) bool {
@@ -566,17 +566,19 @@
 func (g *Gate) earnShares(now time.Duration) {
 	throughput := g.throughput()
 	g.late.earn(now, throughput)
+	ranks := g.queue.sortedRanks()
+	if len(ranks) < 2 {
+		return
+	}
+	outranked := ranks[1:]
 	asked := 0.0
-	for rank, c := range g.queue.ranks {
-		if g.queue.outranked(rank) {
-			asked += c.arrived.sum(now, rankWindow)
-		}
+	for _, r := range outranked {
+		asked += g.queue.ranks[r].arrived.sum(now, rankWindow)
 	}
-	for rank, c := range g.queue.ranks {
-		if asked > 0 && g.queue.outranked(rank) {
-			c.budget.share = lowRankShare * c.arrived.sum(now, rankWindow) / asked
-			c.budget.earn(now, throughput)
-		}
+	for _, r := range outranked {
+		c := g.queue.ranks[r]
+		c.budget.share = lowRankShare * c.arrived.sum(now, rankWindow) / max(asked, 1)
+		c.budget.earn(now, throughput)
 	}
 }
 
--- a/tier/policy/gatequeue.go
+++ b/tier/policy/gatequeue.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -25,7 +26,7 @@
 	// from a queue that stands.
 	standingCutShare = 0.75
 	// minAdmissions is the number of admissions within rankWindow from which late requests
-	// can tell that they get more than their turns.
+	// can tell that they get more than their share.
 	minAdmissions = 16
 	// rankWindow is the time over which arrivals and admissions of a rank are counted.
 	rankWindow = 2 * time.Second
@@ -198,15 +199,9 @@
 	return slices.IndexFunc(q.waiting, func(t *Ticket) bool { return !t.late })
 }
 
-// outranked reports whether requests of a more urgent rank came during the shortage.
-func (q *gateQueue) outranked(rank int) bool {
-	for r := range q.ranks {
-		if r < rank {
-			return true
-		}
-	}
-	return false
-}
+// sortedRanks returns the ranks of which requests came during the shortage, the most urgent
+// first. Sums over them must not depend on the order of a map, or replays would differ.
+func (q *gateQueue) sortedRanks() []int { return slices.Sorted(maps.Keys(q.ranks)) }
 
 // firstLate returns the index of the first late ticket, or 0 if there is none.
 func (q *gateQueue) firstLate() int {
@@ -282,9 +277,9 @@
 	}
 }
 
-// turnsBehind returns the share of the admissions that goes to waiting requests which go
-// after those of a class in the order but have turns of their own.
-func (q *gateQueue) turnsBehind(p queuePosition) float64 {
+// sharesBehind returns the share of the admissions that goes to waiting requests which go
+// after those of a class in the order but have a budget of their own.
+func (q *gateQueue) sharesBehind(p queuePosition) float64 {
 	share := 0.0
 	if q.beforeRank(p.rank+1) < len(q.waiting) {
 		share += lowRankShare
@@ -311,7 +306,8 @@
 func (q *gateQueue) sharesAhead(now time.Duration, p queuePosition) admissionShares {
 	s := admissionShares{}
 	all, allLate := 0.0, 0.0
-	for r, c := range q.ranks {
+	for _, r := range q.sortedRanks() {
+		c := q.ranks[r]
 		onTime, returned, late := c.admitted.sum(now, rankWindow), c.admittedReturned.sum(now, rankWindow), c.admittedLate.sum(now, rankWindow)
 		all += onTime + returned + late
 		allLate += returned + late
--- a/tier/policy/pressure.go
+++ b/tier/policy/pressure.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	// shortageWaitShare is the share of the tightest objective above which the expected wait
-	// for an upstream, on this host and in its queue, shows that it has no room.
+	// shortageWaitShare is the share of the objective of a route above which the expected
+	// wait for an upstream, on this host and in its queue, shows that it has no room.
 	shortageWaitShare = 0.25
 	// shortageShedShare is the share of shed calls above which an upstream has no room.
 	shortageShedShare = 0.1
@@ -40,8 +40,9 @@
 type roomPressure struct {
 	// parts holds what is known of the upstreams of each part, by index.
 	parts []roomPart
-	// coverage is the tightest coverage of the requests seen; 0 if unknown. A gather is as slow as the
-	// slowest parts that it needs, so the room of these counts.
+	// coverage is the tightest coverage of the requests seen; 0 if unknown. A gather is as
+	// slow as the slowest parts that it needs, so the room of these counts. It is used for
+	// routes whose coverage is unknown.
 	coverage float64
 	// calls counts recent calls; each second, older ones lose half their weight.
 	calls   float64
