policy: run times that no request refreshes are dropped after a second

Cause: the expected run of a route is a quantile of its last 32 runs, whatever their age. The runs of the first half second of an overload are slow (the limit is still far above the capacity), so that a run is expected to take nearly the whole objective. The route is then refused, no run follows that would show the shorter time, and only its late share (a sixteenth) refreshes the samples. Ruled out: the budget of lower ranks. It stood at its maximum, unused, because requests that cannot meet their objective are no candidates for it.

Change: samples are dropped after a second.

--- a/tier/policy/gate.go
+++ b/tier/policy/gate.go
@@ -294,8 +294,7 @@
 	if t.state != ticketAdmitted {
 		return
 	}
-	g.coverageTimesOf(t.demand.Route).record(c)
-	g.holds.record(c)
+	g.recordRun(now, t.demand.Route, c)
 	g.free(t)
 	g.room.observeEnd(now, g.inFlight, c, t.demand.objective(t.enteredAt))
 	g.admitWaiting(now)
@@ -678,11 +677,20 @@
 // expectedRun returns the expected time of a run of a route, or 0 if it is not known.
 func (g *Gate) expectedRun(route string) time.Duration {
 	if c := g.expected[route]; c != nil {
+		c.advance(g.room.now)
 		return c.quantile()
 	}
 	return 0
 }
 
+// recordRun records the time of a run of a route.
+func (g *Gate) recordRun(now time.Duration, route string, c Completion) {
+	for _, times := range []*coverageTimes{g.coverageTimesOf(route), &g.holds} {
+		times.advance(now)
+		times.record(c)
+	}
+}
+
 // coverageTimesOf returns the times of a route. It drops all if there are too many, since
 // those of the routes in use are learnt again at once.
 func (g *Gate) coverageTimesOf(route string) *coverageTimes {
@@ -703,6 +711,7 @@
 // only what was asked for while places were free.
 func (g *Gate) throughput() float64 {
 	measured := g.room.throughput()
+	g.holds.advance(g.room.now)
 	hold := g.holds.quantile()
 	n, limited := g.room.places()
 	if !limited || hold == 0 {
