policy: a queue at the nearest upstreams is no start of a shortage

Cause: a part was judged by the upstreams that answered within a second. Below the knee that is the nearest one alone, so that its short queue passed for the whole part. Evidence: of 18 starts of a shortage that a trial printed, 17 had idle replicas that last answered 2 to 5 s ago.

Change: at the start, idle upstreams count as room unless the others shed, and queues drain from the last report on; during a surge (four bases in flight) a fifth of the parts without room suffices. The start is checked every 5 ms (20 ms), and the limit falls once soon after it, to 0.3 of the requests in flight: until now all that had started without a limit was refilled for a tenth of a second, and upstreams shed it. Upstreams that left are forgotten.

TestStartOfShortage is new; begins did not exist, and the rule of short gives Queues for its first, second and sixth case.

--- a/tier/pass/gates.go
+++ b/tier/pass/gates.go
@@ -76,6 +76,10 @@
 		base := e.basePlaces(q.view, q.plan.groups, q.route)
 		g.open = base == 0
 		g.SetBase(base)
+		g.RetainUpstreams(func(name string) bool {
+			l, ok := q.view.Directory.Find(name)
+			return ok && !l.Leaving
+		})
 	}
 	return g
 }
--- a/tier/policy/pressure.go
+++ b/tier/policy/pressure.go
@@ -19,8 +19,9 @@
 	// roomyUpstreamShare is the share of the upstreams of a part that may have room although
 	// the part has none: of many upstreams, some report a short queue by chance.
 	roomyUpstreamShare = 0.25
-	// pressureRetention is how long after its last call an upstream is considered. Those
-	// with room are called most, so that what is known of them is recent.
+	// surgeShare is the share of the parts without room that shows a shortage during a surge.
+	surgeShare = 0.2
+	// pressureRetention is how long after its last call an upstream counts as in use.
 	pressureRetention = time.Second
 	// minPressureCalls is the fewest calls within pressureRetention that can show a
 	// shortage.
@@ -64,12 +65,16 @@
 	shed float64
 	// answeredAt is when the upstream last answered.
 	answeredAt time.Duration
+	// silent is true if a call failed since then. One that this host cancelled does not count.
+	silent bool
 }
 
 // observe records a call that ended. Calls that the upstream did not answer say nothing
-// about its room: it may hang, be unreachable or have failed.
+// about its room, only that it may not be counted on: it may hang, be unreachable or have
+// failed.
 func (s *roomPressure) observe(now time.Duration, c *CallEnd) {
 	if c.Outcome != CallOK && c.Outcome != CallShed {
+		s.noteSilence(c)
 		return
 	}
 	s.countCall(now)
@@ -80,6 +85,25 @@
 	s.parts[c.Part].upstream(now, c.Upstream).observe(now, c)
 }
 
+// noteSilence records a call that the upstream did not answer, unless this host cancelled it.
+func (s *roomPressure) noteSilence(c *CallEnd) {
+	if c.Outcome == CallCancelled || c.Part >= len(s.parts) {
+		return
+	}
+	p := &s.parts[c.Part]
+	if i := p.index(c.Upstream); i >= 0 {
+		p.upstreams[i].silent = true
+	}
+}
+
+// retain forgets the upstreams that are not listed any more, which would count as idle.
+func (s *roomPressure) retain(listed func(upstream string) bool) {
+	for i := range s.parts {
+		p := &s.parts[i]
+		p.upstreams = slices.DeleteFunc(p.upstreams, func(u roomUpstream) bool { return !listed(u.name) })
+	}
+}
+
 func (s *roomPressure) countCall(now time.Duration) {
 	if now >= s.halveAt {
 		s.calls /= 2
@@ -90,8 +114,7 @@
 
 // upstream returns the named upstream. It adds it, and removes those without recent answers.
 func (p *roomPart) upstream(now time.Duration, name string) *roomUpstream {
-	i := slices.IndexFunc(p.upstreams, func(u roomUpstream) bool { return u.name == name })
-	if i >= 0 {
+	if i := p.index(name); i >= 0 {
 		return &p.upstreams[i]
 	}
 	p.upstreams = slices.DeleteFunc(p.upstreams, func(u roomUpstream) bool { return now-u.answeredAt > pressureRetention })
@@ -99,12 +122,17 @@
 	return &p.upstreams[len(p.upstreams)-1]
 }
 
+// index returns the index of the named upstream, or -1 if there is none.
+func (p *roomPart) index(name string) int {
+	return slices.IndexFunc(p.upstreams, func(u roomUpstream) bool { return u.name == name })
+}
+
 func (u *roomUpstream) observe(now time.Duration, c *CallEnd) {
 	u.shed = (1 - shedWeight) * u.shedShare(now)
 	if c.Outcome == CallShed {
 		u.shed += shedWeight
 	}
-	u.answeredAt, u.queued = now, c.Queued
+	u.answeredAt, u.queued, u.silent = now, c.Queued, false
 	if c.Load.Slots == 0 {
 		return
 	}
@@ -121,54 +149,98 @@
 
 // obstacle returns why an upstream has no room, or "" if it has. service is the service
 // time of other upstreams.
-func (u *roomUpstream) obstacle(now, objective, service time.Duration) ShortageReason {
+func (u *roomUpstream) obstacle(now, objective, service time.Duration, drained bool) ShortageReason {
 	if u.service > 0 {
 		service = u.service
 	}
 	switch {
 	case u.shedShare(now) > shortageShedShare:
 		return ShortageShed
-	case u.queued.Seconds()+u.waiting*service.Seconds() > shortageWaitShare*objective.Seconds():
+	case u.wait(now, service, drained).Seconds() > shortageWaitShare*objective.Seconds():
 		return ShortageQueues
 	default:
 		return ""
 	}
 }
 
+// wait returns the expected wait for the upstream: on this host, and in its queue as last
+// reported. With drained, no call has joined the queue since.
+func (u *roomUpstream) wait(now, service time.Duration, drained bool) time.Duration {
+	queue := time.Duration(u.waiting * float64(service))
+	if drained {
+		queue = max(queue-(now-u.answeredAt), 0)
+	}
+	return u.queued + queue
+}
+
+// idle reports whether the upstream has not answered lately although no call failed. Calls go to farther upstreams once those in use have queues, so that it has room.
+func (u *roomUpstream) idle(now time.Duration) bool {
+	return now-u.answeredAt > pressureRetention && !u.silent
+}
+
 // short returns why a part has no room, or "" if it has. known is false without recent
-// answers.
-func (p *roomPart) short(now, objective, service time.Duration) (reason ShortageReason, known bool) {
-	total, roomy := 0, 0
+// answers. With strict, queues drain from the last report on, and idle upstreams have room
+// unless all others shed calls.
+func (p *roomPart) short(now, objective, service time.Duration, strict bool) (reason ShortageReason, known bool) {
+	inUse, roomy, idle := 0, 0, 0
 	for i := range p.upstreams {
 		u := &p.upstreams[i]
 		if now-u.answeredAt > pressureRetention {
+			idle += boolToCount(strict && u.idle(now))
 			continue
 		}
-		total++
-		if o := u.obstacle(now, objective, service); o != "" {
-			reason = o
-		} else {
-			roomy++
-		}
+		inUse++
+		o := u.obstacle(now, objective, service, strict)
+		roomy += boolToCount(o == "")
+		reason = cmp.Or(o, reason)
 	}
-	if total == 0 {
+	if inUse == 0 {
 		return "", false
 	}
-	if roomy > int(roomyUpstreamShare*float64(total-1)) {
+	if reason == ShortageQueues {
+		inUse, roomy = inUse+idle, roomy+idle
+	}
+	if roomy > int(roomyUpstreamShare*float64(inUse-1)) {
 		return "", true
 	}
 	return reason, true
 }
 
+func boolToCount(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
 // short returns the sign of a shortage, or "" if there is none.
 func (s *roomPressure) short(now time.Duration, need routeNeed, service time.Duration) ShortageReason {
+	return s.judge(now, need, service, false, 0)
+}
+
+// begins returns the sign that a shortage begins: parts that the route needs have no room,
+// although queues have drained since the last reports and idle upstreams have room. A queue at
+// the nearest upstreams of some parts, which others would relieve, is no shortage.
+func (s *roomPressure) begins(now time.Duration, need routeNeed, service time.Duration) ShortageReason {
+	return s.judge(now, need, service, true, 0)
+}
+
+// surges returns the sign of a shortage during a surge of requests: many parts have no room as
+// last reported. Upstreams would shed calls before begins shows it.
+func (s *roomPressure) surges(now time.Duration, need routeNeed, service time.Duration) ShortageReason {
+	return s.judge(now, need, service, false, surgeShare)
+}
+
+// judge returns the sign of a shortage if more parts than the least share have no room, and more
+// than the route can do without. strict is that of roomPart.short.
+func (s *roomPressure) judge(now time.Duration, need routeNeed, service time.Duration, strict bool, least float64) ShortageReason {
 	if s.calls < minPressureCalls || need.objective == 0 {
 		return ""
 	}
 	known := 0
 	without := map[ShortageReason]int{}
 	for i := range s.parts {
-		reason, ok := s.parts[i].short(now, need.objective, service)
+		reason, ok := s.parts[i].short(now, need.objective, service, strict)
 		if !ok {
 			continue
 		}
@@ -178,7 +250,7 @@
 		}
 	}
 	queues, all := without[ShortageQueues], without[ShortageQueues]+without[ShortageShed]
-	spare := (1 - cmp.Or(need.coverage, s.coverage, 1)) * float64(known)
+	spare := max(1-cmp.Or(need.coverage, s.coverage, 1), least) * float64(known)
 	switch {
 	case float64(queues) > spare:
 		return ShortageQueues
--- a/tier/policy/pressure_test.go
+++ b/tier/policy/pressure_test.go
@@ -100,3 +100,73 @@
 	}
 	assert.Assert(t, len(s.parts[0].upstreams) <= 2)
 }
+
+// TestStartOfShortage guards against a shortage that is measured below the knee: the nearest
+// upstreams have short queues, and the others, which would take the next calls, are idle.
+func TestStartOfShortage(t *testing.T) {
+	const ms = time.Millisecond
+	const now = time.Minute
+	queue := CallEnd{Outcome: CallOK, Load: Load{Running: 2, Waiting: 8, Slots: 2}, Took: 100 * ms}
+	room := CallEnd{Outcome: CallOK, Load: Load{Running: 1, Slots: 2}, Took: 20 * ms}
+	shed := CallEnd{Outcome: CallShed, Load: Load{Running: 2, Waiting: 12, Slots: 2}}
+	tests := []struct {
+		name string
+		// near is the last answer of the nearest upstream, far that of the two others, which
+		// came before.
+		near, far CallEnd
+		before    time.Duration
+		// then is how the last calls to the others ended.
+		then CallOutcome
+		age  time.Duration
+		want ShortageReason
+	}{
+		{"the others are idle", queue, room, 2 * pressureRetention, CallOK, 0, ""},
+		{"hedges to the others were cancelled", queue, room, 2 * pressureRetention, CallCancelled, 0, ""},
+		{"the others have failed", queue, room, 2 * pressureRetention, CallLate, 0, ShortageQueues},
+		{"the others have room", queue, room, ms, CallOK, 0, ""},
+		{"the others have queues", queue, queue, ms, CallOK, 0, ShortageQueues},
+		{"the queues have drained since", queue, queue, ms, CallOK, 60 * ms, ""},
+		{"the nearest one sheds and the others are idle", shed, room, 2 * pressureRetention, CallOK, 0, ShortageShed},
+		{"the nearest one sheds and the others have room", shed, room, ms, CallOK, 0, ""},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var s roomPressure
+			observe := func(at time.Duration, upstream string, c CallEnd) {
+				for part := range 20 {
+					c.Part, c.Upstream, c.Coverage = part, upstream, 0.95
+					s.observe(at, &c)
+				}
+			}
+			for _, u := range []string{"U0", "U1", "U2"} {
+				observe(now-tt.before, u, tt.far)
+			}
+			for _, u := range []string{"U1", "U2"} {
+				if tt.then != CallOK {
+					observe(now, u, CallEnd{Outcome: tt.then, Took: time.Second})
+				}
+			}
+			for range 3 {
+				observe(now, "U0", tt.near)
+			}
+			need := routeNeed{objective: 100 * ms}
+			assert.Equal(t, s.begins(now+tt.age, need, 20*ms), tt.want)
+		})
+	}
+}
+
+// TestRemovedUpstreamsAreNotIdle guards against upstreams that left and count as room for good.
+func TestRemovedUpstreamsAreNotIdle(t *testing.T) {
+	const ms = time.Millisecond
+	var s roomPressure
+	for _, u := range []string{"U0", "U1"} {
+		s.observe(time.Second, &CallEnd{Upstream: u, Outcome: CallOK, Load: Load{Slots: 2}, Took: 20 * ms})
+	}
+	for range minPressureCalls {
+		s.observe(time.Minute, &CallEnd{Upstream: "U0", Outcome: CallOK, Load: Load{Waiting: 8, Slots: 2}, Took: 100 * ms})
+	}
+	need := routeNeed{objective: 100 * ms, coverage: 1}
+	assert.Equal(t, s.begins(time.Minute, need, 20*ms), ShortageReason(""))
+	s.retain(func(name string) bool { return name == "U0" })
+	assert.Equal(t, s.begins(time.Minute, need, 20*ms), ShortageQueues)
+}
--- a/tier/policy/room.go
+++ b/tier/policy/room.go
@@ -10,10 +10,16 @@
 	// limit changes.
 	roomPeriod = 100 * time.Millisecond
 	// startCheckInterval is the interval at which the start of a shortage is checked.
-	startCheckInterval = 20 * time.Millisecond
+	startCheckInterval = 5 * time.Millisecond
 	// placesDecrease multiplies the places in use to get the limit when there are signs of
 	// a shortage.
 	placesDecrease = 0.8
+	// startDecrease is placesDecrease right after the start, when requests came unlimited.
+	startDecrease = 0.3
+	// maxPlacesDecrease multiplies the places instead when calls take far longer than their
+	// service time, and waitsPerService is how many times longer they may take.
+	maxPlacesDecrease = 0.3
+	waitsPerService   = 2
 	// placesIncrease is the growth of the limit in a period without such signs, in bases. It
 	// does not depend on the limit, so that the limits of hosts that share upstreams become
 	// equal. A whole place would double the limit of a host with a base of 1.
@@ -30,6 +36,8 @@
 	minEndedRequests = 5
 	// throughputWindow is the time over which the throughput is smoothed.
 	throughputWindow = 500 * time.Millisecond
+	// surgeFactor is the number of bases in flight that is a surge.
+	surgeFactor = 4
 	// callTimeWeight is the weight of one call in the smoothed call time.
 	callTimeWeight = 0.02
 )
@@ -63,6 +71,8 @@
 	pressedAt time.Duration
 	// checkedAt is when it was last checked whether a shortage begins.
 	checkedAt time.Duration
+	// started is true from the start of a shortage until the limit has fallen once.
+	started bool
 	// fellAt is when the limit last fell or was set.
 	fellAt time.Duration
 	// reason says why the limit last fell.
@@ -149,6 +159,13 @@
 	g.room.observe(now, c)
 }
 
+// RetainUpstreams forgets the upstreams that are not listed any more.
+func (g *Gate) RetainUpstreams(listed func(upstream string) bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.room.pressure.retain(listed)
+}
+
 // observeCall records a call of an admitted request whose part is unknown.
 func (r *roomLimit) observeCall(o CallOutcome, l Load, took time.Duration) {
 	r.observe(r.now, CallEnd{Outcome: o, Load: l, Took: took})
@@ -193,6 +210,7 @@
 	p := &r.period
 	p.peak = max(p.peak, inFlight)
 	r.start(now)
+	r.fallFromStart(now)
 	took := now - p.startedAt
 	if took < roomPeriod {
 		return
@@ -225,21 +243,38 @@
 		return
 	}
 	r.checkedAt = now
-	reason := r.short(now)
+	sign := r.pressure.begins
+	if r.period.peak >= surgeFactor*r.base {
+		sign = r.pressure.surges
+	}
+	reason := r.short(now, sign)
 	if reason == "" {
 		return
 	}
-	r.reason, r.pressedAt, r.fellAt = reason, now, now
+	r.reason, r.pressedAt, r.fellAt, r.started = reason, now, now, true
 	r.limit = float64(r.period.peak)
 	r.setWhole()
 }
 
+// fallFromStart lowers the limit soon after the start, when far more requests are in flight
+// than fit.
+func (r *roomLimit) fallFromStart(now time.Duration) {
+	if !r.started || now-r.fellAt < startCheckInterval {
+		return
+	}
+	r.started = false
+	if reason := r.short(now, r.pressure.short); reason != "" {
+		r.lower(now, reason, startDecrease)
+		r.setWhole()
+	}
+}
+
 // adjust sets the limit from the observations of a period.
 func (r *roomLimit) adjust(now time.Duration) {
 	if r.limit == 0 {
 		return
 	}
-	short := r.short(now)
+	short := r.short(now, r.pressure.short)
 	switch {
 	case now-r.pressedAt > shortageEnd:
 		r.limit, r.carry, r.whole = 0, 0, 0
@@ -256,12 +291,21 @@
 	if now-r.fellAt < r.callTime {
 		return
 	}
+	r.lower(now, reason, placesDecrease)
+}
+
+// lower multiplies the limit by decrease, or lowers it further if calls wait long at the
+// upstreams.
+func (r *roomLimit) lower(now time.Duration, reason ShortageReason, decrease float64) {
 	from := r.limit
 	if r.period.peak < int(r.limit) {
 		from = float64(r.period.peak)
 	}
+	if r.callTime > 0 {
+		decrease = min(decrease, max(maxPlacesDecrease, waitsPerService*r.service.Seconds()/r.callTime.Seconds()))
+	}
 	r.reason, r.fellAt = reason, now
-	r.limit = max(placesDecrease*from, float64(r.base))
+	r.limit = max(decrease*from, float64(r.base))
 }
 
 // setWhole sets the whole places of the next period.
@@ -274,10 +318,13 @@
 	r.carry = sum - float64(r.whole)
 }
 
+// pressureSign returns a sign of a shortage at the upstreams, or "" if there is none.
+type pressureSign func(now time.Duration, need routeNeed, service time.Duration) ShortageReason
+
 // short returns the sign of a shortage, or "" if there is none.
-func (r *roomLimit) short(now time.Duration) ShortageReason {
+func (r *roomLimit) short(now time.Duration, sign pressureSign) ShortageReason {
 	for _, n := range r.byRoute {
-		if reason := r.pressure.short(now, n, r.service); reason != "" {
+		if reason := sign(now, n, r.service); reason != "" {
 			return reason
 		}
 	}
