policy: a request that would be refused is handed over only where it helps

Cause: a coordinator of which nothing was known for half a second counted as one with room, and one with a queue as one whose queue might be shorter. Evidence: the late refusals by decision, hand-over and time in the queue: hand-overs to other halls that were refused there, or declined and then refused here.

Change: a host that executes requests itself hands over only to coordinators with room or no queue by a fresh report, of which nothing bad is known, or so near that their refusal comes within a tenth of the objective. One that had a queue is asked again after two seconds, by one request that could also wait here.

--- a/tier/policy/coordinator.go
+++ b/tier/policy/coordinator.go
@@ -23,6 +23,10 @@
 	// among themselves if there are weaker hosts. The rest is for those hosts, which make
 	// their own calls only when no coordinator answers.
 	coordinatorSlack = 0.8
+	// maxAskDivisor divides the objective to get the longest round trip to a coordinator whose
+	// refusal still helps the caller: it comes after two round trips, one of them until the
+	// coordinator is told to begin, within a tenth of the objective.
+	maxAskDivisor = 20
 	// unknownRoundTrip is the round trip to a hall that is not known, when it is added to an
 	// expected wait. It exceeds the objective of most routes.
 	unknownRoundTrip = time.Second
@@ -134,6 +138,12 @@
 	if len(all) == 0 {
 		return ChosenCoordinator{}, false
 	}
+	if c.SelfExecutes {
+		all = filterCandidates(all, c.worthAsking)
+	}
+	if len(all) == 0 {
+		return ChosenCoordinator{Candidate: c.Self}, true
+	}
 	chosen = c.chooseOther(all)
 	if c.SelfExecutes && c.OwnWait > 0 && c.cost(&chosen.Candidate) >= c.OwnWait {
 		return ChosenCoordinator{Candidate: c.Self}, true
@@ -141,6 +151,24 @@
 	return chosen, true
 }
 
+// worthAsking reports whether a candidate has room or no queue as far as known, or a refusal by it
+// would still help the caller. One that had no room is asked again by one request at a time, if
+// possible by one that could also wait at Self.
+func (c *CoordinatorChoice) worthAsking(o *Candidate) bool {
+	switch {
+	case distance(&c.Self, o) <= c.Objective/maxAskDivisor, c.Objective == 0:
+		return true
+	case o.Room.declinedLately(c.Now):
+		return false
+	case o.Room.reported(c.Now):
+		return o.Room.report.Waiting == 0
+	case o.Room.fullAt == 0:
+		return true
+	default:
+		return o.Pending == 0 && !o.Room.fullLately(c.Now) && c.OwnWait > 0
+	}
+}
+
 // chooseOther chooses among the sorted candidates, as Choose describes.
 func (c *CoordinatorChoice) chooseOther(all []Candidate) ChosenCoordinator {
 	hostsLeft := c.SelfExecutes || len(all) > 1
--- a/tier/policy/roomreport.go
+++ b/tier/policy/roomreport.go
@@ -9,6 +9,9 @@
 	// roomHysteresis is how long a coordinator that had no room must have had some before
 	// it is preferred again, so that a burst does not swing between two halls.
 	roomHysteresis = 300 * time.Millisecond
+	// roomProbeInterval is how long a coordinator that had no room is left alone by requests
+	// that would be refused late if it still has none.
+	roomProbeInterval = 2 * time.Second
 )
 
 // RoomReport is the room at a coordinator's gate during a shortage.
@@ -58,7 +61,12 @@
 
 // Expired reports whether nothing is known that still applies.
 func (k *KnownRoom) Expired(now time.Duration) bool {
-	return !k.reported(now) && !k.declinedLately(now)
+	return !k.reported(now) && !k.declinedLately(now) && !k.fullLately(now)
+}
+
+// fullLately reports whether the coordinator had no room within roomProbeInterval.
+func (k *KnownRoom) fullLately(now time.Duration) bool {
+	return k.fullAt > 0 && now-k.fullAt < roomProbeInterval
 }
 
 // reported reports whether the last report is valid.
