policy: a waiting request is refused or settled within a tenth of its objective

Cause: a request kept its turn by its objective, so that retries and requests handed over went ahead of those that already waited, and the last one was refused whatever it had waited. Evidence: expected and actual waits of those to be served at twice the capacity of A: by objective 35 to 69 ms expected became 195, 312, 525 ms in the tail; in the order in which they were settled the tail is gone. Late requests were held as if they got all places that late ones lately got. Ruled out: the estimate of the throughput, which is that of the admissions within some percent.

Change: at a tenth of its objective, counted from its arrival at the first host, a waiting request is refused or settled. What is settled goes before what is not, in the order of settling, and is refused only after a quarter of its time.

Who pays: urgent requests behind overdue ones, and first attempts that were served after most of their objective and are now refused at once.

--- a/tier/policy/doc.go
+++ b/tier/policy/doc.go
@@ -49,11 +49,12 @@
 //     quarantine.go judges a request by the crash reports that suspects.go keeps;
 //     crashreport.go and fingerprint.go define these reports and their key
 //   - overload control of routed requests: overload.go defines its terms; gate.go decides
-//     whether a request runs, waits or is refused, with gatequeue.go as its queue,
-//     sharebudget.go for the shares of late requests and lower ranks, coveragetime.go for
-//     the expected time of a run, callers.go for callers that use more than their share, and
-//     returns.go for when a refused caller may retry; room.go decides how many requests run,
-//     by the pressure on the upstreams that pressure.go measures
+//     whether a request runs, waits or is refused, gatesettle.go until when (by the times
+//     of its route, routetimes.go), with gatequeue.go as its queue, sharebudget.go for the
+//     shares of late requests and lower ranks, coveragetime.go for the expected time of a
+//     run, callers.go for callers that use more than their share, and returns.go for when a
+//     refused caller may retry; room.go decides how many requests run, by the pressure on
+//     the upstreams that pressure.go measures
 //   - differences between requests of a class and routed requests: class.go and
 //     routed.go, behind rules.go
 //   - the run: run.go handles events; pick.go, hedge.go, retry.go and finish.go make the
--- a/tier/policy/gate.go
+++ b/tier/policy/gate.go
@@ -78,6 +78,9 @@
 	entered, refused uint64
 	// expected holds the time to coverage of each route, for at most maxGateRoutes routes.
 	expected map[string]*coverageTimes
+	// longest holds the longest times of the requests of each route, for at most maxGateRoutes
+	// routes.
+	longest map[string]*routeTimes
 	// holds are the times to coverage of all routes together.
 	holds coverageTimes
 }
@@ -138,13 +141,18 @@
 	overShare bool
 	// lateUntil is when the ticket is refused if it is late and still waits.
 	lateUntil time.Duration
+	// refuseBy is until when a refusal helps the caller. The ticket is then refused or settled.
+	refuseBy time.Duration
 
 	// The fields from here on change while the ticket waits. They are guarded by the gate's
 	// lock.
 
 	state ticketState
 	// late is true if the request can't meet its objective.
-	late     bool
+	late bool
+	// settled is true once the ticket is to be served, even if it then waits for longer than
+	// expected.
+	settled  bool
 	position queuePosition
 	refusal  *Refusal
 	checkAt  time.Duration
@@ -194,6 +202,7 @@
 		callers:  c.Callers,
 		order:    c.order,
 		expected: map[string]*coverageTimes{},
+		longest:  map[string]*routeTimes{},
 		late:     shareBudget{share: lateShare},
 	}
 	if g.callers == nil {
@@ -217,6 +226,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.room.setRouteNeed(d.Route, routeNeed{objective: d.objective(now), coverage: d.Coverage})
+	g.noteTimes(now, &d)
 	g.tick(now)
 	g.admitWaiting(now)
 	t := g.newTicket(now, d)
@@ -266,7 +276,7 @@
 	if t.state != ticketWaiting {
 		return
 	}
-	if g.keep(now, t) {
+	if g.keep(now, t) && g.settle(now, t) {
 		t.checkAt = g.nextCheck(now, t)
 	}
 }
@@ -337,7 +347,7 @@
 func (g *Gate) newTicket(now time.Duration, d Demand) *Ticket {
 	return &Ticket{
 		gate: g, demand: d, number: g.entered + 1, enteredAt: now, decided: make(chan struct{}),
-		lateUntil: now + lateHold(now, &d),
+		lateUntil: now + lateHold(now, &d), refuseBy: g.refuseBy(now, &d),
 	}
 }
 
@@ -347,6 +357,9 @@
 		return Outlook{Decision: DecisionRun}
 	}
 	t.overShare = t.demand.Caller.IsValid() && g.callers.overShare(now, t.demand.Caller)
+	if now >= t.refuseBy {
+		return g.judgeHeld(now, t)
+	}
 	if o := g.expectWait(now, t, false); now+o.Wait <= g.waitUntil(now, t, o.Ahead, standingEnterShare) {
 		o.Decision = DecisionWait
 		return o
@@ -438,6 +451,9 @@
 // wider than when it arrived, so that it is not refused for a small change of the
 // expectation.
 func (g *Gate) fits(now time.Duration, t *Ticket) bool {
+	if t.settled {
+		return now < t.heldUntil()
+	}
 	o := g.expectWait(now, t, t.late)
 	if t.late {
 		return now+o.Wait <= t.lateUntil
@@ -472,13 +488,20 @@
 // expectWait returns the expected wait of a ticket in the position that it has, or would
 // have, in the queue.
 func (g *Gate) expectWait(now time.Duration, t *Ticket, late bool) Outlook {
-	p := g.order(t, late)
+	if t.settled {
+		return g.expectWaitAt(now, settledPosition(now, t, late))
+	}
+	return g.expectWaitAt(now, g.order(t, late))
+}
+
+// expectWaitAt returns the expected wait in a position of the queue.
+func (g *Gate) expectWaitAt(now time.Duration, p queuePosition) Outlook {
 	ahead := g.queue.before(p)
 	own := ahead - g.queue.beforeRank(p.rank)
-	if late {
+	if p.late {
 		own = g.queue.lateBefore(p)
 	}
-	if !late && own == 0 && g.queue.hasBudget(p.rank) {
+	if !p.late && own == 0 && g.queue.hasBudget(p.rank) {
 		return Outlook{Wait: g.untilFree(0, 1), Ahead: ahead}
 	}
 	share, least := g.shares(now, p)
@@ -526,14 +549,20 @@
 	g.pressed(now)
 	t.state, t.late = ticketWaiting, late
 	t.position = g.order(t, late)
+	if t.settled {
+		t.position = settledPosition(now, t, late)
+	}
 	t.checkAt = g.nextCheck(now, t)
 	g.queue.insert(t)
 }
 
 // nextCheck returns when a waiting ticket is checked again.
 func (g *Gate) nextCheck(now time.Duration, t *Ticket) time.Duration {
-	interval := t.demand.objective(t.enteredAt) / checkDivisor
-	return now + max(interval, minCheckInterval)
+	next := now + max(t.demand.objective(t.enteredAt)/checkDivisor, minCheckInterval)
+	if t.settled {
+		return min(next, t.heldUntil())
+	}
+	return max(min(next, t.refuseBy), now+minCheckInterval)
 }
 
 // admitWaiting admits waiting requests while there are free places.
@@ -546,9 +575,11 @@
 		}
 		g.queue.remove(t)
 		switch {
-		case !t.late && !g.inTime(now, t):
+		case t.settled && now >= t.heldUntil():
+			g.refuse(now, t, reasonWaitedTooLong)
+		case !t.settled && !t.late && !g.inTime(now, t):
 			g.moveToLate(now, t)
-		case t.late && now > t.lateUntil:
+		case !t.settled && t.late && now > t.lateUntil:
 			g.refuse(now, t, reasonWaitedTooLong)
 		default:
 			g.queue.counts(t.demand.Rank).observeWait(now, t)
@@ -588,6 +619,9 @@
 	if !g.limited() {
 		return t
 	}
+	if o := g.queue.firstOverdue(now); o != nil {
+		return o
+	}
 	if i := g.queue.firstLate(); i > 0 && g.late.available() {
 		t = g.queue.waiting[i]
 	}
@@ -620,7 +654,7 @@
 // admitLimited admits a request while there is a limit.
 func (g *Gate) admitLimited(now time.Duration, t *Ticket) {
 	g.queue.counts(t.demand.Rank).count(now, t)
-	if t.late || !g.inTime(now, t) {
+	if t.late || !t.settled && !g.inTime(now, t) {
 		g.late.spend()
 	}
 	if c := g.queue.counts(t.demand.Rank); c.budget.share > 0 {
--- a/tier/policy/gatequeue.go
+++ b/tier/policy/gatequeue.go
@@ -37,6 +37,8 @@
 	rank int
 	// late is true if the request can't meet its objective.
 	late bool
+	// settled is true if the request is to be served whatever comes after it.
+	settled bool
 	// overShare is true if the caller uses more than its share.
 	overShare bool
 	// returned is true for a late request that is a retry.
@@ -66,6 +68,7 @@
 	return cmp.Or(
 		cmp.Compare(p.rank, o.rank),
 		compareBool(p.late, o.late),
+		compareBool(!p.settled, !o.settled),
 		compareBool(p.overShare, o.overShare),
 		compareBool(!p.returned, !o.returned),
 		cmp.Compare(p.at, o.at),
@@ -215,6 +218,24 @@
 	return found
 }
 
+// firstOverdue returns the settled ticket that has waited for so long that it goes before all
+// others, or nil if there is none. It is the one that is refused first.
+func (q *gateQueue) firstOverdue(now time.Duration) *Ticket {
+	var found *Ticket
+	q.eachRank(func(_, _, late, end int) bool {
+		for _, t := range q.waiting[late:end] {
+			if !t.settled {
+				break
+			}
+			if now >= t.overdueAt() && (found == nil || t.lateUntil < found.lateUntil) {
+				found = t
+			}
+		}
+		return true
+	})
+	return found
+}
+
 // hasBudget reports whether a rank that is outranked has a place left in its budget.
 func (q *gateQueue) hasBudget(rank int) bool {
 	c := q.ranks[rank]
