--- a/tier/policy/room.go
+++ b/tier/policy/room.go
@@ -14,8 +14,6 @@
 	// placesDecrease multiplies the places in use to get the limit when there are signs of
 	// a shortage.
 	placesDecrease = 0.8
-	// startDecrease is placesDecrease right after the start, when requests came unlimited.
-	startDecrease = 0.3
 	// maxPlacesDecrease multiplies the places instead when calls take far longer than their
 	// service time, and waitsPerService is how many times longer they may take.
 	maxPlacesDecrease = 0.3
@@ -264,7 +262,7 @@
 	}
 	r.started = false
 	if reason := r.short(now, r.pressure.short); reason != "" {
-		r.lower(now, reason, startDecrease)
+		r.lower(now, reason)
 		r.setWhole()
 	}
 }
@@ -291,12 +289,12 @@
 	if now-r.fellAt < r.callTime {
 		return
 	}
-	r.lower(now, reason, placesDecrease)
+	r.lower(now, reason)
 }
 
-// lower multiplies the limit by decrease, or lowers it further if calls wait long at the
-// upstreams.
-func (r *roomLimit) lower(now time.Duration, reason ShortageReason, decrease float64) {
+// lower lowers the limit: the further, the longer calls wait at the upstreams.
+func (r *roomLimit) lower(now time.Duration, reason ShortageReason) {
+	decrease := placesDecrease
 	from := r.limit
 	if r.period.peak < int(r.limit) {
 		from = float64(r.period.peak)
