policy: a caller that returns as told is served by any gate

Cause: the schedule of returns promised all places that a rank could expect, and the caller's next attempt meets another gate, which knows of no promise and has a sixteenth of its places for late requests.

Change: places are assigned from half of that sixteenth, after the objective and within 0.7 of the third of its time that a caller honors; others are told that third. By these times any gate recognizes a caller that was promised a place and settles it; no message between hosts is needed. At most a quarter of the places that become free while it may wait goes to such requests.

--- a/tier/policy/doc.go
+++ b/tier/policy/doc.go
@@ -52,8 +52,9 @@
 //     whether a request runs, waits or is refused, gatesettle.go until when (by the times
 //     of its route, routetimes.go), with gatequeue.go as its queue, sharebudget.go for the
 //     shares of late requests and lower ranks, coveragetime.go for the expected time of a
-//     run, callers.go for callers that use more than their share, and returns.go for when a
-//     refused caller may retry; room.go decides how many requests run, by the pressure on
+//     run, callers.go for callers that use more than their share, returns.go for when a
+//     refused caller may retry and gatepromise.go for its return; room.go decides how many
+//     requests run, by the pressure on
 //     the upstreams that pressure.go measures
 //   - differences between requests of a class and routed requests: class.go and
 //     routed.go, behind rules.go
--- a/tier/policy/gate.go
+++ b/tier/policy/gate.go
@@ -144,6 +144,9 @@
 	// refuseBy is until when a refusal helps the caller. The ticket is then refused or settled.
 	refuseBy time.Duration
 
+	// promised is true if the caller returns to a place that was assigned to it.
+	promised bool
+
 	// The fields from here on change while the ticket waits. They are guarded by the gate's
 	// lock.
 
@@ -348,6 +351,7 @@
 	return &Ticket{
 		gate: g, demand: d, number: g.entered + 1, enteredAt: now, decided: make(chan struct{}),
 		lateUntil: now + lateHold(now, &d), refuseBy: g.refuseBy(now, &d),
+		promised: g.promised(now, &d),
 	}
 }
 
@@ -357,6 +361,9 @@
 		return Outlook{Decision: DecisionRun}
 	}
 	t.overShare = t.demand.Caller.IsValid() && g.callers.overShare(now, t.demand.Caller)
+	if t.promised && g.queue.settledLate() < g.maxPromised(t) {
+		return g.keepPromise(now, t)
+	}
 	if now >= t.refuseBy {
 		return g.judgeHeld(now, t)
 	}
@@ -693,15 +700,6 @@
 	g.refusedAt[rank] = now
 }
 
-// bookReturn returns after what time the caller of a refused request may retry. The
-// throughput is that which the rank can expect: at that of all ranks, callers came back
-// before there were places for them, and each displaced another request.
-func (g *Gate) bookReturn(now time.Duration, d Demand) time.Duration {
-	ahead := g.queue.beforeRank(d.Rank+1) - g.queue.beforeRank(d.Rank)
-	share, _ := g.shares(now, queuePosition{rank: d.Rank})
-	return g.returns.book(now, d.Rank, ahead, share*g.throughput(), d.DeadlineAt-now)
-}
-
 // free frees the place of an admitted ticket.
 func (g *Gate) free(t *Ticket) {
 	t.state = ticketGone
--- /dev/null
+++ b/tier/policy/gatepromise.go
@@ -0,0 +1,52 @@
+package policy
+
+import "time"
+
+const (
+	// minPromised is the number of settled late requests that may wait at any throughput, and
+	// promisedShare the share of the places that become free in the time that they may wait.
+	minPromised   = 2
+	promisedShare = 0.25
+)
+
+// bookReturn returns after what time the caller of a refused request may retry. Places are
+// assigned at the share of late requests, since a caller that returns is late by then, and none
+// before its objective: a caller that retries at once can be told from one that was told to.
+func (g *Gate) bookReturn(now time.Duration, d Demand) time.Duration {
+	longest := max(d.DeadlineAt-now, 0) / returnTimeDivisor
+	within := time.Duration(assignedShare * float64(longest))
+	earliest := d.ObjectiveAt - now
+	if earliest > within {
+		return g.returns.latest(longest)
+	}
+	in, ok := g.returns.assign(now, d.Rank, 0, assignedPlaces*g.throughput(), within)
+	if !ok {
+		return g.returns.latest(longest)
+	}
+	return max(in, earliest, minReturnTime)
+}
+
+// promised reports whether the caller of a request comes back at the time at which a place was
+// assigned to it, perhaps by another gate: after its objective, but earlier than a caller that
+// no place was assigned to.
+func (g *Gate) promised(now time.Duration, d *Demand) bool {
+	left := d.DeadlineAt - now
+	longest := g.times(d.Route)
+	spent := longest.left.value() - left
+	return d.Spent >= minReturnTime && now >= d.ObjectiveAt && spent >= d.Spent && spent <= time.Duration(promisedLeftShare*float64(left))
+}
+
+// keepPromise settles a request whose caller returns to a place that was assigned to it.
+func (g *Gate) keepPromise(now time.Duration, t *Ticket) Outlook {
+	t.settled = true
+	o := g.expectWait(now, t, true)
+	o.Wait = min(o.Wait, t.overdueAt()-now)
+	o.Decision = DecisionLate
+	return o
+}
+
+// maxPromised returns how many settled late requests may wait. More would take more than their
+// share of the places once they are overdue.
+func (g *Gate) maxPromised(t *Ticket) int {
+	return minPromised + int(promisedShare*g.throughput()*t.hold().Seconds())
+}
--- a/tier/policy/gatequeue.go
+++ b/tier/policy/gatequeue.go
@@ -236,6 +236,19 @@
 	return found
 }
 
+// settledLate counts the settled late tickets.
+func (q *gateQueue) settledLate() int {
+	count := 0
+	q.eachRank(func(_, _, late, end int) bool {
+		for late < end && q.waiting[late].settled {
+			count++
+			late++
+		}
+		return true
+	})
+	return count
+}
+
 // hasBudget reports whether a rank that is outranked has a place left in its budget.
 func (q *gateQueue) hasBudget(rank int) bool {
 	c := q.ranks[rank]
--- a/tier/policy/returns.go
+++ b/tier/policy/returns.go
@@ -11,6 +11,16 @@
 	// returnTimeDivisor divides the time that the caller has left to get the longest time
 	// after which it may retry. Callers honor no longer one.
 	returnTimeDivisor = 3
+	// assignedPlaces is the share of the places that become free which are assigned to refused
+	// callers: half of those for late requests, since some others are late as well.
+	assignedPlaces = lateShare / 2
+	// assignedShare is the share of that time within which places are assigned to callers, so
+	// that those who return by then are told apart from those that no place was assigned to.
+	assignedShare = 0.7
+	// promisedLeftShare is the longest time since the first attempt of a caller that returns to
+	// a place assigned to it, as a share of the time that it has left. It lies between
+	// assignedShare of the longest time, with jitter, and the longest time.
+	promisedLeftShare = 0.38
 	// returnJitter is the largest random change of the time, as a share of it. It is small
 	// because the order of the refusals itself spreads the retries.
 	returnJitter = 0.1
@@ -35,14 +45,29 @@
 // that become free in a second, left the time that the caller has left. If the place becomes
 // free later than the caller would wait for it, none is assigned.
 func (s *returnSchedule) book(now time.Duration, rank, ahead int, throughput float64, left time.Duration) time.Duration {
-	maps.DeleteFunc(s.bookedUntil, func(_ int, at time.Duration) bool { return at <= now })
 	longest := max(left/returnTimeDivisor, 0)
+	in, ok := s.assign(now, rank, ahead, throughput, longest)
+	if !ok {
+		return s.latest(longest)
+	}
+	return max(min(in, longest), minReturnTime)
+}
+
+// assign assigns a place that becomes free within the longest time, and returns after what time
+// the caller may retry; false if there is none.
+func (s *returnSchedule) assign(now time.Duration, rank, ahead int, throughput float64, longest time.Duration) (in time.Duration, ok bool) {
+	maps.DeleteFunc(s.bookedUntil, func(_ int, at time.Duration) bool { return at <= now })
 	at := s.free(now, rank, ahead, throughput)
 	if at-now > longest {
-		return max(s.earlier(longest), minReturnTime)
+		return 0, false
 	}
 	s.bookedUntil[rank] = at
-	return max(min(s.later(at-now), longest), minReturnTime)
+	return s.later(at - now), true
+}
+
+// latest returns the time to retry of a caller that no place is assigned to.
+func (s *returnSchedule) latest(longest time.Duration) time.Duration {
+	return max(s.earlier(longest), minReturnTime)
 }
 
 // free returns when the next place becomes free that is not assigned to a waiting request or
--- a/tier/policy/routetimes.go
+++ b/tier/policy/routetimes.go
@@ -6,8 +6,9 @@
 // gate. Those of a request that comes straight from its first attempt are the longest, so that
 // a shorter time shows how much has passed since.
 type routeTimes struct {
-	// objective is the time for the objective, counted from the first attempt.
-	objective recentLongest
+	// objective is the time for the objective, counted from the first attempt; left is the
+	// time until the deadline.
+	objective, left recentLongest
 }
 
 // recentInterval is the length of the intervals of which the current and the previous one
@@ -50,4 +51,5 @@
 		g.longest[d.Route] = t
 	}
 	t.objective.observe(now, d.objective(now))
+	t.left.observe(now, d.DeadlineAt-now)
 }
