pass: the line of a refused request tells where its time went

Cause: a request that waited and was then refused has Decision Refuse, like one that was refused at once, and WaitedMillis starts at the gate that decided. So a late refusal of a live host did not show which of its three causes it had: told to wait, held as late, or late before the gate.

Change: Entered is what the gate decided when the request came, HeldMillis how long hosts held it before.

--- a/tier/pass/gate_report.go
+++ b/tier/pass/gate_report.go
@@ -119,7 +119,12 @@
 // gateDecision is what a gate decided about a request and what that was based on.
 type gateDecision struct {
 	policy.Outlook
-	rank int
+	// entered is what the gate decided when the request arrived. A request that had to wait
+	// and was then refused counts as refused.
+	entered policy.Decision
+	rank    int
+	// held is the time that hosts held the request before it arrived at the gate.
+	held time.Duration
 	// waited is the time from the request's arrival at the gate to the decision.
 	waited time.Duration
 	// places and inFlight describe the gate when it decided.
@@ -132,7 +137,8 @@
 func (d *gateDecision) MarshalZerologObject(line *zerolog.Event) {
 	line.Str("Decision", string(d.Decision)).Int("Rank", d.rank).Int("Ahead", d.Ahead).
 		Int("Places", d.places).Int("InFlight", d.inFlight).
-		Int64("ExpectedWaitMillis", d.Wait.Milliseconds()).Int64("WaitedMillis", d.waited.Milliseconds())
+		Int64("ExpectedWaitMillis", d.Wait.Milliseconds()).Int64("WaitedMillis", d.waited.Milliseconds()).
+		Str("Entered", string(d.entered)).Int64("HeldMillis", d.held.Milliseconds())
 }
 
 // recordDecision counts the decision about the request, which arrived at the gate at the
@@ -140,7 +146,10 @@
 // or later. Unless the request ran at once, all its later log lines show the decision.
 func (q *request) recordDecision(o policy.Outlook, refused bool, arrivedAt time.Duration) {
 	now := q.engine.kernel.Now()
-	d := &gateDecision{Outlook: o, rank: q.route.Priority, waited: now - arrivedAt}
+	d := &gateDecision{
+		Outlook: o, entered: o.Decision, rank: q.route.Priority, waited: now - arrivedAt,
+		held: max(arrivedAt-q.times.startedAt, 0),
+	}
 	if refused {
 		d.Decision = policy.DecisionRefuse
 		q.gate.report.refused.add(now)
