policy: the first place is assigned to a refused caller at once

Cause: a place was assigned one interval after the last one, and the interval at a thirty-second of the places (246 ms) is longer than callers of B wait (187 ms).

Change: the next place may be assigned as soon as the one before has passed, at an interval of a sixty-fourth of the places. Callers whose objective is longer than the time in which places are assigned are told by the schedule of before.

--- a/tier/policy/gate.go
+++ b/tier/policy/gate.go
@@ -81,6 +81,8 @@
 	// longest holds the longest times of the requests of each route, for at most maxGateRoutes
 	// routes.
 	longest map[string]*routeTimes
+	// assignableAt is when the next place may be assigned to a refused caller.
+	assignableAt time.Duration
 	// holds are the times to coverage of all routes together.
 	holds coverageTimes
 }
--- a/tier/policy/gatepromise.go
+++ b/tier/policy/gatepromise.go
@@ -10,20 +10,24 @@
 )
 
 // bookReturn returns after what time the caller of a refused request may retry. Places are
-// assigned at the share of late requests, since a caller that returns is late by then, and none
-// before its objective: a caller that retries at once can be told from one that was told to.
+// assigned from the share of late requests, since a caller that returns is late by then, and none
+// before its objective: a caller that retries at once can be told from one that was told to. A
+// caller that can return within a long objective competes with first attempts instead.
 func (g *Gate) bookReturn(now time.Duration, d Demand) time.Duration {
 	longest := max(d.DeadlineAt-now, 0) / returnTimeDivisor
 	within := time.Duration(assignedShare * float64(longest))
 	earliest := d.ObjectiveAt - now
 	if earliest > within {
-		return g.returns.latest(longest)
+		ahead := g.queue.beforeRank(d.Rank+1) - g.queue.beforeRank(d.Rank)
+		share, _ := g.shares(now, queuePosition{rank: d.Rank})
+		return g.returns.book(now, d.Rank, ahead, share*g.throughput(), d.DeadlineAt-now)
 	}
-	in, ok := g.returns.assign(now, d.Rank, 0, assignedPlaces*g.throughput(), within)
-	if !ok {
+	in := max(g.assignableAt-now, 0)
+	if in > within {
 		return g.returns.latest(longest)
 	}
-	return max(in, earliest, minReturnTime)
+	g.assignableAt = now + in + perPlace(1, assignedPlaces*g.throughput())
+	return max(g.returns.later(in), earliest, minReturnTime)
 }
 
 // promised reports whether the caller of a request comes back at the time at which a place was
--- a/tier/policy/returns.go
+++ b/tier/policy/returns.go
@@ -12,8 +12,8 @@
 	// after which it may retry. Callers honor no longer one.
 	returnTimeDivisor = 3
 	// assignedPlaces is the share of the places that become free which are assigned to refused
-	// callers: half of those for late requests, since some others are late as well.
-	assignedPlaces = lateShare / 2
+	// callers: a quarter of those for late requests, since others are late as well.
+	assignedPlaces = lateShare / 4
 	// assignedShare is the share of that time within which places are assigned to callers, so
 	// that those who return by then are told apart from those that no place was assigned to.
 	assignedShare = 0.7
@@ -45,24 +45,14 @@
 // that become free in a second, left the time that the caller has left. If the place becomes
 // free later than the caller would wait for it, none is assigned.
 func (s *returnSchedule) book(now time.Duration, rank, ahead int, throughput float64, left time.Duration) time.Duration {
-	longest := max(left/returnTimeDivisor, 0)
-	in, ok := s.assign(now, rank, ahead, throughput, longest)
-	if !ok {
-		return s.latest(longest)
-	}
-	return max(min(in, longest), minReturnTime)
-}
-
-// assign assigns a place that becomes free within the longest time, and returns after what time
-// the caller may retry; false if there is none.
-func (s *returnSchedule) assign(now time.Duration, rank, ahead int, throughput float64, longest time.Duration) (in time.Duration, ok bool) {
 	maps.DeleteFunc(s.bookedUntil, func(_ int, at time.Duration) bool { return at <= now })
+	longest := max(left/returnTimeDivisor, 0)
 	at := s.free(now, rank, ahead, throughput)
 	if at-now > longest {
-		return 0, false
+		return s.latest(longest)
 	}
 	s.bookedUntil[rank] = at
-	return s.later(at - now), true
+	return max(min(s.later(at-now), longest), minReturnTime)
 }
 
 // latest returns the time to retry of a caller that no place is assigned to.
