policy: the test of a return at another gate has other late callers before it

Change: 40 callers that were told no place come before it. On, the code before, the caller is not served while ten places become free; now it is.

--- a/tier/policy/gatepromise_test.go
+++ b/tier/policy/gatepromise_test.go
@@ -9,7 +9,7 @@
 
 // TestCallerReturningAsToldIsServedAtAnotherGate guards against callers that come back at the
 // time that one gate has assigned to them, to another one that knows nothing of it, and are
-// refused again.
+// refused again, since others that were told no such time wait there.
 func TestCallerReturningAsToldIsServedAtAnotherGate(t *testing.T) {
 	const ms = time.Millisecond
 	type gateAt struct {
@@ -38,10 +38,13 @@
 	g := gates[1].g
 	fixPlaces(g, 10)
 	g.room.whole, g.room.period.startedAt = 10, now
+	for range 40 {
+		g.Enter(now, demand(now, 950*ms))
+	}
 	x := g.Enter(now, demand(now, told+6*ms))
 	assert.Equal(t, x.Outlook().Decision, DecisionLate)
-	for !decided(x) {
-		now = x.CheckAt()
+	for !decided(x) && len(gates[1].held) > 0 {
+		now = max(x.CheckAt(), now+ms)
 		fixPlaces(g, 10)
 		g.room.whole, g.room.period.startedAt = 10, now
 		for range 5 {
