policy: comments of idle upstreams and promised returns read again

Cause: the comment of idle was one line of 150 characters, and those of minPromised and maxPromised gave the bound as one on all settled late requests, while it decides only whether another promised one is settled.

Change: comments only.

--- a/tier/policy/gatepromise.go
+++ b/tier/policy/gatepromise.go
@@ -3,8 +3,9 @@
 import "time"
 
 const (
-	// minPromised is the number of settled late requests that may wait at any throughput, and
-	// promisedShare the share of the places that become free in the time that they may wait.
+	// minPromised is how many settled late requests may wait at least when another promised one
+	// is settled. More may wait as long as they get no more than promisedShare of the places
+	// that become free while they may wait.
 	minPromised   = 2
 	promisedShare = 0.25
 )
@@ -49,8 +50,8 @@
 	return o
 }
 
-// maxPromised returns how many settled late requests may wait. More would take more than their
-// share of the places once they are overdue.
+// maxPromised returns how many settled late requests may wait before promised ones are judged like
+// others. Once overdue, they go before all others.
 func (g *Gate) maxPromised(t *Ticket) int {
 	return minPromised + int(promisedShare*g.throughput()*t.hold().Seconds())
 }
--- a/tier/policy/pressure.go
+++ b/tier/policy/pressure.go
@@ -173,7 +173,8 @@
 	return u.queued + queue
 }
 
-// idle reports whether the upstream has not answered lately although no call failed. Calls go to farther upstreams once those in use have queues, so that it has room.
+// idle reports whether the upstream has not answered lately although no call failed. Calls go to
+// farther upstreams once those in use have queues, so that it has room.
 func (u *roomUpstream) idle(now time.Duration) bool {
 	return now-u.answeredAt > pressureRetention && !u.silent
 }
