pass: names of any text in metrics and logs

The metrics library panics on a label that isn't well formed, such as a route's name with a quotation mark or a line break. Until now the check of a document kept such names out; a document that the platform has accepted may have them.

labelValue escapes a name as Prometheus' text format has it. Shorten cuts a name of over 128 bytes for labels and log fields and adds a hash, so that two long names stay apart: the platform sets no limit for names, and a counter per route and outcome would hold each one several times.

--- a/tier/pass/gate_report.go
+++ b/tier/pass/gate_report.go
@@ -38,7 +38,7 @@
 // newGateReport registers the gauges of a gate. They are shown until close is called.
 func newGateReport(groups []string, state func() policy.GateState) *gateReport {
 	r := &gateReport{groups: groupsLabel(groups), gauges: metrics.NewSet()}
-	labels := `{Groups="` + r.groups + `"}`
+	labels := `{Groups="` + labelValue(r.groups) + `"}`
 	r.gauges.NewGauge("loomgap_gate_places"+labels, func() float64 { return float64(state().Places) })
 	r.gauges.NewGauge("loomgap_gate_in_flight"+labels, func() float64 { return float64(state().InFlight) })
 	r.gauges.NewGauge("loomgap_gate_waiting"+labels, func() float64 { return float64(state().Waiting) })
@@ -166,7 +166,7 @@
 // countDecision updates the metrics of the decisions. A request that had to wait and was then
 // refused counts as refused.
 func countDecision(route string, d *gateDecision) {
-	metrics.GetOrCreateCounter(`loomgap_gate_decisions_total{Route="` + route + `",Decision="` + string(d.Decision) + `"}`).Inc()
+	metrics.GetOrCreateCounter(`loomgap_gate_decisions_total{Route="` + labelValue(route) + `",Decision="` + string(d.Decision) + `"}`).Inc()
 	if d.Decision != policy.DecisionRun {
 		metrics.GetOrCreateHistogram(`loomgap_gate_wait_seconds{Rank="` + strconv.Itoa(d.rank) + `"}`).Update(d.waited.Seconds())
 	}
--- a/tier/pass/outcome.go
+++ b/tier/pass/outcome.go
@@ -6,6 +6,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/rs/zerolog"
 
+	"loomgap/tier/config"
 	"loomgap/tier/policy"
 )
 
@@ -47,9 +48,9 @@
 	took := k.Now() - q.times.startedAt
 	route := ""
 	if q.route != nil {
-		route = q.route.Name
+		route = config.Shorten(q.route.Name)
 	}
-	labels := `{Route="` + route + `",Outcome="` + string(o) + `"}`
+	labels := `{Route="` + labelValue(route) + `",Outcome="` + string(o) + `"}`
 	metrics.GetOrCreateCounter("loomgap_routed_total" + labels).Inc()
 	metrics.GetOrCreateHistogram("loomgap_routed_seconds" + labels).Update(took.Seconds())
 	line := k.RequestLog.Info().Str("RequestID", q.in.id).Str("Route", route).
@@ -76,7 +77,7 @@
 	missing := r.Missing[:min(len(r.Missing), maxMissingLogged)]
 	out := make([]string, 0, len(missing))
 	for _, m := range missing {
-		text := q.plan.groups[m.Part] + " " + string(m.Reason) + " " + strconv.Itoa(m.Sends)
+		text := config.Shorten(q.plan.groups[m.Part]) + " " + string(m.Reason) + " " + strconv.Itoa(m.Sends)
 		if m.HedgeSkipped != "" {
 			text += " " + string(m.HedgeSkipped)
 		}
--- a/tier/pass/run.go
+++ b/tier/pass/run.go
@@ -84,7 +84,7 @@
 	if r.Outcome == policy.CallFailed && !over {
 		q.responses.failure = r.Answer
 	}
-	q.engine.kernel.RequestLog.Info().Str("RequestID", q.in.id).Str("Group", q.plan.groups[a.Part]).
+	q.engine.kernel.RequestLog.Info().Str("RequestID", q.in.id).Str("Group", config.Shorten(q.plan.groups[a.Part])).
 		Str("Upstream", a.Upstream.Name).Int("Call", q.callCounts[a.Part]).Str("Outcome", string(r.Outcome)).
 		Int64("TookMillis", took.Milliseconds()).Msg("call ended")
 }
