config: a document that the platform has accepted is applied

Cause: config.Check, made to tell an author of mistakes, also decided on each host whether a document is in force that the platform has validated and acknowledged. One field beyond a limit of our own cost the whole version. The limits stood in a row: the adapter's decoding, Check, the size, compared with our longer encoding of the text, and the same again at hosts that fetch the text from another one.

Versions between the refused ones were in force in time, so the way of a change isn't at fault.

Change: an adapter's document is a config.Translation, whose Index applies all that can be applied. A route that can't has a fault: it keeps its host name and prefix, and its requests get 503 with Retry-After; with 404, or run by a shorter prefix, they would be answered wrongly. Hosts send each other the text as published and translate it themselves, so nothing grows on the way, and all decide by the same bytes; a host of an older version, which names no adapter when it asks, gets our own form as before. Durations and counts past what sums of them hold are lowered, also a caller's deadline.

loomgap_config_version{State} shows the newest known version beside the one in force; loomgap_config_faults and the line "part of document not applied" show what is left out, and where.

Why it works: nothing between the store and the index refuses a document any more but text that is no object, and what is left out is decided by a pure function of the text.

--- a/tier/config/check.go
+++ b/tier/config/check.go
@@ -217,19 +217,13 @@
 }
 
 func (c *checker) route(r *Route, path string) error {
-	targets := 0
-	for _, given := range []bool{r.Group != "", len(r.Split) > 0, r.Gather != nil} {
-		if given {
-			targets++
-		}
-	}
 	err := firstViolation(path, []rule{
 		{r.HostName != "", "HostName", "missing", "give the host name of the requests"},
 		{strings.HasPrefix(r.Prefix, "/") && strings.HasSuffix(r.Prefix, "/"), "Prefix", "no path prefix", "begin and end it with a slash"},
 		{r.MaxAttempts >= 1, "MaxAttempts", "out of range", "use 1 or more"},
 		{r.TimeLimit > 0 && r.TimeLimit <= maxDuration, "TimeLimit", "out of range", "use above 0 and at most 10m"},
 		{r.Objective > 0 && r.Objective <= maxDuration, "Objective", "out of range", "use above 0 and at most 10m"},
-		{targets == 1, "Group", "not exactly one target", "give one of Group, Split and Gather"},
+		{r.countTargets() == 1, "Group", "not exactly one target", "give one of Group, Split and Gather"},
 		{validWeights(r.Split), "Split", "bad weights", "use weights of 0 or more, one of them above 0"},
 		{r.Gather == nil || r.Gather.Top >= 1, "Gather/Top", "out of range", "use 1 or more"},
 		{r.Gather == nil || r.Gather.Coverage >= 0 && r.Gather.Coverage <= 1, "Gather/Coverage", "out of range", "use 0 to 1"},
--- a/tier/config/decode.go
+++ b/tier/config/decode.go
@@ -30,6 +30,8 @@
 // Error is an error in a document, with its location and a remedy.
 type Error struct {
 	Kind Kind
+	// Name is the name of the element that the error is in; empty if it has none.
+	Name string
 	// Field is the path of the field, such as /Services/0/Shards/3/From.
 	Field string
 	// Line is the line of the document; 0 if it is unknown.
--- a/tier/config/index.go
+++ b/tier/config/index.go
@@ -17,6 +17,11 @@
 	Digest string
 	// Text is the document as published.
 	Text []byte
+	// Adapter is the name of the adapter that translated Text; empty for a document in
+	// loomgap's own form.
+	Adapter string
+	// Faults are the parts of Text that could not be applied.
+	Faults []*Error
 	// Document is the decoded text; it must not be modified.
 	Document     *Document
 	classes      map[string]*Class
@@ -29,7 +34,7 @@
 	shards       map[string]bool
 }
 
-// Accept decodes and checks a published document.
+// Accept decodes and checks a published document in loomgap's own form.
 func Accept(text []byte, e Edition) (*Index, error) {
 	d, err := Decode(text)
 	if err != nil {
@@ -55,6 +60,16 @@
 	}
 }
 
+// OwnText returns the document in loomgap's own form.
+func (x *Index) OwnText() ([]byte, error) {
+	if x.Adapter == "" {
+		return x.Text, nil
+	}
+	d := *x.Document
+	d.Based = x.Revision - 1
+	return Encode(&d)
+}
+
 // Class returns the class with the given name, or nil.
 func (x *Index) Class(name string) *Class { return x.classes[name] }
 
@@ -101,7 +116,8 @@
 }
 
 // Route returns the route for a host name and path with its class, or nil if there is
-// none. Neither may be modified.
+// none. Neither may be modified. A route with a fault still takes its requests, since one with
+// a shorter prefix may lead elsewhere.
 func (x *Index) Route(hostName, path string) (*Route, *Class) {
 	rs := x.routes[strings.ToLower(hostName)]
 	for i := range rs {
@@ -125,7 +141,7 @@
 func (d *Document) shards() map[string]bool {
 	out := map[string]bool{}
 	for i := range d.Routes {
-		if gather := d.Routes[i].Gather; gather != nil {
+		if gather := d.Routes[i].Gather; gather != nil && d.Routes[i].Fault == nil {
 			for _, g := range gather.Groups {
 				out[g] = true
 			}
--- a/tier/config/route.go
+++ b/tier/config/route.go
@@ -37,6 +37,9 @@
 	// Homes are the regions in which requests may be relayed and run, without duplicates;
 	// empty for all regions.
 	Homes []string `json:",omitempty"`
+	// Fault says why a route of a translated document cannot be applied; nil if it can. Its
+	// requests are refused.
+	Fault *Error `json:"-"`
 }
 
 // WeightedGroup is a group of a split with its weight.
@@ -84,6 +87,17 @@
 	Idle       Duration `json:",omitempty"`
 }
 
+// countTargets counts the kinds of targets that the route has; it needs exactly one.
+func (r *Route) countTargets() int {
+	n := 0
+	for _, given := range []bool{r.Group != "", len(r.Split) > 0, r.Gather != nil} {
+		if given {
+			n++
+		}
+	}
+	return n
+}
+
 // Targets returns the groups that a request of the route may go to.
 func (r *Route) Targets() []string {
 	switch {
--- a/tier/entry/operate.go
+++ b/tier/entry/operate.go
@@ -136,9 +136,14 @@
 func (s *opsService) Document(context.Context) (*opsgen.DocumentResult, error) {
 	v := s.kernel.View()
 	out := &opsgen.DocumentResult{Newest: v.Published.Revision}
-	if v.Index != nil {
-		out.Revision, out.Document = v.Index.Revision, string(v.Index.Text)
+	if v.Index == nil {
+		return out, nil
+	}
+	text, err := v.Index.OwnText()
+	if err != nil {
+		return nil, err
 	}
+	out.Revision, out.Document = v.Index.Revision, string(text)
 	return out, nil
 }
 
--- a/tier/kernel/adapter.go
+++ b/tier/kernel/adapter.go
@@ -28,10 +28,13 @@
 	// Position is the platform's position up to which the content is complete. Its revision
 	// can be compared only with revisions of the same era.
 	Position config.Position
-	// Document is the newest document; nil if it did not change or does not exist yet.
-	Document *config.Document
-	// Edition is the edition of Document.
+	// Document is the newest document; nil if it did not change, does not exist yet, or could
+	// not be translated.
+	Document *config.Translation
+	// Edition is the edition of Document, or of the document that could not be translated.
 	Edition config.Edition
+	// DocumentError is why a document could not be translated at all; nil if there is none.
+	DocumentError error
 	// Directory is the change of the directory.
 	Directory config.DirectoryChange
 	// Problems are the errors of the entries that could not be parsed and were
@@ -77,6 +80,9 @@
 	// Open returns a source that reads the platform's service at an address, and its
 	// cleanup function.
 	Open func(at netip.AddrPort) (Source, func())
+	// Translate translates a published document. It depends only on the text, so that all
+	// hosts translate a document alike.
+	Translate func(text []byte) (*config.Translation, error)
 }
 
 var adapters = map[string]Adapter{}
--- a/tier/kernel/document.go
+++ b/tier/kernel/document.go
@@ -1,12 +1,18 @@
 package kernel
 
 import (
+	"cmp"
 	"fmt"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"loomgap/tier/config"
 )
 
+// maxFaultsLogged limits the log lines about the faults of one document.
+const maxFaultsLogged = 20
+
 // DocumentState is what a host knows of the published documents.
 type DocumentState struct {
 	// Index is the active document; nil before the first. Only a newer document
@@ -16,6 +22,9 @@
 	Newest config.Edition
 	// Refused is the reason why the newest refused document was refused.
 	Refused string
+	// Known is the newest edition that this host has seen or that a peer has active. It is
+	// newer than the active one while the host still lacks that document or has refused it.
+	Known config.Edition
 	// Published is the latest position of a document that this host has seen or a peer
 	// has reported. It does not decide whether a document is accepted: after the
 	// platform was restored from a backup, the active document may be newer than the one
@@ -59,31 +68,47 @@
 // Accept activates a published document if it is valid and newer than all documents seen
 // before. It runs on the control thread.
 func (k *Kernel) Accept(s *State, text string, e config.Edition) {
-	if k.isNewer(s, e) {
-		k.accept(s, text, e)
+	if !k.isNewer(s, e) {
+		return
 	}
+	x, err := config.Accept([]byte(text), e)
+	if err != nil {
+		k.refuse(s, err, e)
+		return
+	}
+	k.activate(s, x)
 }
 
-// AcceptDocument is Accept for a document that an adapter has translated. Such a document does
-// not state the revision that it is based on, so it is accepted as based on the previous one.
-// It runs on the control thread.
-func (k *Kernel) AcceptDocument(s *State, d *config.Document, e config.Edition) {
+// AcceptTranslation is Accept for a document that an adapter has translated. What of it cannot
+// be applied is logged. It runs on the control thread.
+func (k *Kernel) AcceptTranslation(s *State, t *config.Translation, e config.Edition) {
 	if !k.isNewer(s, e) {
 		return
 	}
-	d.Based = e.Revision - 1
-	text, err := config.Encode(d)
-	if err != nil {
-		k.Log.Error().Err(err).Uint64("Revision", e.Revision).Msg("failed to encode document")
-		return
+	x := t.Index(e)
+	k.logFaults(x)
+	k.activate(s, x)
+}
+
+// RefuseDocument records that a published document cannot be used at all. It runs on the
+// control thread.
+func (k *Kernel) RefuseDocument(s *State, reason error, e config.Edition) {
+	if k.isNewer(s, e) {
+		k.refuse(s, reason, e)
 	}
-	k.accept(s, string(text), e)
+}
+
+func (k *Kernel) refuse(s *State, reason error, e config.Edition) {
+	s.Newest, s.changed = e, true
+	s.Refused = fmt.Sprintf("revision %d: %s", e.Revision, reason)
+	k.Log.Error().Err(reason).Uint64("Version", e.Version).Uint64("Revision", e.Revision).Msg("document refused")
 }
 
 // isNewer records that a document was seen, and reports whether it is newer than all
 // documents seen before.
 func (k *Kernel) isNewer(s *State, e config.Edition) bool {
 	s.NotePublished(e.Position, "")
+	s.NoteEdition(e)
 	newer := e.Newer(s.Newest)
 	if !newer {
 		k.logIgnored(s, e)
@@ -91,18 +116,39 @@
 	return newer
 }
 
-func (k *Kernel) accept(s *State, text string, e config.Edition) {
-	x, err := config.Accept([]byte(text), e)
-	s.Newest = e
-	s.changed = true
-	if err != nil {
-		s.Refused = fmt.Sprintf("revision %d: %s", e.Revision, err)
-		k.Log.Error().Err(err).Uint64("Revision", e.Revision).Msg("document refused")
+func (k *Kernel) activate(s *State, x *config.Index) {
+	s.Newest, s.Index, s.changed = x.Edition, x, true
+	s.reportEditions()
+	k.Log.Info().Uint64("Version", x.Version).Uint64("Era", x.Era).Uint64("Revision", x.Revision).Str("Digest", x.Digest).
+		Int("Routes", len(x.Document.Routes)).Int("Faults", len(x.Faults)).Msg("document activated")
+}
+
+// logFaults logs what of a document is not applied.
+func (k *Kernel) logFaults(x *config.Index) {
+	metrics.GetOrCreateGauge("loomgap_config_faults", nil).Set(float64(len(x.Faults)))
+	for _, f := range x.Faults[:min(len(x.Faults), maxFaultsLogged)] {
+		k.Log.Error().Uint64("Version", x.Version).Uint64("Revision", x.Revision).Str("Name", config.Shorten(f.Name)).
+			Str("Field", f.Field).Str("Kind", string(f.Kind)).Str("Problem", f.Problem).Str("Remedy", f.Remedy).Msg("part of document not applied")
+	}
+}
+
+// NoteEdition records an edition that this host has seen or that a peer has active.
+func (s *State) NoteEdition(e config.Edition) {
+	if !e.Newer(s.Known) {
 		return
 	}
-	s.Index = x
-	k.Log.Info().Uint64("Version", e.Version).Uint64("Era", e.Era).Uint64("Revision", e.Revision).Str("Digest", x.Digest).
-		Int("Routes", len(x.Document.Routes)).Msg("document activated")
+	s.Known = e
+	s.reportEditions()
+}
+
+// reportEditions updates the metrics that show whether a newer document is known than the
+// active one.
+func (s *State) reportEditions() {
+	report := func(state string, e config.Edition) {
+		metrics.GetOrCreateGauge(`loomgap_config_version{State="`+state+`"}`, nil).Set(float64(cmp.Or(e.Version, e.Revision)))
+	}
+	report("Active", s.Edition())
+	report("Known", s.Known)
 }
 
 // logIgnored logs a document that is older than the newest one seen, so that an operator
--- a/tier/kernel/settings.go
+++ b/tier/kernel/settings.go
@@ -54,6 +54,9 @@
 	// Adapter is the name of the platform adapter; empty for loomgap's own platform
 	// protocol and callers.
 	Adapter string
+	// DocumentBytes is the size of the largest document that the platform stores; 0 for
+	// config.MaxBytes.
+	DocumentBytes int64
 	// RetryBudget limits the calls beyond the first of each routed request.
 	RetryBudget RetryBudget
 	// LogRate limits the log lines about single requests, in lines per second.
--- a/tier/pass/coordinate_server.go
+++ b/tier/pass/coordinate_server.go
@@ -98,7 +98,7 @@
 	}
 	q.in.setContent([]byte(in.Head), in.Body)
 	q.route, q.class = q.view.Index.Route(in.HostName, in.Path)
-	if q.route == nil || q.route.Digest() != in.Route {
+	if q.route == nil || q.route.Fault != nil || q.route.Digest() != in.Route {
 		return nil, declineRoute
 	}
 	return q, ""
--- a/tier/pass/inbound.go
+++ b/tier/pass/inbound.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"loomgap/tier/config"
 	"loomgap/tier/kernel"
 	"loomgap/tier/policy"
 )
@@ -71,6 +72,10 @@
 		q.reject(w, http.StatusNotFound, outcomeNoRoute, "no route for "+r.Host+path)
 		return false
 	}
+	if q.route.Fault != nil {
+		q.refuse(w, "the configuration of the route cannot be applied", retryAfterRouteFault)
+		return false
+	}
 	return true
 }
 
@@ -107,7 +112,7 @@
 			q.reject(w, http.StatusBadRequest, outcomeInvalid, "header "+q.engine.headers.DeadlineMillis+": write milliseconds above 0")
 			return false
 		}
-		limit = min(limit, time.Duration(millis)*time.Millisecond)
+		limit = min(limit, time.Duration(config.FromMillis(millis)))
 		// A time beyond the limit of the route would make all other requests look like retries.
 		q.noteStatedTime(limit)
 	}
--- a/tier/pass/refuse.go
+++ b/tier/pass/refuse.go
@@ -12,6 +12,7 @@
 // The Retry-After times of refused requests:
 //
 //	retryAfterNoConfig         there is no configuration yet
+//	retryAfterRouteFault       the configuration of the route cannot be applied
 //	the remaining quarantine   the request is quarantined
 //	policy.Refusal             the gate or the run did not admit the request
 //	retryAfterNoUpstream       too few groups have an upstream
@@ -23,6 +24,8 @@
 	// retryAfterNoConfig applies on a host without a configuration, which reads the
 	// platform as soon as it starts.
 	retryAfterNoConfig = 300 * time.Millisecond
+	// retryAfterRouteFault applies until an operator corrects the configuration.
+	retryAfterRouteFault = 5 * time.Second
 	// retryAfterNoUpstream applies to groups without an upstream. A lost upstream is
 	// replaced within about a second.
 	retryAfterNoUpstream = 200 * time.Millisecond
--- a/tier/peers/announcement.go
+++ b/tier/peers/announcement.go
@@ -234,6 +234,7 @@
 	// The change may have been applied to an incomplete directory, so compare the result with
 	// the sender's directory, which is complete up to its revision.
 	a.compareDirectory(s, m, now)
+	s.NoteEdition(m.edition())
 	if m.edition().Newer(s.Edition()) {
 		a.fetcher.fetchDocument(m.Peer)
 	} else if m.Confirmed {
--- a/tier/peers/codec.go
+++ b/tier/peers/codec.go
@@ -16,9 +16,12 @@
 )
 
 // frameCodec encodes each JSON-RPC object as a compressed frame, preceded by its length in
-// lengthBytes bytes, most significant byte first. A frame over wire.MaxReplyBytes ends the
-// connection, so that an invalid length cannot exhaust the memory.
-type frameCodec struct{}
+// lengthBytes bytes, most significant byte first. A frame over the limit ends the connection, so
+// that an invalid length cannot exhaust the memory.
+type frameCodec struct {
+	// minLimit raises the limit above wire.MaxReplyBytes, in bytes; 0 to leave it.
+	minLimit int
+}
 
 var _ jsonrpc2.ObjectCodec = frameCodec{}
 
@@ -40,12 +43,15 @@
 // inflaters are reused, since creating one costs more than reading a message.
 var inflaters = sync.Pool{New: func() any { return flate.NewReaderDict(bytes.NewReader(nil), dictionary) }}
 
-func (frameCodec) WriteObject(stream io.Writer, v any) error {
+// limit returns the size of the largest frame, and of the largest text in a frame, in bytes.
+func (c frameCodec) limit() int { return max(c.minLimit, wire.MaxReplyBytes) }
+
+func (c frameCodec) WriteObject(stream io.Writer, v any) error {
 	text, err := encode(v)
 	if err != nil {
 		return fmt.Errorf("encode frame: %w", err)
 	}
-	if len(text) > wire.MaxReplyBytes {
+	if len(text) > c.limit() {
 		return fmt.Errorf("frame of %d bytes: %w", len(text), wire.ErrTooLarge)
 	}
 	var frame bytes.Buffer
@@ -58,13 +64,13 @@
 	return err
 }
 
-func (frameCodec) ReadObject(stream *bufio.Reader, v any) error {
+func (c frameCodec) ReadObject(stream *bufio.Reader, v any) error {
 	var head [lengthBytes]byte
 	if _, err := io.ReadFull(stream, head[:]); err != nil {
 		return err
 	}
 	n := binary.BigEndian.Uint32(head[:])
-	if n > wire.MaxReplyBytes {
+	if int64(n) > int64(c.limit()) {
 		return fmt.Errorf("frame of %d bytes: %w", n, wire.ErrTooLarge)
 	}
 	packed := make([]byte, n)
@@ -76,11 +82,11 @@
 	if err := r.(flate.Resetter).Reset(bytes.NewReader(packed), dictionary); err != nil {
 		return fmt.Errorf("decompress frame: %w", err)
 	}
-	text, err := io.ReadAll(io.LimitReader(r, wire.MaxReplyBytes+1))
+	text, err := io.ReadAll(io.LimitReader(r, int64(c.limit())+1))
 	if err != nil {
 		return fmt.Errorf("decompress frame: %w", err)
 	}
-	if len(text) > wire.MaxReplyBytes {
+	if len(text) > c.limit() {
 		return fmt.Errorf("decompressed frame: %w", wire.ErrTooLarge)
 	}
 	return decode(text, v)
--- a/tier/peers/feed.go
+++ b/tier/peers/feed.go
@@ -191,8 +191,11 @@
 		s.PlatformDown = false
 		f.kernel.Log.Info().Uint64("DirectoryEra", p.Position.Era).Uint64("DirectoryRevision", p.Position.Revision).Msg("platform became available again")
 	}
-	if p.Document != nil {
-		f.kernel.AcceptDocument(s, p.Document, p.Edition)
+	switch {
+	case p.Document != nil:
+		f.kernel.AcceptTranslation(s, p.Document, p.Edition)
+	case p.DocumentError != nil:
+		f.kernel.RefuseDocument(s, p.DocumentError, p.Edition)
 	}
 	f.applyDirectory(s, p, now)
 	f.announcer.announce(s)
--- a/tier/peers/fetch.go
+++ b/tier/peers/fetch.go
@@ -1,6 +1,7 @@
 package peers
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -14,15 +15,28 @@
 	"loomgap/tier/wire"
 )
 
-// Methods by which a host fetches what it lacks from another. They have no parameters and
-// return a wire.PackedDocument with the active document, or with the directory as a
-// config.DirectoryChange.
+// Methods by which a host fetches what it lacks from another. They return a
+// wire.PackedDocument: with the active document, for a documentRequest, or with the directory
+// as a config.DirectoryChange, without parameters.
 const (
 	methodDocument  = "Document"
 	methodDirectory = "Directory"
 )
 
+// documentRequest asks for the active document.
+type documentRequest struct {
+	// Adapter is the name of the adapter of the asking host. It gets the text as the platform
+	// published it; one without that adapter gets it in loomgap's own form.
+	Adapter string `json:",omitempty"`
+}
+
 const (
+	// documentMargin is how much larger than the platform's limit a document may be that is
+	// fetched from a peer: the platform may have raised its limit since this process started.
+	documentMargin = 4
+	// packedDocumentFactor is the largest size of a message with a document relative to the
+	// document, which may not compress and is encoded in base64.
+	packedDocumentFactor = 2
 	// maxDirectoryBytes limits the text of a directory that is fetched from a peer.
 	maxDirectoryBytes = 8 << 20
 	// directoryFetchInterval is the shortest time between two throttled fetches of the
@@ -33,8 +47,15 @@
 	firstFetchTimeout = 500 * time.Millisecond
 )
 
-// errEmptyDirectory is returned if the peer has no directory itself.
-var errEmptyDirectory = errors.New("peer has no directory")
+var (
+	// errEmptyDirectory is returned if the peer has no directory itself.
+	errEmptyDirectory = errors.New("peer has no directory")
+	// errNoDocument is returned if the peer has no document itself.
+	errNoDocument = errors.New("peer has no document")
+	// errOtherAdapter is returned if the peer's document needs an adapter that this host does
+	// not have.
+	errOtherAdapter = errors.New("peer has another adapter (set the same -Adapter on all hosts)")
+)
 
 // fetcher fetches documents and directories from other hosts, one of each at a time, and
 // serves them to others.
@@ -79,7 +100,7 @@
 
 func newFetcher(k *kernel.Kernel, n *node, onNewDocument func(*kernel.State)) *fetcher {
 	f := &fetcher{kernel: k, node: n, onNewDocument: onNewDocument}
-	k.Handle(methodDocument, f.onDocument)
+	kernel.HandleMessage(k, methodDocument, "request for the document", f.onDocument)
 	k.Handle(methodDirectory, f.onDirectory)
 	return f
 }
@@ -92,7 +113,7 @@
 	}
 	f.fetchingDocument = true
 	go func() {
-		text, edition, err := f.read(from, methodDocument, config.MaxBytes)
+		accept, err := f.readDocument(from)
 		if err != nil {
 			f.kernel.Log.Warn().Err(err).Msg("failed to fetch document from peer")
 		}
@@ -102,7 +123,7 @@
 				return
 			}
 			before := s.Index
-			f.kernel.Accept(s, text, edition)
+			accept(s)
 			if s.Index != before {
 				f.onNewDocument(s)
 			}
@@ -110,29 +131,78 @@
 	}()
 }
 
-// read fetches a text of at most limit bytes from a peer.
-func (f *fetcher) read(from netip.AddrPort, method string, limit int64) (text string, edition config.Edition, err error) {
+// readDocument fetches the active document of a peer. It returns a function that accepts it,
+// to be called on the control thread.
+func (f *fetcher) readDocument(from netip.AddrPort) (accept func(*kernel.State), err error) {
 	var packed wire.PackedDocument
-	if err := f.node.fetch(from, method, &packed); err != nil {
-		return "", config.Edition{}, err
+	request := documentRequest{Adapter: f.kernel.Settings.Adapter}
+	if err := f.node.fetch(from, methodDocument, request, &packed); err != nil {
+		return nil, err
+	}
+	return f.unpackDocument(&packed)
+}
+
+// unpackDocument returns a function that accepts a document. The text is translated before it is
+// called, since a large one would hold up the control thread.
+func (f *fetcher) unpackDocument(packed *wire.PackedDocument) (accept func(*kernel.State), err error) {
+	if packed.Revision == 0 {
+		return nil, errNoDocument
+	}
+	text, err := packed.Unpack(maxDocumentBytes(&f.kernel.Settings))
+	if err != nil {
+		return nil, err
+	}
+	edition := config.Edition{Version: packed.Version, Position: config.Position{Era: packed.Era, Revision: packed.Revision}}
+	switch packed.Adapter {
+	case "":
+		return func(s *kernel.State) { f.kernel.Accept(s, string(text), edition) }, nil
+	case f.kernel.Settings.Adapter:
+		a, err := kernel.FindAdapter(packed.Adapter)
+		if err != nil {
+			return nil, err
+		}
+		t, err := a.Translate(text)
+		if err != nil {
+			return nil, fmt.Errorf("translate document of revision %d: %w", edition.Revision, err)
+		}
+		return func(s *kernel.State) { f.kernel.AcceptTranslation(s, t, edition) }, nil
 	}
-	text, err = packed.Unpack(limit)
-	at := config.Position{Era: packed.Era, Revision: packed.Revision}
-	return text, config.Edition{Version: packed.Version, Position: at}, err
+	return nil, fmt.Errorf("%w: %s", errOtherAdapter, packed.Adapter)
+}
+
+// maxDocumentBytes is the size up to which a document is fetched from a peer.
+func maxDocumentBytes(s *kernel.Settings) int64 {
+	return documentMargin * cmp.Or(s.DocumentBytes, config.MaxBytes)
 }
 
-func (f *fetcher) onDocument(context.Context, json.RawMessage) (any, error) {
+func (f *fetcher) onDocument(_ context.Context, in *documentRequest) (any, error) {
 	x := f.kernel.View().Index
 	if x == nil {
 		return wire.PackedDocument{}, nil
 	}
+	if x.Adapter != in.Adapter {
+		return packOwnText(x)
+	}
 	return f.documentCache.pack(x, func(x *config.Index) (wire.PackedDocument, error) {
-		p, err := wire.Pack(x.Revision, x.Text)
-		p.Version, p.Era = x.Version, x.Era
-		return p, err
+		return packText(x, x.Text, x.Adapter)
 	})
 }
 
+// packOwnText packs a document in loomgap's own form.
+func packOwnText(x *config.Index) (wire.PackedDocument, error) {
+	text, err := x.OwnText()
+	if err != nil {
+		return wire.PackedDocument{}, err
+	}
+	return packText(x, text, "")
+}
+
+func packText(x *config.Index, text []byte, adapter string) (wire.PackedDocument, error) {
+	p, err := wire.Pack(x.Revision, text)
+	p.Version, p.Era, p.Adapter = x.Version, x.Era, adapter
+	return p, err
+}
+
 // fetchDirectory starts to fetch the directory of a peer, unless a fetch is in progress. It
 // runs on the control thread and does not wait.
 func (f *fetcher) fetchDirectory(from netip.AddrPort) {
@@ -168,12 +238,16 @@
 }
 
 func (f *fetcher) readDirectory(from netip.AddrPort) (*config.DirectoryChange, error) {
-	text, _, err := f.read(from, methodDirectory, maxDirectoryBytes)
+	var packed wire.PackedDocument
+	if err := f.node.fetch(from, methodDirectory, struct{}{}, &packed); err != nil {
+		return nil, err
+	}
+	text, err := packed.Unpack(maxDirectoryBytes)
 	if err != nil {
 		return nil, err
 	}
 	var change config.DirectoryChange
-	if err := json.Unmarshal([]byte(text), &change); err != nil {
+	if err := json.Unmarshal(text, &change); err != nil {
 		return nil, fmt.Errorf("decode directory: %w", err)
 	}
 	if change.Revision == 0 {
@@ -199,12 +273,12 @@
 	return wire.Pack(0, text)
 }
 
-// fetch calls a method without parameters. If the first attempt times out, its connection
-// may have stalled: the second attempt uses a new one.
-func (n *node) fetch(from netip.AddrPort, method string, result any) error {
-	err := n.callWithin(firstFetchTimeout, from, method, struct{}{}, result)
+// fetch calls a method. If the first attempt times out, its connection may have stalled: the
+// second attempt uses a new one.
+func (n *node) fetch(from netip.AddrPort, method string, params, result any) error {
+	err := n.callWithin(firstFetchTimeout, from, method, params, result)
 	if errors.Is(err, context.DeadlineExceeded) {
-		err = n.callWithin(callTimeout, from, method, struct{}{}, result)
+		err = n.callWithin(callTimeout, from, method, params, result)
 	}
 	return err
 }
--- a/tier/peers/heartbeat.go
+++ b/tier/peers/heartbeat.go
@@ -263,6 +263,7 @@
 		g.applyLeaving(s, now, h.Leaving)
 	}
 	s.NotePublished(config.Position{Era: h.PublishedEra, Revision: h.Published}, h.Refused)
+	s.NoteEdition(h.edition())
 	if h.Announcement != nil && g.announcements != nil {
 		g.announcements.apply(s, h.Announcement)
 	}
--- a/tier/peers/node.go
+++ b/tier/peers/node.go
@@ -101,7 +101,7 @@
 }
 
 func (n *node) serveOn(c *peerConn) *jsonrpc2.Conn {
-	stream := jsonrpc2.NewBufferedStream(c, frameCodec{})
+	stream := jsonrpc2.NewBufferedStream(c, frameCodec{minLimit: packedDocumentFactor * int(maxDocumentBytes(&n.kernel.Settings))})
 	handler := jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(n.serve))
 	// The library's own log lines are dropped, since calls return the errors.
 	quiet := jsonrpc2.SetLogger(log.New(io.Discard, "", 0))
