loomd: settings that the platform writes start the daemon

What operators saw: the daemon ended at its start on a host or in a data hall whose name begins with a digit (-Host: missing or invalid), so nobody served there. By the same cause, not seen by anyone yet: a retry ratio above 1, a window below a second, more than 1,024 cores, a warm-up factor above 100.

And the settings file changed names on the way: regions were split at commas and =, and the parser of the file expanded $NAME and cut a value at " #".

Change: names and upper bounds are checked without an adapter only; what can't be used at all (no name, a negative ratio, no cores) still ends the start. The file is read as lines NAME=value without expansion, in 25 lines of ours in place of godotenv, which has no form that carries any name as it stands. -DocumentBytes tells the size that the platform's store takes.

--- a/loomd/settings.go
+++ b/loomd/settings.go
@@ -9,8 +9,6 @@
 	"strings"
 	"time"
 
-	"github.com/joho/godotenv"
-
 	"loomgap/tier/config"
 	"loomgap/tier/kernel"
 	"loomgap/tier/policy"
@@ -63,7 +61,7 @@
 	return nil
 }
 
-// regionList is a flag value of comma-separated Hall=Region pairs.
+// regionList is a flag value in a form of config.ParseRegions.
 type regionList config.Regions
 
 func (r *regionList) String() string { return config.Regions(*r).String() }
@@ -107,13 +105,14 @@
 	f.DurationVar(&s.StopBound, "StopBound", 15*time.Second, "maximum time to wait for requests in flight during a graceful shutdown")
 	f.DurationVar(&s.LeavingHold, "LeavingHold", 2*time.Minute, "how long an upstream stays marked as leaving after its last leave notice")
 	f.StringVar(&s.Adapter, "Adapter", "", "`name` of the platform adapter; empty for loomgap's own protocols")
+	f.Int64Var(&s.DocumentBytes, "DocumentBytes", config.MaxBytes, "size of the largest document that the platform stores, in `bytes`")
 	f.Float64Var(&s.RetryBudget.Ratio, "RetryRatio", 0.2, "maximum ratio of retries to routed requests")
 	f.DurationVar(&s.RetryBudget.Window, "RetryWindow", 10*time.Second, "time window in which the platform counts retries")
 	f.Float64Var(&s.RetryBudget.Slack, "RetrySlack", 50, "`retries` that all hosts together may send to a group within -RetryWindow, in addition to -RetryRatio")
 	f.IntVar(&s.LogRate, "LogRate", 200, "maximum log lines per second about individual requests")
 	f.Float64Var(&s.Cores, "Cores", 1, "number of processors that this host may use; may be a fraction")
 	f.Float64Var(&s.LinkMbits, "LinkMbits", 0, "bandwidth of this host's link in `Mbit/s`; 0 for no limit")
-	f.Var((*regionList)(&s.Regions), "Regions", "`Hall=Region,...` of the data halls; a hall that is not listed is home only to routes without home regions")
+	f.Var((*regionList)(&s.Regions), "Regions", "`Hall=Region,...` of the data halls, or a JSON object; a hall that is not listed is home only to routes without home regions")
 	f.Float64Var(&s.ColdFactor, "ColdFactor", 1, "maximum requests per second from all hosts to a cold upstream, as a multiple of the ColdRate of its group")
 	f.Float64Var(&s.ColdSlack, "ColdSlack", 0, "additional `requests` per second that a cold upstream may receive")
 	s.Overload = policy.OverloadNone
@@ -136,15 +135,18 @@
 	return err
 }
 
-// readSettingsFile reads a settings file, which has a line NAME=value for each setting
-// under the name of its environment variable. An empty path gives no settings.
+// readSettingsFile reads a settings file. An empty path gives no settings.
 func readSettingsFile(path string) (config.Lookup, error) {
 	if path == "" {
 		return func(string) (string, bool) { return "", false }, nil
 	}
-	values, err := godotenv.Read(path)
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, &settingError{Flag: "Settings", Problem: err.Error(), Remedy: "give the path of a readable file"}
+	}
+	values, err := parseSettings(string(text))
 	if err != nil {
-		return nil, &settingError{Flag: "Settings", Problem: err.Error(), Remedy: "write a line NAME=value for each setting"}
+		return nil, err
 	}
 	return func(name string) (string, bool) {
 		v, ok := values[name]
@@ -152,19 +154,81 @@
 	}, nil
 }
 
+// parseSettings parses lines NAME=value with the names of environment variables. A value is taken
+// as it stands, since names that the platform gives may hold any sign, but for spaces and a pair
+// of quotation marks around it. Empty lines and those that begin with # are skipped.
+func parseSettings(text string) (map[string]string, error) {
+	out := map[string]string{}
+	for i, line := range strings.Split(text, "\n") {
+		line = strings.TrimSpace(line)
+		if line == "" || line[0] == '#' {
+			continue
+		}
+		name, value, found := strings.Cut(line, "=")
+		if !found {
+			return nil, &settingError{Flag: "Settings", Problem: fmt.Sprintf("line %d has no value", i+1), Remedy: "write a line NAME=value for each setting"}
+		}
+		out[strings.TrimSpace(name)] = unquote(strings.TrimSpace(value))
+	}
+	return out, nil
+}
+
+// unquote removes a pair of quotation marks around a value.
+func unquote(value string) string {
+	for _, mark := range []string{`"`, "'"} {
+		if inner, ok := strings.CutPrefix(value, mark); ok {
+			if inner, ok = strings.CutSuffix(inner, mark); ok {
+				return inner
+			}
+		}
+	}
+	return value
+}
+
+// settingRule is a condition on one setting.
+type settingRule struct {
+	ok                    bool
+	flag, problem, remedy string
+}
+
 // validateSettings returns an error for the first setting that is missing or invalid.
 // It also fills in the default of SettleMost.
 func validateSettings(s *kernel.Settings) error {
 	if s.SettleMost == 0 {
 		s.SettleMost = 2 * s.Settle
 	}
-	rules := []struct {
-		ok            bool
-		flag, problem string
-		remedy        string
-	}{
-		{config.ValidName(s.Host), "Host", "missing or invalid", "give this host's name in the document"},
-		{config.ValidName(s.Hall), "Hall", "missing or invalid", "give the data hall of this host"},
+	rules := settingRules(s)
+	if s.Adapter == "" {
+		rules = append(rules, ownSettingRules(s)...)
+	}
+	for _, r := range rules {
+		if !r.ok {
+			return &settingError{Flag: r.flag, Problem: r.problem, Remedy: r.remedy}
+		}
+	}
+	return nil
+}
+
+// ownSettingRules returns the rules for settings that the platform fills in if there is an adapter.
+// They catch mistakes such as a wrong unit, and names that loomgap's own document refuses. What a
+// platform gives has no such limits, and a host that does not start serves nobody.
+func ownSettingRules(s *kernel.Settings) []settingRule {
+	return []settingRule{
+		{config.ValidName(s.Host), "Host", "invalid", "start with a letter; use letters, digits, '_', '.', '-'; 63 at most"},
+		{config.ValidName(s.Hall), "Hall", "invalid", "start with a letter; use letters, digits, '_', '.', '-'; 63 at most"},
+		{s.RetryBudget.Ratio <= 1, "RetryRatio", "out of range", "use 0 to 1"},
+		{s.RetryBudget.Window >= time.Second, "RetryWindow", "out of range", "use 1s or more"},
+		{s.Cores <= 1024, "Cores", "out of range", "use a number above 0, at most 1024"},
+		{s.ColdFactor <= 100, "ColdFactor", "out of range", "use 0 to 100"},
+		{s.ColdSlack <= 1e6, "ColdSlack", "out of range", "use 0 to 1000000"},
+	}
+}
+
+// settingRules returns the rules for all settings.
+func settingRules(s *kernel.Settings) []settingRule {
+	return []settingRule{
+		{s.Host != "", "Host", "missing", "give this host's name in the document"},
+		{s.Hall != "", "Hall", "missing", "give the data hall of this host"},
 		{s.Listen.IsValid(), "Listen", "missing", "give the IP:port for callers"},
 		{s.Operate.IsValid(), "Operate", "missing", "give the IP:port for operators"},
 		{s.Peer.IsValid(), "Peer", "missing", "give the IP:port for other entry hosts"},
@@ -177,20 +241,15 @@
 		{s.SettleMost >= s.Settle && s.SettleMost <= 2*time.Minute, "SettleMost", "out of range", "use -Settle to 2m"},
 		{s.StopBound >= time.Second && s.StopBound <= 10*time.Minute, "StopBound", "out of range", "use 1s to 10m"},
 		{s.LeavingHold >= time.Second && s.LeavingHold <= time.Hour, "LeavingHold", "out of range", "use 1s to 1h"},
-		{s.RetryBudget.Ratio >= 0 && s.RetryBudget.Ratio <= 1, "RetryRatio", "out of range", "use 0 to 1"},
+		{s.RetryBudget.Ratio >= 0, "RetryRatio", "out of range", "use 0 or more"},
 		{s.RetryBudget.Slack >= 0, "RetrySlack", "out of range", "use 0 or more"},
-		{s.RetryBudget.Window >= time.Second, "RetryWindow", "out of range", "use 1s or more"},
-		{s.Cores > 0 && s.Cores <= 1024, "Cores", "out of range", "use a number above 0, at most 1024"},
+		{s.RetryBudget.Window > 0, "RetryWindow", "out of range", "use a time above 0"},
+		{s.Cores > 0, "Cores", "out of range", "use a number above 0"},
 		{s.LinkMbits >= 0, "LinkMbits", "out of range", "use 0 or more"},
-		{s.ColdFactor >= 0 && s.ColdFactor <= 100, "ColdFactor", "out of range", "use 0 to 100"},
-		{s.ColdSlack >= 0 && s.ColdSlack <= 1e6, "ColdSlack", "out of range", "use 0 to 1000000"},
+		{s.DocumentBytes >= 1, "DocumentBytes", "out of range", "use 1 or more"},
+		{s.ColdFactor >= 0, "ColdFactor", "out of range", "use 0 or more"},
+		{s.ColdSlack >= 0, "ColdSlack", "out of range", "use 0 or more"},
 		{s.LogRate >= 1, "LogRate", "out of range", "use 1 or more"},
 		{s.TraceRatio >= 0 && s.TraceRatio <= 1, "TraceRatio", "out of range", "use 0 to 1"},
 	}
-	for _, r := range rules {
-		if !r.ok {
-			return &settingError{Flag: r.flag, Problem: r.problem, Remedy: r.remedy}
-		}
-	}
-	return nil
 }
--- a/loomd/settings_test.go
+++ b/loomd/settings_test.go
@@ -4,12 +4,18 @@
 	"errors"
 	"flag"
 	"io"
+	"maps"
+	"os"
+	"path/filepath"
+	"regexp"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"loomgap/tier/config"
 	"loomgap/tier/kernel"
 	"loomgap/tier/policy"
 )
@@ -77,6 +83,79 @@
 	}
 }
 
+// platformSettings fills the template of the deploy folder with values like a platform's, and
+// replaces some.
+func platformSettings(t *testing.T, replaced map[string]string) string {
+	t.Helper()
+	template, err := os.ReadFile(filepath.Join("..", "deploy", "settings.env"))
+	assert.NilError(t, err)
+	values := map[string]string{
+		"nodeName": "front-1", "zone": "quito-hall", "listenAddrs.front": "127.0.0.1:7400", "listenAddrs.readiness": "127.0.0.1:7402",
+		"ip": "127.0.0.1", "listenAddrs.control": "127.0.0.1:7401", "platform.address": "127.0.0.1:7300", "seeds": "127.0.0.1:1",
+		"bounds.retryBudgetRatio": "0.2", "bounds.budgetSlack": "54", "bounds.retryWindowS": "10", "limits.cpuShare": "0.4",
+		"limits.linkMbps": "1000.0", "zones": `{"quito-hall":"sierra"}`,
+		"platform.valueBytes": "1048576", "bounds.warmupOverage": "2", "bounds.warmupSlack": "3",
+	}
+	maps.Copy(values, replaced)
+	// A section stands once if its value is given.
+	text := regexp.MustCompile(`(?s)\{\{#([\w.]+)\}\}(.*?)\{\{/[\w.]+\}\}`).ReplaceAllStringFunc(string(template), func(section string) string {
+		name, body, _ := strings.Cut(strings.TrimPrefix(section, "{{#"), "}}")
+		if values[name] == "" {
+			return ""
+		}
+		body, _, _ = strings.Cut(body, "{{/")
+		return strings.ReplaceAll(body, "{{.}}", values[name])
+	})
+	for name, value := range values {
+		text = strings.ReplaceAll(text, "{{"+name+"}}", value)
+	}
+	assert.Assert(t, !strings.Contains(text, "{{"), text)
+	return text
+}
+
+// TestSettingsOfPlatformAreAccepted guards against a daemon that doesn't start on settings that
+// the platform wrote, because of a name or a bound that only loomgap has.
+func TestSettingsOfPlatformAreAccepted(t *testing.T) {
+	for _, replaced := range []map[string]string{
+		nil,
+		{"nodeName": "3rd-front", "zone": "3rd-hall", "zones": `{"3rd-hall":"1st-region"}`},
+		{"nodeName": "4711", "zone": "_", "zones": `{"_":""}`},
+		{"nodeName": strings.Repeat("front-", 40), "zone": "größe"},
+		{"nodeName": "a b/c:d", "zone": `hall, "north" = $HOME #1`, "zones": `{"hall, \"north\" = $HOME #1":"re=gion,"}`},
+		{"bounds.retryBudgetRatio": "1.5", "bounds.budgetSlack": "1e6", "bounds.retryWindowS": "0.5"},
+		{"limits.cpuShare": "2048", "limits.linkMbps": "0"},
+		{"bounds.warmupOverage": "150", "bounds.warmupSlack": "2000000"},
+		{"platform.valueBytes": "", "bounds.warmupOverage": "", "bounds.warmupSlack": ""},
+		{"platform.valueBytes": "67108864"},
+	} {
+		path := filepath.Join(t.TempDir(), "settings.env")
+		assert.NilError(t, os.WriteFile(path, []byte(platformSettings(t, replaced)), 0o600))
+		s, err := settingsSource{file: path}.settings()
+		assert.NilError(t, err, "%v", replaced)
+		for name, got := range map[string]string{"nodeName": s.Host, "zone": s.Hall} {
+			if want, ok := replaced[name]; ok {
+				assert.Equal(t, got, want)
+			}
+		}
+		if text, ok := replaced["zones"]; ok {
+			regions, err := config.ParseRegions(text)
+			assert.NilError(t, err)
+			assert.DeepEqual(t, s.Regions, regions)
+		}
+	}
+}
+
+// TestParseSettings guards against a value of the settings file that is changed on the way.
+func TestParseSettings(t *testing.T) {
+	got, err := parseSettings("# comment\n\nA=1\n B = two words \r\nC=\nD=a=b,#c $A \\n\nE=\"x\"\nF='y'\nG=\"\n")
+	assert.NilError(t, err)
+	assert.DeepEqual(t, got, map[string]string{"A": "1", "B": "two words", "C": "", "D": `a=b,#c $A \n`, "E": "x", "F": "y", "G": `"`})
+	_, err = parseSettings("A=1\nB\n")
+	var typed *settingError
+	assert.Assert(t, errors.As(err, &typed))
+	assert.ErrorContains(t, err, "line 2")
+}
+
 // TestOverloadControl requires that only the words of the setting are accepted: a misspelt
 // one must not start a host without overload control.
 func TestOverloadControl(t *testing.T) {
--- a/tier/config/regions.go
+++ b/tier/config/regions.go
@@ -6,21 +6,30 @@
 	"maps"
 	"slices"
 	"strings"
+
+	"github.com/go-json-experiment/json"
 )
 
 // Regions maps each data hall to its region.
 type Regions map[string]string
 
 // errRegion is wrapped by all errors of ParseRegions.
-var errRegion = errors.New("expected Hall=Region pairs, separated by commas")
+var errRegion = errors.New("expected Hall=Region pairs, separated by commas, or a JSON object")
 
-// ParseRegions parses a list in the form Hall=Region,Hall=Region. An empty text is valid
-// and names no hall.
+// ParseRegions parses a list in the form Hall=Region,Hall=Region, or a JSON object, in which names
+// may hold any sign. An empty text is valid and names no hall.
 func ParseRegions(text string) (Regions, error) {
 	out := Regions{}
 	if text == "" {
 		return out, nil
 	}
+	if strings.HasPrefix(text, "{") {
+		if err := json.Unmarshal([]byte(text), &out); err != nil {
+			return nil, fmt.Errorf("%w: %w", errRegion, err)
+		}
+		maps.DeleteFunc(out, func(_, region string) bool { return region == "" })
+		return out, nil
+	}
 	for _, pair := range strings.Split(text, ",") {
 		hall, region, found := strings.Cut(strings.TrimSpace(pair), "=")
 		if !found || hall == "" || region == "" {
@@ -36,11 +45,19 @@
 
 // String formats the regions for ParseRegions, sorted by hall.
 func (r Regions) String() string {
-	var out []string
+	var pairs []string
 	for _, h := range slices.Sorted(maps.Keys(r)) {
-		out = append(out, h+"="+r[h])
+		pairs = append(pairs, h+"="+r[h])
+	}
+	list := strings.Join(pairs, ",")
+	if again, err := ParseRegions(list); err == nil && maps.Equal(again, r) {
+		return list
+	}
+	object, err := json.Marshal(map[string]string(r))
+	if err != nil {
+		return list // unreachable: text can be encoded
 	}
-	return strings.Join(out, ",")
+	return string(object)
 }
 
 // IsHome reports whether a hall lies in one of a route's home regions. Every hall is home
--- a/tier/config/regions_test.go
+++ b/tier/config/regions_test.go
@@ -21,6 +21,12 @@
 		{"=East", "", false},
 		{"a=", "", false},
 		{"a=East,", "", false},
+		{`{}`, "", true},
+		{`{"b":"West","a":"East"}`, "a=East,b=West", true},
+		{`{"a":""}`, "", true},
+		{`{"3rd, hall = b":"Über $HOME #1"}`, `{"3rd, hall = b":"Über $HOME #1"}`, true},
+		{`{"a":"East"`, "", false},
+		{`{"a":7}`, "", false},
 	}
 	for _, tt := range tests {
 		t.Run(tt.text, func(t *testing.T) {
