--- a/loomfake/soak_test.go
+++ b/loomfake/soak_test.go
@@ -97,7 +97,7 @@
 		closeSource()
 		server.Close()
 		assert.NilError(t, err)
-		assert.Equal(t, len(p.Document.Routes), 3+concurrent)
+		assert.Equal(t, len(p.Document.Document.Routes), 3+concurrent)
 		for i, v := range s.versions {
 			assert.Equal(t, v.routeCount, i+1)
 		}
