pass: a connection carries no second call with the ID of an earlier one

Cause: a response is told from a surplus one by the request's ID alone. Once all upstreams had rejected a request, it was sent to one of them again, often on the connection of its first call, which is the one used last. The copy of the rejection that the upstream sent late has the same ID, so it was taken for the answer to the second call, which proves that nothing ran.

Evidence: TestLateRejectionIsNotTakenForTheAnswer, with one host and one upstream, fails before (a request runs twice), as do TestLateRejectionOfAPart (a part that is asked again without cause), TestLateAnswerOfRequestWithSameID (the answer to the request before) and TestSurplusOfEarlierResponseIsNotBelieved (an idle timeout of 0 taken from the copy).

Change: a connection remembers the IDs of the last four requests answered on it; the pool hands out the last used idle connection among those that have not carried the ID, and dials only if there is none. Two connections at most are kept aside so. A surplus response to any of the four is skipped, no longer sets the idle timeout, and is logged ("surplus response skipped") and counted.

Why it works: on a connection, a response with the ID of the call can then only be the answer to that call, whichever way a second call of one ID comes about: a retry, a hedge, an isolated call, a relay, or a caller that uses its ID twice.

--- a/tier/pass/call.go
+++ b/tier/pass/call.go
@@ -11,9 +11,11 @@
 	"syscall"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
 
+	"loomgap/tier/config"
 	"loomgap/tier/kernel"
 	"loomgap/tier/policy"
 	"loomgap/tier/runner"
@@ -25,7 +27,7 @@
 	// memory of a small host.
 	maxResponseBytes = 8 << 20
 	// maxResponsesRead limits the responses that are read for one call: a surplus response
-	// to the previous request may come first.
+	// to an earlier request may come first.
 	maxResponsesRead = 2
 	// maxSyncBodyBytes is the largest body that is written before the response is read. A
 	// larger one is written concurrently, since an upstream may respond early.
@@ -71,6 +73,9 @@
 	// fromBatch is true for a call that a relay makes. If its connection breaks after it
 	// was cancelled, it counts as cancelled.
 	fromBatch bool
+	// unexpected are the IDs of the responses that came for the call and belong to other
+	// requests.
+	unexpected []string
 }
 
 // callUpstream makes a call in a span of its own, if it is admitted.
@@ -82,12 +87,22 @@
 	defer span.End()
 	c.headers, c.upstream = &e.headers, u.Name
 	out := pool.call(ctx, c)
+	e.reportUnexpected(c, out.Outcome)
 	if span.IsRecording() {
 		span.SetAttributes(attribute.String("Upstream", u.Name), attribute.String("Outcome", string(out.Outcome)))
 	}
 	return out
 }
 
+// reportUnexpected counts and logs the responses to a call that belong to other requests.
+func (e *engine) reportUnexpected(c *call, o policy.CallOutcome) {
+	for _, id := range c.unexpected {
+		metrics.GetOrCreateCounter("loomgap_surplus_responses_total").Inc()
+		e.kernel.RequestLog.Warn().Str("RequestID", c.id).Str("Upstream", c.upstream).Str("Surplus", config.Shorten(id)).
+			Str("Outcome", string(o)).Msg("surplus response skipped")
+	}
+}
+
 // call makes a call and classifies its result. A call that is cancelled while its
 // connection is being made counts as not sent, and not against the upstream.
 func (p *connPool) call(ctx context.Context, c *call) runner.Reply[*response] {
@@ -103,7 +118,7 @@
 }
 
 func (p *connPool) send(ctx context.Context, c *call) runner.Reply[*response] {
-	n, err := p.get(ctx, c.nonRepeatable)
+	n, err := p.get(ctx, c.id, c.nonRepeatable)
 	if err != nil {
 		return runner.Reply[*response]{Outcome: policy.CallUnreachable}
 	}
@@ -160,8 +175,8 @@
 	return err
 }
 
-// readResponse reads the response to a call and skips a surplus response to the previous
-// one.
+// readResponse reads the response to a call and skips a surplus response to an earlier request of
+// the connection.
 func (n *conn) readResponse(c *call) (resp *response, reusable bool, err error) {
 	for range maxResponsesRead {
 		resp, reusable, err = n.readOneResponse(c.method)
@@ -170,10 +185,12 @@
 		}
 		echoed := resp.header.Get(c.headers.RequestID)
 		if echoed == c.id {
-			n.lastRequestID = c.id
-			return resp, reusable && n.reader.Buffered() == 0, nil
+			n.remember(c.id)
+			n.updateIdleTimeout(resp.header)
+			return resp, reusable && n.idleTimeout > 0 && n.reader.Buffered() == 0, nil
 		}
-		if echoed == "" || echoed != n.lastRequestID || !reusable {
+		c.unexpected = append(c.unexpected, echoed)
+		if !n.carried(echoed) || !reusable {
 			return nil, false, errResponseMismatch
 		}
 	}
@@ -195,9 +212,7 @@
 	if err != nil {
 		return nil, false, err
 	}
-	n.updateIdleTimeout(r.Header)
-	reusable = !r.Close && n.idleTimeout > 0
-	return &response{status: r.StatusCode, header: r.Header, body: body}, reusable, nil
+	return &response{status: r.StatusCode, header: r.Header, body: body}, !r.Close, nil
 }
 
 // updateIdleTimeout sets the idle timeout from the upstream's Keep-Alive header.
--- a/tier/pass/conn.go
+++ b/tier/pass/conn.go
@@ -33,13 +33,28 @@
 	unresponsiveCallTimeout = policy.LingerDuration
 )
 
+const (
+	// rememberedIDs is how many request IDs a connection remembers. An upstream may send the
+	// response to an earlier request once more, as a rule when the next request has come.
+	rememberedIDs = 4
+	// maxSetAside is how many idle connections are kept that cannot carry a request because
+	// they have carried its ID. It suffices for a request with three calls to one upstream.
+	maxSetAside = 2
+)
+
 // conn is a connection to an upstream. It carries one request at a time.
+//
+// The response to a request is told from a surplus response to an earlier one by the request's
+// ID alone. A connection therefore carries no second request with the ID of an earlier one:
+// connPool.get gives it another connection.
 type conn struct {
 	net.Conn
 	raw    syscall.RawConn
 	reader *bufio.Reader
-	// lastRequestID is the ID of the last request that was answered on the connection.
-	lastRequestID string
+	// requestIDs are the IDs of the last requests that were answered on the connection;
+	// nextID is the place of the next one.
+	requestIDs [rememberedIDs]string
+	nextID     int
 	// idleSince is when the connection was returned to the pool, as time since the process
 	// started.
 	idleSince   time.Duration
@@ -62,11 +77,23 @@
 
 var upstreamDialer = net.Dialer{Timeout: upstreamDialTimeout, KeepAlive: -1}
 
-// get returns a usable idle connection, or dials a new one. If fresh is true, it returns an
-// idle connection only if that was used recently.
-func (p *connPool) get(ctx context.Context, fresh bool) (*conn, error) {
+// remember records that a request was answered on the connection.
+func (n *conn) remember(requestID string) {
+	n.requestIDs[n.nextID] = requestID
+	n.nextID = (n.nextID + 1) % rememberedIDs
+}
+
+// carried reports whether a request with the given ID was answered on the connection lately.
+func (n *conn) carried(requestID string) bool {
+	return requestID != "" && slices.Contains(n.requestIDs[:], requestID)
+}
+
+// get returns a usable idle connection that has not carried the given request ID lately, or
+// dials a new one. If fresh is true, it returns an idle connection only if that was used
+// recently.
+func (p *connPool) get(ctx context.Context, requestID string, fresh bool) (*conn, error) {
 	for {
-		c := p.pop()
+		c := p.pop(requestID)
 		if c == nil {
 			return p.dial(ctx)
 		}
@@ -78,16 +105,23 @@
 	}
 }
 
-func (p *connPool) pop() *conn {
+// pop removes the idle connection that was used last, of those that have not carried the request
+// ID, and returns it. If there is none, it closes the one that was used first beyond maxSetAside,
+// since the caller will dial another.
+func (p *connPool) pop(requestID string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	n := len(p.idle)
-	if n == 0 {
-		return nil
+	for i, c := range slices.Backward(p.idle) {
+		if !c.carried(requestID) {
+			p.idle = slices.Delete(p.idle, i, i+1)
+			return c
+		}
+	}
+	if len(p.idle) > maxSetAside {
+		_ = p.idle[0].Close()
+		p.idle = slices.Delete(p.idle, 0, 1)
 	}
-	c := p.idle[n-1]
-	p.idle = p.idle[:n-1]
-	return c
+	return nil
 }
 
 func (p *connPool) dial(ctx context.Context) (*conn, error) {
