pass: limits for the head of a response and for large bodies together

Cause: http.ReadResponse reads the status line and the headers without a limit, and interim responses were read in a loop. Only the body had a limit.

Chunk extensions and trailers have limits in the parser; a sized body was closed at once.

Change: readLimit bounds the head, with the interim ones before it, to 256 KiB. Bodies of 8 MiB on many connections would still exceed a small host, so what is read beyond 64 KiB a body counts towards 32 MiB a host and 16 MiB an upstream: a faulty upstream gives up its own large responses first. A body that is too large is no longer closed, only its connection. Reading a response moves from call.go to response.go. Loomgap's own calls to upstreams have the same limit for headers.

Why it works: what one response can make a host hold is bounded, and so is the sum over all responses, for each upstream apart.

--- a/tier/entry/client.go
+++ b/tier/entry/client.go
@@ -27,6 +27,8 @@
 	// upstreamIdleTimeout is well below the shortest idle timeout of upstreams, 60 s, so
 	// that a connection is not reused while the upstream is closing it.
 	upstreamIdleTimeout = 20 * time.Second
+	// maxReplyHeadBytes limits the status line and the headers of a reply.
+	maxReplyHeadBytes = 256 << 10
 )
 
 // client makes calls to one upstream over its own connections.
@@ -40,11 +42,12 @@
 	return &client{
 		address: u.Address,
 		transport: &http.Transport{
-			DialContext:         dialer.DialContext,
-			DisableCompression:  true,
-			MaxConnsPerHost:     connections,
-			MaxIdleConnsPerHost: connections,
-			IdleConnTimeout:     upstreamIdleTimeout,
+			DialContext:            dialer.DialContext,
+			DisableCompression:     true,
+			MaxConnsPerHost:        connections,
+			MaxIdleConnsPerHost:    connections,
+			MaxResponseHeaderBytes: maxReplyHeadBytes,
+			IdleConnTimeout:        upstreamIdleTimeout,
 		},
 	}
 }
--- a/tier/pass/call.go
+++ b/tier/pass/call.go
@@ -23,12 +23,6 @@
 )
 
 const (
-	// maxResponseBytes limits the body of a response, so that several of them fit into the
-	// memory of a small host.
-	maxResponseBytes = 8 << 20
-	// maxResponsesRead limits the responses that are read for one call: a surplus response
-	// to an earlier request may come first.
-	maxResponsesRead = 2
 	// maxSyncBodyBytes is the largest body that is written before the response is read. A
 	// larger one is written concurrently, since an upstream may respond early.
 	maxSyncBodyBytes = 8 << 10
@@ -37,20 +31,6 @@
 	perUpstreamHeaderBytes = 128
 )
 
-// errResponseMismatch means that a response does not belong to the call it was read for.
-var errResponseMismatch = errors.New("response belongs to another request")
-
-// response is the whole response of an upstream, or a reference to the block that contains
-// it.
-type response struct {
-	status int
-	header http.Header
-	body   []byte
-	// block is the block that contains this part; nil if the part was not merged by a
-	// relay.
-	block *block
-}
-
 type call struct {
 	headers *kernel.Headers
 	method  string
@@ -76,6 +56,8 @@
 	// unexpected are the IDs of the responses that came for the call and belong to other
 	// requests.
 	unexpected []string
+	// tooLarge is the limit that the response exceeded; nil if it did not.
+	tooLarge error
 }
 
 // callUpstream makes a call in a span of its own, if it is admitted.
@@ -87,20 +69,25 @@
 	defer span.End()
 	c.headers, c.upstream = &e.headers, u.Name
 	out := pool.call(ctx, c)
-	e.reportUnexpected(c, out.Outcome)
+	e.reportFaults(c, out.Outcome)
 	if span.IsRecording() {
 		span.SetAttributes(attribute.String("Upstream", u.Name), attribute.String("Outcome", string(out.Outcome)))
 	}
 	return out
 }
 
-// reportUnexpected counts and logs the responses to a call that belong to other requests.
-func (e *engine) reportUnexpected(c *call, o policy.CallOutcome) {
+// reportFaults counts and logs responses to a call that belong to other requests, and one that
+// exceeds a limit.
+func (e *engine) reportFaults(c *call, o policy.CallOutcome) {
 	for _, id := range c.unexpected {
 		metrics.GetOrCreateCounter("loomgap_surplus_responses_total").Inc()
 		e.kernel.RequestLog.Warn().Str("RequestID", c.id).Str("Upstream", c.upstream).Str("Surplus", config.Shorten(id)).
 			Str("Outcome", string(o)).Msg("surplus response skipped")
 	}
+	if c.tooLarge != nil {
+		metrics.GetOrCreateCounter("loomgap_responses_too_large_total").Inc()
+		e.kernel.RequestLog.Warn().Err(c.tooLarge).Str("RequestID", c.id).Str("Upstream", c.upstream).Msg("response too large, connection closed")
+	}
 }
 
 // call makes a call and classifies its result. A call that is cancelled while its
@@ -126,6 +113,9 @@
 	stop := context.AfterFunc(ctx, func() { _ = n.Close() })
 	started := p.now()
 	resp, reusable, err := n.roundTrip(c)
+	if errors.Is(err, wire.ErrTooLarge) {
+		c.tooLarge = err
+	}
 	out := classify(c, resp, err)
 	if stop() && reusable {
 		p.put(n)
@@ -175,60 +165,6 @@
 	return err
 }
 
-// readResponse reads the response to a call and skips a surplus response to an earlier request of
-// the connection.
-func (n *conn) readResponse(c *call) (resp *response, reusable bool, err error) {
-	for range maxResponsesRead {
-		resp, reusable, err = n.readOneResponse(c.method)
-		if err != nil {
-			return nil, false, err
-		}
-		echoed := resp.header.Get(c.headers.RequestID)
-		if echoed == c.id {
-			n.remember(c.id)
-			n.updateIdleTimeout(resp.header)
-			return resp, reusable && n.idleTimeout > 0 && n.reader.Buffered() == 0, nil
-		}
-		c.unexpected = append(c.unexpected, echoed)
-		if !n.carried(echoed) || !reusable {
-			return nil, false, errResponseMismatch
-		}
-	}
-	return nil, false, errResponseMismatch
-}
-
-// readOneResponse reads one response. If reusable is false, the connection carries no
-// further response.
-func (n *conn) readOneResponse(method string) (resp *response, reusable bool, err error) {
-	r, err := http.ReadResponse(n.reader, &http.Request{Method: method})
-	for err == nil && r.StatusCode < http.StatusOK {
-		r, err = http.ReadResponse(n.reader, &http.Request{Method: method})
-	}
-	if err != nil {
-		return nil, false, err
-	}
-	defer r.Body.Close()
-	body, err := wire.ReadBody(r, maxResponseBytes)
-	if err != nil {
-		return nil, false, err
-	}
-	return &response{status: r.StatusCode, header: r.Header, body: body}, !r.Close, nil
-}
-
-// updateIdleTimeout sets the idle timeout from the upstream's Keep-Alive header.
-func (n *conn) updateIdleTimeout(h http.Header) {
-	_, after, found := strings.Cut(h.Get("Keep-Alive"), "timeout=")
-	if !found {
-		return
-	}
-	digits, _, _ := strings.Cut(after, ",")
-	seconds, err := strconv.Atoi(strings.TrimSpace(digits))
-	if err != nil || seconds < 0 {
-		return
-	}
-	n.idleTimeout = time.Duration(seconds)*time.Second - idleTimeoutMargin
-}
-
 // classify maps the response to a call that was sent, or its error, to an outcome. The
 // reply contains the response only if it may be passed to the caller or merged.
 func classify(c *call, resp *response, err error) runner.Reply[*response] {
--- a/tier/pass/conn.go
+++ b/tier/pass/conn.go
@@ -51,6 +51,10 @@
 	net.Conn
 	raw    syscall.RawConn
 	reader *bufio.Reader
+	// limit is what reader reads from.
+	limit *readLimit
+	// budget limits the bodies that are read from the upstream; nil for no limit.
+	budget *byteBudget
 	// requestIDs are the IDs of the last requests that were answered on the connection;
 	// nextID is the place of the next one.
 	requestIDs [rememberedIDs]string
@@ -68,6 +72,8 @@
 	// startedMillis is when the upstream's process started; see config.Listing.
 	startedMillis int64
 	now           func() time.Duration
+	// budget limits the bodies that are read from the upstream; nil for no limit.
+	budget *byteBudget
 
 	mu   sync.Mutex
 	idle []*conn
@@ -134,7 +140,11 @@
 		_ = c.Close()
 		return nil, err
 	}
-	return &conn{Conn: c, raw: raw, reader: bufio.NewReaderSize(c, readBufferBytes), idleTimeout: defaultIdleTimeout}, nil
+	limit := &readLimit{Reader: c}
+	return &conn{
+		Conn: c, raw: raw, reader: bufio.NewReaderSize(limit, readBufferBytes), limit: limit, budget: p.budget,
+		idleTimeout: defaultIdleTimeout,
+	}, nil
 }
 
 func (p *connPool) put(c *conn) {
--- a/tier/pass/conn_pools.go
+++ b/tier/pass/conn_pools.go
@@ -12,6 +12,8 @@
 type connPools struct {
 	// byUpstream maps the name of each upstream to its *connPool.
 	byUpstream sync.Map
+	// budget limits the bodies that are read from all upstreams.
+	budget byteBudget
 }
 
 func (t *connPools) find(name string) *connPool {
@@ -30,7 +32,8 @@
 		if old != nil && old.address == l.Address && old.startedMillis == l.StartedMillis {
 			continue
 		}
-		t.byUpstream.Store(l.Name, &connPool{address: l.Address, startedMillis: l.StartedMillis, now: now})
+		budget := &byteBudget{parent: &t.budget, limit: upstreamBudgetBytes}
+		t.byUpstream.Store(l.Name, &connPool{address: l.Address, startedMillis: l.StartedMillis, now: now, budget: budget})
 		if old != nil {
 			old.close()
 		}
