--- a/tier/config/translation.go
+++ b/tier/config/translation.go
@@ -54,10 +54,9 @@
 	prefixes map[string]int
 }
 
-func (a *applier) reportRepeat(name, field, problem, remedy string) *Error {
-	fault := &Error{Kind: KindDuplicate, Name: name, Field: field, Problem: problem, Remedy: remedy}
-	a.faults = append(a.faults, fault)
-	return fault
+// newRepeat returns the fault of an element that stands twice.
+func newRepeat(name, field, problem, remedy string) *Error {
+	return &Error{Kind: KindDuplicate, Name: name, Field: field, Problem: problem, Remedy: remedy}
 }
 
 // groups returns the groups without those whose name stands twice. The first one applies.
@@ -66,7 +65,8 @@
 	seen := make(map[string]bool, len(all))
 	for i, g := range all {
 		if seen[g.Name] {
-			a.reportRepeat(g.Name, fmt.Sprintf("/Groups/%d/Name", i), "name stands twice", "list each group once; the first one applies")
+			field := fmt.Sprintf("/Groups/%d/Name", i)
+			a.faults = append(a.faults, newRepeat(g.Name, field, "name stands twice", "list each group once; the first one applies"))
 			continue
 		}
 		seen[g.Name] = true
@@ -206,7 +206,8 @@
 	}
 	other := &earlier[first]
 	problem := fmt.Sprintf("host name and prefix of route %q", Shorten(other.Name))
-	fault := a.reportRepeat(r.Name, path+"/Prefix", problem, "give each route its own")
+	fault := newRepeat(r.Name, path+"/Prefix", problem, "give each route its own")
+	a.faults = append(a.faults, fault)
 	if other.sameSettings(r) {
 		return true
 	}
--- a/tier/pass/response_test.go
+++ b/tier/pass/response_test.go
@@ -81,7 +81,7 @@
 	var all, held sync.WaitGroup
 	release := make(chan struct{})
 	const size = 6 << 20
-	half := func(u *fakeUpstream, c net.Conn, r *http.Request) bool {
+	half := func(_ *fakeUpstream, c net.Conn, r *http.Request) bool {
 		id := r.Header.Get(names.RequestID)
 		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 X\r\n%s: %s\r\n%s: s\r\nContent-Length: %d\r\n\r\n", names.RequestID, id, names.Stamp, size)
 		held.Done()
