--- a/loomd/settings.go
+++ b/loomd/settings.go
@@ -209,13 +209,11 @@
 	return nil
 }
 
-// ownSettingRules returns the rules for settings that the platform fills in if there is an adapter.
-// They catch mistakes such as a wrong unit, and names that loomgap's own document refuses. What a
-// platform gives has no such limits, and a host that does not start serves nobody.
+// ownSettingRules returns further rules for settings that the platform fills in if there is an
+// adapter. They catch mistakes such as a wrong unit. What a platform gives has no such limits, and a
+// host that does not start serves nobody.
 func ownSettingRules(s *kernel.Settings) []settingRule {
 	return []settingRule{
-		{config.ValidName(s.Host), "Host", "invalid", "start with a letter; use letters, digits, '_', '.', '-'; 63 at most"},
-		{config.ValidName(s.Hall), "Hall", "invalid", "start with a letter; use letters, digits, '_', '.', '-'; 63 at most"},
 		{s.RetryBudget.Ratio <= 1, "RetryRatio", "out of range", "use 0 to 1"},
 		{s.RetryBudget.Window >= time.Second, "RetryWindow", "out of range", "use 1s or more"},
 		{s.Cores <= 1024, "Cores", "out of range", "use a number above 0, at most 1024"},
@@ -224,11 +222,17 @@
 	}
 }
 
+// validName reports whether a name can be used: one that loomgap's own document accepts, or any
+// name that a platform gives.
+func validName(s *kernel.Settings, name string) bool {
+	return config.ValidName(name) || s.Adapter != "" && name != ""
+}
+
 // settingRules returns the rules for all settings.
 func settingRules(s *kernel.Settings) []settingRule {
 	return []settingRule{
-		{s.Host != "", "Host", "missing", "give this host's name in the document"},
-		{s.Hall != "", "Hall", "missing", "give the data hall of this host"},
+		{validName(s, s.Host), "Host", "missing or invalid", "give this host's name in the document"},
+		{validName(s, s.Hall), "Hall", "missing or invalid", "give the data hall of this host"},
 		{s.Listen.IsValid(), "Listen", "missing", "give the IP:port for callers"},
 		{s.Operate.IsValid(), "Operate", "missing", "give the IP:port for operators"},
 		{s.Peer.IsValid(), "Peer", "missing", "give the IP:port for other entry hosts"},
