--- a/tier/policy/doc.go
+++ b/tier/policy/doc.go
@@ -48,9 +48,10 @@
 //     routed requests; classstate.go holds the state that requests of a class share;
 //     quarantine.go judges a request by the crash reports that suspects.go keeps;
 //     crashreport.go and fingerprint.go define these reports and their key
-//   - overload control of routed requests: overload.go defines its terms; gate.go decides
-//     whether a request runs, waits or is refused, gatesettle.go until when (by the times
-//     of its route, routetimes.go), with gatequeue.go as its queue, sharebudget.go for the
+//   - overload control of routed requests: overload.go defines its terms; gate.go is what
+//     requests pass, gateticket.go one request at it; gatejudge.go decides whether a request
+//     runs, waits or is refused, gatesettle.go until when (by the times of its route,
+//     routetimes.go), gateadmit.go which waiting one is next, with gatequeue.go as its queue, sharebudget.go for the
 //     shares of late requests and lower ranks, coveragetime.go for the expected time of a
 //     run, callers.go for callers that use more than their share, returns.go for when a
 //     refused caller may retry and gatepromise.go for its return; room.go decides how many
