--- a/tier/policy/doc.go
+++ b/tier/policy/doc.go
@@ -51,12 +51,12 @@
 //   - overload control of routed requests: overload.go defines its terms; gate.go is what
 //     requests pass, gateticket.go one request at it; gatejudge.go decides whether a request
 //     runs, waits or is refused, gatesettle.go until when (by the times of its route,
-//     routetimes.go), gateadmit.go which waiting one is next, with gatequeue.go as its queue, sharebudget.go for the
-//     shares of late requests and lower ranks, coveragetime.go for the expected time of a
-//     run, callers.go for callers that use more than their share, returns.go for when a
-//     refused caller may retry and gatepromise.go for its return; room.go decides how many
-//     requests run, by the pressure on
-//     the upstreams that pressure.go measures
+//     routetimes.go), gateadmit.go which waiting one is next, with gatequeue.go as its
+//     queue, sharebudget.go for the shares of late requests and lower ranks, coveragetime.go
+//     for the expected time of a run, callers.go for callers that use more than their share,
+//     returns.go for when a refused caller may retry and gatepromise.go for its return;
+//     room.go decides how many requests run, by the pressure on the upstreams that
+//     pressure.go measures
 //   - differences between requests of a class and routed requests: class.go and
 //     routed.go, behind rules.go
 //   - the run: run.go handles events; pick.go, hedge.go, retry.go and finish.go make the
