--- a/tier/config/translation.go
+++ b/tier/config/translation.go
@@ -36,7 +36,7 @@
 // Index returns the document with its lookup tables. It depends only on its arguments, so
 // all hosts apply a document alike.
 func (t *Translation) Index(e Edition) *Index {
-	a := applier{faults: slices.Clone(t.Faults), names: map[string]bool{}, prefixes: map[string]int{}}
+	a := applier{faults: slices.Clone(t.Faults), names: map[string]bool{}, repeated: map[string]int{}, prefixes: map[string]int{}}
 	d := *t.Document
 	d.Groups = a.groups(d.Groups)
 	d.Routes = a.routes(d.Routes)
@@ -48,9 +48,10 @@
 // applier decides what of a translated document is applied, and collects the rest.
 type applier struct {
 	faults []*Error
-	// names are the names of the routes so far, prefixes the routes so far by host name and
-	// prefix.
+	// names are the names of the routes so far, repeated counts how often each came again.
 	names    map[string]bool
+	repeated map[string]int
+	// prefixes has the routes so far by host name and prefix.
 	prefixes map[string]int
 }
 
@@ -163,8 +164,9 @@
 	if name == "" || a.names[name] {
 		name += " " + r.HostName + r.Prefix
 	}
-	for base, n := name, 2; a.names[name]; n++ {
-		name = fmt.Sprintf("%s (%d)", base, n)
+	for base := name; a.names[name]; {
+		a.repeated[base]++
+		name = fmt.Sprintf("%s (%d)", base, a.repeated[base]+1)
 	}
 	a.names[name] = true
 	return name
--- a/tier/config/translation_test.go
+++ b/tier/config/translation_test.go
@@ -112,6 +112,21 @@
 	}
 }
 
+// TestManyRoutesOfOneName guards against a cost that grows with the square of the number of routes
+// with the same name: a document of the largest size would hold up its host for minutes.
+func TestManyRoutesOfOneName(t *testing.T) {
+	const routes = 50_000
+	d := &Document{}
+	for range routes {
+		d.Routes = append(d.Routes, Route{HostName: "x.example", Prefix: "/a/", Group: "A", TimeLimit: 1})
+	}
+	started := time.Now()
+	x := (&Translation{Document: d}).Index(Edition{Version: 7})
+	assert.Assert(t, time.Since(started) < 20*time.Second)
+	assert.Equal(t, len(x.Document.Routes), 1)
+	assert.Equal(t, len(x.Faults), routes-1)
+}
+
 // TestLargeValuesAreLowered guards against sums and multiples of durations and counts that overflow.
 func TestLargeValuesAreLowered(t *testing.T) {
 	d := translated()
