--- a/tier/config/check.go
+++ b/tier/config/check.go
@@ -217,19 +217,14 @@
 }
 
 func (c *checker) route(r *Route, path string) error {
-	err := firstViolation(path, []rule{
+	rules := append([]rule{
 		{r.HostName != "", "HostName", "missing", "give the host name of the requests"},
 		{strings.HasPrefix(r.Prefix, "/") && strings.HasSuffix(r.Prefix, "/"), "Prefix", "no path prefix", "begin and end it with a slash"},
 		{r.MaxAttempts >= 1, "MaxAttempts", "out of range", "use 1 or more"},
 		{r.TimeLimit > 0 && r.TimeLimit <= maxDuration, "TimeLimit", "out of range", "use above 0 and at most 10m"},
 		{r.Objective > 0 && r.Objective <= maxDuration, "Objective", "out of range", "use above 0 and at most 10m"},
-		{r.countTargets() == 1, "Group", "not exactly one target", "give one of Group, Split and Gather"},
-		{validWeights(r.Split), "Split", "bad weights", "use weights of 0 or more, one of them above 0"},
-		{r.Gather == nil || r.Gather.Top >= 1, "Gather/Top", "out of range", "use 1 or more"},
-		{r.Gather == nil || r.Gather.Coverage >= 0 && r.Gather.Coverage <= 1, "Gather/Coverage", "out of range", "use 0 to 1"},
-		{r.Gather == nil || len(r.Gather.Groups) > 0, "Gather/Groups", "no shards", "name at least one group"},
-		{r.Gather == nil || r.Repeatable, "Repeatable", "a gather that is not repeatable", "make it repeatable: parts may be asked twice"},
-	})
+	}, r.targetRules()...)
+	err := firstViolation(path, rules)
 	if err := cmp.Or(err, c.targets(r, path), checkHomes(r, path)); err != nil {
 		return err
 	}
@@ -241,6 +236,24 @@
 	return nil
 }
 
+// targetRules are the rules without which no host can tell where the requests of a route go, and
+// what an answer holds.
+func (r *Route) targetRules() []rule {
+	rules := []rule{
+		{r.countTargets() == 1, "Group", "not exactly one target", "give one of Group, Split and Gather"},
+		{validWeights(r.Split), "Split", "bad weights", "use weights of 0 or more, one of them above 0"},
+	}
+	if r.Gather == nil {
+		return rules
+	}
+	return append(rules,
+		rule{r.Gather.Top >= 1, "Gather/Top", "out of range", "use 1 or more"},
+		rule{r.Gather.Coverage >= 0 && r.Gather.Coverage <= 1, "Gather/Coverage", "out of range", "use 0 to 1"},
+		rule{len(r.Gather.Groups) > 0, "Gather/Groups", "no shards", "name at least one group"},
+		rule{r.Repeatable, "Repeatable", "a gather that is not repeatable", "make it repeatable: parts may be asked twice"},
+	)
+}
+
 func (c *checker) targets(r *Route, path string) error {
 	targets := r.Targets()
 	for n, g := range targets {
--- a/tier/config/document.go
+++ b/tier/config/document.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"math"
 	"net/netip"
 	"time"
 )
@@ -132,6 +133,19 @@
 	return nil
 }
 
+// FromMillis converts milliseconds to a duration. A number beyond what a duration holds gives
+// the nearest one.
+func FromMillis(n int64) Duration {
+	const limit = math.MaxInt64 / int64(time.Millisecond)
+	return Duration(time.Duration(min(max(n, -limit), limit)) * time.Millisecond)
+}
+
+// FromSeconds is FromMillis for seconds.
+func FromSeconds(n float64) Duration {
+	const limit = math.MaxInt64 / int64(time.Second)
+	return Duration(min(max(n, -float64(limit)), float64(limit)) * float64(time.Second))
+}
+
 // DefaultClass returns the values of the class settings that a document omits.
 func DefaultClass() Class {
 	return Class{
--- a/tier/config/regions.go
+++ b/tier/config/regions.go
@@ -27,7 +27,7 @@
 		if err := json.Unmarshal([]byte(text), &out); err != nil {
 			return nil, fmt.Errorf("%w: %w", errRegion, err)
 		}
-		maps.DeleteFunc(out, func(_, region string) bool { return region == "" })
+		maps.DeleteFunc(out, func(hall, region string) bool { return hall == "" || region == "" })
 		return out, nil
 	}
 	for _, pair := range strings.Split(text, ",") {
--- a/tier/config/regions_test.go
+++ b/tier/config/regions_test.go
@@ -23,7 +23,7 @@
 		{"a=East,", "", false},
 		{`{}`, "", true},
 		{`{"b":"West","a":"East"}`, "a=East,b=West", true},
-		{`{"a":""}`, "", true},
+		{`{"a":"","":"East"}`, "", true},
 		{`{"3rd, hall = b":"Über $HOME #1"}`, `{"3rd, hall = b":"Über $HOME #1"}`, true},
 		{`{"a":"East"`, "", false},
 		{`{"a":7}`, "", false},
--- a/tier/config/translation.go
+++ b/tier/config/translation.go
@@ -25,9 +25,9 @@
 	Faults []*Error
 }
 
-// LongestDuration is the longest duration of a translated document. Longer ones are
+// longestDuration is the longest duration of a translated document. Longer ones are
 // shortened to it, so that sums and small multiples of durations do not overflow.
-const LongestDuration = Duration(365 * 24 * time.Hour)
+const longestDuration = Duration(365 * 24 * time.Hour)
 
 // maxCount is the largest number of attempts, connections or records, and the largest rank, of a
 // translated document. Larger ones are lowered to it, so that sums of them do not overflow.
@@ -72,7 +72,7 @@
 		}
 		seen[g.Name] = true
 		g.Connections = min(max(g.Connections, 1), maxCount)
-		g.Warmup = min(max(g.Warmup, 0), LongestDuration)
+		g.Warmup = min(max(g.Warmup, 0), longestDuration)
 		g.ColdRate = min(max(g.ColdRate, 0), maxColdRate)
 		out = append(out, g)
 	}
@@ -107,11 +107,11 @@
 func (r *Route) complete() {
 	r.MaxAttempts = min(max(r.MaxAttempts, 1), maxCount)
 	r.Priority = min(max(r.Priority, -maxCount), maxCount)
-	r.TimeLimit = min(r.TimeLimit, LongestDuration)
+	r.TimeLimit = min(r.TimeLimit, longestDuration)
 	if r.Objective <= 0 {
 		r.Objective = r.TimeLimit
 	}
-	r.Objective = min(r.Objective, LongestDuration)
+	r.Objective = min(r.Objective, longestDuration)
 	if len(r.Split) > 0 {
 		r.Split = mergeWeights(r.Split)
 	}
@@ -175,23 +175,15 @@
 // findFault returns why a route cannot be applied, or nil if it can. A group that is not
 // listed is no fault: its upstreams are in the directory, and defaults apply to them.
 func (r *Route) findFault(path string) *Error {
-	faults := []rule{
+	rules := append([]rule{
 		{r.HostName != "", "HostName", "missing", "give the host name of the requests"},
 		{strings.HasPrefix(r.Prefix, "/"), "Prefix", "no path prefix", "begin it with a slash"},
-		{r.TimeLimit > 0, "TimeLimit", "no time", "use above 0"},
-		{r.countTargets() == 1, "Group", "not exactly one target", "give one of Group, Split and Gather"},
-		{validWeights(r.Split) && !math.IsInf(totalWeight(r.Split), 0), "Split", "bad weights", "use weights of 0 or more, one of them above 0"},
-	}
-	if r.Gather != nil {
-		faults = append(faults,
-			rule{r.Gather.Top >= 1, "Gather/Top", "out of range", "use 1 or more"},
-			rule{r.Gather.Coverage >= 0 && r.Gather.Coverage <= 1, "Gather/Coverage", "out of range", "use 0 to 1"},
-			rule{r.Repeatable, "Repeatable", "a gather that is not repeatable", "make it repeatable: parts may be asked twice"},
-		)
-	}
-	for _, f := range faults {
-		if !f.ok {
-			return &Error{Kind: KindValue, Name: r.Name, Field: path + "/" + f.field, Problem: f.problem, Remedy: f.remedy}
+		{r.TimeLimit > 0, "TimeLimit", "out of range", "use above 0"},
+		{!math.IsInf(totalWeight(r.Split), 0), "Split", "the sum of the weights is out of range", "use smaller weights"},
+	}, r.targetRules()...)
+	for _, v := range rules {
+		if !v.ok {
+			return &Error{Kind: KindValue, Name: r.Name, Field: path + "/" + v.field, Problem: v.problem, Remedy: v.remedy}
 		}
 	}
 	return nil
@@ -227,10 +219,3 @@
 	a.HostName, b.HostName = strings.ToLower(a.HostName), strings.ToLower(b.HostName)
 	return a.Fault == nil && b.Fault == nil && a.Digest() == b.Digest()
 }
-
-// FromMillis converts milliseconds to a duration. A number beyond what a duration holds gives
-// the nearest one.
-func FromMillis(n int64) Duration {
-	const limit = math.MaxInt64 / int64(time.Millisecond)
-	return Duration(time.Duration(min(max(n, -limit), limit)) * time.Millisecond)
-}
--- a/tier/config/translation_test.go
+++ b/tier/config/translation_test.go
@@ -133,8 +133,8 @@
 	d.Routes[0].TimeLimit, d.Routes[0].Objective, d.Groups[0].Warmup = FromMillis(math.MaxInt64), math.MaxInt64, math.MaxInt64
 	x := (&Translation{Document: d}).Index(Edition{Version: 7})
 	r := x.Document.Routes[0]
-	assert.DeepEqual(t, []Duration{r.TimeLimit, r.Objective, x.Group("A").Warmup}, []Duration{LongestDuration, LongestDuration, LongestDuration})
-	assert.Assert(t, 100*LongestDuration > 0)
+	assert.DeepEqual(t, []Duration{r.TimeLimit, r.Objective, x.Group("A").Warmup}, []Duration{longestDuration, longestDuration, longestDuration})
+	assert.Assert(t, 100*longestDuration > 0)
 	d.Routes[0].Priority, d.Routes[0].MaxAttempts, d.Routes[2].Gather.Top, d.Groups[0].Connections = math.MinInt, math.MaxInt, math.MaxInt, math.MaxInt
 	x = (&Translation{Document: d}).Index(Edition{Version: 8})
 	r = x.Document.Routes[0]
