peers: a reply of loomgap's own platform protocol holds the largest document

Cause: a reply was read up to twice the largest document, since its text grows when it is written as a JSON string. JSON may write any character as an escape of six bytes, which a platform that escapes all beyond ASCII does. Such a document was never read: not refused, but a failed read, logged at debug level only.

Evidence: TestReplyHoldsTheLargestDocument fails before: message too large: over 2097152 bytes.

Change: six times the largest document, and 4 KiB for the other fields. Why it works: no character takes more.

--- a/tier/peers/watch.go
+++ b/tier/peers/watch.go
@@ -32,9 +32,11 @@
 	extraWatcherInterval = 5 * time.Second
 	// defaultWatchWait is how long a read waits for a change if the settings give none.
 	defaultWatchWait = 10 * time.Second
-	// replySizeFactor is the maximum size of a reply relative to that of the document in it,
-	// which becomes longer when it is encoded as a JSON string.
-	replySizeFactor = 2
+	// escapedBytes is the most bytes that one byte of a document takes in a reply, where JSON
+	// may write any character as \u and four digits.
+	escapedBytes = 6
+	// replyMargin is room for the other fields of a reply, in bytes.
+	replyMargin = 4 << 10
 )
 
 // watchPlugin reads the document and the live list from the platform over loomgap's protocol.
@@ -162,7 +164,7 @@
 	if reply.StatusCode != http.StatusOK {
 		return fmt.Errorf("platform answered %s", reply.Status)
 	}
-	return wire.Decode(reply.Body, replySizeFactor*config.MaxBytes, out)
+	return wire.Decode(reply.Body, escapedBytes*config.MaxBytes+replyMargin, out)
 }
 
 func (w *watcher) readDocument(ctx context.Context) error {
