peers: a frame's length takes no memory before its bytes come

Found on reading the limits of messages again; seen by no caller. Since the largest message between hosts follows -DocumentBytes, and the memory for one was taken as soon as its length was read. At a platform that stores 64 MiB, an invalid length could take 512 MiB.

Change: beyond the 4 MiB of before, memory is taken as bytes arrive, and hosts follow a limit of the platform up to 256 MiB, for which the 32 bits of a length suffice. TestLengthOfFrameTakesNoMemory fails if the memory is taken at once (2,147,483,647 bytes). Adapter stands last in PackedDocument, so that its golden file keeps the values of before. The line "failed to fetch document from peer" names the peer.

--- a/tier/peers/codec.go
+++ b/tier/peers/codec.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"encoding/binary"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"sync"
@@ -73,8 +74,8 @@
 	if int64(n) > int64(c.limit()) {
 		return fmt.Errorf("frame of %d bytes: %w", n, wire.ErrTooLarge)
 	}
-	packed := make([]byte, n)
-	if _, err := io.ReadFull(stream, packed); err != nil {
+	packed, err := readFrame(stream, int64(n))
+	if err != nil {
 		return err
 	}
 	r := inflaters.Get().(io.ReadCloser)
@@ -92,6 +93,22 @@
 	return decode(text, v)
 }
 
+// readFrame reads n bytes. A long frame takes memory only as it arrives, since its length may be
+// invalid.
+func readFrame(r io.Reader, n int64) ([]byte, error) {
+	if n <= wire.MaxReplyBytes {
+		packed := make([]byte, n)
+		_, err := io.ReadFull(r, packed)
+		return packed, err
+	}
+	var packed bytes.Buffer
+	_, err := io.CopyN(&packed, r, n)
+	if errors.Is(err, io.EOF) {
+		err = io.ErrUnexpectedEOF
+	}
+	return packed.Bytes(), err
+}
+
 // encode returns the JSON text of a message. The library's messages encode themselves;
 // json.Marshal would validate and copy their text a second time.
 func encode(v any) ([]byte, error) {
--- a/tier/peers/fetch.go
+++ b/tier/peers/fetch.go
@@ -37,6 +37,9 @@
 	// packedDocumentFactor is the largest size of a message with a document relative to the
 	// document, which may not compress and is encoded in base64.
 	packedDocumentFactor = 2
+	// maxPlatformDocument is the largest limit of a platform that hosts can follow, in bytes: the
+	// length of a message between hosts has 32 bits.
+	maxPlatformDocument = 256 << 20
 	// maxDirectoryBytes limits the text of a directory that is fetched from a peer.
 	maxDirectoryBytes = 8 << 20
 	// directoryFetchInterval is the shortest time between two throttled fetches of the
@@ -115,7 +118,7 @@
 	go func() {
 		accept, err := f.readDocument(from)
 		if err != nil {
-			f.kernel.Log.Warn().Err(err).Msg("failed to fetch document from peer")
+			f.kernel.Log.Warn().Err(err).Stringer("Peer", from).Msg("failed to fetch document from peer")
 		}
 		f.kernel.Do(func(s *kernel.State) {
 			f.fetchingDocument = false
@@ -172,7 +175,7 @@
 
 // maxDocumentBytes is the size up to which a document is fetched from a peer.
 func maxDocumentBytes(s *kernel.Settings) int64 {
-	return documentMargin * cmp.Or(s.DocumentBytes, config.MaxBytes)
+	return documentMargin * min(cmp.Or(s.DocumentBytes, config.MaxBytes), maxPlatformDocument)
 }
 
 func (f *fetcher) onDocument(_ context.Context, in *documentRequest) (any, error) {
--- a/tier/peers/fetch_test.go
+++ b/tier/peers/fetch_test.go
@@ -4,7 +4,10 @@
 	"bufio"
 	"bytes"
 	"errors"
+	"io"
+	"math"
 	"net/netip"
+	"runtime"
 	"strings"
 	"testing"
 
@@ -134,6 +137,21 @@
 	assert.ErrorIs(t, frameCodec{}.ReadObject(bufio.NewReader(bytes.NewReader(frame.Bytes())), &back), wire.ErrTooLarge)
 }
 
+// TestLengthOfFrameTakesNoMemory guards against an invalid length that takes the memory of a host
+// whose platform stores large documents.
+func TestLengthOfFrameTakesNoMemory(t *testing.T) {
+	settings := kernel.Settings{DocumentBytes: math.MaxInt64}
+	c := frameCodec{minLimit: packedDocumentFactor * int(maxDocumentBytes(&settings))}
+	frame := []byte{0x7f, 0xff, 0xff, 0xff, 'x'}
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	var v any
+	err := c.ReadObject(bufio.NewReader(bytes.NewReader(frame)), &v)
+	runtime.ReadMemStats(&after)
+	assert.Assert(t, after.TotalAlloc-before.TotalAlloc < wire.MaxReplyBytes, "%d bytes", after.TotalAlloc-before.TotalAlloc)
+	assert.ErrorIs(t, err, io.ErrUnexpectedEOF)
+}
+
 // TestKnownEditionIsReported guards against a host that is behind without a sign of it: a newer
 // document that it refuses, or that a peer has and it does not.
 func TestKnownEditionIsReported(t *testing.T) {
--- a/tier/wire/wire.go
+++ b/tier/wire/wire.go
@@ -21,8 +21,8 @@
 
 // Limits of message sizes.
 const (
-	// MaxReplyBytes limits the replies of upstreams and the platform, and the messages
-	// between hosts. A document of config.MaxBytes fits.
+	// MaxReplyBytes limits the replies of upstreams and, unless the platform stores larger
+	// documents, the messages between hosts.
 	MaxReplyBytes = 4 << 20
 	// MaxBodyBytes limits the request bodies of callers and operators.
 	MaxBodyBytes = 64 << 10
@@ -153,11 +153,11 @@
 	Era uint64 `json:",omitzero"`
 	// Revision is the revision of the document; 0 if there is no document.
 	Revision uint64
+	// Packed is the text, compressed with gzip.
+	Packed []byte
 	// Adapter is the name of the adapter that translates the text; empty for a text in
 	// loomgap's own form.
 	Adapter string `json:",omitempty"`
-	// Packed is the text, compressed with gzip.
-	Packed []byte
 }
 
 // Pack compresses a document.
