pass: the lines of the log tell a skipped response from a rejected one

Found on reading the change as an engineer on call would: "surplus response skipped" was also logged where the response had the ID of an unknown request, the connection was closed and the call failed; one that exceeded a budget said neither how much was asked for nor what the limit was.

A skipped response keeps its line and its counter. One that isn't accepted, for its ID or its size, is "response rejected, connection closed" with the ID or the bytes, and loomgap_responses_rejected_total counts both kinds, so the newer loomgap_responses_too_large_total is gone again. TestResponseOfUnknownRequestIsExplained fails before: the only line that names the ID says that the response was skipped.

--- a/tier/kernel/document.go
+++ b/tier/kernel/document.go
@@ -86,7 +86,7 @@
 		return
 	}
 	x := t.Index(e)
-	k.logFaults(x)
+	k.reportFaults(x)
 	k.activate(s, x)
 }
 
@@ -123,8 +123,8 @@
 		Int("Routes", len(x.Document.Routes)).Int("Faults", len(x.Faults)).Msg("document activated")
 }
 
-// logFaults logs what of a document is not applied.
-func (k *Kernel) logFaults(x *config.Index) {
+// reportFaults counts and logs what of a document is not applied.
+func (k *Kernel) reportFaults(x *config.Index) {
 	metrics.GetOrCreateGauge("loomgap_config_faults", nil).Set(float64(len(x.Faults)))
 	for _, f := range x.Faults[:min(len(x.Faults), maxFaultsLogged)] {
 		k.Log.Error().Uint64("Version", x.Version).Uint64("Revision", x.Revision).Str("Name", config.Shorten(f.Name)).
--- a/tier/pass/call.go
+++ b/tier/pass/call.go
@@ -53,11 +53,10 @@
 	// fromBatch is true for a call that a relay makes. If its connection breaks after it
 	// was cancelled, it counts as cancelled.
 	fromBatch bool
-	// unexpected are the IDs of the responses that came for the call and belong to other
-	// requests.
-	unexpected []string
-	// tooLarge is the limit that the response exceeded; nil if it did not.
-	tooLarge error
+	// surplus are the IDs of the responses to earlier requests that were skipped.
+	surplus []string
+	// rejected is why a response was not accepted; nil if it was, or if none came.
+	rejected error
 }
 
 // callUpstream makes a call in a span of its own, if it is admitted.
@@ -69,25 +68,26 @@
 	defer span.End()
 	c.headers, c.upstream = &e.headers, u.Name
 	out := pool.call(ctx, c)
-	e.reportFaults(c, out.Outcome)
+	e.reportBadResponses(c)
 	if span.IsRecording() {
 		span.SetAttributes(attribute.String("Upstream", u.Name), attribute.String("Outcome", string(out.Outcome)))
 	}
 	return out
 }
 
-// reportFaults counts and logs responses to a call that belong to other requests, and one that
-// exceeds a limit.
-func (e *engine) reportFaults(c *call, o policy.CallOutcome) {
-	for _, id := range c.unexpected {
+// reportBadResponses counts and logs the responses to a call that belong to other requests, or
+// exceed a limit.
+func (e *engine) reportBadResponses(c *call) {
+	for _, id := range c.surplus {
 		metrics.GetOrCreateCounter("loomgap_surplus_responses_total").Inc()
 		e.kernel.RequestLog.Warn().Str("RequestID", c.id).Str("Upstream", c.upstream).Str("Surplus", config.Shorten(id)).
-			Str("Outcome", string(o)).Msg("surplus response skipped")
+			Msg("surplus response skipped")
 	}
-	if c.tooLarge != nil {
-		metrics.GetOrCreateCounter("loomgap_responses_too_large_total").Inc()
-		e.kernel.RequestLog.Warn().Err(c.tooLarge).Str("RequestID", c.id).Str("Upstream", c.upstream).Msg("response too large, connection closed")
+	if c.rejected == nil {
+		return
 	}
+	metrics.GetOrCreateCounter("loomgap_responses_rejected_total").Inc()
+	e.kernel.RequestLog.Warn().Err(c.rejected).Str("RequestID", c.id).Str("Upstream", c.upstream).Msg("response rejected, connection closed")
 }
 
 // call makes a call and classifies its result. A call that is cancelled while its
@@ -113,8 +113,8 @@
 	stop := context.AfterFunc(ctx, func() { _ = n.Close() })
 	started := p.now()
 	resp, reusable, err := n.roundTrip(c)
-	if errors.Is(err, wire.ErrTooLarge) {
-		c.tooLarge = err
+	if isRejected(err) {
+		c.rejected = err
 	}
 	out := classify(c, resp, err)
 	if stop() && reusable {
@@ -169,7 +169,7 @@
 // reply contains the response only if it may be passed to the caller or merged.
 func classify(c *call, resp *response, err error) runner.Reply[*response] {
 	switch {
-	case errors.Is(err, errResponseMismatch) || errors.Is(err, wire.ErrTooLarge):
+	case isRejected(err):
 		return runner.Reply[*response]{Outcome: policy.CallMalformed}
 	case err != nil:
 		return runner.Reply[*response]{Outcome: policy.CallBroken}
@@ -190,6 +190,11 @@
 	return out
 }
 
+// isRejected reports whether a call failed because its response was not accepted.
+func isRejected(err error) bool {
+	return errors.Is(err, errResponseMismatch) || errors.Is(err, wire.ErrTooLarge)
+}
+
 // meansNotRun reports whether a status code means that the request was not run.
 func meansNotRun(status int) bool {
 	switch status {
--- a/tier/pass/conn.go
+++ b/tier/pass/conn.go
@@ -31,21 +31,18 @@
 	// usually pause, and no longer than an unwanted call lingers, so that lingering calls
 	// reach it.
 	unresponsiveCallTimeout = policy.LingerDuration
-)
-
-const (
 	// rememberedIDs is how many request IDs a connection remembers. An upstream may send the
-	// response to an earlier request once more, as a rule when the next request has come.
+	// response to an earlier request once more, usually when the next request has come.
 	rememberedIDs = 4
 	// maxSetAside is how many idle connections are kept that cannot carry a request because
-	// they have carried its ID. It suffices for a request with three calls to one upstream.
+	// they have carried its ID.
 	maxSetAside = 2
 )
 
 // conn is a connection to an upstream. It carries one request at a time.
 //
 // The response to a request is told from a surplus response to an earlier one by the request's
-// ID alone. A connection therefore carries no second request with the ID of an earlier one:
+// ID alone. A connection therefore carries no request with the ID of one of its last requests:
 // connPool.get gives it another connection.
 type conn struct {
 	net.Conn
@@ -83,17 +80,6 @@
 
 var upstreamDialer = net.Dialer{Timeout: upstreamDialTimeout, KeepAlive: -1}
 
-// remember records that a request was answered on the connection.
-func (n *conn) remember(requestID string) {
-	n.requestIDs[n.nextID] = requestID
-	n.nextID = (n.nextID + 1) % rememberedIDs
-}
-
-// carried reports whether a request with the given ID was answered on the connection lately.
-func (n *conn) carried(requestID string) bool {
-	return requestID != "" && slices.Contains(n.requestIDs[:], requestID)
-}
-
 // get returns a usable idle connection that has not carried the given request ID lately, or
 // dials a new one. If fresh is true, it returns an idle connection only if that was used
 // recently.
@@ -111,9 +97,9 @@
 	}
 }
 
-// pop removes the idle connection that was used last, of those that have not carried the request
-// ID, and returns it. If there is none, it closes the one that was used first beyond maxSetAside,
-// since the caller will dial another.
+// pop removes and returns the idle connection that was used last, of those that have not carried
+// the request ID. If there is none, the caller dials another: pop then closes the oldest idle one
+// if there are more than maxSetAside.
 func (p *connPool) pop(requestID string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -184,6 +170,17 @@
 	p.closeIdle(func(*conn) bool { return true })
 }
 
+// remember records that a request was answered on the connection.
+func (n *conn) remember(requestID string) {
+	n.requestIDs[n.nextID] = requestID
+	n.nextID = (n.nextID + 1) % rememberedIDs
+}
+
+// carried reports whether a request with the given ID was answered on the connection lately.
+func (n *conn) carried(requestID string) bool {
+	return requestID != "" && slices.Contains(n.requestIDs[:], requestID)
+}
+
 // usable reports whether an idle connection is still open and has no unexpected bytes to
 // read. It peeks without blocking and consumes nothing.
 func (n *conn) usable() bool {
--- a/tier/pass/late_answer_test.go
+++ b/tier/pass/late_answer_test.go
@@ -178,6 +178,20 @@
 	assert.Assert(t, strings.Contains(log.String(), `"RequestID":"n1","Upstream":"U1","Surplus":"n0"`), log.String())
 }
 
+// TestResponseOfUnknownRequestIsExplained guards against a call that fails without a line that says
+// whose response came for it.
+func TestResponseOfUnknownRequestIsExplained(t *testing.T) {
+	var log lockedBuffer
+	h := newHost(t, hostConfig{name: "H1", hall: "A", log: &log})
+	h.applyDocument(singleDoc())
+	h.listUpstream("Orders", "A", newFakeUpstream(t, "U1", func(_ *fakeUpstream, c net.Conn, _ *http.Request) bool {
+		return writeResponse(c, 200, map[string]string{names.RequestID: "unknown", names.Stamp: "s"}, "x")
+	}), false)
+	assert.Equal(t, h.send(http.MethodPost, "/place/", "1", 2000, "b").status, http.StatusBadGateway)
+	assert.Assert(t, strings.Contains(log.String(), `response to \"unknown\": response belongs to another request`), log.String())
+	assert.Assert(t, !strings.Contains(log.String(), "skipped"), log.String())
+}
+
 // TestPoolSetsConnectionsAside checks which idle connection a request gets.
 func TestPoolSetsConnectionsAside(t *testing.T) {
 	p := &connPool{now: func() time.Duration { return 0 }}
--- a/tier/policy/gate.go
+++ b/tier/policy/gate.go
@@ -11,8 +11,7 @@
 	// wait.
 	lateHoldDivisor = 4
 	// lateEnterShare is the share of that time within which the wait of a late request must
-	// be expected to end when it arrives. At the full time, half of the last ones were
-	// refused after all.
+	// be expected to end when it arrives.
 	lateEnterShare = 0.75
 	// fullMemory is how long after a request found all places used its upstreams count as
 	// short of room for the runs of others; several times the run of a gather.
