entry: one budget for all replies of upstreams, counted until the request is answered

Callers saw nothing yet; found by reading and measured. A reply had a bound of 4 MiB, all replies held at the same time had none, and a query asks many upstreams at once. Beside that, rows take more memory than their text: three bytes of JSON become a row of 40 bytes.

Evidence: TestEndlessRepliesFitTheSmallestHost, 128 calls of four faulty upstreams. The bound of the test is three quarters of the smallest host, 160 MB.

Why it works: kernel.ByteBudget counts what replies take, the text as it comes and the rows before they are decoded, until the request is answered. An upstream holds half at most. If it is short, the largest messages of the upstream that holds most give way, so that a sound upstream's reply is read beside those of faulty ones, which the test asks for too. NoRoom, a new outcome, is no fault of the upstream's.

--- a/loomd/serve.go
+++ b/loomd/serve.go
@@ -78,6 +78,7 @@
 // serve starts the stages, waits for a planned stop and cleans up in reverse order.
 func serve(ctx context.Context, s kernel.Settings, src settingsSource, log zerolog.Logger, flush func()) error {
 	signals := stopSignals()
+	defer kernel.LimitHeap(&s)()
 	tracer, closeTracer := newTracer(s.TraceRatio, log)
 	defer closeTracer()
 	k, closeKernel := kernel.New(kernel.Config{
--- a/loomd/settings_test.go
+++ b/loomd/settings_test.go
@@ -93,7 +93,7 @@
 		"nodeName": "front-1", "zone": "quito-hall", "listenAddrs.front": "127.0.0.1:7400", "listenAddrs.readiness": "127.0.0.1:7402",
 		"ip": "127.0.0.1", "listenAddrs.control": "127.0.0.1:7401", "platform.address": "127.0.0.1:7300", "seeds": "127.0.0.1:1",
 		"bounds.retryBudgetRatio": "0.2", "bounds.budgetSlack": "54", "bounds.retryWindowS": "10", "limits.cpuShare": "0.4",
-		"limits.linkMbps": "1000.0", "zones": `{"quito-hall":"sierra"}`,
+		"limits.linkMbps": "1000.0", "limits.memoryMb": "284", "zones": `{"quito-hall":"sierra"}`,
 		"platform.valueBytes": "1048576", "bounds.warmupOverage": "2", "bounds.warmupSlack": "3",
 	}
 	maps.Copy(values, replaced)
@@ -124,6 +124,8 @@
 		{"nodeName": "a b/c:d", "zone": `hall, "north" = $HOME #1`, "zones": `{"hall, \"north\" = $HOME #1":"re=gion,"}`},
 		{"bounds.retryBudgetRatio": "1.5", "bounds.budgetSlack": "1e6", "bounds.retryWindowS": "0.5"},
 		{"limits.cpuShare": "2048", "limits.linkMbps": "0"},
+		{"limits.memoryMb": "159.5"},
+		{"limits.memoryMb": ""},
 		{"bounds.warmupOverage": "150", "bounds.warmupSlack": "2000000"},
 		{"platform.valueBytes": "", "bounds.warmupOverage": "", "bounds.warmupSlack": ""},
 		{"platform.valueBytes": "67108864"},
--- a/tier/design/design.go
+++ b/tier/design/design.go
@@ -42,7 +42,7 @@
 	Attribute("Shard", String, "Shard that holds the range")
 	Attribute("From", UInt32, "First key")
 	Attribute("To", UInt32, "Key after the last one")
-	Attribute("Reason", String, "Why it is missing: Late, Unreachable, Refused, SnapshotGone, Moved, Garbage")
+	Attribute("Reason", String, "Why it is missing: Late, Unreachable, Refused, SnapshotGone, Moved, Garbage, NoRoom")
 	Required("Shard", "From", "To", "Reason")
 })
 
--- a/tier/entry/bench_test.go
+++ b/tier/entry/bench_test.go
@@ -111,13 +111,13 @@
 		})
 	})
 	b.Run("tier", func(b *testing.B) {
-		c := newClient(&config.Upstream{Address: at}, 4)
+		c := newClient(&config.Upstream{Address: at}, 4, nil)
 		defer c.close()
 		header := http.Header{"Content-Type": {"application/json"}}
 		measureCPU(b, func() {
 			text, err := wire.Encode(&request)
 			assert.NilError(b, err)
-			r := c.do(context.Background(), wire.PathPart, header, text)
+			r := c.do(context.Background(), wire.PathPart, header, text, wire.MaxReplyBytes)
 			o, _ := classify(&r, request.Identity, 1)
 			assert.Equal(b, string(o), "OK")
 		})
--- a/tier/entry/call.go
+++ b/tier/entry/call.go
@@ -11,6 +11,7 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
 
+	"loomgap/tier/kernel"
 	"loomgap/tier/peers"
 	"loomgap/tier/policy"
 	"loomgap/tier/runner"
@@ -85,8 +86,14 @@
 		span.SetAttributes(attribute.String("Upstream", x.upstream), attribute.String("Shard", x.id.Shard), attribute.Int("Attempt", x.id.Attempt))
 		wire.InjectTrace(ctx, header)
 	}
-	r := p.client.do(ctx, x.path, header, x.body)
+	r := p.client.do(ctx, x.path, header, x.body, wire.MaxReplyBytes)
 	outcome, part := classify(&r, x.id, x.snapshot)
+	if part == nil || !kernel.HoldBytes(ctx, r.memory) {
+		r.release()
+	}
+	if outcome == policy.CallNoRoom {
+		e.kernel.RequestLog.Warn().Err(r.err).Str("RequestID", x.id.RequestID).Str("Upstream", x.upstream).Msg("no memory for response, connection closed")
+	}
 	outcome = runner.DetectCrash(ctx, outcome, p.client.address)
 	if outcome == policy.CallMalformed {
 		p.client.close()
@@ -137,7 +144,8 @@
 	}
 	e.kernel.InFlight.Add(1)
 	defer e.kernel.InFlight.Add(-1)
-	ctx = wire.WithTraceParent(ctx, in.Trace)
+	ctx, release := kernel.WithHeldBytes(wire.WithTraceParent(ctx, in.Trace))
+	defer release()
 	left := min(time.Duration(in.DeadlineMillis)*time.Millisecond, maxRelayTimeout)
 	x := &upstreamCall{
 		upstream: in.Upstream, service: in.Service, path: in.Path, id: in.Identity,
--- a/tier/entry/client.go
+++ b/tier/entry/client.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"context"
+	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -15,6 +17,7 @@
 	"github.com/go-json-experiment/json"
 
 	"loomgap/tier/config"
+	"loomgap/tier/kernel"
 	"loomgap/tier/policy"
 	"loomgap/tier/wire"
 )
@@ -28,19 +31,31 @@
 	// that a connection is not reused while the upstream is closing it.
 	upstreamIdleTimeout = 20 * time.Second
 	// maxReplyHeadBytes limits the status line and the headers of a reply.
-	maxReplyHeadBytes = 256 << 10
+	maxReplyHeadBytes = 16 << 10
+	// maxStatusBytes limits a reply to a status call.
+	maxStatusBytes = 64 << 10
+	// maxDecodedBytes limits the memory of the rows of a reply, which may take many times the
+	// bytes of its text.
+	maxDecodedBytes = 4 * wire.MaxReplyBytes
+	// rowBytes is the memory of an empty row, and about that of a field.
+	rowBytes = 40
 )
 
+// errReplyTooLarge is returned for a reply that takes too much memory once it is decoded.
+var errReplyTooLarge = fmt.Errorf("decoded reply: %w", wire.ErrTooLarge)
+
 // client makes calls to one upstream over its own connections.
 type client struct {
 	address   netip.AddrPort
 	transport *http.Transport
+	// account limits the replies that are held at the same time; nil for no limit.
+	account *kernel.ByteAccount
 }
 
-func newClient(u *config.Upstream, connections int) *client {
+func newClient(u *config.Upstream, connections int, account *kernel.ByteAccount) *client {
 	dialer := &net.Dialer{Timeout: upstreamDialTimeout}
 	return &client{
-		address: u.Address,
+		address: u.Address, account: account,
 		transport: &http.Transport{
 			DialContext:            dialer.DialContext,
 			DisableCompression:     true,
@@ -61,11 +76,16 @@
 	// reached is false if it is certain that nothing was sent to the upstream.
 	reached bool
 	err     error
+	// memory is what the body uses of the upstream's account.
+	memory *kernel.ByteReservation
 }
 
-// do makes one call. The request has no GetBody, so that the transport never sends it twice.
-func (c *client) do(ctx context.Context, path string, header http.Header, body []byte) reply {
-	var out reply
+// do makes one call and reads a reply of at most limit bytes, whose memory must be released or held.
+// The request has no GetBody, so that the transport never sends it twice.
+func (c *client) do(ctx context.Context, path string, header http.Header, body []byte, limit int64) reply {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	out := reply{memory: c.account.Reserve(cancel)}
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { out.reached = true }}
 	r := (&http.Request{
 		Method: http.MethodPost, URL: &url.URL{Scheme: "http", Host: c.address.String(), Path: path},
@@ -79,14 +99,35 @@
 	}
 	defer answer.Body.Close()
 	out.status = answer.StatusCode
-	out.body, out.err = wire.ReadBody(answer, wire.MaxReplyBytes)
+	out.body, out.err = wire.ReadBody(answer, limit, out.memory)
 	return out
 }
 
+// noRoom reports whether the reply could not be held beside others, which is no fault of the upstream.
+func (r *reply) noRoom() bool { return errors.Is(r.err, kernel.ErrNoRoom) || r.memory.Revoked() }
+
+// release releases the memory of a reply that is no longer used.
+func (r *reply) release() { r.memory.Release() }
+
+// reserveDecoded reserves the memory that a part takes once its rows are decoded.
+func (r *reply) reserveDecoded() error {
+	size := int64(len(r.body)) + rowBytes*int64(bytes.Count(r.body, []byte("{")))
+	if size > maxDecodedBytes {
+		return errReplyTooLarge
+	}
+	return r.memory.Grow(size)
+}
+
 // classify returns the outcome of the call with the given identity. Only replies with that
 // identity count, including refusals.
 func classify(r *reply, id wire.Identity, snapshot uint64) (policy.CallOutcome, *wire.PartReply) {
+	if r.err == nil && r.status == http.StatusOK {
+		r.err = r.reserveDecoded()
+	}
 	switch {
+	case r.noRoom():
+		metrics.GetOrCreateCounter("loomgap_responses_without_room_total").Inc()
+		return policy.CallNoRoom, nil
 	case r.err != nil && !r.reached:
 		return policy.CallUnreachable, nil
 	case r.err != nil && r.status == 0:
--- a/tier/entry/client_test.go
+++ b/tier/entry/client_test.go
@@ -81,7 +81,7 @@
 			}))
 			defer server.Close()
 			at := netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
-			c := newClient(&config.Upstream{Address: at}, 1)
+			c := newClient(&config.Upstream{Address: at}, 1, nil)
 			defer c.close()
 			_, err := c.status(t.Context())
 			assert.ErrorContains(t, err, tt.want)
--- /dev/null
+++ b/tier/entry/endless_test.go
@@ -0,0 +1,144 @@
+package entry
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"runtime"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"loomgap/tier/config"
+	"loomgap/tier/kernel"
+	"loomgap/tier/policy"
+	"loomgap/tier/query"
+	"loomgap/tier/wire"
+)
+
+const (
+	// hostMB is the memory of the smallest host, in MB.
+	hostMB     = 160
+	hostMemory = hostMB << 20
+	// writtenLimit is the most that a reply of the tests sends, so that a client without limits
+	// does not use up the memory of the machine.
+	writtenLimit = 6 << 20
+)
+
+// serveRaw answers each request with a text, and repeats another one until writtenLimit or the end of
+// the connection. The connection then stays open until the client closes it.
+func serveRaw(t *testing.T, begin, repeat string) netip.AddrPort {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	block := []byte(strings.Repeat(repeat, 1+(16<<10)/max(len(repeat), 1)))
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				in := bufio.NewReader(c)
+				if _, err := http.ReadRequest(in); err != nil {
+					return
+				}
+				_, err := io.WriteString(c, begin)
+				for n := 0; err == nil && repeat != "" && n < writtenLimit; n += len(block) {
+					_, err = c.Write(block)
+				}
+				_, _ = io.Copy(io.Discard, in)
+			}()
+		}
+	}()
+	return netip.MustParseAddrPort(l.Addr().String())
+}
+
+// peakHeap calls f and returns the largest heap meanwhile, in bytes.
+func peakHeap(f func()) uint64 {
+	runtime.GC()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		f()
+	}()
+	peak := uint64(0)
+	for {
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		peak = max(peak, m.HeapAlloc)
+		select {
+		case <-done:
+			return peak
+		case <-time.After(time.Millisecond):
+		}
+	}
+}
+
+// TestEndlessRepliesFitTheSmallestHost guards against upstreams whose replies do not end, in a head or
+// a body: read by many calls at once, they took a host above its memory.
+func TestEndlessRepliesFitTheSmallestHost(t *testing.T) {
+	const calls, upstreams = 128, 4
+	const head = "HTTP/1.1 200 OK\r\n"
+	id := wire.Identity{RequestID: "R1", Attempt: 1, Shard: "S1", MapRevision: 1}
+	begin, err := wire.Encode(wire.PartReply{Identity: id, Snapshot: 1, Rows: []query.Row{{}}})
+	assert.NilError(t, err)
+	rows := string(begin[:len(begin)-len("]}")]) + strings.Repeat(",{}", 1<<20) + "]}"
+	sound, err := wire.Encode(wire.PartReply{Identity: id, Snapshot: 1, Rows: []query.Row{{Key: strings.Repeat("k", 200<<10)}}})
+	assert.NilError(t, err)
+	defer kernel.LimitHeap(&kernel.Settings{MemoryMB: hostMB})()
+	for _, tt := range []struct{ name, begin, repeat string }{
+		{"body", head + "\r\n", "x"},
+		{"chunks", head + "Transfer-Encoding: chunked\r\n\r\n", "400\r\n" + strings.Repeat("x", 1024) + "\r\n"},
+		{"body with a length", head + "Connection: close\r\nContent-Length: 4194304\r\n\r\n", "x"},
+		{"headers", head, "X-More: 1\r\n"},
+		{"rows that take more memory than text", fmt.Sprintf("%sConnection: close\r\nContent-Length: %d\r\n\r\n%s", head, len(rows), rows), ""},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			budgets := kernel.NewByteBudget(hostMemory / 5)
+			body, err := wire.Encode(benchRequest())
+			assert.NilError(t, err)
+			call := func(c *client) policy.CallOutcome {
+				ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+				defer cancel()
+				r := c.do(ctx, wire.PathPart, http.Header{}, body, wire.MaxReplyBytes)
+				defer r.release()
+				outcome, _ := classify(&r, id, 1)
+				return outcome
+			}
+			var clients []*client
+			for range upstreams {
+				c := newClient(&config.Upstream{Address: serveRaw(t, tt.begin, tt.repeat)}, calls, budgets.Account())
+				defer c.close()
+				clients = append(clients, c)
+			}
+			soundReply := fmt.Sprintf("%sContent-Length: %d\r\nConnection: close\r\n\r\n%s", head, len(sound), sound)
+			other := newClient(&config.Upstream{Address: serveRaw(t, soundReply, "")}, calls, budgets.Account())
+			defer other.close()
+			peak := peakHeap(func() {
+				var all sync.WaitGroup
+				for i := range calls {
+					all.Go(func() {
+						outcome := call(clients[i%upstreams])
+						assert.Check(t, outcome == policy.CallMalformed || outcome == policy.CallNoRoom || outcome == policy.CallBroken, outcome)
+					})
+				}
+				for range calls / upstreams {
+					assert.Check(t, call(other) == policy.CallOK, "a sound upstream's reply is read beside those of others")
+				}
+				all.Wait()
+			})
+			t.Logf("peak heap %d MB", peak>>20)
+			assert.Assert(t, peak < hostMemory*3/4, "%d MB", peak>>20)
+			assert.Equal(t, budgets.Used(), int64(0))
+		})
+	}
+}
--- a/tier/entry/endpoint.go
+++ b/tier/entry/endpoint.go
@@ -63,7 +63,7 @@
 		if o := old[u.Name]; o != nil && o.client.address == u.Address && o.connections == p.connections {
 			p.client = o.client
 		} else {
-			p.client = newClient(u, p.connections)
+			p.client = newClient(u, p.connections, e.kernel.Budgets.Replies.Account())
 		}
 		next[u.Name] = p
 	}
--- a/tier/entry/serve.go
+++ b/tier/entry/serve.go
@@ -113,6 +113,8 @@
 		if k.Phase() == kernel.PhaseDraining {
 			w.Header().Set("Connection", "close")
 		}
-		next.ServeHTTP(w, r.WithContext(wire.ExtractTrace(r.Context(), r.Header)))
+		ctx, release := kernel.WithHeldBytes(wire.ExtractTrace(r.Context(), r.Header))
+		defer release()
+		next.ServeHTTP(w, r.WithContext(ctx))
 	})
 }
--- a/tier/entry/status.go
+++ b/tier/entry/status.go
@@ -144,7 +144,8 @@
 }
 
 func (c *client) status(ctx context.Context) (*wire.StatusReply, error) {
-	r := c.do(ctx, wire.PathStatus, http.Header{"Content-Type": {"application/json"}}, []byte("{}"))
+	r := c.do(ctx, wire.PathStatus, http.Header{"Content-Type": {"application/json"}}, []byte("{}"), maxStatusBytes)
+	defer r.release()
 	if r.err != nil {
 		return nil, r.err
 	}
--- a/tier/gen/entry/service.go
+++ b/tier/gen/entry/service.go
@@ -109,7 +109,7 @@
 	From uint32
 	// Key after the last one
 	To uint32
-	// Why it is missing: Late, Unreachable, Refused, SnapshotGone, Moved, Garbage
+	// Why it is missing: Late, Unreachable, Refused, SnapshotGone, Moved, Garbage, NoRoom
 	Reason string
 }
 
--- a/tier/gen/http/entry/client/types.go
+++ b/tier/gen/http/entry/client/types.go
@@ -254,7 +254,7 @@
 	From *uint32 `form:"From,omitempty" json:"From,omitempty" xml:"From,omitempty"`
 	// Key after the last one
 	To *uint32 `form:"To,omitempty" json:"To,omitempty" xml:"To,omitempty"`
-	// Why it is missing: Late, Unreachable, Refused, SnapshotGone, Moved, Garbage
+	// Why it is missing: Late, Unreachable, Refused, SnapshotGone, Moved, Garbage, NoRoom
 	Reason *string `form:"Reason,omitempty" json:"Reason,omitempty" xml:"Reason,omitempty"`
 }
 
--- a/tier/gen/http/entry/server/types.go
+++ b/tier/gen/http/entry/server/types.go
@@ -255,7 +255,7 @@
 	From uint32 `form:"From" json:"From" xml:"From"`
 	// Key after the last one
 	To uint32 `form:"To" json:"To" xml:"To"`
-	// Why it is missing: Late, Unreachable, Refused, SnapshotGone, Moved, Garbage
+	// Why it is missing: Late, Unreachable, Refused, SnapshotGone, Moved, Garbage, NoRoom
 	Reason string `form:"Reason" json:"Reason" xml:"Reason"`
 }
 
--- /dev/null
+++ b/tier/kernel/bytebudget.go
@@ -0,0 +1,248 @@
+package kernel
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+)
+
+const (
+	// accountDivisor is the part of a budget that one account may hold.
+	accountDivisor = 2
+	// maxGivingWay limits the messages that give way to one message.
+	maxGivingWay = 4
+	// ordinaryBytes is the size of the largest ordinary message.
+	ordinaryBytes = 64 << 10
+	// ordinaryDivisor is the part of a budget that only ordinary messages may use, so that they
+	// are read however many large messages are held.
+	ordinaryDivisor = 3
+)
+
+// ErrNoRoom is wrapped when a message cannot be held because other messages use up the memory. It is
+// no fault of the message's sender.
+var ErrNoRoom = errors.New("no memory left for messages (raise -MemoryMB or add hosts)")
+
+// ByteBudget limits the bytes of messages from outside that a process holds at the same time. Each
+// sender has an account. If the budget is short, the largest messages of the sender that holds most
+// give way to those of a sender that holds less, so that one sender's endless messages do not keep
+// another's from being read. It is safe for concurrent use.
+type ByteBudget struct {
+	limit int64
+
+	mu sync.Mutex
+	// used is the sum of all reservations; at most limit.
+	used int64
+	// accounts holds the accounts with reservations.
+	accounts map[*ByteAccount]struct{}
+	// revoked counts the reservations that gave way.
+	revoked uint64
+}
+
+// ByteAccount is the part of a budget that one sender uses.
+type ByteAccount struct {
+	budget *ByteBudget
+	// used is the sum of the account's reservations, and reading that of those that can give way;
+	// both are guarded by budget.mu.
+	used, reading int64
+	// reservations holds those of more than 0 bytes; guarded by budget.mu.
+	reservations map[*ByteReservation]struct{}
+}
+
+// ByteReservation is what one message uses of a budget; nil uses nothing and is never refused. Its
+// fields are guarded by the budget's mu.
+type ByteReservation struct {
+	account *ByteAccount
+	size    int64
+	// abort stops the reading of the message when it gives way. It must not block.
+	abort func()
+	// held is true once the message is complete. It can then no longer give way.
+	held bool
+	// revoked is true once the message gave way.
+	revoked bool
+}
+
+// NewByteBudget returns a budget of a number of bytes.
+func NewByteBudget(limit int64) *ByteBudget {
+	return &ByteBudget{limit: limit, accounts: map[*ByteAccount]struct{}{}}
+}
+
+// Used returns the number of reserved bytes.
+func (b *ByteBudget) Used() int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.used
+}
+
+// Account returns an account for a sender.
+func (b *ByteBudget) Account() *ByteAccount {
+	return &ByteAccount{budget: b, reservations: map[*ByteReservation]struct{}{}}
+}
+
+// Reserve returns a reservation of 0 bytes for a message; abort stops its reading when it gives way.
+// A nil account has no limit.
+func (a *ByteAccount) Reserve(abort func()) *ByteReservation {
+	if a == nil {
+		return nil
+	}
+	return &ByteReservation{account: a, abort: abort}
+}
+
+// Grow reserves n more bytes. The error wraps ErrNoRoom.
+func (r *ByteReservation) Grow(n int64) error {
+	if r == nil || n <= 0 {
+		return nil
+	}
+	b := r.account.budget
+	b.mu.Lock()
+	victims, ok := b.makeRoom(r, n)
+	for _, v := range victims {
+		v.free()
+		v.revoked = true
+		b.revoked++
+	}
+	if ok {
+		r.add(n)
+	}
+	used := b.used
+	b.mu.Unlock()
+	for _, v := range victims {
+		v.abort()
+	}
+	if !ok {
+		return fmt.Errorf("%d bytes beside %d of %d in use: %w", n, used, b.limit, ErrNoRoom)
+	}
+	return nil
+}
+
+// Hold marks the message as complete: it can no longer give way. It reports false if the message gave
+// way before.
+func (r *ByteReservation) Hold() bool {
+	if r == nil {
+		return true
+	}
+	r.account.budget.mu.Lock()
+	defer r.account.budget.mu.Unlock()
+	if r.revoked {
+		return false
+	}
+	if !r.held {
+		r.held = true
+		r.account.reading -= r.size
+	}
+	return true
+}
+
+// Revoked reports whether the message gave way.
+func (r *ByteReservation) Revoked() bool {
+	if r == nil {
+		return false
+	}
+	r.account.budget.mu.Lock()
+	defer r.account.budget.mu.Unlock()
+	return r.revoked
+}
+
+// Release returns the bytes to the budget. It may be called again.
+func (r *ByteReservation) Release() {
+	if r == nil {
+		return
+	}
+	r.account.budget.mu.Lock()
+	defer r.account.budget.mu.Unlock()
+	r.free()
+}
+
+// makeRoom returns the reservations that have to give way for n more bytes of r, and whether there is
+// room for them then. b.mu must be held.
+func (b *ByteBudget) makeRoom(r *ByteReservation, n int64) (victims []*ByteReservation, ok bool) {
+	a := r.account
+	if r.revoked {
+		return nil, false
+	}
+	limit := b.limit
+	if r.size+n > ordinaryBytes {
+		limit -= limit / ordinaryDivisor
+	}
+	if over := a.used + n - limit/accountDivisor; over > 0 {
+		// Among messages of one sender, a larger one gives way to a smaller one.
+		victims = a.largest(over, r.size+n, r)
+		return victims, victims != nil
+	}
+	over := b.used + n - limit
+	if over <= 0 {
+		return nil, true
+	}
+	most := b.largestAccount()
+	if most == nil || most == a || most.reading <= a.reading+n {
+		return nil, false
+	}
+	victims = most.largest(over, 0, nil)
+	return victims, victims != nil
+}
+
+// largestAccount returns the account that holds the most bytes that can give way; nil if there is
+// none. b.mu must be held.
+func (b *ByteBudget) largestAccount() *ByteAccount {
+	var most *ByteAccount
+	for a := range b.accounts {
+		if most == nil || a.reading > most.reading {
+			most = a
+		}
+	}
+	return most
+}
+
+// largest returns the largest messages, other than r, that can give way, are over a size, and together
+// have at least n bytes; nil if that takes more than maxGivingWay. The budget's mu must be held.
+func (a *ByteAccount) largest(n, over int64, r *ByteReservation) []*ByteReservation {
+	var all []*ByteReservation
+	for v := range a.reservations {
+		if v != r && !v.held && v.size > over {
+			all = append(all, v)
+		}
+	}
+	slices.SortFunc(all, func(x, y *ByteReservation) int { return int(y.size - x.size) })
+	sum := int64(0)
+	for i, v := range all[:min(len(all), maxGivingWay)] {
+		if sum += v.size; sum >= n {
+			return all[:i+1]
+		}
+	}
+	return nil
+}
+
+// add adds bytes. The budget's mu must be held.
+func (r *ByteReservation) add(n int64) {
+	a := r.account
+	if a.used == 0 {
+		a.budget.accounts[a] = struct{}{}
+	}
+	if r.size == 0 {
+		a.reservations[r] = struct{}{}
+	}
+	r.size += n
+	a.used += n
+	a.budget.used += n
+	if !r.held {
+		a.reading += n
+	}
+}
+
+// free returns all bytes. The budget's mu must be held.
+func (r *ByteReservation) free() {
+	if r.size == 0 {
+		return
+	}
+	a := r.account
+	delete(a.reservations, r)
+	a.used -= r.size
+	a.budget.used -= r.size
+	if !r.held {
+		a.reading -= r.size
+	}
+	r.size = 0
+	if a.used == 0 {
+		delete(a.budget.accounts, a)
+	}
+}
--- /dev/null
+++ b/tier/kernel/bytebudget_test.go
@@ -0,0 +1,127 @@
+package kernel
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// unit makes every message of the tests larger than an ordinary one, and 100 units the part of a
+// budget that these may use.
+const unit = ordinaryBytes + 2
+
+func newBudget() *ByteBudget { return NewByteBudget(150 * unit) }
+
+// newReservation returns a reservation of a size and whether it was aborted.
+func newReservation(t *testing.T, a *ByteAccount, size int64) (*ByteReservation, *bool) {
+	aborted := new(bool)
+	r := a.Reserve(func() { *aborted = true })
+	assert.NilError(t, r.Grow(size*unit))
+	return r, aborted
+}
+
+func TestLargestSenderGivesWay(t *testing.T) {
+	b := newBudget()
+	x, y, z := b.Account(), b.Account(), b.Account()
+	_, xLarge := newReservation(t, x, 30)
+	_, xSmall := newReservation(t, x, 20)
+	_, yLarge := newReservation(t, y, 40)
+	_, zSmall := newReservation(t, z, 5)
+	_, _ = newReservation(t, z, 10)
+	assert.Assert(t, *xLarge, "the largest message of the sender with the most bytes gives way")
+	assert.Assert(t, !*xSmall && !*yLarge && !*zSmall)
+	assert.Equal(t, b.Used(), int64(75*unit))
+}
+
+func TestSenderWithMostBytesIsRefused(t *testing.T) {
+	b := newBudget()
+	x, y := b.Account(), b.Account()
+	r, _ := newReservation(t, x, 48)
+	_, aborted := newReservation(t, y, 48)
+	extra := b.Account().Reserve(func() {})
+	assert.NilError(t, extra.Grow(4*unit))
+	assert.ErrorIs(t, r.Grow(2*unit), ErrNoRoom)
+	assert.Assert(t, !*aborted, "a sender gets nothing at the cost of one that holds less")
+	assert.Assert(t, !r.Revoked())
+	r.Release()
+	r.Release()
+	assert.Equal(t, b.Used(), int64(52*unit))
+}
+
+func TestAccountHoldsHalfOfTheBudget(t *testing.T) {
+	b := newBudget()
+	a := b.Account()
+	large, aborted := newReservation(t, a, 45)
+	small, _ := newReservation(t, a, 10)
+	assert.Assert(t, *aborted, "a larger message gives way to a smaller one of its sender")
+	assert.ErrorIs(t, large.Grow(1*unit), ErrNoRoom)
+	assert.Assert(t, !large.Hold())
+	assert.ErrorIs(t, small.Grow(41*unit), ErrNoRoom)
+	large.Release()
+	assert.Equal(t, b.Used(), int64(10*unit))
+}
+
+func TestCompleteMessageDoesNotGiveWay(t *testing.T) {
+	b := newBudget()
+	x := b.Account()
+	r, aborted := newReservation(t, x, 50)
+	assert.Assert(t, r.Hold())
+	_, _ = newReservation(t, b.Account(), 50)
+	assert.Assert(t, !*aborted)
+	r.Release()
+	assert.Equal(t, b.Used(), int64(50*unit))
+}
+
+// TestOrdinaryMessagesHaveTheirPart guards against large messages that keep ordinary ones from being
+// read.
+func TestOrdinaryMessagesHaveTheirPart(t *testing.T) {
+	b := newBudget()
+	for range 2 {
+		r, _ := newReservation(t, b.Account(), 50)
+		assert.Assert(t, r.Hold())
+	}
+	assert.ErrorIs(t, b.Account().Reserve(func() {}).Grow(unit), ErrNoRoom)
+	for range 50 {
+		assert.NilError(t, b.Account().Reserve(func() {}).Grow(ordinaryBytes))
+	}
+}
+
+// TestSmallMessageFitsBesideAnySenders guards against senders of endless messages that keep the
+// message of another sender from being read, however many they are.
+func TestSmallMessageFitsBesideAnySenders(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const limit = 1 << 20
+		b := NewByteBudget(limit)
+		accounts := make([]*ByteAccount, rapid.IntRange(1, 40).Draw(t, "senders"))
+		for i := range accounts {
+			accounts[i] = b.Account()
+		}
+		var all []*ByteReservation
+		for range rapid.IntRange(1, 300).Draw(t, "steps") {
+			r := accounts[rapid.IntRange(0, len(accounts)-1).Draw(t, "sender")].Reserve(func() {})
+			all = append(all, r)
+			for size := int64(4 << 10); r.Grow(size) == nil && size < limit; size *= 2 {
+				if rapid.IntRange(0, 3).Draw(t, "stop") == 0 {
+					break
+				}
+			}
+		}
+		sound := b.Account().Reserve(func() {})
+		assert.NilError(t, sound.Grow(4<<10))
+		sum := int64(0)
+		for _, a := range accounts {
+			assert.Assert(t, a.used <= limit/accountDivisor)
+			assert.Equal(t, a.used, a.reading)
+			sum += a.used
+		}
+		assert.Equal(t, b.Used(), sum+(4<<10))
+		assert.Assert(t, b.Used() <= limit)
+		sound.Release()
+		for _, r := range all {
+			r.Release()
+		}
+		assert.Equal(t, b.Used(), int64(0))
+		assert.Equal(t, len(b.accounts), 0)
+	})
+}
--- a/tier/kernel/kernel.go
+++ b/tier/kernel/kernel.go
@@ -20,6 +20,8 @@
 	RequestLog zerolog.Logger
 	// Peers is set by the plug-in that serves the peer protocol.
 	Peers PeerCaller
+	// Budgets limits the messages from outside that are held at the same time.
+	Budgets MessageBudgets
 
 	lifecycle
 	suspensions suspendMeter
@@ -62,6 +64,7 @@
 	k := &Kernel{
 		Config:     c,
 		RequestLog: c.Log.Sample(newRateSampler(c.Settings.LogRate)),
+		Budgets:    newMessageBudgets(&c.Settings),
 		jobs:       make(chan func(*State), maxQueuedJobs),
 		lifecycle:  lifecycle{stopping: make(chan struct{})},
 	}
--- a/tier/kernel/settings.go
+++ b/tier/kernel/settings.go
@@ -1,6 +1,7 @@
 package kernel
 
 import (
+	"cmp"
 	"net/netip"
 	"time"
 
@@ -66,6 +67,8 @@
 	Cores float64
 	// LinkMbits is the bandwidth of the host's link in Mbit/s; 0 for no limit.
 	LinkMbits float64
+	// MemoryMB is the memory above which this process is ended, in MB; 0 if it is not known.
+	MemoryMB float64
 	// Regions maps data halls to regions.
 	Regions config.Regions
 	// ColdFactor and ColdSlack limit the requests that all hosts together send to a
@@ -90,6 +93,11 @@
 	return policy.Capacity(cores, s.LinkMbits)
 }
 
+// Memory returns the memory that this process may use, in bytes.
+func (s *Settings) Memory() int64 {
+	return int64(cmp.Or(max(s.MemoryMB, 0), defaultMemoryMB) * memoryUnit)
+}
+
 // ReloadableSettings are the settings that may change while the process runs.
 type ReloadableSettings struct {
 	// Seeds are the addresses of other entry hosts to join.
--- a/tier/pass/response.go
+++ b/tier/pass/response.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"loomgap/tier/config"
+	"loomgap/tier/kernel"
 	"loomgap/tier/wire"
 )
 
@@ -95,7 +96,7 @@
 	case r.ContentLength > maxResponseBytes:
 		return nil, errBodyTooLarge
 	case r.Body == http.NoBody:
-		return wire.ReadBody(r, maxResponseBytes)
+		return wire.ReadBody(r, maxResponseBytes, (*kernel.ByteReservation)(nil))
 	case r.ContentLength < 0:
 		return n.readUnsizedBody(r)
 	}
@@ -104,7 +105,7 @@
 		return nil, err
 	}
 	defer n.budget.release(counted)
-	return wire.ReadBody(r, maxResponseBytes)
+	return wire.ReadBody(r, maxResponseBytes, (*kernel.ByteReservation)(nil))
 }
 
 // readUnsizedBody reads a body whose length is not known in advance. It takes from the budgets as
--- a/tier/policy/outcome.go
+++ b/tier/policy/outcome.go
@@ -31,6 +31,9 @@
 	CallFailed CallOutcome = "Failed"
 	// CallMalformed is a reply that does not belong to the call or cannot be parsed.
 	CallMalformed CallOutcome = "Garbage"
+	// CallNoRoom is a reply that this host did not hold, because other messages used up its
+	// memory. The call may have run, and the upstream has done nothing wrong.
+	CallNoRoom CallOutcome = "NoRoom"
 	// CallBroken is a connection lost after the request may have been sent.
 	CallBroken CallOutcome = "Broken"
 	// CallCrashed is a connection lost after the request may have been sent, to an upstream
@@ -73,7 +76,7 @@
 // answered reports whether the upstream itself replied.
 func (o CallOutcome) answered() bool {
 	switch o {
-	case CallOK, CallFailed, CallShed, CallLeaving, CallSnapshotGone, CallMoved:
+	case CallOK, CallFailed, CallShed, CallLeaving, CallSnapshotGone, CallMoved, CallNoRoom:
 		return true
 	default:
 		return false
@@ -90,6 +93,8 @@
 		return query.ReasonMoved
 	case CallMalformed:
 		return query.ReasonMalformed
+	case CallNoRoom:
+		return query.ReasonNoRoom
 	case CallLate, CallCancelled, CallNotSent, CallStalled:
 		return query.ReasonLate
 	default:
--- a/tier/query/cover.go
+++ b/tier/query/cover.go
@@ -26,6 +26,8 @@
 	ReasonMoved Reason = "Moved"
 	// ReasonMalformed means that a reply was malformed or did not belong to the call.
 	ReasonMalformed Reason = "Garbage"
+	// ReasonNoRoom means that the host had no memory for a reply beside other messages.
+	ReasonNoRoom Reason = "NoRoom"
 	// ReasonEvacuated means that no upstream may be called, and some because their data
 	// halls are evacuated.
 	ReasonEvacuated Reason = "Evacuated"
--- a/tier/wire/wire.go
+++ b/tier/wire/wire.go
@@ -246,24 +246,88 @@
 	Part    PartReply
 }
 
+// Memory limits the memory of a message that is being read.
+type Memory interface {
+	// Grow reserves n more bytes.
+	Grow(n int64) error
+}
+
+const (
+	// freeBodyBytes is the part of a body that is not reserved: a call takes more by itself.
+	freeBodyBytes = 4 << 10
+	// firstBodyBytes is the largest buffer that is allocated before its bytes come.
+	firstBodyBytes = 64 << 10
+)
+
 // ReadBody reads the body of a response. It returns ErrTooLarge if the body exceeds limit
-// bytes.
-func ReadBody(r *http.Response, limit int64) ([]byte, error) {
+// bytes. The memory is reserved as the body comes, since its length may be wrong.
+func ReadBody(r *http.Response, limit int64, m Memory) ([]byte, error) {
 	switch {
 	case r.ContentLength > limit:
-		return nil, ErrTooLarge
+		return nil, fmt.Errorf("body over %d bytes: %w", limit, ErrTooLarge)
 	case r.Body == http.NoBody:
 		return []byte{}, nil
 	case r.ContentLength >= 0:
-		body := make([]byte, r.ContentLength)
-		_, err := io.ReadFull(r.Body, body)
-		return body, err
+		return readSized(r.Body, r.ContentLength, m)
+	}
+	return readUnsized(r.Body, limit, m)
+}
+
+// readSized reads size bytes.
+func readSized(r io.Reader, size int64, m Memory) ([]byte, error) {
+	var body []byte
+	for int64(len(body)) < size {
+		next, err := growBody(body, min(max(firstBodyBytes, 2*int64(len(body))), size), m)
+		if err != nil {
+			return nil, err
+		}
+		if _, err := io.ReadFull(r, next[len(body):]); err != nil {
+			return nil, err
+		}
+		body = next
 	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
-	if err == nil && int64(len(body)) > limit {
-		err = ErrTooLarge
+	return body, nil
+}
+
+// readUnsized reads up to the end, but at most limit bytes.
+func readUnsized(r io.Reader, limit int64, m Memory) ([]byte, error) {
+	var body []byte
+	for int64(len(body)) <= limit {
+		next, err := growBody(body, min(max(freeBodyBytes, 2*int64(len(body))), limit+1), m)
+		if err != nil {
+			return nil, err
+		}
+		n, err := fill(r, next[len(body):])
+		body = next[:len(body)+n]
+		if errors.Is(err, io.EOF) && int64(len(body)) <= limit {
+			return body, nil
+		}
+		if err != nil && !errors.Is(err, io.EOF) {
+			return nil, err
+		}
+	}
+	return nil, fmt.Errorf("body over %d bytes: %w", limit, ErrTooLarge)
+}
+
+// fill reads until the buffer is full. Unlike io.ReadFull it returns the reader's own error, so that
+// a body that ends can be told from one that was cut off.
+func fill(r io.Reader, buf []byte) (n int, err error) {
+	for n < len(buf) && err == nil {
+		var read int
+		read, err = r.Read(buf[n:])
+		n += read
+	}
+	return n, err
+}
+
+// growBody returns a copy of a body with a new length, whose additional bytes are reserved.
+func growBody(body []byte, size int64, m Memory) ([]byte, error) {
+	if err := m.Grow(size - max(int64(len(body)), freeBodyBytes)); err != nil {
+		return nil, err
 	}
-	return body, err
+	next := make([]byte, size)
+	copy(next, body)
+	return next, nil
 }
 
 // Decode decodes one JSON value of at most limit bytes.
