pass: sound upstreams no longer pay for faulty ones in the memory for responses

The sound upstream was logged and counted as faulty.

Cause: bodies shared 32 MiB a host and 16 MiB an upstream, first come, first served, and a refusal for want of room took the outcome of a response over a limit. Only bodies counted, and only while they were read.

Why it works: head and body of a response are reserved of kernel.ByteBudget as they come and until the request is answered. NoRoom is no fault of the upstream's.

Tests changed: TestLargeResponsesShareABudget sends all but one byte of the held bodies, since memory is now reserved as bytes come and not by the length that the head claims; its bound of two bodies for one upstream stays. TestUnsizedBodies takes its sizes from the steps in which a body grows now. Names of a constant and a field changed in both.

--- a/tier/kernel/bytebudget.go
+++ b/tier/kernel/bytebudget.go
@@ -60,6 +60,8 @@
 	held bool
 	// revoked is true once the message gave way.
 	revoked bool
+	// grown is true once bytes were reserved; used by the reader of the message only.
+	grown bool
 }
 
 // NewByteBudget returns a budget of a number of bytes.
@@ -93,6 +95,7 @@
 	if r == nil || n <= 0 {
 		return nil
 	}
+	r.grown = true
 	b := r.account.budget
 	b.mu.Lock()
 	victims, ok := b.makeRoom(r, n)
@@ -118,7 +121,7 @@
 // Hold marks the message as complete: it can no longer give way. It reports false if the message gave
 // way before.
 func (r *ByteReservation) Hold() bool {
-	if r == nil {
+	if r == nil || !r.grown {
 		return true
 	}
 	r.account.budget.mu.Lock()
@@ -145,7 +148,7 @@
 
 // Release returns the bytes to the budget. It may be called again.
 func (r *ByteReservation) Release() {
-	if r == nil {
+	if r == nil || !r.grown {
 		return
 	}
 	r.account.budget.mu.Lock()
--- a/tier/kernel/messagebudgets.go
+++ b/tier/kernel/messagebudgets.go
@@ -9,7 +9,7 @@
 // Parts of a process's memory that messages from outside may use, by who sends them. Together they
 // leave room on the smallest host for the process itself and for memory that is not collected yet.
 const (
-	replyMemoryPercent  = 20
+	replyMemoryPercent  = 30
 	callerMemoryPercent = 10
 	// heapPercent is the part from which on the process collects its garbage more often, which
 	// large messages leave behind.
@@ -72,6 +72,9 @@
 	if !r.Hold() {
 		return false
 	}
+	if r == nil || !r.grown {
+		return true
+	}
 	h, _ := ctx.Value(heldBytesKey{}).(*heldBytes)
 	if h == nil {
 		r.Release()
--- a/tier/pass/call.go
+++ b/tier/pass/call.go
@@ -57,6 +57,8 @@
 	surplus []string
 	// rejected is why a response was not accepted; nil if it was, or if none came.
 	rejected error
+	// noRoom is why a response was not held beside others; nil if it was, or if none came.
+	noRoom error
 }
 
 // callUpstream makes a call in a span of its own, if it is admitted.
@@ -68,6 +70,9 @@
 	defer span.End()
 	c.headers, c.upstream = &e.headers, u.Name
 	out := pool.call(ctx, c)
+	if out.Answer != nil {
+		kernel.HoldBytes(ctx, out.Answer.memory)
+	}
 	e.reportBadResponses(c)
 	if span.IsRecording() {
 		span.SetAttributes(attribute.String("Upstream", u.Name), attribute.String("Outcome", string(out.Outcome)))
@@ -75,14 +80,18 @@
 	return out
 }
 
-// reportBadResponses counts and logs the responses to a call that belong to other requests, or
-// exceed a limit.
+// reportBadResponses counts and logs the responses to a call that belong to other requests, exceed
+// a limit, or were not held beside others.
 func (e *engine) reportBadResponses(c *call) {
 	for _, id := range c.surplus {
 		metrics.GetOrCreateCounter("loomgap_surplus_responses_total").Inc()
 		e.kernel.RequestLog.Warn().Str("RequestID", c.id).Str("Upstream", c.upstream).Str("Surplus", config.Shorten(id)).
 			Msg("surplus response skipped")
 	}
+	if c.noRoom != nil {
+		metrics.GetOrCreateCounter("loomgap_responses_without_room_total").Inc()
+		e.kernel.RequestLog.Warn().Err(c.noRoom).Str("RequestID", c.id).Str("Upstream", c.upstream).Msg("no memory for response, connection closed")
+	}
 	if c.rejected == nil {
 		return
 	}
@@ -113,10 +122,16 @@
 	stop := context.AfterFunc(ctx, func() { _ = n.Close() })
 	started := p.now()
 	resp, reusable, err := n.roundTrip(c)
-	if isRejected(err) {
+	switch {
+	case errors.Is(err, kernel.ErrNoRoom):
+		c.noRoom = err
+	case isRejected(err):
 		c.rejected = err
 	}
 	out := classify(c, resp, err)
+	if out.Answer == nil && resp != nil {
+		resp.memory.Release()
+	}
 	if stop() && reusable {
 		p.put(n)
 		return out
@@ -169,6 +184,8 @@
 // reply contains the response only if it may be passed to the caller or merged.
 func classify(c *call, resp *response, err error) runner.Reply[*response] {
 	switch {
+	case errors.Is(err, kernel.ErrNoRoom):
+		return runner.Reply[*response]{Outcome: policy.CallNoRoom}
 	case isRejected(err):
 		return runner.Reply[*response]{Outcome: policy.CallMalformed}
 	case err != nil:
--- a/tier/pass/conn.go
+++ b/tier/pass/conn.go
@@ -11,6 +11,7 @@
 	"syscall"
 	"time"
 
+	"loomgap/tier/kernel"
 	"loomgap/tier/policy"
 )
 
@@ -50,8 +51,9 @@
 	reader *bufio.Reader
 	// limit is what reader reads from.
 	limit *readLimit
-	// budget limits the bodies that are read from the upstream; nil for no limit.
-	budget *byteBudget
+	// account limits the responses of the upstream that are held at the same time; nil for no
+	// limit.
+	account *kernel.ByteAccount
 	// requestIDs are the IDs of the last requests that were answered on the connection;
 	// nextID is the place of the next one.
 	requestIDs [rememberedIDs]string
@@ -69,8 +71,9 @@
 	// startedMillis is when the upstream's process started; see config.Listing.
 	startedMillis int64
 	now           func() time.Duration
-	// budget limits the bodies that are read from the upstream; nil for no limit.
-	budget *byteBudget
+	// account limits the responses of the upstream that are held at the same time; nil for no
+	// limit.
+	account *kernel.ByteAccount
 
 	mu   sync.Mutex
 	idle []*conn
@@ -128,7 +131,7 @@
 	}
 	limit := &readLimit{Reader: c}
 	return &conn{
-		Conn: c, raw: raw, reader: bufio.NewReaderSize(limit, readBufferBytes), limit: limit, budget: p.budget,
+		Conn: c, raw: raw, reader: bufio.NewReaderSize(limit, readBufferBytes), limit: limit, account: p.account,
 		idleTimeout: defaultIdleTimeout,
 	}, nil
 }
--- a/tier/pass/conn_pools.go
+++ b/tier/pass/conn_pools.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"loomgap/tier/config"
+	"loomgap/tier/kernel"
 )
 
 // connPools holds the connection pool of each listed upstream. It is modified on the
@@ -12,8 +13,8 @@
 type connPools struct {
 	// byUpstream maps the name of each upstream to its *connPool.
 	byUpstream sync.Map
-	// budget limits the bodies that are read from all upstreams.
-	budget byteBudget
+	// budget limits the responses of all upstreams that are held at the same time.
+	budget *kernel.ByteBudget
 }
 
 func (t *connPools) find(name string) *connPool {
@@ -32,8 +33,7 @@
 		if old != nil && old.address == l.Address && old.startedMillis == l.StartedMillis {
 			continue
 		}
-		budget := &byteBudget{parent: &t.budget, limit: upstreamBudgetBytes}
-		t.byUpstream.Store(l.Name, &connPool{address: l.Address, startedMillis: l.StartedMillis, now: now, budget: budget})
+		t.byUpstream.Store(l.Name, &connPool{address: l.Address, startedMillis: l.StartedMillis, now: now, account: t.budget.Account()})
 		if old != nil {
 			old.close()
 		}
--- a/tier/pass/coordinate_server.go
+++ b/tier/pass/coordinate_server.go
@@ -53,7 +53,9 @@
 	e.kernel.InFlight.Add(1)
 	defer e.kernel.InFlight.Add(-1)
 	metrics.GetOrCreateCounter("loomgap_carried_requests_total").Inc()
-	runCtx, cancel := context.WithCancel(wire.WithTraceParent(context.Background(), in.Trace))
+	heldCtx, release := kernel.WithHeldBytes(wire.WithTraceParent(context.Background(), in.Trace))
+	defer release()
+	runCtx, cancel := context.WithCancel(heldCtx)
 	defer cancel()
 	served := &servedRequest{begin: newStartGate(), cancel: cancel}
 	e.coordinate.served.add(in.ID, served)
--- /dev/null
+++ b/tier/pass/endless_test.go
@@ -0,0 +1,170 @@
+package pass
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"loomgap/tier/kernel"
+)
+
+const (
+	// hostMB is the memory of the smallest host, in MB.
+	hostMB     = 160
+	hostMemory = hostMB << 20
+)
+
+// peakHeap calls f and returns the largest heap meanwhile, in bytes.
+func peakHeap(f func()) uint64 {
+	runtime.GC()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		f()
+	}()
+	peak := uint64(0)
+	for {
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		peak = max(peak, m.HeapAlloc)
+		select {
+		case <-done:
+			return peak
+		case <-time.After(time.Millisecond):
+		}
+	}
+}
+
+// stalled sends size bytes of a body without a length, and then nothing until the host closes.
+func stalled(size int, sent func()) replyFunc {
+	return func(_ *fakeUpstream, c net.Conn, r *http.Request) bool {
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 X\r\n%s: %s\r\n%s: s\r\n\r\n", names.RequestID, r.Header.Get(names.RequestID), names.Stamp)
+		_, _ = c.Write(bytes.Repeat([]byte("x"), size))
+		sent()
+		_, _ = io.Copy(io.Discard, c)
+		return false
+	}
+}
+
+// TestSoundResponsesAreReadBesideFaultyOnes guards against faulty upstreams that use up the memory
+// for responses, so that answers of sound upstreams are thrown away and count against them.
+func TestSoundResponsesAreReadBesideFaultyOnes(t *testing.T) {
+	for _, faulty := range []int{1, 2, 6} {
+		t.Run(fmt.Sprint(faulty, " faulty upstreams"), func(t *testing.T) {
+			var log lockedBuffer
+			h := newHost(t, hostConfig{name: "H1", hall: "A", log: &log})
+			h.applyDocument(singleDoc())
+			var stalledCalls sync.WaitGroup
+			for i := range faulty {
+				h.listUpstream("Orders", "A", newFakeUpstream(t, fmt.Sprint("F", i), stalled(4<<20-1, stalledCalls.Done)), false)
+			}
+			const size = 1 << 20
+			h.listUpstream("Other", "A", newFakeUpstream(t, "Sound", good(strings.Repeat("y", size))), false)
+			var all sync.WaitGroup
+			for i := range 4 * faulty {
+				stalledCalls.Add(1)
+				all.Go(func() { h.send(http.MethodPost, "/place/", fmt.Sprint("f", i), 5000, "b") })
+			}
+			stalledCalls.Wait()
+			var sound sync.WaitGroup
+			for i := range 4 {
+				sound.Go(func() {
+					for j := range 5 {
+						r := h.send(http.MethodGet, "/read/deep/", fmt.Sprint("s", i, "-", j), 3000, "")
+						assert.Check(t, r.status == http.StatusOK && len(r.body) == size, "%d, %d bytes", r.status, len(r.body))
+					}
+				})
+			}
+			sound.Wait()
+			h.server.CloseClientConnections()
+			all.Wait()
+			assert.Assert(t, !strings.Contains(log.String(), `"Upstream":"Sound"`), log.String())
+		})
+	}
+}
+
+// TestManyResponsesFitTheSmallestHost guards against responses that each keep their limit, and take a
+// host above its memory together.
+func TestManyResponsesFitTheSmallestHost(t *testing.T) {
+	const head = "HTTP/1.1 200 X\r\nX-Id: {id}\r\nX-Stamp: s\r\n"
+	const upstreams, calls = 32, 128
+	defer kernel.LimitHeap(&kernel.Settings{MemoryMB: hostMB})()
+	for _, tt := range []struct{ name, begin, repeat string }{
+		{"short headers", head, "X:\r\n"},
+		{"different headers", head, "A:1\r\nB:1\r\nC:1\r\nD:1\r\nE:1\r\nF:1\r\nG:1\r\nH:1\r\n"},
+		{"body", head + "\r\n", "x"},
+		{"chunks", head + "Transfer-Encoding: chunked\r\n\r\n", "400\r\n" + strings.Repeat("x", 1024) + "\r\n"},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			var written atomic.Int64
+			written.Store(-calls * writtenLimit) // all calls together may take so much
+			h := newHost(t, hostConfig{name: "H1", hall: "A"})
+			h.applyDocument(singleDoc())
+			for i := range upstreams {
+				h.listUpstream("Orders", "A", newFakeUpstream(t, fmt.Sprint("F", i), endless(tt.begin, tt.repeat, &written)), false)
+			}
+			peak := peakHeap(func() {
+				var all sync.WaitGroup
+				for i := range calls {
+					all.Go(func() {
+						r := h.send(http.MethodPost, "/place/", fmt.Sprint("f", i), 5000, "b")
+						assert.Check(t, r.err == nil && r.status >= http.StatusInternalServerError, "%d %v", r.status, r.err)
+					})
+				}
+				all.Wait()
+			})
+			t.Logf("peak heap %d MB", peak>>20)
+			assert.Assert(t, peak < hostMemory*3/4, "%d MB", peak>>20)
+		})
+	}
+}
+
+// TestResponsesToSlowCallersAreCounted guards against callers that do not take their responses, which
+// a host holds without a limit.
+func TestResponsesToSlowCallersAreCounted(t *testing.T) {
+	const callers, size = 12, 5 << 20
+	h, _ := newSingleSetup(t, good(strings.Repeat("z", size)))
+	statuses := make(chan string, callers)
+	var conns []net.Conn
+	for i := range callers {
+		c, err := net.Dial("tcp", h.server.Listener.Addr().String())
+		assert.NilError(t, err)
+		defer c.Close()
+		assert.NilError(t, c.(*net.TCPConn).SetReadBuffer(4<<10))
+		conns = append(conns, c)
+		_, err = fmt.Fprintf(c, "GET /read/ HTTP/1.1\r\nHost: shop.example\r\n%s: c%d\r\n%s: 5000\r\n\r\n", names.RequestID, i, names.DeadlineMillis)
+		assert.NilError(t, err)
+		go func() {
+			line := make([]byte, len("HTTP/1.1 200"))
+			_, _ = io.ReadFull(c, line)
+			statuses <- string(line)
+		}()
+	}
+	served := 0
+	for range callers {
+		if <-statuses == "HTTP/1.1 200" {
+			served++
+		}
+	}
+	assert.Assert(t, served >= 1 && served*size <= 16<<20, "%d responses of %d bytes are held for callers", served, size)
+	for _, c := range conns {
+		_ = c.Close()
+	}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if n := h.engine.pools.budget.Used(); n != 0 {
+			return poll.Continue("%d bytes in use", n)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(10*time.Second))
+}
--- a/tier/pass/engine.go
+++ b/tier/pass/engine.go
@@ -68,7 +68,7 @@
 func newEngine(k *kernel.Kernel, h kernel.Headers) (*engine, func()) {
 	e := &engine{
 		kernel: k, headers: h, hosts: newHostTracker(), ids: newIDSource(), start: newStartGate(),
-		pools:      connPools{budget: byteBudget{limit: responseBudgetBytes}},
+		pools:      connPools{budget: k.Budgets.Replies},
 		coordinate: coordinateState{heartbeat: heartbeatTimeouts{first: firstHeartbeatTimeout, next: heartbeatTimeout}},
 	}
 	e.handleRelay()
--- a/tier/pass/merge.go
+++ b/tier/pass/merge.go
@@ -27,9 +27,9 @@
 func (m *merger) add(part []byte) {
 	for ; len(part) >= recordBytes; part = part[recordBytes:] {
 		m.records = append(m.records, part[:recordBytes])
-	}
-	if len(m.records) > mergeBufferFactor*m.top+mergeBufferExtra {
-		m.truncate()
+		if len(m.records) > mergeBufferFactor*m.top+mergeBufferExtra {
+			m.truncate()
+		}
 	}
 }
 
--- a/tier/pass/relay_server.go
+++ b/tier/pass/relay_server.go
@@ -40,8 +40,8 @@
 	startedAt, firstDueAt, deadline time.Duration
 	// reportInterval is batchRequest.ReportMillis.
 	reportInterval time.Duration
-	// cancel cancels all calls.
-	cancel context.CancelFunc
+	// cancel cancels all calls, and releaseMemory releases the memory of their responses.
+	cancel, releaseMemory func()
 
 	mu         sync.Mutex
 	unreported unreported
@@ -128,10 +128,11 @@
 
 func (e *engine) startBatch(in *batchRequest) *servedBatch {
 	left := min(time.Duration(in.DeadlineMillis)*time.Millisecond, maxBatchDuration)
-	ctx, cancel := context.WithTimeout(wire.WithTraceParent(context.Background(), in.Trace), left)
+	ctx, releaseMemory := kernel.WithHeldBytes(wire.WithTraceParent(context.Background(), in.Trace))
+	ctx, cancel := context.WithTimeout(ctx, left)
 	now := e.kernel.Now()
 	b := &servedBatch{
-		engine: e, in: in, identity: e.identityOf(in), cancel: cancel,
+		engine: e, in: in, identity: e.identityOf(in), cancel: cancel, releaseMemory: releaseMemory,
 		startedAt: now, firstDueAt: now + min(time.Duration(in.FirstMillis)*time.Millisecond, left), deadline: now + left,
 		reportInterval: time.Duration(in.ReportMillis) * time.Millisecond,
 		unreported:     unreported{merger: merger{top: in.Top}}, openCalls: len(in.Upstreams), calls: map[int]*servedCall{},
@@ -140,6 +141,7 @@
 	e.relay.served.add(in.ID, b)
 	// The sender may never fetch the omitted records.
 	time.AfterFunc(left+omittedRetention, func() { e.relay.served.drop(in.ID) })
+	context.AfterFunc(ctx, releaseMemory)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for i, name := range in.Upstreams {
@@ -258,6 +260,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.stopped = true
+	b.releaseMemory()
 	b.unregister()
 	for _, c := range b.calls {
 		if linger > 0 && c.upstream != nil && b.engine.kernel.Fleet.TryLinger(c.upstream) {
--- a/tier/pass/response.go
+++ b/tier/pass/response.go
@@ -3,8 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"io"
-	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -18,9 +16,6 @@
 const (
 	// maxResponseBytes limits the body of a response.
 	maxResponseBytes = 8 << 20
-	// maxResponseHeadBytes limits the status line and the headers of a response, together
-	// with those of the interim responses before it.
-	maxResponseHeadBytes = 256 << 10
 	// maxResponsesRead limits the responses that are read for one call: a surplus response
 	// to an earlier request may come first.
 	maxResponsesRead = 2
@@ -29,10 +24,8 @@
 var (
 	// errResponseMismatch means that a response does not belong to the call it was read for.
 	errResponseMismatch = errors.New("response belongs to another request")
-	// errHeadTooLarge means that the head of a response exceeds maxResponseHeadBytes.
-	errHeadTooLarge = fmt.Errorf("head of response over %d bytes: %w", maxResponseHeadBytes, wire.ErrTooLarge)
-	// errBodyTooLarge means that the body of a response exceeds maxResponseBytes.
-	errBodyTooLarge = fmt.Errorf("body of response over %d bytes: %w", maxResponseBytes, wire.ErrTooLarge)
+	// errGaveWay means that a response gave way to those of other upstreams.
+	errGaveWay = fmt.Errorf("response gave way to those of other upstreams: %w", kernel.ErrNoRoom)
 )
 
 // response is the whole response of an upstream, or a reference to the block that contains
@@ -41,13 +34,15 @@
 	status int
 	header http.Header
 	body   []byte
+	// memory is what the response uses of the upstream's account; nil for a block.
+	memory *kernel.ByteReservation
 	// block is the block that contains this part; nil if the part was not merged by a
 	// relay.
 	block *block
 }
 
 // readResponse reads the response to a call and skips a surplus response to an earlier request of
-// the connection.
+// the connection. The memory of the response must be released or held.
 func (n *conn) readResponse(c *call) (resp *response, reusable bool, err error) {
 	for range maxResponsesRead {
 		resp, reusable, err = n.readOneResponse(c.method)
@@ -60,6 +55,7 @@
 			n.updateIdleTimeout(resp.header)
 			return resp, reusable && n.idleTimeout > 0 && n.reader.Buffered() == 0, nil
 		}
+		resp.memory.Release()
 		if !n.carried(echoed) || !reusable {
 			return nil, false, fmt.Errorf("response to %q: %w", config.Shorten(echoed), errResponseMismatch)
 		}
@@ -71,7 +67,21 @@
 // readOneResponse reads one response. If reusable is false, the connection carries no
 // further response.
 func (n *conn) readOneResponse(method string) (resp *response, reusable bool, err error) {
-	n.limit.left = maxResponseHeadBytes
+	memory := n.account.Reserve(func() { _ = n.Close() })
+	resp, reusable, err = n.readWithin(method, memory)
+	if !memory.Hold() {
+		err = errGaveWay
+	}
+	if err != nil {
+		memory.Release()
+		return nil, false, err
+	}
+	return resp, reusable, nil
+}
+
+// readWithin reads one response, which reserves the memory that it takes.
+func (n *conn) readWithin(method string, memory *kernel.ByteReservation) (resp *response, reusable bool, err error) {
+	n.limit.startHead(memory)
 	r, err := http.ReadResponse(n.reader, &http.Request{Method: method})
 	for err == nil && r.StatusCode < http.StatusOK {
 		r, err = http.ReadResponse(n.reader, &http.Request{Method: method})
@@ -79,59 +89,15 @@
 	if err != nil {
 		return nil, false, n.limit.explain(err)
 	}
-	n.limit.left = math.MaxInt64 // the body has limits of its own
-	body, err := n.readBody(r)
+	n.limit.startBody()
+	body, err := wire.ReadBody(r, maxResponseBytes, memory)
 	if err != nil {
 		// Closing the body would read the rest of it, which may be endless. The caller closes
 		// the connection.
-		return nil, false, err
+		return nil, false, n.limit.explain(err)
 	}
 	_ = r.Body.Close()
-	return &response{status: r.StatusCode, header: r.Header, body: body}, !r.Close, nil
-}
-
-// readBody reads a body of at most maxResponseBytes, within the budgets.
-func (n *conn) readBody(r *http.Response) ([]byte, error) {
-	switch {
-	case r.ContentLength > maxResponseBytes:
-		return nil, errBodyTooLarge
-	case r.Body == http.NoBody:
-		return wire.ReadBody(r, maxResponseBytes, (*kernel.ByteReservation)(nil))
-	case r.ContentLength < 0:
-		return n.readUnsizedBody(r)
-	}
-	counted := r.ContentLength - freeBodyBytes
-	if err := n.budget.reserve(counted); err != nil {
-		return nil, err
-	}
-	defer n.budget.release(counted)
-	return wire.ReadBody(r, maxResponseBytes, (*kernel.ByteReservation)(nil))
-}
-
-// readUnsizedBody reads a body whose length is not known in advance. It takes from the budgets as
-// the body grows.
-func (n *conn) readUnsizedBody(r *http.Response) ([]byte, error) {
-	reserved := int64(0)
-	defer func() { n.budget.release(reserved) }()
-	var body []byte
-	for size := int64(freeBodyBytes); ; size = min(2*size, maxResponseBytes+1) {
-		counted := size - freeBodyBytes
-		if err := n.budget.reserve(counted - reserved); err != nil {
-			return nil, err
-		}
-		reserved = counted
-		next, err := io.ReadAll(io.LimitReader(r.Body, size-int64(len(body))))
-		if err != nil {
-			return nil, err
-		}
-		body = append(body, next...)
-		switch {
-		case len(body) > maxResponseBytes:
-			return nil, errBodyTooLarge
-		case int64(len(body)) < size:
-			return body, nil
-		}
-	}
+	return &response{status: r.StatusCode, header: r.Header, body: body, memory: memory}, !r.Close, nil
 }
 
 // updateIdleTimeout sets the idle timeout from the upstream's Keep-Alive header.
@@ -147,26 +113,3 @@
 	}
 	n.idleTimeout = time.Duration(seconds)*time.Second - idleTimeoutMargin
 }
-
-// readLimit is a reader that fails once more than left bytes have been read from it.
-type readLimit struct {
-	io.Reader
-	left int64
-}
-
-func (l *readLimit) Read(p []byte) (int, error) {
-	if l.left <= 0 {
-		return 0, errHeadTooLarge
-	}
-	n, err := l.Reader.Read(p[:min(int64(len(p)), l.left)])
-	l.left -= int64(n)
-	return n, err
-}
-
-// explain returns errHeadTooLarge in place of an error of the parser if the limit was reached.
-func (l *readLimit) explain(err error) error {
-	if l.left <= 0 {
-		return errHeadTooLarge
-	}
-	return err
-}
--- a/tier/pass/response_test.go
+++ b/tier/pass/response_test.go
@@ -81,12 +81,15 @@
 	var all, held sync.WaitGroup
 	release := make(chan struct{})
 	const size = 6 << 20
+	// accountBytes is what large responses of one upstream may take on the smallest host.
+	const accountBytes = 16 << 20
 	half := func(_ *fakeUpstream, c net.Conn, r *http.Request) bool {
 		id := r.Header.Get(names.RequestID)
 		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 X\r\n%s: %s\r\n%s: s\r\nContent-Length: %d\r\n\r\n", names.RequestID, id, names.Stamp, size)
+		_, _ = c.Write(bytes.Repeat([]byte("x"), size-1))
 		held.Done()
 		<-release
-		_, _ = c.Write(bytes.Repeat([]byte("x"), size))
+		_, _ = c.Write([]byte("x"))
 		return true
 	}
 	h, us := newSingleSetup(t, half)
@@ -99,8 +102,8 @@
 		all.Go(func() { statuses <- h.send(http.MethodPost, "/place/", fmt.Sprint("n", i), 20_000, "b").status })
 	}
 	held.Wait()
-	// Two of the bodies fit into the budget of one upstream.
-	for range calls - upstreamBudgetBytes/size {
+	// Two of the bodies fit into the account of one upstream.
+	for range calls - accountBytes/size {
 		assert.Equal(t, <-statuses, http.StatusBadGateway)
 	}
 	r := h.send(http.MethodGet, "/read/deep/", "sound", 5000, "")
@@ -108,10 +111,10 @@
 	assert.Equal(t, len(r.body), 1<<20)
 	close(release)
 	all.Wait()
-	for range upstreamBudgetBytes / size {
+	for range accountBytes / size {
 		assert.Equal(t, <-statuses, http.StatusOK)
 	}
-	assert.Equal(t, h.engine.pools.budget.used, int64(0))
+	assert.Equal(t, h.engine.pools.budget.Used(), int64(0))
 	us[0].mu.Lock()
 	us[0].reply = good(strings.Repeat("z", size))
 	us[0].mu.Unlock()
@@ -120,7 +123,8 @@
 
 // TestUnsizedBodies reads bodies without a length around the sizes at which the budget grows.
 func TestUnsizedBodies(t *testing.T) {
-	for _, size := range []int{0, 1, freeBodyBytes - 1, freeBodyBytes, freeBodyBytes + 1, 3 * freeBodyBytes, maxResponseBytes - 1, maxResponseBytes} {
+	const sizeStep = 4 << 10
+	for _, size := range []int{0, 1, sizeStep - 1, sizeStep, sizeStep + 1, 3 * sizeStep, maxResponseBytes - 1, maxResponseBytes} {
 		h, _ := newSingleSetup(t, func(_ *fakeUpstream, c net.Conn, r *http.Request) bool {
 			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 X\r\n%s: %s\r\n%s: s\r\n\r\n", names.RequestID, r.Header.Get(names.RequestID), names.Stamp)
 			_, _ = c.Write(bytes.Repeat([]byte("x"), size))
@@ -129,6 +133,6 @@
 		r := h.send(http.MethodGet, "/read/", "1", 10_000, "")
 		assert.Equal(t, r.status, http.StatusOK)
 		assert.Equal(t, len(r.body), size)
-		assert.Equal(t, h.engine.pools.budget.used, int64(0))
+		assert.Equal(t, h.engine.pools.budget.Used(), int64(0))
 	}
 }
--- a/tier/pass/serve.go
+++ b/tier/pass/serve.go
@@ -104,7 +104,8 @@
 	if !q.findRoute(w, r) || !q.read(w, r) || q.refuseQuarantined(w) {
 		return
 	}
-	ctx := wire.ExtractTrace(r.Context(), r.Header)
+	ctx, release := kernel.WithHeldBytes(wire.ExtractTrace(r.Context(), r.Header))
+	defer release()
 	if !q.forward(ctx, w) {
 		q.serve(ctx, w)
 		if q.times.decidedAt > 0 {
