--- a/tier/entry/endless_test.go
+++ b/tier/entry/endless_test.go
@@ -38,7 +38,7 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = l.Close() })
-	block := []byte(strings.Repeat(repeat, 1+(16<<10)/max(len(repeat), 1)))
+	head, block := []byte(begin), []byte(strings.Repeat(repeat, 1+(16<<10)/max(len(repeat), 1)))
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -51,7 +51,7 @@
 				if _, err := http.ReadRequest(in); err != nil {
 					return
 				}
-				_, err := io.WriteString(c, begin)
+				_, err := c.Write(head)
 				for n := 0; err == nil && repeat != "" && n < writtenLimit; n += len(block) {
 					_, err = c.Write(block)
 				}
--- a/tier/kernel/bytebudget.go
+++ b/tier/kernel/bytebudget.go
@@ -118,6 +118,19 @@
 	return nil
 }
 
+// Shrink returns n bytes that were reserved.
+func (r *ByteReservation) Shrink(n int64) {
+	if r == nil || n <= 0 {
+		return
+	}
+	b := r.account.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !r.revoked {
+		r.add(-min(n, r.size))
+	}
+}
+
 // Hold marks the message as complete: it can no longer give way. It reports false if the message gave
 // way before.
 func (r *ByteReservation) Hold() bool {
@@ -215,37 +228,25 @@
 	return nil
 }
 
-// add adds bytes. The budget's mu must be held.
+// add adds bytes, or returns some if n is negative. The budget's mu must be held.
 func (r *ByteReservation) add(n int64) {
 	a := r.account
-	if a.used == 0 {
-		a.budget.accounts[a] = struct{}{}
-	}
-	if r.size == 0 {
-		a.reservations[r] = struct{}{}
-	}
 	r.size += n
 	a.used += n
 	a.budget.used += n
 	if !r.held {
 		a.reading += n
 	}
-}
-
-// free returns all bytes. The budget's mu must be held.
-func (r *ByteReservation) free() {
-	if r.size == 0 {
+	if r.size > 0 {
+		a.reservations[r] = struct{}{}
+		a.budget.accounts[a] = struct{}{}
 		return
 	}
-	a := r.account
 	delete(a.reservations, r)
-	a.used -= r.size
-	a.budget.used -= r.size
-	if !r.held {
-		a.reading -= r.size
-	}
-	r.size = 0
 	if a.used == 0 {
 		delete(a.budget.accounts, a)
 	}
 }
+
+// free returns all bytes. The budget's mu must be held.
+func (r *ByteReservation) free() { r.add(-r.size) }
--- a/tier/kernel/messagebudgets.go
+++ b/tier/kernel/messagebudgets.go
@@ -13,7 +13,7 @@
 	callerMemoryPercent = 10
 	// heapPercent is the part from which on the process collects its garbage more often, which
 	// large messages leave behind.
-	heapPercent = 70
+	heapPercent = 60
 	percent     = 100
 	// defaultMemoryMB is the memory of the smallest host, for a process that is not told its limit.
 	defaultMemoryMB = 160
--- a/tier/pass/response_test.go
+++ b/tier/pass/response_test.go
@@ -86,10 +86,9 @@
 	half := func(_ *fakeUpstream, c net.Conn, r *http.Request) bool {
 		id := r.Header.Get(names.RequestID)
 		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 X\r\n%s: %s\r\n%s: s\r\nContent-Length: %d\r\n\r\n", names.RequestID, id, names.Stamp, size)
-		_, _ = c.Write(bytes.Repeat([]byte("x"), size-1))
 		held.Done()
 		<-release
-		_, _ = c.Write([]byte("x"))
+		_, _ = c.Write(bytes.Repeat([]byte("x"), size))
 		return true
 	}
 	h, us := newSingleSetup(t, half)
--- a/tier/wire/wire.go
+++ b/tier/wire/wire.go
@@ -250,63 +250,89 @@
 type Memory interface {
 	// Grow reserves n more bytes.
 	Grow(n int64) error
+	// Shrink returns n bytes that were reserved.
+	Shrink(n int64)
 }
 
 const (
 	// freeBodyBytes is the part of a body that is not reserved: a call takes more by itself.
 	freeBodyBytes = 4 << 10
-	// firstBodyBytes is the largest buffer that is allocated before its bytes come.
-	firstBodyBytes = 64 << 10
+	// maxSegmentBytes limits the buffers that a body of unknown length is read into.
+	maxSegmentBytes = 1 << 20
 )
 
 // ReadBody reads the body of a response. It returns ErrTooLarge if the body exceeds limit
-// bytes. The memory is reserved as the body comes, since its length may be wrong.
+// bytes. The memory of a body with a length is reserved before it is read, that of another one as
+// it comes.
 func ReadBody(r *http.Response, limit int64, m Memory) ([]byte, error) {
-	switch {
-	case r.ContentLength > limit:
-		return nil, fmt.Errorf("body over %d bytes: %w", limit, ErrTooLarge)
-	case r.Body == http.NoBody:
+	if r.Body == http.NoBody && r.ContentLength <= limit {
 		return []byte{}, nil
-	case r.ContentLength >= 0:
-		return readSized(r.Body, r.ContentLength, m)
 	}
-	return readUnsized(r.Body, limit, m)
+	return ReadAll(r.Body, r.ContentLength, limit, m)
+}
+
+// ReadAll is ReadBody for the bytes of a reader; length is negative if it is not known.
+func ReadAll(r io.Reader, length, limit int64, m Memory) ([]byte, error) {
+	switch {
+	case length > limit:
+		return nil, errBodyTooLarge(limit)
+	case length >= 0:
+		return readSized(r, length, m)
+	}
+	return readUnsized(r, limit, m)
+}
+
+func errBodyTooLarge(limit int64) error {
+	return fmt.Errorf("body over %d bytes: %w", limit, ErrTooLarge)
 }
 
 // readSized reads size bytes.
 func readSized(r io.Reader, size int64, m Memory) ([]byte, error) {
-	var body []byte
-	for int64(len(body)) < size {
-		next, err := growBody(body, min(max(firstBodyBytes, 2*int64(len(body))), size), m)
-		if err != nil {
-			return nil, err
-		}
-		if _, err := io.ReadFull(r, next[len(body):]); err != nil {
-			return nil, err
-		}
-		body = next
+	if err := m.Grow(size - freeBodyBytes); err != nil {
+		return nil, err
 	}
-	return body, nil
+	body := make([]byte, size)
+	_, err := io.ReadFull(r, body)
+	return body, err
 }
 
-// readUnsized reads up to the end, but at most limit bytes.
+// readUnsized reads up to the end, but at most limit bytes. It reads into segments, since a buffer
+// that grows would leave behind as much as it holds.
 func readUnsized(r io.Reader, limit int64, m Memory) ([]byte, error) {
-	var body []byte
-	for int64(len(body)) <= limit {
-		next, err := growBody(body, min(max(freeBodyBytes, 2*int64(len(body))), limit+1), m)
-		if err != nil {
-			return nil, err
-		}
-		n, err := fill(r, next[len(body):])
-		body = next[:len(body)+n]
-		if errors.Is(err, io.EOF) && int64(len(body)) <= limit {
-			return body, nil
+	var segments [][]byte
+	total := int64(0)
+	for {
+		size := min(max(freeBodyBytes, total), maxSegmentBytes, limit+1-total)
+		if total > 0 {
+			if err := m.Grow(size); err != nil {
+				return nil, err
+			}
 		}
-		if err != nil && !errors.Is(err, io.EOF) {
+		segment := make([]byte, size)
+		n, err := fill(r, segment)
+		total += int64(n)
+		segments = append(segments, segment[:n])
+		switch {
+		case total > limit:
+			return nil, errBodyTooLarge(limit)
+		case errors.Is(err, io.EOF):
+			return join(segments, total, m)
+		case err != nil:
 			return nil, err
 		}
 	}
-	return nil, fmt.Errorf("body over %d bytes: %w", limit, ErrTooLarge)
+}
+
+// join returns the segments of a body as one.
+func join(segments [][]byte, total int64, m Memory) ([]byte, error) {
+	if len(segments) == 1 {
+		return segments[0], nil
+	}
+	if err := m.Grow(total); err != nil {
+		return nil, err
+	}
+	defer m.Shrink(total)
+	return bytes.Join(segments, nil), nil
 }
 
 // fill reads until the buffer is full. Unlike io.ReadFull it returns the reader's own error, so that
@@ -320,16 +346,6 @@
 	return n, err
 }
 
-// growBody returns a copy of a body with a new length, whose additional bytes are reserved.
-func growBody(body []byte, size int64, m Memory) ([]byte, error) {
-	if err := m.Grow(size - max(int64(len(body)), freeBodyBytes)); err != nil {
-		return nil, err
-	}
-	next := make([]byte, size)
-	copy(next, body)
-	return next, nil
-}
-
 // Decode decodes one JSON value of at most limit bytes.
 func Decode(r io.Reader, limit int64, v any) error {
 	text, err := io.ReadAll(io.LimitReader(r, limit+1))
