pass: a limit for what a body takes on its connection

Callers saw nothing; found by reading. Cause: the limit of a body counted what the transfer encoding leaves of it, so that chunks of one byte took 48 MB on the connection, and processor time for each. Evidence: the new case of TestEndlessResponseEndsAtItsLimit, chunks of one byte, failed before with 54,120,462 bytes taken. The body now may take 16 MiB on the connection, twice its largest size, so that chunks of six bytes or more never reach the limit before the body does.

--- a/tier/pass/read_limit.go
+++ b/tier/pass/read_limit.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"io"
-	"math"
 
 	"loomgap/tier/kernel"
 	"loomgap/tier/wire"
@@ -13,6 +12,9 @@
 	// maxResponseHeadBytes limits the status line and the headers of a response, together
 	// with those of the interim responses before it.
 	maxResponseHeadBytes = 256 << 10
+	// maxBodyWireBytes limits what the body of a response takes on the connection. Small chunks
+	// take many times the bytes of the body, and processor time for each.
+	maxBodyWireBytes = 2 * maxResponseBytes
 	// freeHeadBytes is the part of a head whose memory is not reserved: a call takes more by
 	// itself.
 	freeHeadBytes = readBufferBytes
@@ -24,6 +26,8 @@
 var (
 	// errHeadTooLarge means that the head of a response exceeds maxResponseHeadBytes.
 	errHeadTooLarge = fmt.Errorf("head of response over %d bytes: %w", maxResponseHeadBytes, wire.ErrTooLarge)
+	// errBodyWireTooLarge means that the body of a response exceeds maxBodyWireBytes.
+	errBodyWireTooLarge = fmt.Errorf("body of response over %d bytes in its transfer encoding: %w", maxBodyWireBytes, wire.ErrTooLarge)
 )
 
 // readLimit is a reader that limits the bytes of a response. It is used by one goroutine.
@@ -48,7 +52,7 @@
 
 // startBody begins the body of the response, which reserves its memory by itself.
 func (l *readLimit) startBody() {
-	l.left, l.memory = math.MaxInt64, nil
+	l.left, l.over, l.memory = maxBodyWireBytes, errBodyWireTooLarge, nil
 }
 
 func (l *readLimit) Read(p []byte) (int, error) {
--- a/tier/pass/response_test.go
+++ b/tier/pass/response_test.go
@@ -53,6 +53,7 @@
 		{"interim responses", "", "HTTP/1.1 103 X\r\nX-More: 1\r\n\r\n", maxResponseHeadBytes, true},
 		{"body", head + "\r\n", "x", maxResponseBytes, true},
 		{"chunks", head + "Transfer-Encoding: chunked\r\n\r\n", "400\r\n" + strings.Repeat("x", 1024) + "\r\n", 2 * maxResponseBytes, true},
+		{"chunks of one byte", head + "Transfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n", maxBodyWireBytes, true},
 		{"chunk extension", head + "Transfer-Encoding: chunked\r\n\r\n1;", "x", maxResponseHeadBytes, false},
 		{"trailers", head + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "X-More: 1\r\n", maxResponseHeadBytes, false},
 	} {
