pass: bounds for callers' bodies together, and for the time in which callers send and take

Callers saw nothing yet; found on the way through all readers of bytes from outside. A caller that stops within a body, or takes nothing of its response, held a request for good, and enough of them a host's memory.

Cause: no time limit for the body of a request and for writing a response; a bound for each body and none for all together.

Evidence: on TestBodiesOfCallersFitTheSmallestHost waits 5 s in vain for an answer to 12 callers that stop one byte before the end of 4 MiB, and TestCallerThatTakesNothingIsCutOff 5 s for the end of a request whose response nobody takes (its condition adapted: there was no count of memory to look at).

Why it works: a body must be complete at the deadline of its request (408, not run), all bodies share a fifth of the memory in which the largest gives way (503 with Retry-After, not run, at once), and the write deadline of a response follows from its size.

--- a/tier/entry/endless_test.go
+++ b/tier/entry/endless_test.go
@@ -103,7 +103,7 @@
 		{"rows that take more memory than text", fmt.Sprintf("%sConnection: close\r\nContent-Length: %d\r\n\r\n%s", head, len(rows), rows), ""},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
-			budgets := kernel.NewByteBudget(hostMemory * 3 / 10)
+			budgets := kernel.NewByteBudget(hostMemory*3/10, 2)
 			body, err := wire.Encode(benchRequest())
 			assert.NilError(t, err)
 			call := func(c *client) policy.CallOutcome {
--- a/tier/kernel/bytebudget.go
+++ b/tier/kernel/bytebudget.go
@@ -8,8 +8,6 @@
 )
 
 const (
-	// accountDivisor is the part of a budget that one account may hold.
-	accountDivisor = 2
 	// maxGivingWay limits the messages that give way to one message.
 	maxGivingWay = 4
 	// ordinaryBytes is the size of the largest ordinary message.
@@ -29,6 +27,9 @@
 // another's from being read. It is safe for concurrent use.
 type ByteBudget struct {
 	limit int64
+	// senders is the least number of senders that can use the whole budget: one account may hold
+	// 1/senders of it.
+	senders int64
 
 	mu sync.Mutex
 	// used is the sum of all reservations; at most limit.
@@ -64,9 +65,9 @@
 	grown bool
 }
 
-// NewByteBudget returns a budget of a number of bytes.
-func NewByteBudget(limit int64) *ByteBudget {
-	return &ByteBudget{limit: limit, accounts: map[*ByteAccount]struct{}{}}
+// NewByteBudget returns a budget of a number of bytes. One account may hold 1/senders of it.
+func NewByteBudget(limit, senders int64) *ByteBudget {
+	return &ByteBudget{limit: limit, senders: senders, accounts: map[*ByteAccount]struct{}{}}
 }
 
 // Used returns the number of reserved bytes.
@@ -180,7 +181,7 @@
 	if r.size+n > ordinaryBytes {
 		limit -= limit / ordinaryDivisor
 	}
-	if over := a.used + n - limit/accountDivisor; over > 0 {
+	if over := a.used + n - limit/b.senders; over > 0 {
 		// Among messages of one sender, a larger one gives way to a smaller one.
 		victims = a.largest(over, r.size+n, r)
 		return victims, victims != nil
--- a/tier/kernel/bytebudget_test.go
+++ b/tier/kernel/bytebudget_test.go
@@ -11,7 +11,7 @@
 // budget that these may use.
 const unit = ordinaryBytes + 2
 
-func newBudget() *ByteBudget { return NewByteBudget(150 * unit) }
+func newBudget() *ByteBudget { return NewByteBudget(150*unit, 2) }
 
 // newReservation returns a reservation of a size and whether it was aborted.
 func newReservation(t *testing.T, a *ByteAccount, size int64) (*ByteReservation, *bool) {
@@ -92,7 +92,7 @@
 func TestSmallMessageFitsBesideAnySenders(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const limit = 1 << 20
-		b := NewByteBudget(limit)
+		b := NewByteBudget(limit, 2)
 		accounts := make([]*ByteAccount, rapid.IntRange(1, 40).Draw(t, "senders"))
 		for i := range accounts {
 			accounts[i] = b.Account()
@@ -111,7 +111,7 @@
 		assert.NilError(t, sound.Grow(4<<10))
 		sum := int64(0)
 		for _, a := range accounts {
-			assert.Assert(t, a.used <= limit/accountDivisor)
+			assert.Assert(t, a.used <= limit/2)
 			assert.Equal(t, a.used, a.reading)
 			sum += a.used
 		}
--- a/tier/kernel/messagebudgets.go
+++ b/tier/kernel/messagebudgets.go
@@ -10,7 +10,9 @@
 // leave room on the smallest host for the process itself and for memory that is not collected yet.
 const (
 	replyMemoryPercent  = 30
-	callerMemoryPercent = 10
+	callerMemoryPercent = 20
+	// minReplySenders is how many upstreams can use the whole memory for replies.
+	minReplySenders = 2
 	// heapPercent is the part from which on the process collects its garbage more often, which
 	// large messages leave behind.
 	heapPercent = 60
@@ -33,8 +35,8 @@
 func newMessageBudgets(s *Settings) MessageBudgets {
 	memory := s.Memory()
 	return MessageBudgets{
-		Replies: NewByteBudget(memory * replyMemoryPercent / percent),
-		Callers: NewByteBudget(memory * callerMemoryPercent / percent),
+		Replies: NewByteBudget(memory*replyMemoryPercent/percent, minReplySenders),
+		Callers: NewByteBudget(memory*callerMemoryPercent/percent, 1),
 	}
 }
 
--- a/tier/pass/answer.go
+++ b/tier/pass/answer.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"loomgap/tier/policy"
 )
@@ -73,12 +75,31 @@
 	} else if n := src.Get("Content-Length"); n != "" {
 		h.Set("Content-Length", n)
 	}
+	q.limitTakeTime(w, len(body))
 	w.WriteHeader(status)
 	if _, err := w.Write(body); err != nil {
 		q.engine.kernel.RequestLog.Info().Str("RequestID", q.in.id).Err(err).Msg("failed to write response to caller")
 	}
 }
 
+// limitTakeTime limits the time in which the caller takes a response.
+func (q *request) limitTakeTime(w http.ResponseWriter, size int) {
+	if _, forwarded := w.(*recorder); forwarded {
+		return // the host that sent the request writes the response
+	}
+	q.setWriteDeadline(w, time.Now().Add(q.engine.take.timeout(size)))
+}
+
+// resetTakeTime ends the limit that the last response of the connection had.
+func (q *request) resetTakeTime(w http.ResponseWriter) { q.setWriteDeadline(w, time.Time{}) }
+
+func (q *request) setWriteDeadline(w http.ResponseWriter, at time.Time) {
+	err := http.NewResponseController(w).SetWriteDeadline(at)
+	if err != nil && !errors.Is(err, http.ErrNotSupported) {
+		q.engine.kernel.RequestLog.Info().Str("RequestID", q.in.id).Err(err).Msg("failed to limit the time of a response")
+	}
+}
+
 // fail responds to a request that may have run and has no response. If the deadline has
 // passed, the outcome is outcomeLate instead of o.
 func (q *request) fail(w http.ResponseWriter, o outcome, r *policy.Result) {
--- a/tier/pass/endless_test.go
+++ b/tier/pass/endless_test.go
@@ -168,3 +168,92 @@
 		return poll.Success()
 	}, poll.WithTimeout(10*time.Second))
 }
+
+// TestCallerThatTakesNothingIsCutOff guards against a caller that holds its response for good, and
+// that a limit of one response ends the next.
+func TestCallerThatTakesNothingIsCutOff(t *testing.T) {
+	const size = 4 << 20
+	h, _ := newSingleSetup(t, good(strings.Repeat("z", size)))
+	h.engine.take = takeLimit{least: 200 * time.Millisecond, rate: 1 << 30}
+	c, err := net.Dial("tcp", h.server.Listener.Addr().String())
+	assert.NilError(t, err)
+	defer c.Close()
+	assert.NilError(t, c.(*net.TCPConn).SetReadBuffer(4<<10))
+	for i := range 10 {
+		_, err = fmt.Fprintf(c, "GET /read/ HTTP/1.1\r\nHost: shop.example\r\n%s: c%d\r\n%s: 5000\r\n\r\n", names.RequestID, i, names.DeadlineMillis)
+		assert.NilError(t, err)
+	}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if h.engine.pools.budget.Used() < size/2 {
+			return poll.Continue("the response is not held yet")
+		}
+		return poll.Success()
+	}, poll.WithTimeout(5*time.Second))
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if n := h.engine.pools.budget.Used(); n != 0 {
+			return poll.Continue("%d bytes in use", n)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(5*time.Second))
+	for i := range 2 {
+		r := h.send(http.MethodGet, "/read/", fmt.Sprint("kept", i), 3000, "")
+		assert.Equal(t, len(r.body), size)
+		time.Sleep(250 * time.Millisecond) // the limit of the response passes between two requests
+	}
+}
+
+// sendBody sends a request whose body has a length and stops before its end.
+func (h *host) sendBody(id string, length, sent int) net.Conn {
+	c, err := net.Dial("tcp", h.server.Listener.Addr().String())
+	assert.NilError(h.t, err)
+	h.t.Cleanup(func() { _ = c.Close() })
+	_, err = fmt.Fprintf(c, "POST /place/ HTTP/1.1\r\nHost: shop.example\r\n%s: %s\r\n%s: 2000\r\nContent-Length: %d\r\n\r\n",
+		names.RequestID, id, names.DeadlineMillis, length)
+	assert.NilError(h.t, err)
+	// The host may refuse the request before it has the whole body.
+	_, _ = c.Write(bytes.Repeat([]byte("b"), sent))
+	return c
+}
+
+// statusOf reads the status code of a response.
+func statusOf(t *testing.T, c net.Conn) string {
+	assert.NilError(t, c.SetReadDeadline(time.Now().Add(5*time.Second)))
+	line := make([]byte, len("HTTP/1.1 200"))
+	_, err := io.ReadFull(c, line)
+	assert.NilError(t, err)
+	return string(line[len(line)-3:])
+}
+
+// TestBodiesOfCallersFitTheSmallestHost guards against callers whose bodies do not end, which a host
+// held for good, and without a limit for all of them.
+func TestBodiesOfCallersFitTheSmallestHost(t *testing.T) {
+	const size, callers = 4 << 20, 12
+	h, _ := newSingleSetup(t, good("done"))
+	d := singleDoc()
+	d.Limits.Body = size
+	h.applyDocument(d)
+	var conns []net.Conn
+	for i := range callers {
+		conns = append(conns, h.sendBody(fmt.Sprint("b", i), size, size-1))
+	}
+	refused, incomplete := 0, 0
+	for _, c := range conns {
+		switch s := statusOf(t, c); s {
+		case "503":
+			refused++
+		case "408":
+			incomplete++
+		default:
+			t.Errorf("status %s", s)
+		}
+	}
+	assert.Assert(t, incomplete >= 1 && incomplete*size <= 32<<20, "%d bodies of %d bytes are held", incomplete, size)
+	assert.Equal(t, refused+incomplete, callers)
+	assert.Equal(t, h.send(http.MethodPost, "/place/", "last", 2000, strings.Repeat("b", size)).status, http.StatusOK)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if n := h.kernel.Budgets.Callers.Used(); n != 0 {
+			return poll.Continue("%d bytes in use", n)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(5*time.Second))
+}
--- a/tier/pass/engine.go
+++ b/tier/pass/engine.go
@@ -27,8 +27,10 @@
 	coordinate   coordinateState
 	coordinators coordinators
 	overhead     overhead
-	gates        gates
-	stated       statedTimes
+	// take limits the time in which callers take their responses; only tests change it.
+	take   takeLimit
+	gates  gates
+	stated statedTimes
 	// start opens once there is a configuration to serve requests with.
 	start startGate
 	// preconnected are the hosts that connections were opened to in advance; used on the
@@ -69,6 +71,7 @@
 	e := &engine{
 		kernel: k, headers: h, hosts: newHostTracker(), ids: newIDSource(), start: newStartGate(),
 		pools:      connPools{budget: k.Budgets.Replies},
+		take:       takeLimit{least: minTakeTime, rate: minTakeRate},
 		coordinate: coordinateState{heartbeat: heartbeatTimeouts{first: firstHeartbeatTimeout, next: heartbeatTimeout}},
 	}
 	e.handleRelay()
--- a/tier/pass/inbound.go
+++ b/tier/pass/inbound.go
@@ -2,11 +2,13 @@
 
 import (
 	"bytes"
+	"cmp"
 	"errors"
-	"io"
+	"fmt"
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -14,6 +16,7 @@
 	"loomgap/tier/config"
 	"loomgap/tier/kernel"
 	"loomgap/tier/policy"
+	"loomgap/tier/wire"
 )
 
 const (
@@ -24,8 +27,14 @@
 	deadlineReserveDivisor = 4
 	// defaultMaxBodyBytes limits the body of a request if the document sets no limit.
 	defaultMaxBodyBytes = 1 << 20
+	// retryAfterNoMemory is the retry delay given to callers whose body does not fit beside
+	// others.
+	retryAfterNoMemory = time.Second
 )
 
+// errBodyGaveWay means that the body of a request gave way to those of other requests.
+var errBodyGaveWay = fmt.Errorf("body gave way to those of other requests: %w", kernel.ErrNoRoom)
+
 type inboundRequest struct {
 	id string
 	// hostName and path select the route.
@@ -95,7 +104,7 @@
 	if !q.readDeadline(w, r) {
 		return false
 	}
-	body, ok := q.readBody(w, r)
+	body, ok := q.receiveBody(w, r)
 	if ok {
 		q.in.setContent(buildHead(r, &q.engine.headers, len(body)), body)
 	}
@@ -120,8 +129,9 @@
 	return true
 }
 
-// readBody reads the body. If that fails, it responds to the request and returns false.
-func (q *request) readBody(w http.ResponseWriter, r *http.Request) (body []byte, ok bool) {
+// receiveBody reads the body before the deadline. If that fails, it responds to the request and
+// returns false.
+func (q *request) receiveBody(w http.ResponseWriter, r *http.Request) (body []byte, ok bool) {
 	if r.Body == nil || r.Body == http.NoBody {
 		return nil, true
 	}
@@ -129,19 +139,46 @@
 	if maxBytes <= 0 {
 		maxBytes = defaultMaxBodyBytes
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBytes))
+	body, err := q.readBody(w, r, maxBytes)
 	var tooLarge *http.MaxBytesError
 	switch {
-	case errors.As(err, &tooLarge):
+	case err == nil:
+		return body, true
+	case errors.Is(err, kernel.ErrNoRoom):
+		w.Header().Set("Connection", "close")
+		q.refuse(w, "no memory for the body beside those of other requests", retryAfterNoMemory)
+	case errors.As(err, &tooLarge), errors.Is(err, wire.ErrTooLarge):
+		w.Header().Set("Connection", "close")
 		q.reject(w, http.StatusRequestEntityTooLarge, outcomeTooLarge, "body over "+strconv.FormatInt(maxBytes, 10)+" bytes: send a shorter one")
-		return nil, false
-	case err != nil:
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		w.Header().Set("Connection", "close")
+		q.reject(w, http.StatusRequestTimeout, outcomeInvalid, "body incomplete at the deadline of the request: send it faster")
+	default:
 		q.log(outcomeInvalid, http.StatusBadRequest).Err(err).Msg("failed to read request body")
 		w.Header().Set("Connection", "close")
 		w.WriteHeader(http.StatusBadRequest)
-		return nil, false
 	}
-	return body, true
+	return nil, false
+}
+
+// readBody reads a body of at most maxBytes, whose memory is held until the request ends.
+func (q *request) readBody(w http.ResponseWriter, r *http.Request, maxBytes int64) ([]byte, error) {
+	connection := http.NewResponseController(w)
+	left := max(q.times.deadline-q.engine.kernel.Now(), 0)
+	if err := connection.SetReadDeadline(time.Now().Add(left)); err != nil {
+		return nil, err
+	}
+	memory := q.engine.kernel.Budgets.Callers.Account().Reserve(func() { _ = connection.SetReadDeadline(time.Now()) })
+	body, err := wire.ReadAll(http.MaxBytesReader(w, r.Body, maxBytes), r.ContentLength, maxBytes, memory)
+	until := time.Time{} // the server reads on, to learn whether the caller goes away
+	if err != nil {
+		until = time.Now() // the server must not wait for the rest before it responds
+	}
+	err = cmp.Or(err, connection.SetReadDeadline(until))
+	if !kernel.HoldBytes(r.Context(), memory) {
+		return nil, errBodyGaveWay
+	}
+	return body, err
 }
 
 // connectionHeaders are the hop-by-hop headers, which are not forwarded (RFC 9110, section
--- a/tier/pass/plugin.go
+++ b/tier/pass/plugin.go
@@ -17,8 +17,25 @@
 	callerHeaderTimeout  = 10 * time.Second
 	callerIdleTimeout    = 2 * time.Minute
 	maxCallerHeaderBytes = 64 << 10
+	// minTakeTime is the least time in which a caller may take a response, and minTakeRate, in
+	// bytes per second, adds time for a large one. Without them a caller that takes nothing holds
+	// its response for good.
+	minTakeTime = 10 * time.Second
+	minTakeRate = 128 << 10
 )
 
+// takeLimit limits the time in which a caller takes a response.
+type takeLimit struct {
+	least time.Duration
+	// rate is in bytes per second.
+	rate int
+}
+
+// timeout returns the time in which a caller may take a number of bytes.
+func (l takeLimit) timeout(size int) time.Duration {
+	return l.least + time.Duration(size)*time.Second/time.Duration(l.rate)
+}
+
 type plugin struct{}
 
 var _ kernel.Plugin = plugin{}
--- a/tier/pass/serve.go
+++ b/tier/pass/serve.go
@@ -88,10 +88,14 @@
 	e.kernel.InFlight.Add(1)
 	defer e.kernel.InFlight.Add(-1)
 	e.kernel.AwaitPauseCheck()
+	heldCtx, release := kernel.WithHeldBytes(r.Context())
+	defer release()
+	r = r.WithContext(heldCtx)
 	q := &request{
 		engine: e, times: requestTimes{startedAt: e.kernel.Now()},
 		in: inboundRequest{id: r.Header.Get(e.headers.RequestID), method: r.Method, identity: policy.RequestIdentity{Caller: callerAddr(r)}},
 	}
+	q.resetTakeTime(w)
 	configured := e.start.await(r.Context(), startupWait-e.kernel.Now())
 	q.view = e.kernel.View()
 	if e.kernel.Phase() == kernel.PhaseDraining {
@@ -104,8 +108,7 @@
 	if !q.findRoute(w, r) || !q.read(w, r) || q.refuseQuarantined(w) {
 		return
 	}
-	ctx, release := kernel.WithHeldBytes(wire.ExtractTrace(r.Context(), r.Header))
-	defer release()
+	ctx := wire.ExtractTrace(r.Context(), r.Header)
 	if !q.forward(ctx, w) {
 		q.serve(ctx, w)
 		if q.times.decidedAt > 0 {
