peers: a bound for all messages that are read at the same time, and for their time

Callers saw nothing yet; found on the way through all readers of bytes from outside. Cause: a message between hosts had a bound of 4 MiB, all that are read at once had none, and some 4 KB unpack to 4 MiB; one that stopped halfway held its memory for good.

TestUnfinishedFrameEndsItsConnection: no time limit existed.

Why it works: a message reserves what it takes, packed and unpacked, from a budget of a fifth of the memory (five of the largest messages at least) until it is decoded; the largest of the peer that holds most gives way. Once begun it has 5 s and a second for each 128 KiB to arrive.

--- a/tier/peers/codec.go
+++ b/tier/peers/codec.go
@@ -8,11 +8,15 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
+	"os"
 	"sync"
+	"time"
 
 	"github.com/klauspost/compress/flate"
 	"github.com/sourcegraph/jsonrpc2"
 
+	"loomgap/tier/kernel"
 	"loomgap/tier/wire"
 )
 
@@ -22,12 +26,29 @@
 type frameCodec struct {
 	// minLimit raises the limit above wire.MaxReplyBytes, in bytes; 0 to leave it.
 	minLimit int
+	// conn is the connection that frames are read from; nil for no limit of the time.
+	conn net.Conn
+	// account limits the frames that are read at the same time; nil for no limit.
+	account *kernel.ByteAccount
+	// rejected is called with the error of a frame over a limit; nil if nobody needs it.
+	rejected func(error)
 }
 
 var _ jsonrpc2.ObjectCodec = frameCodec{}
 
-// lengthBytes is the size of the length prefix of a frame.
-const lengthBytes = 4
+const (
+	// lengthBytes is the size of the length prefix of a frame.
+	lengthBytes = 4
+	// smallFrameBytes is the size up to which a frame takes its memory before its bytes come.
+	smallFrameBytes = 64 << 10
+	// minFrameTime is the least time in which a frame must arrive once it has begun, and
+	// minFrameRate, in bytes per second, adds time for a large one.
+	minFrameTime = 5 * time.Second
+	minFrameRate = 128 << 10
+)
+
+// errFrameGaveWay means that a frame gave way to those of other hosts.
+var errFrameGaveWay = fmt.Errorf("frame gave way to those of other hosts: %w", kernel.ErrNoRoom)
 
 // dictionary is the preset compression dictionary: text that occurs in many messages. Both
 // ends must use the same one, so changing it changes the protocol.
@@ -70,43 +91,69 @@
 	if _, err := io.ReadFull(stream, head[:]); err != nil {
 		return err
 	}
-	n := binary.BigEndian.Uint32(head[:])
-	if int64(n) > int64(c.limit()) {
-		return fmt.Errorf("frame of %d bytes: %w", n, wire.ErrTooLarge)
+	memory := c.account.Reserve(func() { _ = c.conn.Close() })
+	defer memory.Release()
+	text, err := c.readText(stream, int64(binary.BigEndian.Uint32(head[:])), memory)
+	if !memory.Hold() {
+		err = errFrameGaveWay
 	}
-	packed, err := readFrame(stream, int64(n))
 	if err != nil {
+		c.report(err)
 		return err
 	}
+	return decode(text, v)
+}
+
+// report passes on the error of a frame over a limit.
+func (c frameCodec) report(err error) {
+	limited := errors.Is(err, wire.ErrTooLarge) || errors.Is(err, kernel.ErrNoRoom) || errors.Is(err, os.ErrDeadlineExceeded)
+	if limited && c.rejected != nil {
+		c.rejected(err)
+	}
+}
+
+// readText reads a frame of n bytes and returns its text.
+func (c frameCodec) readText(stream *bufio.Reader, n int64, memory *kernel.ByteReservation) ([]byte, error) {
+	if n > int64(c.limit()) {
+		return nil, fmt.Errorf("frame of %d bytes: %w", n, wire.ErrTooLarge)
+	}
+	packed, err := c.readFrame(stream, n, memory)
+	if err != nil {
+		return nil, err
+	}
 	r := inflaters.Get().(io.ReadCloser)
 	defer inflaters.Put(r)
 	if err := r.(flate.Resetter).Reset(bytes.NewReader(packed), dictionary); err != nil {
-		return fmt.Errorf("decompress frame: %w", err)
+		return nil, fmt.Errorf("decompress frame: %w", err)
 	}
-	text, err := io.ReadAll(io.LimitReader(r, int64(c.limit())+1))
+	text, err := wire.ReadAll(r, unknownLength, int64(c.limit()), memory)
 	if err != nil {
-		return fmt.Errorf("decompress frame: %w", err)
-	}
-	if len(text) > c.limit() {
-		return fmt.Errorf("decompressed frame: %w", wire.ErrTooLarge)
+		return nil, fmt.Errorf("decompress frame: %w", err)
 	}
-	return decode(text, v)
+	return text, nil
 }
 
+// unknownLength is the length of a message that ends where its reader ends.
+const unknownLength = -1
+
 // readFrame reads n bytes. A long frame takes memory only as it arrives, since its length may be
 // invalid.
-func readFrame(r io.Reader, n int64) ([]byte, error) {
-	if n <= wire.MaxReplyBytes {
-		packed := make([]byte, n)
-		_, err := io.ReadFull(r, packed)
-		return packed, err
-	}
-	var packed bytes.Buffer
-	_, err := io.CopyN(&packed, r, n)
-	if errors.Is(err, io.EOF) {
+func (c frameCodec) readFrame(r *bufio.Reader, n int64, memory *kernel.ByteReservation) ([]byte, error) {
+	if int64(r.Buffered()) < n && c.conn != nil {
+		limit := minFrameTime + time.Duration(n)*time.Second/minFrameRate
+		if err := c.conn.SetReadDeadline(time.Now().Add(limit)); err != nil {
+			return nil, err
+		}
+		defer func() { _ = c.conn.SetReadDeadline(time.Time{}) }() // the next read fails if the connection is closed
+	}
+	if n <= smallFrameBytes {
+		return wire.ReadAll(r, n, n, memory)
+	}
+	packed, err := wire.ReadAll(io.LimitReader(r, n), unknownLength, n, memory)
+	if err == nil && int64(len(packed)) < n {
 		err = io.ErrUnexpectedEOF
 	}
-	return packed.Bytes(), err
+	return packed, err
 }
 
 // encode returns the JSON text of a message. The library's messages encode themselves;
--- a/tier/peers/codec_test.go
+++ b/tier/peers/codec_test.go
@@ -4,10 +4,20 @@
 	"bufio"
 	"bytes"
 	"encoding/json"
+	"io"
+	"net"
+	"os"
+	"runtime"
+	"strings"
+	"sync"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
+	"loomgap/tier/kernel"
 	"loomgap/tier/wire"
 )
 
@@ -37,3 +47,73 @@
 	assert.NilError(t, frameCodec{}.ReadObject(bufio.NewReader(&frame), &back))
 	assert.DeepEqual(t, back, message)
 }
+
+// longFrame returns a frame with a message of n bytes that compress well.
+func longFrame(t *testing.T, n int) []byte {
+	var frame bytes.Buffer
+	message := map[string]string{"jsonrpc": "2.0", "method": "Unknown", "params": strings.Repeat("x", n)}
+	assert.NilError(t, frameCodec{minLimit: 2 * n}.WriteObject(&frame, message))
+	return frame.Bytes()
+}
+
+// TestFramesOfManyPeersFitTheSmallestHost guards against peers whose messages each keep their limit,
+// and take a host above its memory together: a few bytes unpack to a whole text.
+func TestFramesOfManyPeersFitTheSmallestHost(t *testing.T) {
+	const hostMB, connections = 160, 64
+	defer kernel.LimitHeap(&kernel.Settings{MemoryMB: hostMB})()
+	_, n, at := newTestNode(t)
+	frame := longFrame(t, 4<<20)
+	runtime.GC()
+	var all sync.WaitGroup
+	for range connections {
+		all.Go(func() {
+			c, err := net.Dial("tcp", at.String())
+			assert.Check(t, err)
+			defer c.Close()
+			for range 4 {
+				if _, err := c.Write(frame); err != nil {
+					return // the host has closed the connection
+				}
+			}
+			assert.Check(t, c.(*net.TCPConn).CloseWrite())
+			_, _ = io.Copy(io.Discard, c)
+		})
+	}
+	done := make(chan struct{})
+	go func() { all.Wait(); close(done) }()
+	peak := uint64(0)
+	for ended := false; !ended; {
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		peak = max(peak, m.HeapAlloc)
+		select {
+		case <-done:
+			ended = true
+		case <-time.After(time.Millisecond):
+		}
+	}
+	t.Logf("peak heap %d MB", peak>>20)
+	assert.Assert(t, peak < hostMB<<20*3/4, "%d MB", peak>>20)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if used := n.frames.Used(); used != 0 {
+			return poll.Continue("%d bytes in use", used)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(5*time.Second))
+}
+
+// TestUnfinishedFrameEndsItsConnection guards against a peer that stops within a message and holds its
+// memory for good.
+func TestUnfinishedFrameEndsItsConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		host, peer := net.Pipe()
+		defer peer.Close()
+		go func() { _, _ = peer.Write([]byte{0, 1, 0, 0, 'x'}) }()
+		var v any
+		var reported error
+		c := frameCodec{conn: host, account: kernel.NewByteBudget(1<<20, 1).Account(), rejected: func(err error) { reported = err }}
+		err := c.ReadObject(bufio.NewReader(host), &v)
+		assert.ErrorIs(t, err, os.ErrDeadlineExceeded)
+		assert.ErrorIs(t, reported, os.ErrDeadlineExceeded)
+	})
+}
--- a/tier/peers/node.go
+++ b/tier/peers/node.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/sourcegraph/jsonrpc2"
 
 	"loomgap/tier/kernel"
@@ -32,6 +33,23 @@
 	codeHandlerFailed = -32000
 )
 
+const (
+	// frameMemoryDivisor is the part of the memory that messages being read may take.
+	frameMemoryDivisor = 5
+	// framesAtLeast is how many of the largest messages fit, on a small host whose platform stores
+	// large documents too: packed, and their text twice while it is put together. A third of the
+	// memory is only for small messages.
+	framesAtLeast = 5
+)
+
+// minFrameLimit is the size of a message with the largest document, in bytes.
+func minFrameLimit(s *kernel.Settings) int { return packedDocumentFactor * int(maxDocumentBytes(s)) }
+
+// frameMemory is what the messages that are read at the same time may take, in bytes.
+func frameMemory(s *kernel.Settings) int64 {
+	return max(s.Memory()/frameMemoryDivisor, framesAtLeast*int64(minFrameLimit(s)))
+}
+
 var dialer = net.Dialer{Timeout: dialTimeout}
 
 // node serves and calls the peer protocol.
@@ -41,6 +59,8 @@
 	mu       sync.Mutex
 	// conns holds the outgoing connection to each address; guarded by mu.
 	conns map[netip.AddrPort]*outgoing
+	// frames limits the messages that are read from all peers at the same time.
+	frames *kernel.ByteBudget
 	// incoming holds the incoming connections; guarded by mu.
 	incoming map[*jsonrpc2.Conn]bool
 }
@@ -52,7 +72,10 @@
 	if err != nil {
 		return nil, nil, fmt.Errorf("listen for peers: %w (free the address or set -Peer)", err)
 	}
-	n := &node{kernel: k, listener: l, conns: map[netip.AddrPort]*outgoing{}, incoming: map[*jsonrpc2.Conn]bool{}}
+	n := &node{
+		kernel: k, listener: l, conns: map[netip.AddrPort]*outgoing{}, incoming: map[*jsonrpc2.Conn]bool{},
+		frames: kernel.NewByteBudget(frameMemory(&k.Settings), 1),
+	}
 	go n.accept()
 	return n, n.close, nil
 }
@@ -101,7 +124,13 @@
 }
 
 func (n *node) serveOn(c *peerConn) *jsonrpc2.Conn {
-	stream := jsonrpc2.NewBufferedStream(c, frameCodec{minLimit: packedDocumentFactor * int(maxDocumentBytes(&n.kernel.Settings))})
+	stream := jsonrpc2.NewBufferedStream(c, frameCodec{
+		minLimit: minFrameLimit(&n.kernel.Settings), conn: c, account: n.frames.Account(),
+		rejected: func(err error) {
+			metrics.GetOrCreateCounter("loomgap_peer_messages_rejected_total").Inc()
+			n.kernel.Log.Warn().Err(err).Stringer("Peer", c.RemoteAddr()).Msg("message of peer rejected, connection closed")
+		},
+	})
 	handler := jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(n.serve))
 	// The library's own log lines are dropped, since calls return the errors.
 	quiet := jsonrpc2.SetLogger(log.New(io.Discard, "", 0))
