--- a/loomfake/soak_test.go
+++ b/loomfake/soak_test.go
@@ -20,6 +20,7 @@
 
 	"loomgap/platform"
 	"loomgap/platform/mock"
+	"loomgap/tier/kernel"
 )
 
 // regressionSeeds are seeds that have revealed a bug, with its cause.
@@ -92,7 +93,7 @@
 			all.Go(func() { s.must(s.publish()) })
 		}
 		all.Wait()
-		source, closeSource := platform.Open(netip.MustParseAddrPort(server.Listener.Addr().String()))
+		source, closeSource := platform.Open(kernel.SourceConfig{Address: netip.MustParseAddrPort(server.Listener.Addr().String())})
 		p, err := source.Read(t.Context(), true)
 		closeSource()
 		server.Close()
--- a/tier/kernel/adapter.go
+++ b/tier/kernel/adapter.go
@@ -74,12 +74,20 @@
 	Missing string
 }
 
+// SourceConfig configures a source.
+type SourceConfig struct {
+	// Address is the address of the platform's service.
+	Address netip.AddrPort
+	// DocumentBytes is the size of the largest document that the platform stores; 0 for
+	// config.MaxBytes.
+	DocumentBytes int64
+}
+
 // Adapter connects the tier to the platform that it runs on.
 type Adapter struct {
 	Headers Headers
-	// Open returns a source that reads the platform's service at an address, and its
-	// cleanup function.
-	Open func(at netip.AddrPort) (Source, func())
+	// Open returns a source that reads the platform's service, and its cleanup function.
+	Open func(SourceConfig) (Source, func())
 	// Translate translates a published document. It depends only on the text, so that all
 	// hosts translate a document alike.
 	Translate func(text []byte) (*config.Translation, error)
--- a/tier/peers/feed.go
+++ b/tier/peers/feed.go
@@ -36,7 +36,7 @@
 	if err != nil {
 		return nil, err
 	}
-	source, closeSource := a.Open(k.Settings.Platform)
+	source, closeSource := a.Open(kernel.SourceConfig{Address: k.Settings.Platform, DocumentBytes: k.Settings.DocumentBytes})
 	f := &feed{kernel: k, source: source, announcer: &announcer{kernel: k}}
 	k.Do(func(s *kernel.State) { s.PlatformDown = true })
 	// Forward what a reader in another hall announces at once.
--- a/tier/peers/watch.go
+++ b/tier/peers/watch.go
@@ -37,6 +37,8 @@
 	escapedBytes = 6
 	// replyMargin is room for the other fields of a reply, in bytes.
 	replyMargin = 4 << 10
+	// maxReplyHeadBytes limits the status line and the headers of a reply.
+	maxReplyHeadBytes = 64 << 10
 )
 
 // watchPlugin reads the document and the live list from the platform over loomgap's protocol.
@@ -57,7 +59,7 @@
 func (watchPlugin) Skip(s *kernel.Settings) bool { return !s.Platform.IsValid() || s.Adapter != "" }
 
 func (watchPlugin) Run(ctx context.Context, k *kernel.Kernel) (func(), error) {
-	transport := &http.Transport{DisableCompression: true}
+	transport := &http.Transport{DisableCompression: true, MaxResponseHeaderBytes: maxReplyHeadBytes}
 	w := &watcher{kernel: k, client: &http.Client{Transport: transport}, listed: map[string]wire.LiveState{}}
 	stop := kernel.RunLoops(ctx,
 		func(ctx context.Context) { w.loop(ctx, w.readDocument, true) },
