loomctl: a limit for the reply of a host

Operators saw nothing yet. Cause: the body of a reply was read to its end, until the timeout of the command. Replies now have 64 MiB, heads 64 KiB.

--- a/loomctl/client.go
+++ b/loomctl/client.go
@@ -31,6 +31,13 @@
 	formatJSON = "JSON"
 )
 
+const (
+	// maxReplyHeadBytes limits the status line and the headers of a host's reply, and
+	// maxReplyBytes its body, which may be the status of a large fleet.
+	maxReplyHeadBytes = 64 << 10
+	maxReplyBytes     = 64 << 20
+)
+
 // connection holds the flags shared by all commands that talk to a host.
 type connection struct {
 	// host is the address of an entry host for callers.
@@ -83,7 +90,25 @@
 	return nil
 }
 
-func (c *connection) doer() goahttp.Doer { return &http.Client{Timeout: c.timeout} }
+func (c *connection) doer() goahttp.Doer {
+	t := &http.Transport{MaxResponseHeaderBytes: maxReplyHeadBytes}
+	return &http.Client{Timeout: c.timeout, Transport: limitedReplies{t}}
+}
+
+// limitedReplies limits the bodies of replies.
+type limitedReplies struct {
+	http.RoundTripper
+}
+
+// RoundTrip implements http.RoundTripper.
+func (l limitedReplies) RoundTrip(r *http.Request) (*http.Response, error) {
+	resp, err := l.RoundTripper.RoundTrip(r)
+	if err != nil {
+		return nil, err
+	}
+	resp.Body = http.MaxBytesReader(nil, resp.Body, maxReplyBytes)
+	return resp, nil
+}
 
 func (c *connection) entry() *entrygen.Client {
 	h := entryclient.NewClient("http", c.host.String(), c.doer(), goahttp.RequestEncoder, goahttp.ResponseDecoder, false)
