loomfake: the soak has upstreams whose responses do not end, and a promise about memory

The daemons are told 160 MB, and their resident memory, read every 20 ms, must stay below that. TestSoakMemory runs it with a daemon that is built without the race detector; TestEachCheckDetectsViolation has the new promise.

--- a/loomfake/scenario_test.go
+++ b/loomfake/scenario_test.go
@@ -24,6 +24,8 @@
 	portBlock = 150
 	// portStart keeps the ports of scenarios below the ephemeral ports of the system.
 	portStart = 20_000
+	// plainDaemon is the name of the daemon that is built without the race detector.
+	plainDaemon = "loomd-plain"
 )
 
 func TestMain(m *testing.M) {
@@ -39,8 +41,11 @@
 	}
 	defer func() { _ = os.RemoveAll(dir) }()
 	programs = dir
-	for _, args := range [][]string{{"-race", "loomgap/loomd"}, {"loomgap/loomctl"}, {"loomgap/loomfake"}} {
-		c := exec.Command("go", append([]string{"build", "-o", dir + string(filepath.Separator)}, args...)...)
+	for _, args := range [][]string{
+		{dir + string(filepath.Separator), "-race", "loomgap/loomd"}, {filepath.Join(dir, plainDaemon), "loomgap/loomd"},
+		{dir + string(filepath.Separator), "loomgap/loomctl"}, {dir + string(filepath.Separator), "loomgap/loomfake"},
+	} {
+		c := exec.Command("go", append([]string{"build", "-o"}, args...)...)
 		if out, err := c.CombinedOutput(); err != nil {
 			fmt.Fprintf(os.Stderr, "build %v: %v\n%s", args, err, out)
 			return 1
--- a/loomfake/soak.go
+++ b/loomfake/soak.go
@@ -30,6 +30,9 @@
 	Shards int
 	// Evacuate evacuates a hall after the faults.
 	Evacuate bool
+	// ChecksMemory checks the resident memory of the daemons; not of those that are built with the
+	// race detector, which takes several times the memory.
+	ChecksMemory bool
 	// Dir is the directory for the daemons' settings and logs.
 	Dir string
 }
@@ -52,6 +55,7 @@
 	f.IntVar(&c.Callers, "Callers", 12, "`number` of callers")
 	f.IntVar(&c.Shards, "Shards", 5, "`number` of shards")
 	f.BoolVar(&c.Evacuate, "Evacuate", true, "evacuate a hall once the faults have ended")
+	f.BoolVar(&c.ChecksMemory, "ChecksMemory", true, "check that no daemon takes more than 160 MB; not for a daemon built with the race detector")
 	f.StringVar(&c.Dir, "Dir", "", "`directory` for the daemons' logs; empty for a temporary one that is removed if no guarantee was violated")
 }
 
--- a/loomfake/soak_test.go
+++ b/loomfake/soak_test.go
@@ -46,11 +46,26 @@
 	t.Run("Evacuation", func(t *testing.T) { runSoak(t, 24, true) })
 }
 
-func runSoak(t *testing.T, seed uint64, evacuate bool) {
-	s, cleanUp, err := newSoak(soakConfig{
+// TestSoakMemory guards against endless bytes of upstreams, in a head or a body, that take a daemon above its
+// memory: real daemons without the race detector, which takes several times the memory.
+func TestSoakMemory(t *testing.T) {
+	c := soakConfigOf(t, 55, false)
+	c.Daemon, c.ChecksMemory = filepath.Join(programs, plainDaemon), true
+	runSoakOf(t, c)
+}
+
+func runSoak(t *testing.T, seed uint64, evacuate bool) { runSoakOf(t, soakConfigOf(t, seed, evacuate)) }
+
+func soakConfigOf(t *testing.T, seed uint64, evacuate bool) soakConfig {
+	return soakConfig{
 		Seed: seed, FaultDuration: 4 * time.Second, Daemon: filepath.Join(programs, "loomd"), Hosts: 2, Callers: 6, Shards: 4, Dir: t.TempDir(),
 		Evacuate: evacuate,
-	})
+	}
+}
+
+func runSoakOf(t *testing.T, c soakConfig) {
+	seed := c.Seed
+	s, cleanUp, err := newSoak(c)
 	assert.NilError(t, err)
 	err = s.run(t.Context())
 	cleanUp()
@@ -246,6 +261,10 @@
 			s.addArrival("single1", "x", 10*second)
 			s.requests = append(s.requests, soakRequest{id: "x", kind: "safe", err: errors.New("cut"), sentAt: 10 * second, endedAt: 11 * second})
 		}},
+		{"memory", func(s *soak) {
+			s.ChecksMemory = true
+			s.hosts[0].peakMemory = soakMemoryMB<<20 + 1
+		}},
 		{"recovery", func(s *soak) {
 			s.requests = append(s.requests, soakRequest{id: "z", kind: "safe", status: 502, sentAt: 40 * second, endedAt: 41 * second})
 		}},
--- a/loomfake/soakcheck.go
+++ b/loomfake/soakcheck.go
@@ -50,6 +50,7 @@
 	c.checkExcludedUpstreams()
 	c.checkRetries()
 	c.checkRecovery()
+	c.checkMemory()
 	return c.violations
 }
 
--- a/loomfake/soakfault.go
+++ b/loomfake/soakfault.go
@@ -242,5 +242,6 @@
 	for _, u := range s.upstreams {
 		u.link.setFaults(linkFaults{})
 		u.setFaults(soakUpstreamFaults{})
+		u.setEndless(nil)
 	}
 }
--- a/loomfake/soakhost.go
+++ b/loomfake/soakhost.go
@@ -51,6 +51,8 @@
 	// process is the daemon that was started last; ended is closed when it ends.
 	process *exec.Cmd
 	ended   chan struct{}
+	// peakMemory is the largest resident memory of the daemons, in bytes.
+	peakMemory int64
 	// generations counts the daemons that were started.
 	generations int
 	// disturbedAt is when a planned stop or another fault last started or ended.
@@ -84,8 +86,8 @@
 		seeds = append(seeds, o.peer.String())
 	}
 	text := fmt.Sprintf("LOOMD_ADAPTER=%s\nLOOMD_HOST=%s\nLOOMD_HALL=%s\nLOOMD_LISTEN=%s\nLOOMD_OPERATE=%s\nLOOMD_PEER=%s\nLOOMD_PLATFORM=%s\n"+
-		"LOOMD_SEEDS=%s\nLOOMD_RETRYRATIO=%g\nLOOMD_RETRYSLACK=%d\nLOOMD_WATCHWAIT=1s\nLOOMD_SETTLE=700ms\nLOOMD_OVERLOAD=Shortage\nLOOMD_STOPBOUND=2500ms\n",
-		platform.Name, h.name, h.hall, h.listen, h.operate, h.peer, h.storeAddress, strings.Join(seeds, ","), soakRetryRatio, soakRetrySlack)
+		"LOOMD_SEEDS=%s\nLOOMD_MEMORYMB=%d\nLOOMD_RETRYRATIO=%g\nLOOMD_RETRYSLACK=%d\nLOOMD_WATCHWAIT=1s\nLOOMD_SETTLE=700ms\nLOOMD_OVERLOAD=Shortage\nLOOMD_STOPBOUND=2500ms\n",
+		platform.Name, h.name, h.hall, h.listen, h.operate, h.peer, h.storeAddress, strings.Join(seeds, ","), soakMemoryMB, soakRetryRatio, soakRetrySlack)
 	return os.WriteFile(h.settingsPath, []byte(text), 0o600)
 }
 
--- a/loomfake/soakreport.go
+++ b/loomfake/soakreport.go
@@ -22,6 +22,11 @@
 	for _, kind := range []requestKind{kindGather, kindSafe, kindUnsafe} {
 		s.writeLatencies(w, kind)
 	}
+	peak := int64(0)
+	for _, h := range s.hosts {
+		peak = max(peak, h.peakMemory)
+	}
+	fmt.Fprintf(w, "\nlargest resident memory of a daemon: %d MB\n", peak>>20)
 	fmt.Fprintf(w, "\n%d broken\n", len(violations))
 	for _, b := range violations {
 		fmt.Fprintln(w, "- "+b)
--- a/loomfake/soakrun.go
+++ b/loomfake/soakrun.go
@@ -117,6 +117,7 @@
 		return err
 	}
 	var wg sync.WaitGroup
+	wg.Go(func() { s.watchMemory(callers) })
 	for i := range s.Callers {
 		c := &caller{host: i % len(s.hosts), step: 1, pause: soakThinkTime}
 		wg.Go(func() { s.runCaller(callers, c) })
@@ -124,6 +125,7 @@
 	sleepContext(ctx, soakWarmup)
 	faults, stopFaults := context.WithTimeout(ctx, s.FaultDuration)
 	wg.Go(func() { s.injectOverload(faults) })
+	wg.Go(func() { s.injectEndless(faults) })
 	s.injectFaults(faults)
 	stopFaults()
 	s.clearFaults()
--- a/loomfake/soakupstream.go
+++ b/loomfake/soakupstream.go
@@ -37,6 +37,8 @@
 	// mu guards the fields below.
 	mu     sync.Mutex
 	faults soakUpstreamFaults
+	// endless is the form of endless responses that the upstream sends; nil for none.
+	endless *endlessForm
 	// arrivals are in order of time.
 	arrivals []arrival
 	// leavingAt is when the upstream was listed as leaving, or 0.
@@ -61,7 +63,7 @@
 func (u *soakUpstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h := platform.Headers
 	u.mu.Lock()
-	f := u.faults
+	f, endless := u.faults, u.endless
 	shed := rand.Float64() < f.Shed || r.Header.Get(h.Upstream) != u.Name || !u.slots.reserve()
 	n := len(u.arrivals)
 	u.arrivals = append(u.arrivals, arrival{at: u.now(), id: r.Header.Get(h.RequestID)})
@@ -77,6 +79,10 @@
 		u.mu.Lock()
 		u.arrivals[n].ran = true
 		u.mu.Unlock()
+		if endless != nil && rand.Float64() < soakEndlessShare {
+			u.serveEndless(w, r, endless)
+			return
+		}
 		u.serve(w, r, f)
 	})
 }
