loomfake: a scenario of the own interface with replies that never end, and the hosts' memory

Cause: the own interface's endless replies came at 16 bytes a millisecond, too slow to reach a limit, so no test with real programs met one. FloodShare sends them as fast as the host reads.

--- a/loomfake/commands_test.go
+++ b/loomfake/commands_test.go
@@ -38,6 +38,25 @@
 		}
 		return s.awaitReady(n)
 	}),
+	// daemon NAME: starts hosts with that program from now on.
+	"daemon": scenarioCommand(1, func(s *scenario, _ *testscript.TestScript, args []string) error {
+		s.daemon = args[0]
+		return nil
+	}),
+	// memory MB NAME...: checks that no process of those has taken more resident memory so far.
+	"memory": scenarioCommand(2, func(s *scenario, ts *testscript.TestScript, args []string) error {
+		for _, name := range args[1:] {
+			peak, err := peakResidentMB(s.processes[name].command.Process.Pid)
+			if err != nil {
+				return err
+			}
+			ts.Logf("%s had %d MB at most", name, peak)
+			if peak > atoi(ts, args[0]) {
+				return fmt.Errorf("%s had %d MB", name, peak)
+			}
+		}
+		return nil
+	}),
 	// signal NAME STOP|CONT|KILL|TERM: signals a process. KILL and TERM wait for its end.
 	"signal": scenarioCommand(2, func(s *scenario, _ *testscript.TestScript, args []string) error {
 		return s.signal(args[0], args[1])
--- a/loomfake/harness_test.go
+++ b/loomfake/harness_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"fmt"
 	"io"
 	"net/http"
@@ -26,6 +27,8 @@
 	port   int
 	dir    string
 	shards int
+	// daemon is the name of the daemon's program; empty for the one with the race detector.
+	daemon string
 	// env is the environment of the processes.
 	env []string
 	// documentFlags are flags of loomfake document.
@@ -97,7 +100,7 @@
 // startHost starts entry host i.
 func (s *scenario) startHost(i int, more ...string) error {
 	args := []string{
-		"loomd", "serve", "-Host", fmt.Sprintf("H%d", i), "-Hall", defaultHall, "-Listen", s.callerAddress(i),
+		cmp.Or(s.daemon, "loomd"), "serve", "-Host", fmt.Sprintf("H%d", i), "-Hall", defaultHall, "-Listen", s.callerAddress(i),
 		"-Peer", s.address(10*i + 1), "-Operate", s.operatorAddress(i), "-Platform", s.platformAddress(), "-Level", "debug",
 	}
 	for j := 1; j <= 9; j++ {
@@ -195,3 +198,15 @@
 	}
 	return out, nil
 }
+
+// peakResidentMB returns the largest resident memory that a process has had, in MB.
+func peakResidentMB(pid int) (int, error) {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return 0, err
+	}
+	_, after, _ := strings.Cut(string(text), "VmHWM:")
+	var kilobytes int
+	_, err = fmt.Sscan(after, &kilobytes)
+	return kilobytes >> 10, err
+}
--- a/loomfake/upstreamserver.go
+++ b/loomfake/upstreamserver.go
@@ -33,6 +33,8 @@
 	CutShare float64
 	// EndlessShare of the replies never end.
 	EndlessShare float64
+	// FloodShare of the replies never end either, and are sent as fast as the host reads them.
+	FloodShare float64
 	// ShedShare of the calls are refused without running.
 	ShedShare float64
 	// Draining refuses new calls and reports the upstream as leaving in every reply.
@@ -236,7 +238,9 @@
 		_, _ = w.Write([]byte(`{"RequestID":"` + out.RequestID))
 		panic(http.ErrAbortHandler)
 	case u.chance(f.EndlessShare):
-		writeEndlessly(w, r)
+		writeEndlessly(w, r, make([]byte, 16), time.Millisecond)
+	case u.chance(f.FloodShare):
+		writeEndlessly(w, r, make([]byte, floodBlockBytes), 0)
 	case u.chance(f.CrossShare):
 		out.RequestID = "another-" + out.RequestID
 		out.Count += 7
@@ -246,14 +250,20 @@
 	}
 }
 
-// writeEndlessly writes spaces until the client gives up.
-func writeEndlessly(w http.ResponseWriter, r *http.Request) {
+// floodBlockBytes is the size of a block of an endless reply that is sent as fast as the host reads.
+const floodBlockBytes = 64 << 10
+
+// writeEndlessly writes blocks of spaces, with a pause after each, until the client gives up.
+func writeEndlessly(w http.ResponseWriter, r *http.Request, block []byte, pause time.Duration) {
+	for i := range block {
+		block[i] = ' '
+	}
 	for r.Context().Err() == nil {
-		if _, err := w.Write([]byte(`                `)); err != nil {
+		if _, err := w.Write(block); err != nil {
 			return
 		}
 		_ = http.NewResponseController(w).Flush()
-		time.Sleep(time.Millisecond)
+		time.Sleep(pause)
 	}
 }
 
