--- a/tier/kernel/bytebudget.go
+++ b/tier/kernel/bytebudget.go
@@ -1,6 +1,7 @@
 package kernel
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"slices"
@@ -36,8 +37,6 @@
 	used int64
 	// accounts holds the accounts with reservations.
 	accounts map[*ByteAccount]struct{}
-	// revoked counts the reservations that gave way.
-	revoked uint64
 }
 
 // ByteAccount is the part of a budget that one sender uses.
@@ -103,7 +102,6 @@
 	for _, v := range victims {
 		v.free()
 		v.revoked = true
-		b.revoked++
 	}
 	if ok {
 		r.add(n)
@@ -210,16 +208,16 @@
 	return most
 }
 
-// largest returns the largest messages, other than r, that can give way, are over a size, and together
-// have at least n bytes; nil if that takes more than maxGivingWay. The budget's mu must be held.
-func (a *ByteAccount) largest(n, over int64, r *ByteReservation) []*ByteReservation {
+// largest returns the largest messages, other than r, that can give way, are larger than above, and have
+// at least n bytes together; nil if that takes more than maxGivingWay. The budget's mu must be held.
+func (a *ByteAccount) largest(n, above int64, r *ByteReservation) []*ByteReservation {
 	var all []*ByteReservation
 	for v := range a.reservations {
-		if v != r && !v.held && v.size > over {
+		if v != r && !v.held && v.size > above {
 			all = append(all, v)
 		}
 	}
-	slices.SortFunc(all, func(x, y *ByteReservation) int { return int(y.size - x.size) })
+	slices.SortFunc(all, func(x, y *ByteReservation) int { return cmp.Compare(y.size, x.size) })
 	sum := int64(0)
 	for i, v := range all[:min(len(all), maxGivingWay)] {
 		if sum += v.size; sum >= n {
