--- a/loomfake/scenario_test.go
+++ b/loomfake/scenario_test.go
@@ -42,8 +42,10 @@
 	defer func() { _ = os.RemoveAll(dir) }()
 	programs = dir
 	for _, args := range [][]string{
-		{dir + string(filepath.Separator), "-race", "loomgap/loomd"}, {filepath.Join(dir, plainDaemon), "loomgap/loomd"},
-		{dir + string(filepath.Separator), "loomgap/loomctl"}, {dir + string(filepath.Separator), "loomgap/loomfake"},
+		{dir + string(filepath.Separator), "-race", "loomgap/loomd"},
+		{filepath.Join(dir, plainDaemon), "loomgap/loomd"},
+		{dir + string(filepath.Separator), "loomgap/loomctl"},
+		{dir + string(filepath.Separator), "loomgap/loomfake"},
 	} {
 		c := exec.Command("go", append([]string{"build", "-o"}, args...)...)
 		if out, err := c.CombinedOutput(); err != nil {
