--- a/tier/kernel/messagebudgets.go
+++ b/tier/kernel/messagebudgets.go
@@ -10,7 +10,7 @@
 // leave room on the smallest host for the process itself and for memory that is not collected yet.
 const (
 	replyMemoryPercent  = 30
-	callerMemoryPercent = 20
+	callerMemoryPercent = 10
 	// minReplySenders is how many upstreams can use the whole memory for replies.
 	minReplySenders = 2
 	// heapPercent is the part from which on the process collects its garbage more often, which
--- a/tier/pass/endless_test.go
+++ b/tier/pass/endless_test.go
@@ -247,7 +247,7 @@
 			t.Errorf("status %s", s)
 		}
 	}
-	assert.Assert(t, incomplete >= 1 && incomplete*size <= 32<<20, "%d bodies of %d bytes are held", incomplete, size)
+	assert.Assert(t, incomplete >= 1 && incomplete*size <= 16<<20, "%d bodies of %d bytes are held", incomplete, size)
 	assert.Equal(t, refused+incomplete, callers)
 	assert.Equal(t, h.send(http.MethodPost, "/place/", "last", 2000, strings.Repeat("b", size)).status, http.StatusOK)
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
