--- a/tier/entry/endless_test.go
+++ b/tier/entry/endless_test.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"runtime"
 	"strings"
 	"sync"
 	"testing"
@@ -18,15 +17,13 @@
 
 	"loomgap/tier/config"
 	"loomgap/tier/kernel"
+	"loomgap/tier/kernel/memory"
 	"loomgap/tier/policy"
 	"loomgap/tier/query"
 	"loomgap/tier/wire"
 )
 
 const (
-	// hostMB is the memory of the smallest host, in MB.
-	hostMB     = 160
-	hostMemory = hostMB << 20
 	// writtenLimit is the most that a reply of the tests sends, so that a client without limits
 	// does not use up the memory of the machine.
 	writtenLimit = 6 << 20
@@ -62,27 +59,6 @@
 	return netip.MustParseAddrPort(l.Addr().String())
 }
 
-// peakHeap calls f and returns the largest heap meanwhile, in bytes.
-func peakHeap(f func()) uint64 {
-	runtime.GC()
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		f()
-	}()
-	peak := uint64(0)
-	for {
-		var m runtime.MemStats
-		runtime.ReadMemStats(&m)
-		peak = max(peak, m.HeapAlloc)
-		select {
-		case <-done:
-			return peak
-		case <-time.After(time.Millisecond):
-		}
-	}
-}
-
 // TestEndlessRepliesFitTheSmallestHost guards against upstreams whose replies do not end, in a head or
 // a body: read by many calls at once, they took a host above its memory.
 func TestEndlessRepliesFitTheSmallestHost(t *testing.T) {
@@ -94,7 +70,7 @@
 	rows := string(begin[:len(begin)-len("]}")]) + strings.Repeat(",{}", 1<<20) + "]}"
 	sound, err := wire.Encode(wire.PartReply{Identity: id, Snapshot: 1, Rows: []query.Row{{Key: strings.Repeat("k", 200<<10)}}})
 	assert.NilError(t, err)
-	defer kernel.LimitHeap(&kernel.Settings{MemoryMB: hostMB})()
+	defer kernel.LimitHeap(&kernel.Settings{MemoryMB: memory.HostMB})()
 	for _, tt := range []struct{ name, begin, repeat string }{
 		{"body", head + "\r\n", "x"},
 		{"chunks", head + "Transfer-Encoding: chunked\r\n\r\n", "400\r\n" + strings.Repeat("x", 1024) + "\r\n"},
@@ -103,7 +79,7 @@
 		{"rows that take more memory than text", fmt.Sprintf("%sConnection: close\r\nContent-Length: %d\r\n\r\n%s", head, len(rows), rows), ""},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
-			budgets := kernel.NewByteBudget(hostMemory*3/10, 2)
+			budgets := kernel.NewByteBudget(memory.HostBytes*3/10, 2)
 			body, err := wire.Encode(benchRequest())
 			assert.NilError(t, err)
 			call := func(c *client) policy.CallOutcome {
@@ -123,7 +99,7 @@
 			soundReply := fmt.Sprintf("%sContent-Length: %d\r\nConnection: close\r\n\r\n%s", head, len(sound), sound)
 			other := newClient(&config.Upstream{Address: serveRaw(t, soundReply, "")}, calls, budgets.Account())
 			defer other.close()
-			peak := peakHeap(func() {
+			peak := memory.PeakHeap(func() {
 				var all sync.WaitGroup
 				for i := range calls {
 					all.Go(func() {
@@ -137,7 +113,7 @@
 				all.Wait()
 			})
 			t.Logf("peak heap %d MB", peak>>20)
-			assert.Assert(t, peak < hostMemory*3/4, "%d MB", peak>>20)
+			assert.Assert(t, peak < memory.HostBytes*3/4, "%d MB", peak>>20)
 			assert.Equal(t, budgets.Used(), int64(0))
 		})
 	}
--- a/tier/pass/endless_test.go
+++ b/tier/pass/endless_test.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"net/http"
-	"runtime"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -17,35 +16,9 @@
 	"gotest.tools/v3/poll"
 
 	"loomgap/tier/kernel"
+	"loomgap/tier/kernel/memory"
 )
 
-const (
-	// hostMB is the memory of the smallest host, in MB.
-	hostMB     = 160
-	hostMemory = hostMB << 20
-)
-
-// peakHeap calls f and returns the largest heap meanwhile, in bytes.
-func peakHeap(f func()) uint64 {
-	runtime.GC()
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		f()
-	}()
-	peak := uint64(0)
-	for {
-		var m runtime.MemStats
-		runtime.ReadMemStats(&m)
-		peak = max(peak, m.HeapAlloc)
-		select {
-		case <-done:
-			return peak
-		case <-time.After(time.Millisecond):
-		}
-	}
-}
-
 // stalled sends size bytes of a body without a length, and then nothing until the host closes.
 func stalled(size int, sent func()) replyFunc {
 	return func(_ *fakeUpstream, c net.Conn, r *http.Request) bool {
@@ -99,7 +72,7 @@
 func TestManyResponsesFitTheSmallestHost(t *testing.T) {
 	const head = "HTTP/1.1 200 X\r\nX-Id: {id}\r\nX-Stamp: s\r\n"
 	const upstreams, calls = 32, 128
-	defer kernel.LimitHeap(&kernel.Settings{MemoryMB: hostMB})()
+	defer kernel.LimitHeap(&kernel.Settings{MemoryMB: memory.HostMB})()
 	for _, tt := range []struct{ name, begin, repeat string }{
 		{"short headers", head, "X:\r\n"},
 		{"different headers", head, "A:1\r\nB:1\r\nC:1\r\nD:1\r\nE:1\r\nF:1\r\nG:1\r\nH:1\r\n"},
@@ -114,7 +87,7 @@
 			for i := range upstreams {
 				h.listUpstream("Orders", "A", newFakeUpstream(t, fmt.Sprint("F", i), endless(tt.begin, tt.repeat, &written)), false)
 			}
-			peak := peakHeap(func() {
+			peak := memory.PeakHeap(func() {
 				var all sync.WaitGroup
 				for i := range calls {
 					all.Go(func() {
@@ -125,7 +98,7 @@
 				all.Wait()
 			})
 			t.Logf("peak heap %d MB", peak>>20)
-			assert.Assert(t, peak < hostMemory*3/4, "%d MB", peak>>20)
+			assert.Assert(t, peak < memory.HostBytes*3/4, "%d MB", peak>>20)
 		})
 	}
 }
--- a/tier/peers/codec_test.go
+++ b/tier/peers/codec_test.go
@@ -7,7 +7,6 @@
 	"io"
 	"net"
 	"os"
-	"runtime"
 	"strings"
 	"sync"
 	"testing"
@@ -18,6 +17,7 @@
 	"gotest.tools/v3/poll"
 
 	"loomgap/tier/kernel"
+	"loomgap/tier/kernel/memory"
 	"loomgap/tier/wire"
 )
 
@@ -59,41 +59,30 @@
 // TestFramesOfManyPeersFitTheSmallestHost guards against peers whose messages each keep their limit,
 // and take a host above its memory together: a few bytes unpack to a whole text.
 func TestFramesOfManyPeersFitTheSmallestHost(t *testing.T) {
-	const hostMB, connections = 160, 64
-	defer kernel.LimitHeap(&kernel.Settings{MemoryMB: hostMB})()
+	const connections = 64
+	defer kernel.LimitHeap(&kernel.Settings{MemoryMB: memory.HostMB})()
 	_, n, at := newTestNode(t)
 	frame := longFrame(t, 4<<20)
-	runtime.GC()
-	var all sync.WaitGroup
-	for range connections {
-		all.Go(func() {
-			c, err := net.Dial("tcp", at.String())
-			assert.Check(t, err)
-			defer c.Close()
-			for range 4 {
-				if _, err := c.Write(frame); err != nil {
-					return // the host has closed the connection
+	peak := memory.PeakHeap(func() {
+		var all sync.WaitGroup
+		for range connections {
+			all.Go(func() {
+				c, err := net.Dial("tcp", at.String())
+				assert.Check(t, err)
+				defer c.Close()
+				for range 4 {
+					if _, err := c.Write(frame); err != nil {
+						return // the host has closed the connection
+					}
 				}
-			}
-			assert.Check(t, c.(*net.TCPConn).CloseWrite())
-			_, _ = io.Copy(io.Discard, c)
-		})
-	}
-	done := make(chan struct{})
-	go func() { all.Wait(); close(done) }()
-	peak := uint64(0)
-	for ended := false; !ended; {
-		var m runtime.MemStats
-		runtime.ReadMemStats(&m)
-		peak = max(peak, m.HeapAlloc)
-		select {
-		case <-done:
-			ended = true
-		case <-time.After(time.Millisecond):
+				assert.Check(t, c.(*net.TCPConn).CloseWrite())
+				_, _ = io.Copy(io.Discard, c)
+			})
 		}
-	}
+		all.Wait()
+	})
 	t.Logf("peak heap %d MB", peak>>20)
-	assert.Assert(t, peak < hostMB<<20*3/4, "%d MB", peak>>20)
+	assert.Assert(t, peak < memory.HostBytes*3/4, "%d MB", peak>>20)
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		if used := n.frames.Used(); used != 0 {
 			return poll.Continue("%d bytes in use", used)
