pass: chunks of a few bytes end a response early, not after 16 MiB

Cause: a fixed limit of what a body takes on its connection, whatever it amounts to. Change: twice the bytes that were read of the body, and 1 MiB. TestShortChunksAreRead shows what stays allowed: 100 KB in chunks of one byte, 8 MiB in chunks of eight.

--- a/tier/pass/read_limit.go
+++ b/tier/pass/read_limit.go
@@ -12,9 +12,11 @@
 	// maxResponseHeadBytes limits the status line and the headers of a response, together
 	// with those of the interim responses before it.
 	maxResponseHeadBytes = 256 << 10
-	// maxBodyWireBytes limits what the body of a response takes on the connection. Small chunks
-	// take many times the bytes of the body, and processor time for each.
-	maxBodyWireBytes = 2 * maxResponseBytes
+	// maxChunkingFactor and maxChunkingBytes limit what a body takes on the connection: as many times
+	// the bytes that were read of it, and some bytes more. Small chunks take many times the bytes of
+	// the body, and processor time for each.
+	maxChunkingFactor = 2
+	maxChunkingBytes  = 1 << 20
 	// freeHeadBytes is the part of a head whose memory is not reserved: a call takes more by
 	// itself.
 	freeHeadBytes = readBufferBytes
@@ -26,8 +28,9 @@
 var (
 	// errHeadTooLarge means that the head of a response exceeds maxResponseHeadBytes.
 	errHeadTooLarge = fmt.Errorf("head of response over %d bytes: %w", maxResponseHeadBytes, wire.ErrTooLarge)
-	// errBodyWireTooLarge means that the body of a response exceeds maxBodyWireBytes.
-	errBodyWireTooLarge = fmt.Errorf("body of response over %d bytes in its transfer encoding: %w", maxBodyWireBytes, wire.ErrTooLarge)
+	// errChunksTooSmall means that the body of a response exceeds maxChunkingFactor and
+	// maxChunkingBytes.
+	errChunksTooSmall = fmt.Errorf("body of response in chunks that are too small: %w", wire.ErrTooLarge)
 )
 
 // readLimit is a reader that limits the bytes of a response. It is used by one goroutine.
@@ -50,9 +53,24 @@
 	*l = readLimit{Reader: l.Reader, left: maxResponseHeadBytes, over: errHeadTooLarge, memory: memory, unreserved: freeHeadBytes}
 }
 
-// startBody begins the body of the response, which reserves its memory by itself.
-func (l *readLimit) startBody() {
-	l.left, l.over, l.memory = maxBodyWireBytes, errBodyWireTooLarge, nil
+// startBody begins the body of the response, which reserves its memory by itself, and returns a reader
+// of it.
+func (l *readLimit) startBody(body io.ReadCloser) io.ReadCloser {
+	l.left, l.over, l.memory = maxChunkingBytes, errChunksTooSmall, nil
+	return &bodyReader{ReadCloser: body, limit: l}
+}
+
+// bodyReader reads a body without its transfer encoding, and allows as many times its bytes on the
+// connection.
+type bodyReader struct {
+	io.ReadCloser
+	limit *readLimit
+}
+
+func (b *bodyReader) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	b.limit.left += maxChunkingFactor * int64(n)
+	return n, err
 }
 
 func (l *readLimit) Read(p []byte) (int, error) {
--- a/tier/pass/response.go
+++ b/tier/pass/response.go
@@ -89,7 +89,9 @@
 	if err != nil {
 		return nil, false, n.limit.explain(err)
 	}
-	n.limit.startBody()
+	if r.Body != http.NoBody {
+		r.Body = n.limit.startBody(r.Body)
+	}
 	body, err := wire.ReadBody(r, maxResponseBytes, memory)
 	if err != nil {
 		// Closing the body would read the rest of it, which may be endless. The caller closes
--- a/tier/pass/response_test.go
+++ b/tier/pass/response_test.go
@@ -53,7 +53,7 @@
 		{"interim responses", "", "HTTP/1.1 103 X\r\nX-More: 1\r\n\r\n", maxResponseHeadBytes, true},
 		{"body", head + "\r\n", "x", maxResponseBytes, true},
 		{"chunks", head + "Transfer-Encoding: chunked\r\n\r\n", "400\r\n" + strings.Repeat("x", 1024) + "\r\n", 2 * maxResponseBytes, true},
-		{"chunks of one byte", head + "Transfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n", maxBodyWireBytes, true},
+		{"chunks of one byte", head + "Transfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n", 2 * maxChunkingBytes, true},
 		{"chunk extension", head + "Transfer-Encoding: chunked\r\n\r\n1;", "x", maxResponseHeadBytes, false},
 		{"trailers", head + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "X-More: 1\r\n", maxResponseHeadBytes, false},
 	} {
@@ -136,3 +136,19 @@
 		assert.Equal(t, h.engine.pools.budget.Used(), int64(0))
 	}
 }
+
+// TestShortChunksAreRead guards against a limit for small chunks that a sound response meets: the whole body
+// of an upstream that writes a few bytes at a time is read.
+func TestShortChunksAreRead(t *testing.T) {
+	for _, tt := range []struct{ chunk, count int }{{1, 100 << 10}, {8, maxResponseBytes / 8}} {
+		chunk := fmt.Sprintf("%x\r\n%s\r\n", tt.chunk, strings.Repeat("x", tt.chunk))
+		h, _ := newSingleSetup(t, func(_ *fakeUpstream, c net.Conn, r *http.Request) bool {
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 X\r\n%s: %s\r\n%s: s\r\nTransfer-Encoding: chunked\r\n\r\n", names.RequestID, r.Header.Get(names.RequestID), names.Stamp)
+			_, _ = io.WriteString(c, strings.Repeat(chunk, tt.count)+"0\r\n\r\n")
+			return false
+		})
+		r := h.send(http.MethodGet, "/read/", "1", 10_000, "")
+		assert.Equal(t, r.status, http.StatusOK)
+		assert.Equal(t, len(r.body), tt.chunk*tt.count)
+	}
+}
