--- a/tier/entry/endless_test.go
+++ b/tier/entry/endless_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -103,8 +104,11 @@
 				var all sync.WaitGroup
 				for i := range calls {
 					all.Go(func() {
-						// On a busy machine some find no connection in time.
-						assert.Check(t, call(clients[i%upstreams]) != policy.CallOK)
+						outcome := call(clients[i%upstreams])
+						// On a busy machine some find no connection in time, and are Unreachable.
+						assert.Check(t, slices.Contains([]policy.CallOutcome{
+							policy.CallMalformed, policy.CallNoRoom, policy.CallBroken, policy.CallUnreachable,
+						}, outcome), outcome)
 					})
 				}
 				for range calls / upstreams {
--- a/tier/kernel/messagebudgets.go
+++ b/tier/kernel/messagebudgets.go
@@ -11,7 +11,7 @@
 const (
 	replyMemoryPercent  = 30
 	callerMemoryPercent = 10
-	// minReplySenders is how many upstreams can use the whole memory for replies.
+	// minReplySenders is the least number of upstreams that can use up the memory for replies.
 	minReplySenders = 2
 	// heapPercent is the part from which on the process collects its garbage more often, which
 	// large messages leave behind.
