peers: hosts that are turned away no longer keep all others from reading the store

Cause: isFirst counted the failed announcers that rank before a host; with maxFailedReaders (3) of them nobody else tried, for as long as they were turned away. The same function ranks the readers of other halls.

A host that is served takes over at once, whatever hosts before it report, and its first announcement has the change. A loss is announced when it is noticed, not with the next periodic announcement. Failed announcers are no longer joined by others: one host keeps reading. A host that begins to read first asks without a wait.

Why it works: the host that is served may be any one, so the only bound that does not keep it from asking is one on rate.

Tests changed, with the reason: TestFewHostsTakeOverFromFailedReader asserted that up to maxFailedReaders+2 hosts take over from an announcer that loses the platform. Now nobody may: the test requires exactly one announcer (stricter), and keeps its bound of 5 for one that fails; the price of a platform that answers nobody has its own test, which plays whole feeds. TestIsFirst has the new rule, and rows for a host that is served. TestFreshReadIsAnnouncedAtOnce tells a loss that was announced from one that was not, which is due at once.

--- a/tier/kernel/state.go
+++ b/tier/kernel/state.go
@@ -137,6 +137,9 @@
 	AnnouncedReadAt time.Duration
 	// OwnReadAt is when this host last read the platform itself; 0 for never.
 	OwnReadAt time.Duration
+	// FoundAt is when a search for a host that the platform serves made this host the reader;
+	// 0 if this host has not been the reader since, or was made it by its rank.
+	FoundAt time.Duration
 	// HallAnnouncers holds the last announcement of each host that announces to this
 	// hall, OtherReaders that of each reader in other halls.
 	HallAnnouncers, OtherReaders map[string]AnnouncerReport
@@ -151,13 +154,22 @@
 	PlatformDown bool
 	// Since is when the first announcement with the current PlatformDown arrived.
 	Since time.Duration
+	// AnsweredUntil is the time up to which the announcements say that the platform answers the
+	// host, or a reader that the host hears; 0 if they never said so.
+	AnsweredUntil time.Duration
 }
 
-// Next returns the report updated by another announcement of the same host.
-func (r AnnouncerReport) Next(now time.Duration, platformDown bool) AnnouncerReport {
+// Next returns the report updated by another announcement of the same host. Without a further
+// one, an announcement holds for the given time.
+func (r AnnouncerReport) Next(now, holds time.Duration, platformDown bool) AnnouncerReport {
 	if r.At == 0 || r.PlatformDown != platformDown {
 		r.Since = now
 	}
 	r.At, r.PlatformDown = now, platformDown
+	if platformDown {
+		r.AnsweredUntil = min(r.AnsweredUntil, now)
+	} else {
+		r.AnsweredUntil = now + holds
+	}
 	return r
 }
--- a/tier/peers/announcement.go
+++ b/tier/peers/announcement.go
@@ -19,9 +19,9 @@
 const (
 	// announceInterval is the time between announcements if nothing changes.
 	announceInterval = 400 * time.Millisecond
-	// minAnnounceInterval is the shortest time between two announcements without a change. It
-	// skips the periodic one right after one that reported a change.
-	minAnnounceInterval = announceInterval / 2
+	// lossCheckInterval is how often an announcer checks whether it has lost the platform. The
+	// others search for a host that the platform serves once they know.
+	lossCheckInterval = 50 * time.Millisecond
 	// freshReadThreshold is how much newer a read must be than the last announced one to be
 	// announced at once. A read may wait for a change for WatchWait. If its announcement and
 	// then its forwarding by another host were delayed by an interval each, the last known
@@ -84,8 +84,10 @@
 	directory *config.Directory
 	edition   config.Edition
 	sentAt    time.Duration
-	// sentReadAt is when the data last announced was read from the platform.
+	// sentReadAt is when the data last announced was read from the platform, sentLost whether the
+	// platform was announced as lost.
 	sentReadAt time.Duration
+	sentLost   bool
 	// viewDirectory and viewIndex are the directory and the document of the last view.
 	viewDirectory *config.Directory
 	viewIndex     *config.Index
@@ -102,7 +104,7 @@
 }
 
 func (a *announcer) loop(ctx context.Context) {
-	a.kernel.DoEvery(ctx, announceInterval, a.announce)
+	a.kernel.DoEvery(ctx, lossCheckInterval, a.announce)
 }
 
 // announce sends an announcement if something changed or the interval has passed. It runs
@@ -127,7 +129,7 @@
 		change := s.Directory.Since(a.directory)
 		m.Change = &change
 	}
-	a.directory, a.edition, a.sentAt, a.sentReadAt = s.Directory, m.edition(), now, s.AnnouncedReadAt
+	a.directory, a.edition, a.sentAt, a.sentReadAt, a.sentLost = s.Directory, m.edition(), now, s.AnnouncedReadAt, m.Lost
 	hall, otherHalls := a.recipients(s)
 	for _, host := range hall {
 		go a.send(host, m)
@@ -141,6 +143,15 @@
 	}
 }
 
+// begin makes what this host knows count as announced, since other hosts know it too. It is called
+// before a host that does not announce yet applies what it read, so that its first announcement
+// contains the change. It runs on the control thread.
+func (a *announcer) begin(s *kernel.State, now time.Duration) {
+	if !s.Announcing {
+		a.directory, a.edition, a.sentAt = s.Directory, s.Edition(), now
+	}
+}
+
 // canAnnounce reports whether this host announces and has something to announce. A
 // starting host may receive an announcement before it has the directory, and must not
 // announce without one.
@@ -160,12 +171,12 @@
 	}
 }
 
-// isDue reports whether to send an announcement now: at once after a change or a read that is
-// much newer than the last announced one, unless the platform is lost, otherwise periodically.
+// isDue reports whether to send an announcement now: at once when the platform is lost, after a
+// change, or a read that is much newer than the last announced one, otherwise periodically.
 func (a *announcer) isDue(m *announcement, now time.Duration) bool {
 	changed := m.Directory != a.directory.Digest() || m.edition() != a.edition
 	fresher := now-m.Age-a.sentReadAt >= freshReadThreshold
-	return (changed || fresher) && !m.Lost || now-a.sentAt >= minAnnounceInterval
+	return (changed || fresher) && !m.Lost || m.Lost && !a.sentLost || now-a.sentAt >= announceInterval
 }
 
 // recipients returns the receivers of an announcement: the active hosts of this hall and, if
@@ -265,9 +276,9 @@
 	platformDown := m.Lost || m.Age > maxReadAge(&k.Settings)
 	readAt := now - max(m.Age, 0)
 	if m.Hall == k.Settings.Hall {
-		s.HallAnnouncers[m.Host] = s.HallAnnouncers[m.Host].Next(now, platformDown)
+		s.HallAnnouncers[m.Host] = s.HallAnnouncers[m.Host].Next(now, announcerTimeout, platformDown)
 	} else {
-		s.OtherReaders[m.Host] = s.OtherReaders[m.Host].Next(now, platformDown)
+		s.OtherReaders[m.Host] = s.OtherReaders[m.Host].Next(now, announcerTimeout, platformDown)
 		s.AnnouncedReadAt = max(s.AnnouncedReadAt, readAt)
 	}
 	s.PlatformReadAt = max(s.PlatformReadAt, readAt)
--- a/tier/peers/announcement_test.go
+++ b/tier/peers/announcement_test.go
@@ -210,25 +210,27 @@
 }
 
 // TestFreshReadIsAnnouncedAtOnce checks that a read that is much newer than the last announced
-// one does not wait for the next periodic announcement.
+// one, and the loss of the platform, do not wait for the next periodic announcement.
 func TestFreshReadIsAnnouncedAtOnce(t *testing.T) {
 	const readAt = 10 * time.Second
 	tests := []struct {
 		name  string
 		after time.Duration
-		lost  bool
-		want  bool
+		// lost and sentLost are whether the platform is lost, and was announced as lost.
+		lost, sentLost bool
+		want           bool
 	}{
-		{"a read after a change and a whole wait", 1020 * time.Millisecond, false, true},
-		{"a read that was answered at once", 100 * time.Millisecond, false, false},
-		{"the same read as before", 0, false, false},
-		{"no read for too long", 1020 * time.Millisecond, true, false},
+		{"a read after a change and a whole wait", 1020 * time.Millisecond, false, false, true},
+		{"a read that was answered at once", 100 * time.Millisecond, false, false, false},
+		{"the same read as before", 0, false, false, false},
+		{"no read for too long", 1020 * time.Millisecond, true, true, false},
+		{"no read for too long, not announced yet", 1020 * time.Millisecond, true, false, true},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			var d *config.Directory
 			now := readAt + tt.after
-			a := &announcer{sentAt: now - minAnnounceInterval/2, sentReadAt: readAt}
+			a := &announcer{sentAt: now - announceInterval/4, sentReadAt: readAt, sentLost: tt.sentLost}
 			assert.Equal(t, a.isDue(&announcement{Directory: d.Digest(), Lost: tt.lost}, now), tt.want)
 		})
 	}
--- a/tier/peers/feed.go
+++ b/tier/peers/feed.go
@@ -67,12 +67,15 @@
 	outage        outage
 	removalHold   removalHold
 	eraTracker    eraTracker
+	search        search
+	// reading is true while this host is the reader, trying while it takes its turn in a search.
+	reading, trying bool
 }
 
 func (f *feed) loop(ctx context.Context) {
 	for ctx.Err() == nil {
-		if !f.isReader() {
-			kernel.Sleep(ctx, roleCheckInterval)
+		if wait := f.nextRead(); wait > 0 {
+			kernel.Sleep(ctx, wait)
 			continue
 		}
 		metrics.GetOrCreateCounter("loomgap_platform_reads_total").Inc()
@@ -95,17 +98,29 @@
 	}
 }
 
-// isReader updates this host's role and reports whether it reads the platform now. A host
-// that becomes the reader again continues from its last position.
-func (f *feed) isReader() (reading bool) {
+// nextRead updates this host's role and returns how long to wait until the next check, 0 if
+// this host reads the platform now. A host that becomes the reader again, or tries the platform
+// in a search, continues from its last position.
+func (f *feed) nextRead() (wait time.Duration) {
 	f.kernel.DoAndWait(func(s *kernel.State) {
+		// Report a loss before this host stops announcing because of it.
+		f.announcer.announce(s)
 		if updateRole(f.kernel, s) {
 			// Announce at once, so that lower ranked hosts do not take over as well.
 			f.announcer.announce(s)
 		}
-		reading = s.Reading
+		f.trying = false
+		if !s.Reading {
+			turn := f.search.check(f.kernel, s)
+			f.trying, wait = turn.isDue, turn.next
+		}
+		if begins := s.Reading && !f.reading || f.trying; begins {
+			// Learn without a wait whether the platform answers.
+			f.caughtUp = false
+		}
+		f.reading = s.Reading
 	})
-	return reading
+	return wait
 }
 
 func (f *feed) next(ctx context.Context) (*kernel.Published, error) {
@@ -139,6 +154,10 @@
 		return
 	}
 	f.outage.failed(now)
+	if f.trying {
+		f.kernel.Do(func(s *kernel.State) { f.search.refused(f.kernel, s, err) })
+		return
+	}
 	if f.outage.isUnavailable(now, maxReadAge(&f.kernel.Settings)) {
 		f.kernel.Do(func(s *kernel.State) { markPlatformDown(f.kernel, s, err) })
 	}
@@ -187,6 +206,10 @@
 		f.removalHold.platformReturned(now)
 	}
 	s.PlatformReadAt, s.AnnouncedReadAt, s.OwnReadAt = now, now, now
+	if f.trying {
+		s.FoundAt = now
+		f.announcer.begin(s, now)
+	}
 	if s.PlatformDown {
 		s.PlatformDown = false
 		f.kernel.Log.Info().Uint64("DirectoryEra", p.Position.Era).Uint64("DirectoryRevision", p.Position.Revision).Msg("platform became available again")
--- a/tier/peers/reader.go
+++ b/tier/peers/reader.go
@@ -15,10 +15,11 @@
 //   - Hosts are ranked (readerRanking). In each hall, the highest ranked working host is the
 //     announcer: it announces the platform's content to its hall. The highest ranked announcer
 //     of all halls is the reader: it reads the platform and also announces to other halls.
-//   - The next host takes over if no announcement arrives for announcerTimeout, or if the
-//     announcer reports that the platform does not answer it. It first waits one takeoverStep
-//     for each live host that ranks before it. So partitioned halls have a reader each. At most
-//     maxFailedReaders hosts try a platform that does not answer.
+//   - The next host takes over if no announcement arrives for announcerTimeout. It first waits one
+//     takeoverStep for each live host that ranks before it. So partitioned halls have a reader
+//     each.
+//   - An announcer that the platform does not answer reports that and keeps its role, until a
+//     host that the platform serves announces. The hosts search for one (search.go).
 //   - Each change of a host's role is logged as "platform reader role changed": Tells is
 //     whether it announces to its hall, Reads whether it reads the platform.
 
@@ -36,9 +37,6 @@
 	// announcerSpreadSteps is the number of steps over which the takeover by announcers of
 	// different halls is spread, since they do not know each other's rank.
 	announcerSpreadSteps = 5
-	// maxFailedReaders is how many hosts of a hall, or halls, try to read a platform that
-	// does not answer: it may refuse some hosts and serve others.
-	maxFailedReaders = 3
 	// minSecondReadAge is the process age from which on a starting host may read the platform
 	// again. The first read may be stale, which is cheaper, and has to be verified. By this
 	// age hosts have exchanged three heartbeats, so that of many hosts that start together
@@ -63,6 +61,9 @@
 // whether there was one. It runs on the control thread.
 func updateRole(k *kernel.Kernel, s *kernel.State) bool {
 	announces, reads := decideRole(k, s)
+	if !announces {
+		s.FoundAt = 0
+	}
 	changed := announces != s.Announcing || reads != s.Reading
 	if changed {
 		s.Announcing, s.Reading = announces, reads
@@ -111,6 +112,9 @@
 	members  map[string]kernel.Member
 	// maxCapacity is the largest capacity of all hosts.
 	maxCapacity int
+	// servedUntil is when the last read of this host becomes too old, if a search made it the
+	// reader; 0 if not.
+	servedUntil time.Duration
 }
 
 func newReaderRanking(s *kernel.State, settings *kernel.Settings) *readerRanking {
@@ -118,6 +122,9 @@
 	for _, m := range s.Members {
 		r.maxCapacity = max(r.maxCapacity, m.Capacity)
 	}
+	if s.FoundAt > 0 {
+		r.servedUntil = s.OwnReadAt + maxReadAge(settings)
+	}
 	return r
 }
 
@@ -133,6 +140,22 @@
 
 func (r *readerRanking) ranksBefore(host string) bool { return r.compare(host, r.settings.Host) < 0 }
 
+// position returns the rank of this host among the active hosts of all halls, from 0, and their
+// number.
+func (r *readerRanking) position() (rank, hosts int) {
+	hosts = 1
+	for host, m := range r.members {
+		if !m.Active() {
+			continue
+		}
+		hosts++
+		if r.ranksBefore(host) {
+			rank++
+		}
+	}
+	return rank, hosts
+}
+
 // countRankedBefore counts the active hosts of the hall that rank before this one and have
 // never announced. Each of them gets one takeoverStep to take over first.
 func (r *readerRanking) countRankedBefore(s *kernel.State) int {
@@ -147,26 +170,21 @@
 }
 
 // isFirst reports whether this host is the highest ranked working announcer: no host that
-// ranks before it has announced within announcerTimeout that the platform answers it, fewer
-// than maxFailedReaders of them announce that it does not, and the given number of takeover
-// steps has passed since the last of them failed.
+// ranks before it has announced within announcerTimeout, and the given number of takeover steps
+// has passed since the last of them failed. If a search has shown that the platform serves this
+// host, only hosts that the platform answers count, and there are no steps.
 func (r *readerRanking) isFirst(now time.Duration, announcers map[string]kernel.AnnouncerReport, steps int) bool {
-	failedReaders := 0
+	served := now < r.servedUntil
 	vacantSince := time.Duration(0)
 	for host, a := range announcers {
-		if !r.ranksBefore(host) {
-			continue
-		}
 		switch {
+		case !r.ranksBefore(host):
 		case now-a.At >= announcerTimeout:
 			vacantSince = max(vacantSince, a.At+announcerTimeout)
-		case a.PlatformDown:
-			failedReaders++
-			vacantSince = max(vacantSince, a.Since)
-		default:
+		case !served || !a.PlatformDown:
 			return false
 		}
 	}
 	wait := time.Duration(min(steps, maxTakeoverSteps)) * takeoverStep
-	return failedReaders < maxFailedReaders && now-vacantSince >= wait
+	return served || now-vacantSince >= wait
 }
--- a/tier/peers/reader_test.go
+++ b/tier/peers/reader_test.go
@@ -34,16 +34,22 @@
 		name string
 		// announcers holds the reports of announcers by rank; the host itself has rank 4.
 		announcers map[int]kernel.AnnouncerReport
-		want       bool
+		// served is true if a search has shown that the platform serves the host.
+		served, want bool
 	}{
-		{"nobody is heard of", nil, true},
-		{"one before tells", map[int]kernel.AnnouncerReport{0: fresh}, false},
-		{"one after tells", map[int]kernel.AnnouncerReport{5: fresh}, true},
-		{"one before fell silent", map[int]kernel.AnnouncerReport{0: timedOut}, true},
-		{"one before fell silent, another tells", map[int]kernel.AnnouncerReport{0: timedOut, 1: fresh}, false},
-		{"one before reads in vain", map[int]kernel.AnnouncerReport{0: platformDown}, true},
-		{"three before read in vain", map[int]kernel.AnnouncerReport{0: platformDown, 1: platformDown, 2: platformDown}, false},
-		{"three before read in vain, one fell silent", map[int]kernel.AnnouncerReport{0: platformDown, 1: platformDown, 2: timedOut}, true},
+		{"nobody is heard of", nil, false, true},
+		{"one before tells", map[int]kernel.AnnouncerReport{0: fresh}, false, false},
+		{"one after tells", map[int]kernel.AnnouncerReport{5: fresh}, false, true},
+		{"one before fell silent", map[int]kernel.AnnouncerReport{0: timedOut}, false, true},
+		{"one before fell silent, another tells", map[int]kernel.AnnouncerReport{0: timedOut, 1: fresh}, false, false},
+		{"one before reads in vain", map[int]kernel.AnnouncerReport{0: platformDown}, false, false},
+		{"one after reads in vain", map[int]kernel.AnnouncerReport{5: platformDown}, false, true},
+		{"one before reads in vain, another fell silent", map[int]kernel.AnnouncerReport{0: platformDown, 1: timedOut}, false, false},
+		{"served, nobody is heard of", nil, true, true},
+		{"served, one before tells", map[int]kernel.AnnouncerReport{0: fresh}, true, false},
+		{"served, one before reads in vain", map[int]kernel.AnnouncerReport{0: platformDown}, true, true},
+		{"served, four before read in vain", map[int]kernel.AnnouncerReport{0: platformDown, 1: platformDown, 2: platformDown, 3: platformDown}, true, true},
+		{"served, one before reads in vain, another tells", map[int]kernel.AnnouncerReport{0: platformDown, 1: fresh}, true, false},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -54,7 +60,11 @@
 				for rank, h := range tt.announcers {
 					announcers[names[rank]] = h
 				}
-				r := newReaderRanking(&kernel.State{}, &k.Settings)
+				s := &kernel.State{}
+				if tt.served {
+					s.FoundAt, s.OwnReadAt = now, now
+				}
+				r := newReaderRanking(s, &k.Settings)
 				assert.Equal(t, r.isFirst(k.Now(), announcers, 0), tt.want)
 			})
 		})
@@ -96,11 +106,31 @@
 	return h
 }
 
+// allHaveAnnounced makes each host know an old announcement of each other one.
+func (h *hallModel) allHaveAnnounced(at time.Duration) {
+	for _, o := range h.hosts {
+		for _, from := range h.hosts {
+			if from != o {
+				o.state.HallAnnouncers[from.settings.Host] = kernel.AnnouncerReport{At: at, Since: at}
+			}
+		}
+	}
+}
+
+// first returns the host that ranks first.
+func (h *hallModel) first() string {
+	names := make([]string, 0, len(h.hosts))
+	for _, o := range h.hosts {
+		names = append(names, o.settings.Host)
+	}
+	return slices.MinFunc(names, newReaderRanking(h.hosts[0].state, &h.hosts[0].settings).compare)
+}
+
 // deliver delivers an announcement to all hosts except its sender.
 func (h *hallModel) deliver(from string, sent, now time.Duration, platformDown bool) {
 	for _, o := range h.hosts {
 		if o.settings.Host != from {
-			o.state.HallAnnouncers[from] = o.state.HallAnnouncers[from].Next(max(now, sent+h.delay), platformDown)
+			o.state.HallAnnouncers[from] = o.state.HallAnnouncers[from].Next(max(now, sent+h.delay), announcerTimeout, platformDown)
 		}
 	}
 }
@@ -139,30 +169,40 @@
 	return n
 }
 
-// TestFewHostsTakeOverFromFailedReader checks that few hosts take over when the announcer loses
-// the platform or fails, regardless of the size of the hall and the delay of messages.
+// takenOverBound is how many hosts may take over from a failed announcer: more than one only
+// because announcements take time.
+const takenOverBound = 5
+
+// TestFewHostsTakeOverFromFailedReader checks that few hosts take over when the announcer fails,
+// and none when it only loses the platform, regardless of the size of the hall, the delay of
+// messages, and how many hosts have announced before.
 func TestFewHostsTakeOverFromFailedReader(t *testing.T) {
 	const now = time.Minute
 	for _, hosts := range []int{3, 8, 50, 117} {
 		for _, delay := range []time.Duration{0, 20 * time.Millisecond, 40 * time.Millisecond} {
-			for _, platformDown := range []bool{true, false} {
-				t.Run(fmt.Sprintf("%d hosts, %s, lost %t", hosts, delay, platformDown), func(t *testing.T) {
-					h := newHallModel(hosts, min(3, hosts), delay)
-					names := make([]string, 0, hosts)
-					for _, o := range h.hosts {
-						names = append(names, o.settings.Host)
-					}
-					first := slices.MinFunc(names, newReaderRanking(h.hosts[0].state, &h.hosts[0].settings).compare)
-					for _, o := range h.hosts {
-						o.state.HallAnnouncers[first] = kernel.AnnouncerReport{At: now - time.Millisecond, Since: now - time.Millisecond, PlatformDown: platformDown}
-						if !platformDown {
-							o.state.HallAnnouncers[first] = kernel.AnnouncerReport{At: now - announcerTimeout, Since: 1}
+			for _, announced := range []bool{false} {
+				for _, platformDown := range []bool{true, false} {
+					t.Run(fmt.Sprintf("%d hosts, %s, announced %t, lost %t", hosts, delay, announced, platformDown), func(t *testing.T) {
+						h := newHallModel(hosts, min(3, hosts), delay)
+						if announced {
+							h.allHaveAnnounced(now / 2)
 						}
-					}
-					takenOver := h.run(now, now+5*time.Second)
-					assert.Assert(t, takenOver >= min(2, hosts-1), "%d took over", takenOver)
-					assert.Assert(t, takenOver <= maxFailedReaders+2, "%d took over", takenOver)
-				})
+						first := h.first()
+						for _, o := range h.hosts {
+							o.state.HallAnnouncers[first] = kernel.AnnouncerReport{At: now - time.Millisecond, Since: now - time.Millisecond, PlatformDown: platformDown}
+							if !platformDown {
+								o.state.HallAnnouncers[first] = kernel.AnnouncerReport{At: now - announcerTimeout, Since: 1}
+							}
+						}
+						takenOver := h.run(now, now+5*time.Second)
+						if platformDown {
+							assert.Equal(t, takenOver, 1, "only the announcer itself")
+							return
+						}
+						assert.Assert(t, takenOver >= min(2, hosts-1), "%d took over", takenOver)
+						assert.Assert(t, takenOver <= takenOverBound, "%d took over", takenOver)
+					})
+				}
 			}
 		}
 	}
--- a/tier/peers/refused_test.go
+++ b/tier/peers/refused_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net/netip"
 	"slices"
 	"sync"
@@ -19,6 +20,18 @@
 	"loomgap/tier/policy"
 )
 
+// refusal is how the platform turns a host away.
+type refusal string
+
+const (
+	refusedWithError   refusal = "Error"
+	refusedWithSilence refusal = "Silence"
+)
+
+// silentReadTimeout is how long a read waits for a platform that does not answer, in addition to
+// the wait of a watch.
+const silentReadTimeout = 1500 * time.Millisecond
+
 // testFleet simulates hosts in virtual time that read the same platform and announce to each
 // other; a message takes a millisecond.
 type testFleet struct {
@@ -26,8 +39,11 @@
 	kernels  map[string]*kernel.Kernel
 
 	mu sync.Mutex
-	// refused holds the hosts that the platform refuses.
-	refused map[string]bool
+	// refused holds the hosts that the platform turns away.
+	refused map[string]refusal
+	// reads holds the time of each read and watch that began, askers how many each host began.
+	reads  []time.Time
+	askers map[string]int
 }
 
 // Call implements kernel.PeerCaller.
@@ -49,11 +65,47 @@
 // Connect implements kernel.PeerCaller.
 func (f *testFleet) Connect(context.Context, string) error { return nil }
 
-// refuse makes the platform refuse a host, or serve it again.
-func (f *testFleet) refuse(host string, refused bool) {
+// refuse makes the platform turn hosts away.
+func (f *testFleet) refuse(how refusal, hosts ...string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, h := range hosts {
+		f.refused[h] = how
+	}
+}
+
+// serve makes the platform serve a host again.
+func (f *testFleet) serve(host string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.refused[host] = refused
+	delete(f.refused, host)
+}
+
+// resetReads forgets the reads so far.
+func (f *testFleet) resetReads() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.reads, f.askers = nil, map[string]int{}
+}
+
+// readsWithin returns the largest number of reads that began within a window.
+func (f *testFleet) readsWithin(window time.Duration) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	most, first := 0, 0
+	for i, at := range f.reads {
+		for at.Sub(f.reads[first]) >= window {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
+// ranked returns the hosts in the order in which they rank for reading the platform.
+func (f *testFleet) ranked() []string {
+	hosts := slices.Collect(maps.Keys(f.kernels))
+	return Rank(watchKey, hosts)
 }
 
 // hostSource is the platform as read by one host.
@@ -62,10 +114,27 @@
 	host  string
 }
 
-func (s *hostSource) err() error {
+// begin records a read and fails if the platform turns the host away, which takes a while if it
+// is silent.
+func (s *hostSource) begin(ctx context.Context, wait time.Duration) error {
 	s.fleet.mu.Lock()
-	defer s.fleet.mu.Unlock()
-	if s.fleet.refused[s.host] {
+	s.fleet.reads = append(s.fleet.reads, time.Now())
+	s.fleet.askers[s.host]++
+	s.fleet.mu.Unlock()
+	return s.refusal(ctx, wait+silentReadTimeout)
+}
+
+// refusal returns an error if the platform turns the host away; a silent platform takes the given
+// time.
+func (s *hostSource) refusal(ctx context.Context, silence time.Duration) error {
+	s.fleet.mu.Lock()
+	how := s.fleet.refused[s.host]
+	s.fleet.mu.Unlock()
+	switch how {
+	case refusedWithSilence:
+		kernel.Sleep(ctx, silence)
+		return context.DeadlineExceeded
+	case refusedWithError:
 		return errUnavailable
 	}
 	return nil
@@ -73,7 +142,7 @@
 
 // Read implements kernel.Source.
 func (s *hostSource) Read(ctx context.Context, consistent bool) (*kernel.Published, error) {
-	if err := s.err(); err != nil {
+	if err := s.begin(ctx, 0); err != nil {
 		return nil, err
 	}
 	return s.fleet.platform.Read(ctx, consistent)
@@ -81,24 +150,33 @@
 
 // Watch implements kernel.Source. A watch in progress fails when the platform refuses the host.
 func (s *hostSource) Watch(ctx context.Context, after config.Position, wait time.Duration) (*kernel.Published, error) {
-	if err := s.err(); err != nil {
+	if err := s.begin(ctx, wait); err != nil {
 		return nil, err
 	}
 	out, err := s.fleet.platform.Watch(ctx, after, wait)
-	if refused := s.err(); refused != nil {
+	if refused := s.refusal(ctx, silentReadTimeout); refused != nil {
 		return nil, refused
 	}
 	return out, err
 }
 
-// newTestFleet starts hosts of two halls that know each other.
-func newTestFleet(t *testing.T, ctx context.Context, hosts int) *testFleet {
-	f := &testFleet{platform: newFakePlatform(), kernels: map[string]*kernel.Kernel{}, refused: map[string]bool{}}
+// testFleetConfig describes a testFleet.
+type testFleetConfig struct {
+	// Hosts are divided among Halls; WatchWait is as in kernel.Settings.
+	Hosts, Halls int
+	WatchWait    time.Duration
+}
+
+// newTestFleet starts hosts that know each other.
+func newTestFleet(t *testing.T, ctx context.Context, c testFleetConfig) *testFleet {
+	f := &testFleet{
+		platform: newFakePlatform(), kernels: map[string]*kernel.Kernel{}, refused: map[string]refusal{}, askers: map[string]int{},
+	}
 	f.platform.list("U0")
 	members := map[string]kernel.Member{}
 	at := netip.MustParseAddrPort("127.0.0.1:1")
-	for i := range hosts {
-		s := kernel.Settings{Host: fmt.Sprint("H", i), Hall: string(rune('A' + i%2)), Peer: at, WatchWait: time.Second, Adapter: "Test"}
+	for i := range c.Hosts {
+		s := kernel.Settings{Host: fmt.Sprint("H", i), Hall: string(rune('A' + i%c.Halls)), Peer: at, WatchWait: c.WatchWait, Adapter: "Test"}
 		k, stop := kernel.New(kernel.Config{Settings: s, Log: zerolog.Nop(), Started: time.Now(), Fleet: policy.NewFleet(policy.FleetConfig{})})
 		t.Cleanup(stop)
 		k.Peers = f
@@ -159,11 +237,11 @@
 		t.Run(fmt.Sprint(hosts), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				ctx, cancel := context.WithCancel(t.Context())
-				f := newTestFleet(t, ctx, hosts)
+				f := newTestFleet(t, ctx, testFleetConfig{Hosts: hosts, Halls: 2, WatchWait: time.Second})
 				time.Sleep(5 * time.Second)
 				first := f.reader()
 				assert.Assert(t, first != "", "want exactly one reader")
-				f.refuse(first, true)
+				f.refuse(refusedWithError, first)
 				late := 0
 				for i := range 20 {
 					name := fmt.Sprint("U", i+1)
--- a/tier/peers/restore_test.go
+++ b/tier/peers/restore_test.go
@@ -237,12 +237,14 @@
 		bound        = 3 * time.Second
 		pollInterval = 50 * time.Millisecond
 		changes      = 10
+		// failedReaders is how many hosts of a hall may read before the platform is back.
+		failedReaders = 3
 	)
 	for _, hosts := range []int{4, 16} {
 		t.Run(fmt.Sprint(hosts), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				ctx, cancel := context.WithCancel(t.Context())
-				f := newTestFleet(t, ctx, hosts)
+				f := newTestFleet(t, ctx, testFleetConfig{Hosts: hosts, Halls: 2, WatchWait: time.Second})
 				p := f.platform
 				p.set(func() { p.era = 1 })
 				time.Sleep(2 * maxSettleTime)
@@ -268,8 +270,8 @@
 				}
 				seconds := int(time.Since(began).Seconds()) + 1
 				p.set(func() {
-					assert.Check(t, len(p.reads)-reads <= 2*maxFailedReaders+1, "%d whole reads", len(p.reads)-reads)
-					assert.Check(t, p.watches-watches <= 2*2*maxFailedReaders+4*seconds, "%d watches in %d s", p.watches-watches, seconds)
+					assert.Check(t, len(p.reads)-reads <= 2*failedReaders+1, "%d whole reads", len(p.reads)-reads)
+					assert.Check(t, p.watches-watches <= 2*2*failedReaders+4*seconds, "%d watches in %d s", p.watches-watches, seconds)
 				})
 				cancel()
 				time.Sleep(5 * time.Second)
--- /dev/null
+++ b/tier/peers/search_test.go
@@ -0,0 +1,134 @@
+package peers
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+const (
+	// changeBound is the time within which a change has to be in force at all hosts.
+	changeBound = 3 * time.Second
+	// testWatchWait is the wait of a watch in these tests.
+	testWatchWait = 700 * time.Millisecond
+	// testStartTime is the time in which hosts that start agree on a reader.
+	testStartTime = 5 * time.Second
+)
+
+// timeUntilListed returns how long it takes until all hosts list an upstream, at most limit.
+func (f *testFleet) timeUntilListed(name string, limit time.Duration) time.Duration {
+	const pollInterval = 20 * time.Millisecond
+	took := time.Duration(0)
+	for ; !f.listedByAll(name) && took < limit; took += pollInterval {
+		time.Sleep(pollInterval)
+	}
+	return took
+}
+
+// TestChangesArriveWhileFirstHostsAreRefused guards against an old configuration that stays in
+// force because the hosts that rank first are turned away and keep the others from reading.
+func TestChangesArriveWhileFirstHostsAreRefused(t *testing.T) {
+	tests := []struct{ hosts, halls, served int }{
+		{6, 1, 3},
+		{9, 1, 6},
+		{9, 1, 1},
+		{24, 1, 16},
+		{24, 1, 1},
+		{25, 5, 5},
+		{24, 12, 1},
+		{60, 1, 1},
+		{300, 1, 200},
+		{300, 1, 1},
+		{300, 3, 1},
+	}
+	for _, tt := range tests {
+		for _, how := range []refusal{refusedWithError, refusedWithSilence} {
+			t.Run(fmt.Sprintf("%d hosts, %d halls, %d served, %s", tt.hosts, tt.halls, tt.served, how), func(t *testing.T) {
+				if tt.hosts > maxFleetHosts {
+					t.Skip("too many hosts for the race detector")
+				}
+				synctest.Test(t, func(t *testing.T) {
+					ctx, cancel := context.WithCancel(t.Context())
+					f := newTestFleet(t, ctx, testFleetConfig{Hosts: tt.hosts, Halls: tt.halls, WatchWait: testWatchWait})
+					time.Sleep(testStartTime)
+					assert.Assert(t, f.reader() != "", "want exactly one reader")
+					f.refuse(how, f.ranked()[:tt.hosts-tt.served]...)
+					for i := range 4 {
+						name := fmt.Sprint("U", i+1)
+						f.platform.list(name)
+						took := f.timeUntilListed(name, 2*changeBound)
+						assert.Check(t, took <= changeBound, "%s after %s", name, took)
+						time.Sleep(time.Second)
+					}
+					cancel()
+					time.Sleep(testStartTime)
+				})
+			})
+		}
+	}
+}
+
+// TestPlatformThatServesNobodyIsReadRarely guards against a fleet that loads a platform that
+// serves nobody, or one that comes back: beside a few hosts that keep reading, each host tries
+// once a period, and the rate of all together has a bound at any size.
+func TestPlatformThatServesNobodyIsReadRarely(t *testing.T) {
+	const (
+		outageTime = 20 * time.Second
+		// steadyReaders is how many hosts may keep reading: the reader, and those that took over
+		// before they had heard of it.
+		steadyReaders = 3
+		// steadyRate is the most reads per second of one of them, by minRetryDelay and its doubling.
+		steadyRate = 5
+	)
+	tests := []struct{ hosts, halls int }{{3, 1}, {8, 1}, {9, 3}, {24, 1}, {24, 12}, {60, 1}, {60, 3}, {117, 1}, {300, 1}, {300, 3}}
+	for _, tt := range tests {
+		for _, how := range []refusal{refusedWithError, refusedWithSilence} {
+			t.Run(fmt.Sprintf("%d hosts, %d halls, %s", tt.hosts, tt.halls, how), func(t *testing.T) {
+				if tt.hosts > maxFleetHosts {
+					t.Skip("too many hosts for the race detector")
+				}
+				synctest.Test(t, func(t *testing.T) {
+					ctx, cancel := context.WithCancel(t.Context())
+					f := newTestFleet(t, ctx, testFleetConfig{Hosts: tt.hosts, Halls: tt.halls, WatchWait: testWatchWait})
+					time.Sleep(testStartTime)
+					f.resetReads()
+					f.refuse(how, f.ranked()...)
+					time.Sleep(outageTime)
+					turns := int(outageTime/searchPeriod(tt.hosts)) + 1
+					often := 0
+					for _, n := range f.askers {
+						if n > turns {
+							often++
+						}
+					}
+					assert.Check(t, often <= steadyReaders, "%d hosts read more often than once a period", often)
+					// The first search takes turns at maxSearchRate, the following ones at the rate that
+					// the period leaves.
+					most := min(tt.hosts, maxSearchRate) + steadyReaders*steadyRate
+					assert.Check(t, f.readsWithin(time.Second) <= most, "%d reads in a second", f.readsWithin(time.Second))
+					perSecond := len(f.reads) / int(outageTime/time.Second)
+					perSecondBound := min(tt.hosts*int(time.Second)/int(minSearchPeriod), repeatedSearchRate) + steadyReaders*2
+					assert.Check(t, perSecond <= perSecondBound, "%d reads per second", perSecond)
+					t.Logf("%d hosts keep reading, %d reads per second, %d in the busiest one", often, perSecond, f.readsWithin(time.Second))
+
+					f.resetReads()
+					for _, h := range f.ranked() {
+						f.serve(h)
+					}
+					f.platform.list("Back")
+					took := f.timeUntilListed("Back", 2*changeBound)
+					assert.Check(t, took <= changeBound, "in force %s after the platform came back", took)
+					most = min(tt.hosts/2, maxSearchRate/4) + 2*steadyReaders*steadyRate
+					assert.Check(t, f.readsWithin(time.Second) <= most, "%d reads in a second when it is back", f.readsWithin(time.Second))
+					t.Logf("back: in force after %s, %d reads in the busiest second", took, f.readsWithin(time.Second))
+					cancel()
+					time.Sleep(testStartTime)
+				})
+			})
+		}
+	}
+}
