peers: hosts that announced long ago take steps again when an announcer fails

Cause: countRankedBefore left out each host that had ever announced, so that the announcer that has just failed costs no step. In a hall whose hosts have all announced once, nobody waited. Now only announcements younger than 2 announcerTimeout are left out, which holds for the one that has just failed and for those that failed after taking over.

--- a/tier/peers/reader.go
+++ b/tier/peers/reader.go
@@ -91,7 +91,7 @@
 		return false, false
 	}
 	r := newReaderRanking(s, &k.Settings)
-	if !r.isFirst(now, s.HallAnnouncers, r.countRankedBefore(s)) {
+	if !r.isFirst(now, s.HallAnnouncers, r.countRankedBefore(s, now)) {
 		return false, false
 	}
 	spread := int(xxhash.Sum64String(k.Settings.Host) % announcerSpreadSteps)
@@ -156,13 +156,15 @@
 	return rank, hosts
 }
 
-// countRankedBefore counts the active hosts of the hall that rank before this one and have
-// never announced. Each of them gets one takeoverStep to take over first.
-func (r *readerRanking) countRankedBefore(s *kernel.State) int {
+// countRankedBefore counts the active hosts of the hall that rank before this one and may take
+// over before it: all but those that have announced lately, and whose failure left the role
+// vacant.
+func (r *readerRanking) countRankedBefore(s *kernel.State, now time.Duration) int {
 	n := 0
 	for host, m := range s.Members {
-		_, announced := s.HallAnnouncers[host]
-		if m.Active() && m.Hall == r.settings.Hall && !announced && r.ranksBefore(host) {
+		a, announced := s.HallAnnouncers[host]
+		lately := announced && now-a.At < 2*announcerTimeout
+		if m.Active() && m.Hall == r.settings.Hall && !lately && r.ranksBefore(host) {
 			n++
 		}
 	}
--- a/tier/peers/reader_test.go
+++ b/tier/peers/reader_test.go
@@ -151,7 +151,7 @@
 		}
 		for i, o := range h.hosts {
 			r := newReaderRanking(o.state, &o.settings)
-			announcing := r.isFirst(now, o.state.HallAnnouncers, r.countRankedBefore(o.state))
+			announcing := r.isFirst(now, o.state.HallAnnouncers, r.countRankedBefore(o.state, now))
 			// Each host announces when it takes over, and then periodically.
 			due := (now+time.Duration(i)*step)%announceInterval < step
 			if announcing && (!o.announcing || due) {
@@ -180,7 +180,7 @@
 	const now = time.Minute
 	for _, hosts := range []int{3, 8, 50, 117} {
 		for _, delay := range []time.Duration{0, 20 * time.Millisecond, 40 * time.Millisecond} {
-			for _, announced := range []bool{false} {
+			for _, announced := range []bool{false, true} {
 				for _, platformDown := range []bool{true, false} {
 					t.Run(fmt.Sprintf("%d hosts, %s, announced %t, lost %t", hosts, delay, announced, platformDown), func(t *testing.T) {
 						h := newHallModel(hosts, min(3, hosts), delay)
