pass: what an upstream answers counts only if its head is valid

What callers saw: an upstream in trouble answered with status 000. If the body of that answer was itself a whole response with the ID of the request, the caller got it as a success; if nothing followed, the caller and the slot were held to the deadline.

Cause: readWithin skipped each status below 200 as an interim response and read on, so that a body was read as the next head; the parser accepts any three characters that make a number of 0 or more, any version, and interim responses that state a body. Kin: 600 and 999, HTTP/0.9 and HTTP/3.7 passed on, 101 skipped, two request IDs, two stamps, a stamp taken out because Connection named it.

Change: checkHead decides, before anything of a response counts, for single calls, gathers and relays alike. What it rejects, and what the parser rejects while the connection works, ends the call as Garbage, with the log line and counter that name the upstream. ID and stamp survive Connection.

Not changed: faulty bodies count as a broken connection, as before.

--- a/tier/pass/answer.go
+++ b/tier/pass/answer.go
@@ -61,7 +61,11 @@
 
 // write writes a response with the headers of src and none that net/http adds by default.
 func (q *request) write(w http.ResponseWriter, status int, src http.Header, body []byte) {
+	// An upstream must not be able to remove the ID or the stamp by listing it in Connection.
+	id, stamp := src.Get(q.engine.headers.RequestID), src.Get(q.engine.headers.Stamp)
 	stripConnectionHeaders(src)
+	setIfKnown(src, q.engine.headers.RequestID, id)
+	setIfKnown(src, q.engine.headers.Stamp, stamp)
 	h := w.Header()
 	maps.Copy(h, src)
 	h.Del("Content-Length")
@@ -85,6 +89,12 @@
 	}
 }
 
+func setIfKnown(h http.Header, name, value string) {
+	if value != "" {
+		h.Set(name, value)
+	}
+}
+
 // limitTakeTime limits the time in which the caller takes a response.
 func (q *request) limitTakeTime(w http.ResponseWriter, size int) {
 	if _, forwarded := w.(*recorder); forwarded {
--- a/tier/pass/call.go
+++ b/tier/pass/call.go
@@ -80,8 +80,8 @@
 	return out
 }
 
-// reportBadResponses counts and logs the responses to a call that belong to other requests, exceed
-// a limit, or were not held beside others.
+// reportBadResponses counts and logs the responses to a call that belong to other requests, have no
+// valid head, exceed a limit, or were not held beside others.
 func (e *engine) reportBadResponses(c *call) {
 	for _, id := range c.surplus {
 		metrics.GetOrCreateCounter("loomgap_surplus_responses_total").Inc()
@@ -209,7 +209,7 @@
 
 // isRejected reports whether a call failed because its response was not accepted.
 func isRejected(err error) bool {
-	return errors.Is(err, errResponseMismatch) || errors.Is(err, wire.ErrTooLarge)
+	return errors.Is(err, errResponseMismatch) || errors.Is(err, errInvalidHead) || errors.Is(err, wire.ErrTooLarge)
 }
 
 // meansNotRun reports whether a status code means that the request was not run.
--- a/tier/pass/read_limit.go
+++ b/tier/pass/read_limit.go
@@ -46,6 +46,8 @@
 	unreserved, headRead int64
 	// err is the error that Read has returned for a limit; nil for none.
 	err error
+	// ended is true once the connection has ended or failed.
+	ended bool
 }
 
 // startHead begins a response.
@@ -85,6 +87,7 @@
 	n, err := l.Reader.Read(p[:min(int64(len(p)), l.left)])
 	l.left -= int64(n)
 	l.headRead += int64(n)
+	l.ended = l.ended || err != nil
 	return n, err
 }
 
@@ -104,3 +107,12 @@
 	}
 	return err
 }
+
+// explainHead is explain for a head. An error of the parser while the connection works means that
+// what came is no valid head.
+func (l *readLimit) explainHead(err error) error {
+	if l.err == nil && !l.ended {
+		return fmt.Errorf("%w: %w", err, errInvalidHead)
+	}
+	return l.explain(err)
+}
--- a/tier/pass/response.go
+++ b/tier/pass/response.go
@@ -45,7 +45,7 @@
 // the connection. The memory of the response must be released or held.
 func (n *conn) readResponse(c *call) (resp *response, reusable bool, err error) {
 	for range maxResponsesRead {
-		resp, reusable, err = n.readOneResponse(c.method)
+		resp, reusable, err = n.readOneResponse(c)
 		if err != nil {
 			return nil, false, err
 		}
@@ -66,9 +66,9 @@
 
 // readOneResponse reads one response. If reusable is false, the connection carries no
 // further response.
-func (n *conn) readOneResponse(method string) (resp *response, reusable bool, err error) {
+func (n *conn) readOneResponse(c *call) (resp *response, reusable bool, err error) {
 	memory := n.account.Reserve(func() { _ = n.Close() })
-	resp, reusable, err = n.readWithin(method, memory)
+	resp, reusable, err = n.readWithin(c, memory)
 	if !memory.Hold() {
 		err = errGaveWay
 	}
@@ -80,14 +80,11 @@
 }
 
 // readWithin reads one response, which reserves the memory that it takes.
-func (n *conn) readWithin(method string, memory *kernel.ByteReservation) (resp *response, reusable bool, err error) {
+func (n *conn) readWithin(c *call, memory *kernel.ByteReservation) (resp *response, reusable bool, err error) {
 	n.limit.startHead(memory)
-	r, err := http.ReadResponse(n.reader, &http.Request{Method: method})
-	for err == nil && r.StatusCode < http.StatusOK {
-		r, err = http.ReadResponse(n.reader, &http.Request{Method: method})
-	}
+	r, err := n.readHead(c)
 	if err != nil {
-		return nil, false, n.limit.explain(err)
+		return nil, false, err
 	}
 	if r.Body != http.NoBody {
 		r.Body = n.limit.startBody(r.Body)
