entry: a refusal counts only with the status of one

Found while the cause of status 000 was looked for on related paths: at the own interface a reply with any status, 000 too, counted as "did not run" if its body was a refusal, though PROTOCOLS names 409 and 503 and says that anything else may have run. A record could then be placed a second time.

Cause: classify handed every status but 200 to classifyRefusal. Now only 409 and 503 are refusals; others are dropped as Garbage (counter loomgap_replies_dropped_total{Why="status"}). TestClassify: four new rows failed before and pass; package entry passes.

--- a/tier/entry/client.go
+++ b/tier/entry/client.go
@@ -136,8 +136,10 @@
 		return countDroppedReply("unreadable"), nil
 	case r.status == http.StatusOK:
 		return classifyPart(r.body, id, snapshot)
+	case r.status == http.StatusConflict, r.status == http.StatusServiceUnavailable:
+		return classifyRefusal(r.body, id)
 	}
-	return classifyRefusal(r.body, id)
+	return countDroppedReply("status"), nil
 }
 
 func classifyPart(body []byte, id wire.Identity, snapshot uint64) (policy.CallOutcome, *wire.PartReply) {
--- a/tier/entry/client_test.go
+++ b/tier/entry/client_test.go
@@ -16,6 +16,8 @@
 	"loomgap/tier/wire"
 )
 
+// TestClassify guards, among others, against a reply with a status that means nothing, such as 000,
+// that counts as the statement that a request did not run.
 func TestClassify(t *testing.T) {
 	id := wire.Identity{RequestID: "R1", Attempt: 3, Shard: "S1", MapRevision: 2}
 	other := wire.Identity{RequestID: "R1", Attempt: 2, Shard: "S1", MapRevision: 2}
@@ -51,6 +53,10 @@
 		{"moved", reply{status: 409, body: refusal(id, wire.RefusalMoved), reached: true}, policy.CallMoved},
 		{"another call's refusal", reply{status: 503, body: refusal(other, wire.RefusalShed), reached: true}, policy.CallMalformed},
 		{"unknown refusal", reply{status: 503, body: refusal(id, "Tired"), reached: true}, policy.CallMalformed},
+		{"refusal with status 000", reply{status: 0, body: refusal(id, wire.RefusalShed), reached: true}, policy.CallMalformed},
+		{"refusal with an interim status", reply{status: 101, body: refusal(id, wire.RefusalShed), reached: true}, policy.CallMalformed},
+		{"refusal with a status of success", reply{status: 202, body: refusal(id, wire.RefusalShed), reached: true}, policy.CallMalformed},
+		{"refusal with another error", reply{status: 500, body: refusal(id, wire.RefusalMoved), reached: true}, policy.CallMalformed},
 		{"bare status", reply{status: http.StatusBadGateway, body: []byte("bad gateway"), reached: true}, policy.CallMalformed},
 	}
 	for _, tt := range tests {
