pass: a stopping host refuses what it cannot finish, before it runs

Cause: the host takes requests for up to SettleMost and then waits StopBound; nothing compared what a request needs with what the stop has left. If the balancer was told early, StopBound also began earlier than it had to.

Evidence: TestPlannedStopCutsNoRequest (stop of 1.4 and 1.2 s, work of 0 to 3 s, bodies at once or slowly): 8 of 14 rows failed before, all with work of 1.3 s and more; all pass now, and the test also requires that what can be finished is still taken.

Change: the kernel knows when a planned stop ends. What would end too late by the longest run of its route lately and a quarter more, or by its deadline if none is known, gets 503 at once, after its body has come and again behind the gate. What is taken gets the end of the stop as its deadline. Waiting for what is in flight lasts until SettleMost and StopBound have passed since the stop began. The longest stated times and the longest run times share one type (longest.go), out of gate.go.

--- a/tier/kernel/lifecycle.go
+++ b/tier/kernel/lifecycle.go
@@ -36,6 +36,9 @@
 	stopOnce sync.Once
 	// notReadyAnswers counts the readiness checks answered while draining.
 	notReadyAnswers atomic.Int64
+	// stopsAt is when a planned stop ends requests in flight, as time since the process started in
+	// nanoseconds; 0 before the stop.
+	stopsAt atomic.Int64
 }
 
 // Phase returns the current phase.
@@ -68,6 +71,7 @@
 // at most for SettleMost.
 func (k *Kernel) Settle() {
 	started := k.Now()
+	k.stopsAt.Store(int64(started + max(k.Settings.Settle, k.Settings.SettleMost) + k.Settings.StopBound))
 	time.Sleep(k.Settings.Settle)
 	for k.notReadyAnswers.Load() < int64(k.Settings.SettleAsks) && k.Now()-started < k.Settings.SettleMost {
 		time.Sleep(settlePollInterval)
@@ -75,6 +79,15 @@
 	k.Log.Info().Int64("Asked", k.notReadyAnswers.Load()).Dur("Took", k.Now()-started).Msg("settle period ended, no longer accepting requests")
 }
 
+// StopLeft returns the time until a planned stop ends requests in flight, and whether there is one.
+func (k *Kernel) StopLeft() (left time.Duration, stopping bool) {
+	at := time.Duration(k.stopsAt.Load())
+	if at == 0 {
+		return 0, false
+	}
+	return at - k.Now(), true
+}
+
 // AwaitIdle waits until no request is in flight and returns true, or returns false if the
 // context is done first. Requests run for other hosts count, so that a graceful shutdown
 // does not interrupt them.
--- a/tier/pass/engine.go
+++ b/tier/pass/engine.go
@@ -28,9 +28,13 @@
 	coordinators coordinators
 	overhead     overhead
 	// take limits the time in which callers take their responses; only tests change it.
-	take   takeLimit
-	gates  gates
-	stated statedTimes
+	take  takeLimit
+	gates gates
+	// stated holds how long callers stated they would wait. First attempts state it in full, so a
+	// shorter time shows how much of it has passed since.
+	stated longestTimes
+	// runTimes holds how long requests took from their first call to their response.
+	runTimes longestTimes
 	// start opens once there is a configuration to serve requests with.
 	start startGate
 	// preconnected are the hosts that connections were opened to in advance; used on the
@@ -91,7 +95,7 @@
 	for ctx.Err() == nil {
 		e.pools.closeExpired()
 		e.dropIdleGates()
-		e.forgetStatedTimes()
+		e.forgetRoutes()
 		kernel.Sleep(ctx, sweepInterval)
 	}
 }
--- a/tier/pass/gate.go
+++ b/tier/pass/gate.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"sync"
 	"time"
 
 	"loomgap/tier/policy"
@@ -147,57 +146,6 @@
 func (q *request) noteStatedTime(stated time.Duration) {
 	e := q.engine
 	if e.limitsLoad() {
-		q.spentBefore = min(e.stated.spent(e.kernel.Now(), q.route.Name, stated), time.Duration(q.route.Objective))
-	}
-}
-
-// statedTimes holds the longest time that callers of each route lately stated they would
-// wait. First attempts state it in full, so a shorter time shows how much of it has passed
-// since. It is safe for concurrent use; the zero value is ready to use.
-type statedTimes struct {
-	mu      sync.Mutex
-	byRoute map[string]*statedTime
-}
-
-// statedTimeInterval is the length of the intervals of which the current and the previous
-// one count, so that a limit that callers lowered is forgotten.
-const statedTimeInterval = 30 * time.Second
-
-// statedTime is the longest stated time in the current and in the previous interval.
-type statedTime struct {
-	startedAt         time.Duration
-	current, previous time.Duration
-}
-
-// spent records a stated time and returns by how much it is shorter than the longest one.
-func (s *statedTimes) spent(now time.Duration, route string, stated time.Duration) time.Duration {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.byRoute == nil {
-		s.byRoute = map[string]*statedTime{}
-	}
-	t := getOrCreate(s.byRoute, route)
-	if now-t.startedAt >= statedTimeInterval {
-		t.startedAt, t.previous, t.current = now, t.current, 0
-	}
-	t.current = max(t.current, stated)
-	return max(t.current, t.previous) - stated
-}
-
-// forget drops the routes that no document names any more.
-func (s *statedTimes) forget(exists func(route string) bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for name := range s.byRoute {
-		if !exists(name) {
-			delete(s.byRoute, name)
-		}
-	}
-}
-
-// forgetStatedTimes drops the stated times of routes that the document no longer names.
-func (e *engine) forgetStatedTimes() {
-	if index := e.kernel.View().Index; index != nil {
-		e.stated.forget(func(route string) bool { return index.RouteByName(route) != nil })
+		q.spentBefore = min(e.stated.record(e.kernel.Now(), q.route.Name, stated)-stated, time.Duration(q.route.Objective))
 	}
 }
--- a/tier/pass/gate_test.go
+++ b/tier/pass/gate_test.go
@@ -33,9 +33,9 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			var stated statedTimes
+			var stated longestTimes
 			for i, a := range tt.attempts {
-				assert.Equal(t, stated.spent(a.at, a.route, a.stated), a.spent, "attempt %d", i)
+				assert.Equal(t, stated.record(a.at, a.route, a.stated)-a.stated, a.spent, "attempt %d", i)
 			}
 		})
 	}
@@ -44,10 +44,10 @@
 // TestStatedTimesOfRemovedRoutesAreForgotten guards against stated times of removed routes,
 // which would accumulate with each change of the document.
 func TestStatedTimesOfRemovedRoutesAreForgotten(t *testing.T) {
-	var stated statedTimes
-	stated.spent(time.Second, "Find", 900*time.Millisecond)
-	stated.spent(time.Second, "Gone", 900*time.Millisecond)
+	var stated longestTimes
+	stated.record(time.Second, "Find", 900*time.Millisecond)
+	stated.record(time.Second, "Gone", 900*time.Millisecond)
 	stated.forget(func(route string) bool { return route == "Find" })
-	assert.Equal(t, stated.spent(time.Second, "Find", 400*time.Millisecond), 500*time.Millisecond)
-	assert.Equal(t, stated.spent(time.Second, "Gone", 400*time.Millisecond), time.Duration(0))
+	assert.Equal(t, stated.record(time.Second, "Find", 400*time.Millisecond)-400*time.Millisecond, 500*time.Millisecond)
+	assert.Equal(t, stated.record(time.Second, "Gone", 400*time.Millisecond)-400*time.Millisecond, time.Duration(0))
 }
--- a/tier/pass/host_test.go
+++ b/tier/pass/host_test.go
@@ -238,6 +238,8 @@
 	regions config.Regions
 	// overload is policy.OverloadNone if empty.
 	overload policy.OverloadControl
+	// settle and stopBound are Settings.Settle, also SettleMost, and Settings.StopBound.
+	settle, stopBound time.Duration
 }
 
 func newHost(t testing.TB, c hostConfig) *host {
@@ -252,7 +254,7 @@
 		log = zerolog.New(c.log)
 	}
 	k, stop := kernel.New(kernel.Config{
-		Settings: kernel.Settings{Host: c.name, Hall: c.hall, Incarnation: "1", Adapter: "Test", RetryBudget: c.retryBudget, Cores: c.cores, Regions: c.regions, ColdFactor: 1, Overload: c.overload},
+		Settings: kernel.Settings{Host: c.name, Hall: c.hall, Incarnation: "1", Adapter: "Test", RetryBudget: c.retryBudget, Cores: c.cores, Regions: c.regions, ColdFactor: 1, Overload: c.overload, Settle: c.settle, SettleMost: c.settle, StopBound: c.stopBound},
 		Log:      log, Tracer: noop.NewTracerProvider().Tracer(""), Started: time.Now().Add(-c.age),
 		Fleet: policy.NewFleet(policy.FleetConfig{Random: rand.New(rand.NewPCG(1, 2))}),
 	})
@@ -335,6 +337,8 @@
 	header http.Header
 	body   string
 	err    error
+	// closed is true if the host closes the connection.
+	closed bool
 }
 
 // send sends a request with an ID and a deadline in milliseconds.
--- a/tier/pass/plugin.go
+++ b/tier/pass/plugin.go
@@ -93,15 +93,22 @@
 		}
 	}()
 	return func() {
-		ctx, cancel := context.WithTimeout(context.Background(), k.Settings.StopBound)
-		defer cancel()
-		if err := s.Shutdown(ctx); err != nil {
-			k.Log.Warn().Err(err).Int64("InFlight", k.InFlight.Load()).Msg("stopping with requests in flight")
-			_ = s.Close()
-		}
-		if !k.AwaitIdle(ctx) {
-			k.Log.Warn().Int64("InFlight", k.InFlight.Load()).Msg("stopping with requests of other hosts in flight")
-		}
+		shutDown(k, s)
 		closeEngine()
 	}, nil
 }
+
+// shutDown stops accepting requests and waits for those in flight, for StopBound or what the
+// planned stop has left.
+func shutDown(k *kernel.Kernel, s *http.Server) {
+	left, _ := k.StopLeft()
+	ctx, cancel := context.WithTimeout(context.Background(), max(left, k.Settings.StopBound))
+	defer cancel()
+	if err := s.Shutdown(ctx); err != nil {
+		k.Log.Warn().Err(err).Int64("InFlight", k.InFlight.Load()).Msg("stopping with requests in flight")
+		_ = s.Close()
+	}
+	if !k.AwaitIdle(ctx) {
+		k.Log.Warn().Int64("InFlight", k.InFlight.Load()).Msg("stopping with requests of other hosts in flight")
+	}
+}
--- a/tier/pass/refuse.go
+++ b/tier/pass/refuse.go
@@ -18,6 +18,7 @@
 //	retryAfterNoUpstream       too few groups have an upstream
 //	retryAfterNoWait           the request is large or was sent ahead, and would wait at the gate
 //	retryAfterUpstreams        calls were made, and no upstream ran any
+//	retryAfterStop             the host stops before the request may end
 //
 // refuse adds jitter to each of them. refuseAtGate does not, since the gate assigns the times
 // one after the other with a jitter of its own.
@@ -33,6 +34,8 @@
 	// retryAfterNoWait applies to large requests and those that were sent ahead. They do not wait at
 	// the gate, where ordinary requests would wait behind them.
 	retryAfterNoWait = time.Second
+	// retryAfterStop leaves time for a new connection, which goes to another host.
+	retryAfterStop = 50 * time.Millisecond
 	// minRetryAfter is the minimum after calls were refused, so that a retry does not meet
 	// the same queue.
 	minRetryAfter = 20 * time.Millisecond
--- a/tier/pass/serve.go
+++ b/tier/pass/serve.go
@@ -112,11 +112,14 @@
 		q.refuse(w, "no configuration yet", retryAfterNoConfig)
 		return
 	}
-	if !q.findRoute(w, r) || !q.read(w, r) || q.refuseQuarantined(w) {
+	if !q.findRoute(w, r) || !q.read(w, r) || q.refuseQuarantined(w) || q.refuseAtStop(w) {
 		return
 	}
 	ctx := wire.ExtractTrace(r.Context(), r.Header)
-	if !q.forward(ctx, w) {
+	began := e.kernel.Now()
+	if q.forward(ctx, w) {
+		q.recordRun(began)
+	} else {
 		q.serve(ctx, w)
 		if q.times.decidedAt > 0 {
 			e.overhead.response.Observe(e.kernel.Now() - q.times.decidedAt)
@@ -142,6 +145,10 @@
 		return
 	}
 	defer q.leaveGate(false)
+	// The stop may have begun while the request waited.
+	if q.refuseAtStop(w) {
+		return
+	}
 	q.callCounts = make([]int, len(q.plan.groups))
 	caller := ctx
 	ctx, span := q.engine.kernel.Tracer.Start(ctx, "route")
@@ -149,7 +156,11 @@
 	if span.IsRecording() {
 		span.SetAttributes(attribute.String("RequestID", q.in.id), attribute.String("Route", q.route.Name))
 	}
+	began := q.engine.kernel.Now()
 	result, err := q.run(ctx)
+	if result.Ran > 0 {
+		q.recordRun(began)
+	}
 	var refusal *policy.Refusal
 	switch {
 	case errors.As(err, &refusal):
