pass: at most 4,096 slots of one upstream count

What callers would see: during a shortage all but a few requests of a group are refused, because one entry of another writer says more slots than a number holds. Found by a test, not met.

Cause: a number out of range counts as the nearest value of its field, and listedSlots summed the largest integers past the end of their type.

The bound is the one that documents have.

--- a/tier/pass/gates.go
+++ b/tier/pass/gates.go
@@ -18,6 +18,9 @@
 	// gather holds the slot of a shard for a part of its time only, until its slowest parts
 	// arrive, so with one request for each slot most slots would be idle.
 	placesPerSlot = 4
+	// maxListedSlots is the most slots that count of one upstream. Sums of larger numbers, which another
+	// writer may have put into an entry, could overflow.
+	maxListedSlots = 4096
 	// baseMaxAge is how long a host's share of the places is used before it is computed
 	// again from the directory and the members.
 	baseMaxAge = time.Second
@@ -135,12 +138,15 @@
 	sum := 0
 	for i := range listed {
 		if !listed[i].Leaving {
-			sum += listed[i].Slots
+			sum += usableSlots(&listed[i])
 		}
 	}
 	return sum
 }
 
+// usableSlots returns the slots of an upstream that count.
+func usableSlots(l *config.Listing) int { return min(l.Slots, maxListedSlots) }
+
 // executors counts the hosts that execute requests of a route, including this one: the
 // coordinators for gathers, all active hosts otherwise.
 func (e *engine) executors(v *kernel.View, r *config.Route) int {
--- a/tier/pass/gates_test.go
+++ b/tier/pass/gates_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -12,7 +13,7 @@
 )
 
 // TestBasePlacesAreDividedAmongExecutors guards against hosts that together admit far more or
-// fewer requests than the upstreams have room for.
+// fewer requests than the upstreams have room for, also beside an odd entry.
 func TestBasePlacesAreDividedAmongExecutors(t *testing.T) {
 	groups := []string{"S0", "S1", "S2"}
 	gather, single := &config.Route{Gather: &config.Gather{Groups: groups}}, &config.Route{Group: "S0"}
@@ -37,6 +38,8 @@
 		{"gathers are not counted by members", gather, 1, [][]int{{4}, {4}, {4}}, []kernel.Member{strong, strong}, nil, 1, 16},
 		{"other routes run on all active hosts", single, 1, [][]int{{8}}, []kernel.Member{strong, weak, leaving, dead}, []int{1000}, 3, 10},
 		{"at least one", gather, 1, [][]int{{1}, {1}, {1}}, nil, []int{1000, 1000, 1000, 1000, 1000}, 6, 1},
+		{"one odd entry with the most slots that a number holds", single, 1, [][]int{{4, math.MaxInt}}, nil, nil, 1, 4 * (4 + maxListedSlots)},
+		{"two of them", single, 1, [][]int{{math.MaxInt, math.MaxInt}}, nil, nil, 1, 8 * maxListedSlots},
 		{"no published slots", gather, 1, [][]int{{}, {}, {}}, nil, nil, 1, 0},
 	}
 	for _, tt := range tests {
--- a/tier/pass/shares.go
+++ b/tier/pass/shares.go
@@ -96,7 +96,7 @@
 // share of the connections.
 func (e *engine) share(l *config.Listing, b *shareInputs) policy.Share {
 	near := l.Hall == e.kernel.Settings.Hall
-	connections := l.Slots
+	connections := usableSlots(l)
 	if g := b.index.Group(l.Group); g != nil {
 		connections = g.Connections
 	}
@@ -105,7 +105,7 @@
 		fraction, hosts = remoteConnectionShare, max(b.hosts-b.inHall, 1)
 	}
 	return policy.Share{
-		Name: l.Name, Slots: max(int(burstFactor*fraction*float64(connections)/hosts), 1), PublishedSlots: l.Slots,
+		Name: l.Name, Slots: max(int(burstFactor*fraction*float64(connections)/hosts), 1), PublishedSlots: usableSlots(l),
 		Leaving: l.Leaving || b.directory.Evacuated(l.Hall),
 		Listed:  true, Hall: l.Hall, Near: near, StartedMillis: l.StartedMillis, Cold: e.coldState(l, b),
 	}
