peers: an old refusal holds no removal back

Cause: a host took its first successful read for the end of an outage if its own last read had failed, however long ago. A host that was turned away once and takes over much later held removals back for 2.5 s.

Change: a read of another host ends the series of failed reads; in an outage of all hosts a new series begins with the next failure.

--- a/tier/peers/feed.go
+++ b/tier/peers/feed.go
@@ -153,15 +153,18 @@
 		f.historyGoneAt = now
 		return
 	}
-	f.outage.failed(now)
-	if f.trying {
-		f.kernel.Do(func(s *kernel.State) { f.search.refused(f.kernel, s, err) })
-		return
-	}
-	if f.outage.isUnavailable(now, maxReadAge(&f.kernel.Settings)) {
-		f.kernel.Do(func(s *kernel.State) { markPlatformDown(f.kernel, s, err) })
+	f.kernel.DoAndWait(func(s *kernel.State) {
+		f.outage.failed(now, s.PlatformReadAt)
+		switch {
+		case f.trying:
+			f.search.refused(f.kernel, s, err)
+		case f.outage.isUnavailable(now, maxReadAge(&f.kernel.Settings)):
+			markPlatformDown(f.kernel, s, err)
+		}
+	})
+	if !f.trying {
+		kernel.Sleep(ctx, f.outage.nextDelay())
 	}
-	kernel.Sleep(ctx, f.outage.nextDelay())
 }
 
 // markPlatformDown records that the platform does not answer this host, which has to learn
@@ -181,13 +184,14 @@
 		f.kernel.Log.Error().Err(err).Msg("invalid platform entry skipped")
 		metrics.GetOrCreateCounter("loomgap_platform_entries_refused_total").Inc()
 	}
-	wasUnavailable := f.outage.isUnavailable(now, maxReadAge(&f.kernel.Settings))
-	f.outage.succeeded(now)
 	f.consistentRead = false
 	// A full read may be stale, which only the next watch shows.
 	f.caughtUp = !p.Directory.Whole
 	f.position = p.Position
 	f.kernel.DoAndWait(func(s *kernel.State) {
+		f.outage.heard(s.PlatformReadAt)
+		wasUnavailable := f.outage.isUnavailable(now, maxReadAge(&f.kernel.Settings))
+		f.outage.succeeded(now)
 		if f.eraTracker.observe(f.kernel, s, p, now) {
 			f.removalHold.platformRestored(now)
 		}
--- a/tier/peers/outage.go
+++ b/tier/peers/outage.go
@@ -23,19 +23,28 @@
 	// succeededAt is when the last read succeeded.
 	succeededAt time.Duration
 	// failingSince is when the first of the current series of failed reads failed; 0 if the
-	// last read succeeded.
+	// last read succeeded, or if other hosts have read since.
 	failingSince time.Duration
 	// delay is the backoff after the last failed read, before randomization; 0 if the last
 	// read succeeded.
 	delay time.Duration
 }
 
-func (o *outage) failed(now time.Duration) {
+// failed records a failed read. readAt is the time of the last known read of any host.
+func (o *outage) failed(now, readAt time.Duration) {
+	o.heard(readAt)
 	if o.failingSince == 0 {
 		o.failingSince = now
 	}
 }
 
+// heard ends the series of failed reads if another host has read since it began.
+func (o *outage) heard(readAt time.Duration) {
+	if readAt > o.failingSince {
+		o.failingSince = 0
+	}
+}
+
 func (o *outage) succeeded(now time.Duration) { *o = outage{succeededAt: now} }
 
 // isUnavailable reports whether the platform is considered unavailable: reads have failed for
--- a/tier/peers/refused_test.go
+++ b/tier/peers/refused_test.go
@@ -225,6 +225,16 @@
 	return true
 }
 
+// listedByAny reports whether any host lists an upstream.
+func (f *testFleet) listedByAny(name string) bool {
+	for _, k := range f.kernels {
+		if slices.Contains(listedNames(k), name) {
+			return true
+		}
+	}
+	return false
+}
+
 // TestChangesArriveWhileTheReaderIsRefused checks that all hosts learn of each change in time
 // while the platform refuses the reader. Only the takeover may delay a change: later ones must
 // not be delayed because the refused host is considered the reader again.
--- a/tier/peers/search_test.go
+++ b/tier/peers/search_test.go
@@ -132,3 +132,43 @@
 		}
 	}
 }
+
+// TestOldRefusalHoldsNoRemoval guards against an upstream that gets requests for seconds after it has
+// left, because a host that takes over reading was turned away long ago and takes its return for the
+// platform's.
+func TestOldRefusalHoldsNoRemoval(t *testing.T) {
+	for _, hosts := range []int{4, 9} {
+		t.Run(fmt.Sprint(hosts), func(t *testing.T) {
+			runRefusedLongAgo(t, hosts, func(f *testFleet, ranked []string) {
+				f.refuse(refusedWithError, ranked[0])
+				f.platform.remove("U1")
+				time.Sleep(changeBound)
+				assert.Assert(t, f.kernels[ranked[1]].View().Reading)
+				assert.Assert(t, !f.listedByAny("U1"), "listed %s after it left", changeBound)
+			})
+		})
+	}
+}
+
+// runRefusedLongAgo runs a test with hosts of which the platform has turned the first two away for a
+// while, long before.
+func runRefusedLongAgo(t *testing.T, hosts int, test func(f *testFleet, ranked []string)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		f := newTestFleet(t, ctx, testFleetConfig{Hosts: hosts, Halls: 1, WatchWait: testWatchWait})
+		defer func() {
+			cancel()
+			time.Sleep(testStartTime)
+		}()
+		ranked := f.ranked()
+		time.Sleep(testStartTime)
+		f.platform.list("U1")
+		f.refuse(refusedWithError, ranked[:2]...)
+		time.Sleep(10 * time.Second)
+		f.serve(ranked[0])
+		f.serve(ranked[1])
+		time.Sleep(20 * time.Second)
+		assert.Equal(t, f.reader(), ranked[0])
+		test(f, ranked)
+	})
+}
