peers: each host that returns from an outage holds removals

What callers would see: upstreams that run are not used for seconds after an outage of the store, since their entries expired in it.

Cause: the host that read again first held removals for 2.5 s; the next one saw that another host had read, took the outage for its own alone and applied them, and its announcement took the upstreams out everywhere.

Change: noteRead records when a read was heard after minOutage (2.4 s) without any.

--- a/tier/kernel/state.go
+++ b/tier/kernel/state.go
@@ -132,6 +132,9 @@
 	// PlatformReadAt is the time of the last known read of the platform: by this host,
 	// by another host of its hall, or by a reader that announces to the hall.
 	PlatformReadAt time.Duration
+	// OutageEndedAt is the time of the last known read before which no host was known to read
+	// for so long that entries of upstreams may have expired; 0 for never.
+	OutageEndedAt time.Duration
 	// AnnouncedReadAt is when the content that this host announces was read from the
 	// platform, by this host or by a reader in another hall; 0 for never.
 	AnnouncedReadAt time.Duration
--- a/tier/peers/announcement.go
+++ b/tier/peers/announcement.go
@@ -281,5 +281,5 @@
 		s.OtherReaders[m.Host] = s.OtherReaders[m.Host].Next(now, announcerTimeout, platformDown)
 		s.AnnouncedReadAt = max(s.AnnouncedReadAt, readAt)
 	}
-	s.PlatformReadAt = max(s.PlatformReadAt, readAt)
+	noteRead(s, readAt)
 }
--- a/tier/peers/feed.go
+++ b/tier/peers/feed.go
@@ -154,7 +154,7 @@
 		return
 	}
 	f.kernel.DoAndWait(func(s *kernel.State) {
-		f.outage.failed(now, s.PlatformReadAt)
+		f.outage.failed(now, readsKnownTo(s))
 		switch {
 		case f.trying:
 			f.search.refused(f.kernel, s, err)
@@ -189,7 +189,7 @@
 	f.caughtUp = !p.Directory.Whole
 	f.position = p.Position
 	f.kernel.DoAndWait(func(s *kernel.State) {
-		f.outage.heard(s.PlatformReadAt)
+		f.outage.heard(now, readsKnownTo(s))
 		wasUnavailable := f.outage.isUnavailable(now, maxReadAge(&f.kernel.Settings))
 		f.outage.succeeded(now)
 		if f.eraTracker.observe(f.kernel, s, p, now) {
@@ -206,10 +206,12 @@
 // feed waits.
 func (f *feed) install(s *kernel.State, p *kernel.Published, now time.Duration, wasUnavailable bool) {
 	// If other hosts could read the platform in the meantime, no entries have expired.
-	if wasUnavailable && now-s.PlatformReadAt > maxReadAge(&f.kernel.Settings) {
+	endedLately := s.OutageEndedAt > 0 && now-s.OutageEndedAt < removalHoldTime
+	if wasUnavailable && (endedLately || now-s.PlatformReadAt > maxReadAge(&f.kernel.Settings)) {
 		f.removalHold.platformReturned(now)
 	}
-	s.PlatformReadAt, s.AnnouncedReadAt, s.OwnReadAt = now, now, now
+	noteRead(s, now)
+	s.AnnouncedReadAt, s.OwnReadAt = now, now
 	if f.trying {
 		s.FoundAt = now
 		f.announcer.begin(s, now)
--- a/tier/peers/heartbeat.go
+++ b/tier/peers/heartbeat.go
@@ -259,7 +259,7 @@
 	g.table.mergeSuspicions(now, h.Suspicions)
 	g.updateMembers(s)
 	if h.Hall == g.kernel.Settings.Hall {
-		s.PlatformReadAt = max(s.PlatformReadAt, now-max(h.PlatformAge, 0))
+		noteRead(s, now-max(h.PlatformAge, 0))
 		g.applyLeaving(s, now, h.Leaving)
 	}
 	s.NotePublished(config.Position{Era: h.PublishedEra, Revision: h.Published}, h.Refused)
--- a/tier/peers/outage.go
+++ b/tier/peers/outage.go
@@ -3,12 +3,18 @@
 import (
 	"math/rand/v2"
 	"time"
+
+	"loomgap/tier/kernel"
 )
 
 const (
 	// unavailableAfter is how long reads must fail until the platform is considered
 	// unavailable.
 	unavailableAfter = 500 * time.Millisecond
+	// minOutage is the shortest time without a known read after which entries of upstreams may
+	// have expired. The platform removes one after three missed status reports, 1.2 s apart, and
+	// the first one may be due when the outage begins.
+	minOutage = 2400 * time.Millisecond
 	// minRetryDelay is the delay after the first failed read; it doubles with each further
 	// one.
 	minRetryDelay = 100 * time.Millisecond
@@ -30,17 +36,27 @@
 	delay time.Duration
 }
 
-// failed records a failed read. readAt is the time of the last known read of any host.
-func (o *outage) failed(now, readAt time.Duration) {
-	o.heard(readAt)
+// failed records a failed read.
+func (o *outage) failed(now time.Duration, known knownReads) {
+	o.heard(now, known)
 	if o.failingSince == 0 {
 		o.failingSince = now
 	}
 }
 
-// heard ends the series of failed reads if another host has read since it began.
-func (o *outage) heard(readAt time.Duration) {
-	if readAt > o.failingSince {
+// knownReads are the reads of any host that this host knows of.
+type knownReads struct {
+	// lastAt is the time of the last one.
+	lastAt time.Duration
+	// outageEndedAt is the time of the last one before which no host had read for minOutage.
+	outageEndedAt time.Duration
+}
+
+// heard ends the series of failed reads if another host has read since it began, unless that read
+// was the first one after an outage of all hosts: this host returns from the same one.
+func (o *outage) heard(now time.Duration, known knownReads) {
+	returns := o.failingSince <= known.outageEndedAt && now-known.outageEndedAt < removalHoldTime
+	if known.lastAt > o.failingSince && !returns {
 		o.failingSince = 0
 	}
 }
@@ -59,3 +75,16 @@
 	o.delay = min(max(2*o.delay, minRetryDelay), maxRetryDelay)
 	return o.delay/2 + rand.N(o.delay/2+1)
 }
+
+// noteRead records a read of the platform by this or another host.
+func noteRead(s *kernel.State, at time.Duration) {
+	if s.PlatformReadAt > 0 && at-s.PlatformReadAt >= minOutage {
+		s.OutageEndedAt = at
+	}
+	s.PlatformReadAt = max(s.PlatformReadAt, at)
+}
+
+// readsKnownTo returns the reads that this host knows of.
+func readsKnownTo(s *kernel.State) knownReads {
+	return knownReads{lastAt: s.PlatformReadAt, outageEndedAt: s.OutageEndedAt}
+}
--- a/tier/peers/outage_test.go
+++ b/tier/peers/outage_test.go
@@ -32,7 +32,7 @@
 			var o outage
 			o.succeeded(succeededAt)
 			for _, at := range tt.failed {
-				o.failed(succeededAt+at, succeededAt)
+				o.failed(succeededAt+at, knownReads{lastAt: succeededAt})
 			}
 			assert.Equal(t, o.isUnavailable(succeededAt+tt.now, maxAge), tt.want)
 			o.succeeded(succeededAt + tt.now)
--- a/tier/peers/search_test.go
+++ b/tier/peers/search_test.go
@@ -150,6 +150,31 @@
 	}
 }
 
+// TestAllHostsHoldRemovalsAfterOutage guards against upstreams that are not used although they run:
+// their entries expired in an outage, and the second host that reads again did not take it for one.
+func TestAllHostsHoldRemovalsAfterOutage(t *testing.T) {
+	for _, hosts := range []int{4, 9} {
+		for range 10 {
+			t.Run(fmt.Sprint(hosts), func(t *testing.T) {
+				runRefusedLongAgo(t, hosts, func(f *testFleet, ranked []string) {
+					f.refuse(refusedWithError, ranked...)
+					f.platform.remove("U1")
+					time.Sleep(10 * time.Second)
+					for _, h := range ranked {
+						f.serve(h)
+					}
+					for range 20 {
+						time.Sleep(removalHoldTime / 25)
+						assert.Assert(t, f.listedByAll("U1"), "it has no time to register again")
+					}
+					time.Sleep(changeBound)
+					assert.Assert(t, !f.listedByAny("U1"))
+				})
+			})
+		}
+	}
+}
+
 // runRefusedLongAgo runs a test with hosts of which the platform has turned the first two away for a
 // while, long before.
 func runRefusedLongAgo(t *testing.T, hosts int, test func(f *testFleet, ranked []string)) {
