peers: the log says who has lost the platform, and when each host has tried

A host that is turned away knows only that. Now its log also names, when a search begins, the hosts that say they have lost the platform, and says that it answers no known host only after every host has had a turn and none has announced a read. TestSearchIsLogged checks the four lines and that each comes once.

--- a/tier/peers/feed.go
+++ b/tier/peers/feed.go
@@ -62,6 +62,8 @@
 	consistentRead bool
 	// caughtUp is true once a watch has shown that the last full read missed nothing.
 	caughtUp bool
+	// failedWatches counts the watches that failed since one succeeded.
+	failedWatches int
 	// historyGoneAt is when a read last failed with kernel.ErrHistoryGone; 0 for never.
 	historyGoneAt time.Duration
 	outage        outage
--- a/tier/peers/search.go
+++ b/tier/peers/search.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -53,6 +54,8 @@
 	// searching is true from when this host learns that no known host reads the platform until
 	// one does.
 	searching bool
+	// answersNobody is true once every host has had its turn since then.
+	answersNobody bool
 }
 
 // searchTurn is the result of check.
@@ -76,6 +79,7 @@
 		return searchTurn{next: nextCheck(k, s, since-now)}
 	}
 	rank, hosts := newReaderRanking(s, &k.Settings).position()
+	f.noteAnswersNobody(k, s, since+searchPeriod(hosts), hosts)
 	turn := currentTurn(now, since+searchOffset(rank), searchPeriod(hosts))
 	switch {
 	case turn > now:
@@ -93,14 +97,14 @@
 	if searching == f.searching {
 		return
 	}
-	f.searching, f.refusedSince = searching, 0
+	f.searching, f.refusedSince, f.answersNobody = searching, 0, false
 	if searching {
 		rank, hosts := newReaderRanking(s, &k.Settings).position()
-		k.Log.Info().Int("Rank", rank).Int("Hosts", hosts).Int64("PlatformAgeMillis", (k.Now() - s.PlatformReadAt).Milliseconds()).
+		k.Log.Info().Int("Rank", rank).Int("Hosts", hosts).Strs("Lost", announcersThat(s, hasLost)).Int64("PlatformAgeMillis", (k.Now() - s.PlatformReadAt).Milliseconds()).
 			Msg("no known host reads the platform, hosts try in turn")
 		return
 	}
-	k.Log.Info().Strs("Answered", answeredHosts(s, k.Now())).Int64("PlatformAgeMillis", (k.Now() - s.PlatformReadAt).Milliseconds()).
+	k.Log.Info().Strs("Answered", announcersThat(s, isAnswered(k.Now()))).Int64("PlatformAgeMillis", (k.Now() - s.PlatformReadAt).Milliseconds()).
 		Msg("platform answers a known host")
 }
 
@@ -115,18 +119,38 @@
 		Msg("platform does not answer this host, others may be served")
 }
 
-// answeredHosts returns the hosts whose announcements say that the platform answers them, or
-// that another hall's reader is answered.
-func answeredHosts(s *kernel.State, now time.Duration) []string {
+// noteAnswersNobody logs once that every host has had its turn and none has announced a read, which
+// is the only way to know that the platform is away for all of them.
+func (f *search) noteAnswersNobody(k *kernel.Kernel, s *kernel.State, from time.Duration, hosts int) {
+	if f.answersNobody || k.Now() < from {
+		return
+	}
+	f.answersNobody = true
+	k.Log.Warn().Int("Hosts", hosts).Strs("Lost", announcersThat(s, hasLost)).Int64("PlatformAgeMillis", (k.Now() - s.PlatformReadAt).Milliseconds()).
+		Msg("platform answers no known host, each has tried")
+}
+
+// hasLost reports whether an announcer says that the platform does not answer it.
+func hasLost(a *kernel.AnnouncerReport) bool { return a.PlatformDown }
+
+// isAnswered returns whether an announcer says that the platform answers it, or a reader that it
+// hears.
+func isAnswered(now time.Duration) func(*kernel.AnnouncerReport) bool {
+	return func(a *kernel.AnnouncerReport) bool { return a.AnsweredUntil > now }
+}
+
+// announcersThat returns the names of the matching announcers of this hall and readers of others.
+func announcersThat(s *kernel.State, match func(*kernel.AnnouncerReport) bool) []string {
 	var out []string
 	for _, reports := range []map[string]kernel.AnnouncerReport{s.HallAnnouncers, s.OtherReaders} {
 		for h, a := range reports {
-			if a.AnsweredUntil > now {
+			if match(&a) {
 				out = append(out, h)
 			}
 		}
 	}
-	return out
+	slices.Sort(out)
+	return slices.Compact(out)
 }
 
 // unreadSince returns the time from which on no known host reads the platform: the last known
--- a/tier/peers/search_test.go
+++ b/tier/peers/search_test.go
@@ -3,11 +3,17 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
+
+	"loomgap/tier/config"
+	"loomgap/tier/kernel"
+	"loomgap/tier/policy"
 )
 
 const (
@@ -197,3 +203,50 @@
 		test(f, ranked)
 	})
 }
+
+// TestSearchIsLogged checks that a host says what it knows: that it is refused itself, who has lost
+// the platform, and that nobody is answered only once every host has tried.
+func TestSearchIsLogged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var log strings.Builder
+		k, stop := kernel.New(kernel.Config{
+			Settings: kernel.Settings{Host: "H1", Hall: "A", WatchWait: testWatchWait}, Log: zerolog.New(&log), Started: time.Now(),
+			Fleet: policy.NewFleet(policy.FleetConfig{}),
+		})
+		defer stop()
+		time.Sleep(time.Minute)
+		s := &kernel.State{Members: map[string]kernel.Member{"H2": {Host: "H2", Hall: "A", Live: true}}}
+		s.Directory, _ = s.Directory.With(&config.DirectoryChange{Revision: 1})
+		report := func(lost bool) {
+			s.HallAnnouncers = map[string]kernel.AnnouncerReport{"H2": s.HallAnnouncers["H2"].Next(k.Now(), announcerTimeout, lost)}
+		}
+		var f search
+		check := func(want ...string) {
+			t.Helper()
+			log.Reset()
+			f.check(k, s)
+			assert.Equal(t, strings.Count(log.String(), "\n"), len(want), log.String())
+			for _, w := range want {
+				assert.Assert(t, strings.Contains(log.String(), w), log.String())
+			}
+		}
+		s.PlatformReadAt = k.Now()
+		report(false)
+		check()
+		time.Sleep(maxReadAge(&k.Settings) + time.Millisecond)
+		report(true)
+		check(`"Hosts":2,"Lost":["H2"],"PlatformAgeMillis":1201,"message":"no known host reads the platform, hosts try in turn"`)
+		log.Reset()
+		for range 2 {
+			f.refused(k, s, errUnavailable)
+		}
+		assert.Equal(t, strings.Count(log.String(), "platform does not answer this host, others may be served"), 1)
+		check()
+		time.Sleep(minSearchPeriod)
+		check(`"Hosts":2,"Lost":["H2"],"PlatformAgeMillis":3201,"message":"platform answers no known host, each has tried"`)
+		check()
+		s.PlatformReadAt = k.Now()
+		report(false)
+		check(`"Answered":["H2"],"PlatformAgeMillis":0,"message":"platform answers a known host"`)
+	})
+}
