peers: changes arrive while the store refuses watches and serves reads

What callers would see: an old configuration stays in force, and upstreams that leave go unnoticed, for as long as the store refuses watches.

Cause: a host that has read once only watches. Evidence: TestChangesArriveThroughTheServedCalls, 1 to 24 hosts: no change in force after 6 s in any shape with watches refused; the shapes with reads refused passed. Change: after three failed calls a reader makes every other call a whole read, with the backoff that it had; a host in a search alternates from its first turn.

--- a/tier/peers/feed.go
+++ b/tier/peers/feed.go
@@ -14,6 +14,9 @@
 const (
 	// changeDebounce is the pause after a change, so that one read covers a burst of changes.
 	changeDebounce = 300 * time.Millisecond
+	// readAfterFailures is the number of failed calls after which a reader tries a whole read in
+	// place of a watch. Less would read everything for each watch that is cut.
+	readAfterFailures = 3
 	// roleCheckInterval is how often a host that does not read checks whether it should.
 	roleCheckInterval = 200 * time.Millisecond
 )
@@ -62,8 +65,9 @@
 	consistentRead bool
 	// caughtUp is true once a watch has shown that the last full read missed nothing.
 	caughtUp bool
-	// failedWatches counts the watches that failed since one succeeded.
-	failedWatches int
+	// failures counts the calls that failed since a watch succeeded. The platform may refuse
+	// watches and serve reads: from readAfterFailures on, every other call is a whole read.
+	failures int
 	// historyGoneAt is when a read last failed with kernel.ErrHistoryGone; 0 for never.
 	historyGoneAt time.Duration
 	outage        outage
@@ -130,6 +134,9 @@
 	if f.position == (config.Position{}) {
 		return f.source.Read(ctx, f.consistentRead)
 	}
+	if f.readsInstead() {
+		return f.source.Read(ctx, true)
+	}
 	if !f.caughtUp {
 		// The last read may have been stale.
 		return f.source.Watch(ctx, f.position, 0)
@@ -140,6 +147,12 @@
 	return f.source.Watch(ctx, f.position, f.eraTracker.wait(now, f.removalHold.wait(now, f.kernel.Settings.WatchWait)))
 }
 
+// readsInstead reports whether the next call is a whole read because watches fail. A host that
+// takes turns in a search has few of them, and alternates from the first one on.
+func (f *feed) readsInstead() bool {
+	return f.failures%2 == 1 && (f.trying || f.failures >= readAfterFailures)
+}
+
 func (f *feed) failed(ctx context.Context, err error) {
 	now := f.kernel.Now()
 	f.eraTracker.failed()
@@ -155,6 +168,7 @@
 		f.historyGoneAt = now
 		return
 	}
+	f.failures++
 	f.kernel.DoAndWait(func(s *kernel.State) {
 		f.outage.failed(now, readsKnownTo(s))
 		switch {
@@ -187,6 +201,7 @@
 		metrics.GetOrCreateCounter("loomgap_platform_entries_refused_total").Inc()
 	}
 	f.consistentRead = false
+	delay := f.outage.delay
 	// A full read may be stale, which only the next watch shows.
 	f.caughtUp = !p.Directory.Whole
 	f.position = p.Position
@@ -194,6 +209,7 @@
 		f.outage.heard(now, readsKnownTo(s))
 		wasUnavailable := f.outage.isUnavailable(now, maxReadAge(&f.kernel.Settings))
 		f.outage.succeeded(now)
+		f.noteServed(p, delay)
 		if f.eraTracker.observe(f.kernel, s, p, now) {
 			f.removalHold.platformRestored(now)
 		}
@@ -204,6 +220,17 @@
 	})
 }
 
+// noteServed records a call that succeeded. After a whole read in place of a watch, the next watch
+// decides whether another one follows, with the backoff that there was.
+func (f *feed) noteServed(p *kernel.Published, delay time.Duration) {
+	if !p.Directory.Whole || f.failures < readAfterFailures && !f.trying {
+		f.failures = 0
+		return
+	}
+	f.failures = readAfterFailures - 1
+	f.outage.delay = delay
+}
+
 // install applies what was read to the control state. It runs on the control thread while the
 // feed waits.
 func (f *feed) install(s *kernel.State, p *kernel.Published, now time.Duration, wasUnavailable bool) {
--- a/tier/peers/refused_test.go
+++ b/tier/peers/refused_test.go
@@ -26,6 +26,9 @@
 const (
 	refusedWithError   refusal = "Error"
 	refusedWithSilence refusal = "Silence"
+	// refusedWatches and refusedReads turn one kind of call away and serve the other.
+	refusedWatches refusal = "Watches"
+	refusedReads   refusal = "Reads"
 )
 
 // silentReadTimeout is how long a read waits for a platform that does not answer, in addition to
@@ -116,25 +119,25 @@
 
 // begin records a read and fails if the platform turns the host away, which takes a while if it
 // is silent.
-func (s *hostSource) begin(ctx context.Context, wait time.Duration) error {
+func (s *hostSource) begin(ctx context.Context, wait time.Duration, refused refusal) error {
 	s.fleet.mu.Lock()
 	s.fleet.reads = append(s.fleet.reads, time.Now())
 	s.fleet.askers[s.host]++
 	s.fleet.mu.Unlock()
-	return s.refusal(ctx, wait+silentReadTimeout)
+	return s.refusal(ctx, wait+silentReadTimeout, refused)
 }
 
-// refusal returns an error if the platform turns the host away; a silent platform takes the given
-// time.
-func (s *hostSource) refusal(ctx context.Context, silence time.Duration) error {
+// refusal returns an error if the platform turns the host, or the given kind of call, away; a silent
+// platform takes the given time.
+func (s *hostSource) refusal(ctx context.Context, silence time.Duration, call refusal) error {
 	s.fleet.mu.Lock()
 	how := s.fleet.refused[s.host]
 	s.fleet.mu.Unlock()
-	switch how {
-	case refusedWithSilence:
+	if how == refusedWithSilence {
 		kernel.Sleep(ctx, silence)
 		return context.DeadlineExceeded
-	case refusedWithError:
+	}
+	if how == refusedWithError || how == call {
 		return errUnavailable
 	}
 	return nil
@@ -142,7 +145,7 @@
 
 // Read implements kernel.Source.
 func (s *hostSource) Read(ctx context.Context, consistent bool) (*kernel.Published, error) {
-	if err := s.begin(ctx, 0); err != nil {
+	if err := s.begin(ctx, 0, refusedReads); err != nil {
 		return nil, err
 	}
 	return s.fleet.platform.Read(ctx, consistent)
@@ -150,11 +153,11 @@
 
 // Watch implements kernel.Source. A watch in progress fails when the platform refuses the host.
 func (s *hostSource) Watch(ctx context.Context, after config.Position, wait time.Duration) (*kernel.Published, error) {
-	if err := s.begin(ctx, wait); err != nil {
+	if err := s.begin(ctx, wait, refusedWatches); err != nil {
 		return nil, err
 	}
 	out, err := s.fleet.platform.Watch(ctx, after, wait)
-	if refused := s.refusal(ctx, silentReadTimeout); refused != nil {
+	if refused := s.refusal(ctx, silentReadTimeout, refusedWatches); refused != nil {
 		return nil, refused
 	}
 	return out, err
--- a/tier/peers/search_test.go
+++ b/tier/peers/search_test.go
@@ -204,6 +204,44 @@
 	})
 }
 
+// TestChangesArriveThroughTheServedCalls guards against an old configuration that stays in force
+// because the platform refuses watches and serves reads, or the reverse.
+func TestChangesArriveThroughTheServedCalls(t *testing.T) {
+	const (
+		changes = 10
+		// readRate is the most reads per second of all hosts together, some of them whole ones.
+		readRate = 8
+	)
+	for _, tt := range []struct{ hosts, halls int }{{1, 1}, {6, 1}, {9, 3}, {24, 1}} {
+		for _, how := range []refusal{refusedWatches, refusedReads} {
+			t.Run(fmt.Sprintf("%d hosts, %d halls, %s refused", tt.hosts, tt.halls, how), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					ctx, cancel := context.WithCancel(t.Context())
+					f := newTestFleet(t, ctx, testFleetConfig{Hosts: tt.hosts, Halls: tt.halls, WatchWait: testWatchWait})
+					defer func() {
+						cancel()
+						time.Sleep(testStartTime)
+					}()
+					time.Sleep(testStartTime)
+					f.resetReads()
+					f.refuse(how, f.ranked()...)
+					began := time.Now()
+					for i := range changes {
+						name := fmt.Sprint("U", i+1)
+						f.platform.list(name)
+						took := f.timeUntilListed(name, 2*changeBound)
+						assert.Check(t, took <= changeBound, "%s after %s", name, took)
+						time.Sleep(time.Second)
+					}
+					seconds := int(time.Since(began).Seconds()) + 1
+					assert.Check(t, len(f.reads) <= readRate*seconds, "%d reads in %d s", len(f.reads), seconds)
+					t.Logf("%d reads in %d s", len(f.reads), seconds)
+				})
+			})
+		}
+	}
+}
+
 // TestSearchIsLogged checks that a host says what it knows: that it is refused itself, who has lost
 // the platform, and that nobody is answered only once every host has tried.
 func TestSearchIsLogged(t *testing.T) {
