pass: a request whose head is no UTF-8 stays with the host that got it

Cause: messages between hosts are JSON and carry the head as text. Change: a host makes all calls of such a request itself.

--- a/tier/pass/coordinate_client.go
+++ b/tier/pass/coordinate_client.go
@@ -43,7 +43,7 @@
 // exceed the attempts that a request may have. The last coordinator that is tried may not
 // decline for lack of room: it refuses the request if its gate does.
 func (q *request) forward(ctx context.Context, w http.ResponseWriter) bool {
-	if q.route.Gather == nil || !q.route.Repeatable {
+	if q.route.Gather == nil || !q.route.Repeatable || !q.in.isText() {
 		return false
 	}
 	tried := triedCoordinators{hosts: map[string]bool{}}
--- a/tier/pass/inbound.go
+++ b/tier/pass/inbound.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	"loomgap/tier/config"
 	"loomgap/tier/guard"
@@ -48,6 +49,10 @@
 	identity policy.RequestIdentity
 }
 
+// isText reports whether the head can be sent to other hosts: their messages are JSON, in which bytes
+// that are no UTF-8 would be replaced, also those of the request ID.
+func (i *inboundRequest) isText() bool { return utf8.Valid(i.head) }
+
 // setContent sets head and body, and the fingerprint computed from them.
 func (i *inboundRequest) setContent(head, body []byte) {
 	i.head, i.body = head, body
--- a/tier/pass/relay_client.go
+++ b/tier/pass/relay_client.go
@@ -57,9 +57,10 @@
 // Batches implements runner.Batcher. It groups calls to upstreams of another hall into
 // batches, each for a relay of that hall. Even a single call goes through a relay, which
 // has connections to the upstream: making one from another hall takes longer than the call.
-// Calls to a cold upstream go through its owner, in whatever hall.
+// Calls to a cold upstream go through its owner, in whatever hall. A request that is no text is
+// called for by this host alone.
 func (q *request) Batches(sends []policy.Action) (batches []runner.Batch, direct []policy.Action) {
-	if q.route.Gather == nil {
+	if q.route.Gather == nil || !q.in.isText() {
 		return nil, sends
 	}
 	k := q.engine.kernel
