--- a/tier/peers/search.go
+++ b/tier/peers/search.go
@@ -180,12 +180,10 @@
 // searchOffset returns how long after the begin of a search the host of a rank tries, from 0.
 func searchOffset(rank int) time.Duration {
 	const interval = time.Second / maxSearchRate
-	// fast is the rank at which the doubling reaches maxSearchRate.
-	const fast = int(searchStep / interval * 100 / 69)
-	doubled := func(rank int) time.Duration {
-		return time.Duration(math.Log2(float64(rank+1)) * float64(searchStep))
-	}
-	return doubled(min(rank, fast)) + time.Duration(max(rank-fast, 0))*interval
+	// steady is the rank from which on the doubling would exceed maxSearchRate.
+	steady := int(math.Floor(float64(searchStep) / float64(interval) / math.Ln2))
+	doubling := time.Duration(math.Log2(float64(min(rank, steady)+1)) * float64(searchStep))
+	return doubling + time.Duration(max(rank-steady, 0))*interval
 }
 
 // searchPeriod returns the time between two turns of each of a number of hosts.
--- a/tier/peers/search_test.go
+++ b/tier/peers/search_test.go
@@ -288,3 +288,23 @@
 		check(`"Answered":["H2"],"PlatformAgeMillis":0,"message":"platform answers a known host"`)
 	})
 }
+
+// TestSearchTurns checks that turns follow the rank, double and then keep to maxSearchRate, and that
+// they repeat after a period that bounds the rate of a large fleet.
+func TestSearchTurns(t *testing.T) {
+	const second = time.Second
+	last := time.Duration(-1)
+	for rank := range 1000 {
+		at := searchOffset(rank)
+		assert.Assert(t, at > last, "rank %d", rank)
+		assert.Assert(t, rank < 2 || at-last >= second/maxSearchRate-time.Microsecond, "rank %d follows after %s", rank, at-last)
+		last = at
+	}
+	assert.Equal(t, searchOffset(1), searchStep)
+	assert.Assert(t, searchOffset(299) < second, "300 hosts try within a second")
+	assert.Equal(t, searchPeriod(24), minSearchPeriod)
+	assert.Equal(t, searchPeriod(1000), 5*second)
+	for _, tt := range []struct{ now, want time.Duration }{{5, 10}, {10, 10}, {12, 10}, {13, 13}, {20, 19}} {
+		assert.Equal(t, currentTurn(tt.now*second, 10*second, 3*second), tt.want*second)
+	}
+}
