peers: hosts that start while the platform serves nobody take turns

What operators would see: a fleet that starts while the store is away loads it, and does so until it is back. Found by TestStartWithoutPlatformIsCheap, 20 s, one hall: 35 reads a second at 24 hosts, 88 at 60, 174 at 117 (488 in the busiest one) with errors; three of eight shapes above the bound.

Cause: a host without a directory is a reader, whatever its rank, with the backoff of a reader. Change: once it was refused it takes turns in the search; until it has a directory it still counts the platform as lost, so that it fetches one from any host that it hears. All shapes pass, also "somebody has read within 3 s after the platform came back"; packages peers and platform pass.

--- a/tier/kernel/state.go
+++ b/tier/kernel/state.go
@@ -140,6 +140,8 @@
 	AnnouncedReadAt time.Duration
 	// OwnReadAt is when this host last read the platform itself; 0 for never.
 	OwnReadAt time.Duration
+	// RefusedAtStart is true once the platform has not answered this host while it had no directory.
+	RefusedAtStart bool
 	// FoundAt is when a search for a host that the platform serves made this host the reader;
 	// 0 if this host has not been the reader since, or was made it by its rank.
 	FoundAt time.Duration
--- a/tier/peers/feed.go
+++ b/tier/peers/feed.go
@@ -171,6 +171,7 @@
 	f.failures++
 	f.kernel.DoAndWait(func(s *kernel.State) {
 		f.outage.failed(now, readsKnownTo(s))
+		s.RefusedAtStart = s.RefusedAtStart || s.Directory == nil
 		switch {
 		case f.trying:
 			f.search.refused(f.kernel, s, err)
--- a/tier/peers/reader.go
+++ b/tier/peers/reader.go
@@ -71,7 +71,7 @@
 		k.Log.Info().Bool("Tells", announces).Bool("Reads", reads).
 			Int64("PlatformAgeMillis", (k.Now() - s.PlatformReadAt).Milliseconds()).Msg("platform reader role changed")
 	}
-	if !reads {
+	if !reads && s.Directory != nil {
 		// PlatformDown is only for a host that should read.
 		s.PlatformDown = false
 	}
@@ -81,10 +81,11 @@
 // decideRole decides whether this host announces to its hall what is published, and whether
 // it reads that from the platform. It depends on the members, the last announcement of each
 // announcer, and the age of this process. A host without a directory reads at once and does
-// not announce, since others know more. It runs on the control thread.
+// not announce, since others know more; if that fails, it takes turns (search.go). It runs on the
+// control thread.
 func decideRole(k *kernel.Kernel, s *kernel.State) (announces, reads bool) {
 	if s.Directory == nil {
-		return false, true
+		return false, !s.RefusedAtStart
 	}
 	now := k.Now()
 	if now < secondReadAt(k.Settings.Host) {
--- a/tier/peers/refused_test.go
+++ b/tier/peers/refused_test.go
@@ -168,6 +168,8 @@
 	// Hosts are divided among Halls; WatchWait is as in kernel.Settings.
 	Hosts, Halls int
 	WatchWait    time.Duration
+	// Refused is how the platform turns all hosts away from the start on; empty if it serves them.
+	Refused refusal
 }
 
 // newTestFleet starts hosts that know each other.
@@ -176,6 +178,11 @@
 		platform: newFakePlatform(), kernels: map[string]*kernel.Kernel{}, refused: map[string]refusal{}, askers: map[string]int{},
 	}
 	f.platform.list("U0")
+	for i := range c.Hosts {
+		if c.Refused != "" {
+			f.refuse(c.Refused, fmt.Sprint("H", i))
+		}
+	}
 	members := map[string]kernel.Member{}
 	at := netip.MustParseAddrPort("127.0.0.1:1")
 	for i := range c.Hosts {
--- a/tier/peers/search.go
+++ b/tier/peers/search.go
@@ -21,7 +21,8 @@
 //     that rank before it are turned away. Its announcement ends the search.
 //   - The search repeats after searchPeriod, since the platform may come back for any host first.
 //
-// The reader that is turned away is not part of it: it keeps reading (outage).
+// The reader that is turned away is not part of it: it keeps reading (outage). A host that starts
+// reads at once, and takes turns like any other if that fails.
 
 const (
 	// takeoverTime is the time that the next announcers have to take over from one that fell silent
@@ -70,7 +71,7 @@
 // not read.
 func (f *search) check(k *kernel.Kernel, s *kernel.State) searchTurn {
 	now := k.Now()
-	if s.Directory == nil || now < secondReadAt(k.Settings.Host) {
+	if now < secondReadAt(k.Settings.Host) {
 		return searchTurn{next: roleCheckInterval}
 	}
 	since := unreadSince(s, &k.Settings)
--- a/tier/peers/search_test.go
+++ b/tier/peers/search_test.go
@@ -19,6 +19,9 @@
 const (
 	// changeBound is the time within which a change has to be in force at all hosts.
 	changeBound = 3 * time.Second
+	// steadyReaders is how many hosts may keep reading a platform that serves nobody: the reader, and
+	// those that took over before they had heard of it.
+	steadyReaders = 3
 	// testWatchWait is the wait of a watch in these tests.
 	testWatchWait = 700 * time.Millisecond
 	// testStartTime is the time in which hosts that start agree on a reader.
@@ -84,9 +87,6 @@
 func TestPlatformThatServesNobodyIsReadRarely(t *testing.T) {
 	const (
 		outageTime = 20 * time.Second
-		// steadyReaders is how many hosts may keep reading: the reader, and those that took over
-		// before they had heard of it.
-		steadyReaders = 3
 		// steadyRate is the most reads per second of one of them, by minRetryDelay and its doubling.
 		steadyRate = 5
 	)
@@ -139,6 +139,39 @@
 	}
 }
 
+// TestStartWithoutPlatformIsCheap guards against hosts that start while the platform serves nobody and
+// load it: they have no directory, and each reads at its own pace until it has one.
+func TestStartWithoutPlatformIsCheap(t *testing.T) {
+	const outageTime = 20 * time.Second
+	for _, hosts := range []int{6, 24, 60, 117} {
+		for _, how := range []refusal{refusedWithError, refusedWithSilence} {
+			t.Run(fmt.Sprintf("%d hosts, %s", hosts, how), func(t *testing.T) {
+				if hosts > maxFleetHosts {
+					t.Skip("too many hosts for the race detector")
+				}
+				synctest.Test(t, func(t *testing.T) {
+					ctx, cancel := context.WithCancel(t.Context())
+					f := newTestFleet(t, ctx, testFleetConfig{Hosts: hosts, Halls: 1, WatchWait: testWatchWait, Refused: how})
+					time.Sleep(outageTime)
+					perSecond := len(f.reads) / int(outageTime/time.Second)
+					bound := min(hosts*int(time.Second)/int(minSearchPeriod), repeatedSearchRate) + 2*steadyReaders
+					assert.Check(t, perSecond <= bound, "%d reads per second, %d in the busiest one", perSecond, f.readsWithin(time.Second))
+					f.resetReads()
+					for _, h := range f.ranked() {
+						f.serve(h)
+					}
+					time.Sleep(changeBound)
+					assert.Check(t, f.listedByAny("U0"), "nobody has read the platform since it came back")
+					most := hosts + 2*steadyReaders
+					assert.Check(t, f.readsWithin(time.Second) <= most, "%d reads in a second when it is back", f.readsWithin(time.Second))
+					cancel()
+					time.Sleep(testStartTime)
+				})
+			})
+		}
+	}
+}
+
 // TestOldRefusalHoldsNoRemoval guards against an upstream that gets requests for seconds after it has
 // left, because a host that takes over reading was turned away long ago and takes its return for the
 // platform's.
