--- a/tier/pass/host_test.go
+++ b/tier/pass/host_test.go
@@ -349,7 +349,12 @@
 }
 
 func (h *host) sendContext(ctx context.Context, method, path, id string, left int, body string) result {
-	r, err := http.NewRequestWithContext(ctx, method, h.server.URL+path, strings.NewReader(body))
+	return h.sendReader(ctx, method, path, id, left, strings.NewReader(body))
+}
+
+// sendReader sends a request whose body may come slowly.
+func (h *host) sendReader(ctx context.Context, method, path, id string, left int, body io.Reader) result {
+	r, err := http.NewRequestWithContext(ctx, method, h.server.URL+path, body)
 	assert.NilError(h.t, err)
 	r.Host = "shop.example"
 	if id != "" {
@@ -362,7 +367,7 @@
 	}
 	defer resp.Body.Close()
 	text, err := io.ReadAll(resp.Body)
-	return result{status: resp.StatusCode, header: resp.Header, body: string(text), err: err}
+	return result{status: resp.StatusCode, header: resp.Header, body: string(text), err: err, closed: resp.Close}
 }
 
 // network connects hosts in memory. Messages are encoded as JSON, as on a real connection.
--- a/tier/pass/stopping_test.go
+++ b/tier/pass/stopping_test.go
@@ -61,7 +61,9 @@
 					return n
 				}
 				ask := func(id string) result {
-					return h.sendOrder(http.MethodPost, "/place/", id, timeLimit, bodyOf(slowBody))
+					ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+					defer cancel()
+					return h.sendReader(ctx, http.MethodPost, "/place/", id, int(timeLimit.Milliseconds()), bodyOf(slowBody))
 				}
 				assert.Equal(t, ask("first").status, http.StatusOK)
 				var all sync.WaitGroup
@@ -137,21 +139,3 @@
 	}()
 	return r
 }
-
-// sendOrder is send with a body that may come slowly.
-func (h *host) sendOrder(method, path, id string, left time.Duration, body io.Reader) result {
-	ctx, cancel := context.WithTimeout(h.t.Context(), testTimeout)
-	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, method, h.server.URL+path, body)
-	assert.NilError(h.t, err)
-	r.Host = "shop.example"
-	r.Header.Set(names.RequestID, id)
-	r.Header.Set(names.DeadlineMillis, strconv.FormatInt(left.Milliseconds(), 10))
-	resp, err := h.server.Client().Do(r)
-	if err != nil {
-		return result{err: err}
-	}
-	defer resp.Body.Close()
-	text, err := io.ReadAll(resp.Body)
-	return result{status: resp.StatusCode, header: resp.Header, body: string(text), err: err, closed: resp.Close}
-}
