peers: a gap of reads in which no entry can expire holds no removal

What callers would see: an upstream gets requests 3.1 s after it left.

Cause, by a trace: the reader had been failing for 0.8 s and was served again 1.25 s after the last read of the others; longer than maxReadAge (1.2 s) counted as an outage of all, and removals were held for 2.5 s.

--- a/tier/peers/feed.go
+++ b/tier/peers/feed.go
@@ -235,12 +235,11 @@
 // install applies what was read to the control state. It runs on the control thread while the
 // feed waits.
 func (f *feed) install(s *kernel.State, p *kernel.Published, now time.Duration, wasUnavailable bool) {
+	noteRead(s, now)
 	// If other hosts could read the platform in the meantime, no entries have expired.
-	endedLately := s.OutageEndedAt > 0 && now-s.OutageEndedAt < removalHoldTime
-	if wasUnavailable && (endedLately || now-s.PlatformReadAt > maxReadAge(&f.kernel.Settings)) {
+	if wasUnavailable && s.OutageEndedAt > 0 && now-s.OutageEndedAt < removalHoldTime {
 		f.removalHold.platformReturned(now)
 	}
-	noteRead(s, now)
 	s.AnnouncedReadAt, s.OwnReadAt = now, now
 	if f.trying {
 		s.FoundAt = now
--- a/tier/peers/refused_test.go
+++ b/tier/peers/refused_test.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -40,6 +41,8 @@
 type testFleet struct {
 	platform *fakePlatform
 	kernels  map[string]*kernel.Kernel
+	// cut is true if halls cannot reach each other.
+	cut atomic.Bool
 
 	mu sync.Mutex
 	// refused holds the hosts that the platform turns away.
@@ -52,6 +55,9 @@
 // Call implements kernel.PeerCaller.
 func (f *testFleet) Call(ctx context.Context, host, method string, params, _ any) error {
 	time.Sleep(time.Millisecond)
+	if m, ok := params.(announcement); ok && f.cut.Load() && m.Hall != f.kernels[host].Settings.Hall {
+		return errUnavailable
+	}
 	text, err := json.Marshal(params)
 	if err != nil {
 		return err
--- a/tier/peers/search_test.go
+++ b/tier/peers/search_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -81,6 +82,80 @@
 	}
 }
 
+// TestChangesArriveInHallsThatAreCutOff checks the same while the halls cannot reach each other, and the
+// platform serves one host of each.
+func TestChangesArriveInHallsThatAreCutOff(t *testing.T) {
+	for _, tt := range []struct{ hosts, halls int }{{9, 3}, {24, 3}, {24, 12}, {60, 5}} {
+		for _, how := range []refusal{refusedWithError, refusedWithSilence} {
+			t.Run(fmt.Sprintf("%d hosts, %d halls, %s", tt.hosts, tt.halls, how), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					ctx, cancel := context.WithCancel(t.Context())
+					f := newTestFleet(t, ctx, testFleetConfig{Hosts: tt.hosts, Halls: tt.halls, WatchWait: testWatchWait})
+					time.Sleep(testStartTime)
+					served := map[string]string{}
+					for _, h := range f.ranked() {
+						served[f.kernels[h].Settings.Hall] = h
+					}
+					for _, h := range f.ranked() {
+						if served[f.kernels[h].Settings.Hall] != h {
+							f.refuse(how, h)
+						}
+					}
+					f.cut.Store(true)
+					for i := range 4 {
+						name := fmt.Sprint("U", i+1)
+						f.platform.list(name)
+						took := f.timeUntilListed(name, 2*changeBound)
+						assert.Check(t, took <= changeBound, "%s after %s", name, took)
+						time.Sleep(time.Second)
+					}
+					cancel()
+					time.Sleep(testStartTime)
+				})
+			})
+		}
+	}
+}
+
+// TestChangesArriveWhileRefusalsChange draws again and again which hosts the platform turns away, and
+// how; a change comes at the same moment. Nothing reverts: an upstream that was removed stays so.
+func TestChangesArriveWhileRefusalsChange(t *testing.T) {
+	const draws = 12
+	for seed := range uint64(6) {
+		for _, tt := range []struct{ hosts, halls int }{{6, 1}, {24, 1}, {24, 3}} {
+			t.Run(fmt.Sprintf("seed %d, %d hosts, %d halls", seed, tt.hosts, tt.halls), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					random := rand.New(rand.NewPCG(seed, 64))
+					ctx, cancel := context.WithCancel(t.Context())
+					f := newTestFleet(t, ctx, testFleetConfig{Hosts: tt.hosts, Halls: tt.halls, WatchWait: testWatchWait})
+					time.Sleep(testStartTime)
+					ranked := f.ranked()
+					for i := range draws {
+						served := random.IntN(tt.hosts)
+						for n, h := range ranked {
+							f.serve(h)
+							if how := []refusal{"", refusedWithError, refusedWithError, refusedWithSilence}[random.IntN(4)]; n != served && how != "" {
+								f.refuse(how, h)
+							}
+						}
+						name, before := fmt.Sprint("U", i+1), fmt.Sprint("U", i)
+						f.platform.list(name)
+						f.platform.remove(before)
+						took := f.timeUntilListed(name, 2*changeBound)
+						assert.Check(t, took <= changeBound, "%s after %s", name, took)
+						for range 20 {
+							time.Sleep(time.Duration(random.IntN(300)) * time.Millisecond)
+							assert.Check(t, !f.listedByAny(before), "%s is listed again", before)
+						}
+					}
+					cancel()
+					time.Sleep(testStartTime)
+				})
+			})
+		}
+	}
+}
+
 // TestPlatformThatServesNobodyIsReadRarely guards against a fleet that loads a platform that
 // serves nobody, or one that comes back: beside a few hosts that keep reading, each host tries
 // once a period, and the rate of all together has a bound at any size.
