--- a/tier/peers/refused_test.go
+++ b/tier/peers/refused_test.go
@@ -97,6 +97,26 @@
 	f.reads, f.askers = nil, map[string]int{}
 }
 
+// readCount returns how many reads and watches began.
+func (f *testFleet) readCount() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.reads)
+}
+
+// hostsWithMoreReads returns how many hosts began more reads than a number.
+func (f *testFleet) hostsWithMoreReads(than int) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	hosts := 0
+	for _, n := range f.askers {
+		if n > than {
+			hosts++
+		}
+	}
+	return hosts
+}
+
 // readsWithin returns the largest number of reads that began within a window.
 func (f *testFleet) readsWithin(window time.Duration) int {
 	f.mu.Lock()
--- a/tier/peers/search_test.go
+++ b/tier/peers/search_test.go
@@ -180,18 +180,13 @@
 					f.refuse(how, f.ranked()...)
 					time.Sleep(outageTime)
 					turns := int(outageTime/searchPeriod(tt.hosts)) + 1
-					often := 0
-					for _, n := range f.askers {
-						if n > turns {
-							often++
-						}
-					}
+					often := f.hostsWithMoreReads(turns)
 					assert.Check(t, often <= steadyReaders, "%d hosts read more often than once a period", often)
 					// The first search takes turns at maxSearchRate, the following ones at the rate that
 					// the period leaves.
 					most := min(tt.hosts, maxSearchRate) + steadyReaders*steadyRate
 					assert.Check(t, f.readsWithin(time.Second) <= most, "%d reads in a second", f.readsWithin(time.Second))
-					perSecond := len(f.reads) / int(outageTime/time.Second)
+					perSecond := f.readCount() / int(outageTime/time.Second)
 					perSecondBound := min(tt.hosts*int(time.Second)/int(minSearchPeriod), repeatedSearchRate) + steadyReaders*2
 					assert.Check(t, perSecond <= perSecondBound, "%d reads per second", perSecond)
 					t.Logf("%d hosts keep reading, %d reads per second, %d in the busiest one", often, perSecond, f.readsWithin(time.Second))
@@ -228,7 +223,7 @@
 					ctx, cancel := context.WithCancel(t.Context())
 					f := newTestFleet(t, ctx, testFleetConfig{Hosts: hosts, Halls: 1, WatchWait: testWatchWait, Refused: how})
 					time.Sleep(outageTime)
-					perSecond := len(f.reads) / int(outageTime/time.Second)
+					perSecond := f.readCount() / int(outageTime/time.Second)
 					bound := min(hosts*int(time.Second)/int(minSearchPeriod), repeatedSearchRate) + 2*steadyReaders
 					assert.Check(t, perSecond <= bound, "%d reads per second, %d in the busiest one", perSecond, f.readsWithin(time.Second))
 					f.resetReads()
@@ -342,8 +337,9 @@
 						time.Sleep(time.Second)
 					}
 					seconds := int(time.Since(began).Seconds()) + 1
-					assert.Check(t, len(f.reads) <= readRate*seconds, "%d reads in %d s", len(f.reads), seconds)
-					t.Logf("%d reads in %d s", len(f.reads), seconds)
+					reads := f.readCount()
+					assert.Check(t, reads <= readRate*seconds, "%d reads in %d s", reads, seconds)
+					t.Logf("%d reads in %d s", reads, seconds)
 				})
 			})
 		}
