loomfake: scenarios log each order of which nobody knows whether it ran

Two causes fit: the host asked does not know the new process, or the tickets are being handed over. Each such order is now logged with its ticket, host, time and remedy, like those without an answer.

--- a/loomfake/history_test.go
+++ b/loomfake/history_test.go
@@ -25,7 +25,7 @@
 		Ticket string
 	}
 	answerBody struct {
-		Outcome string
+		Outcome, Remedy string
 	}
 )
 
@@ -35,7 +35,8 @@
 	operations []porcupine.Operation
 	outcomes   map[string]int
 	problems   []string
-	// losses describes each request that got no answer: when it ended and why.
+	// losses describes each request that got no answer, or of which nobody knows whether it ran:
+	// when it ended and why.
 	losses []string
 }
 
@@ -106,10 +107,14 @@
 	h.outcomes[out.outcome]++
 }
 
-// outcomeLost is the outcome of a request that got no answer.
-const outcomeLost = "Lost"
+const (
+	// outcomeLost is the outcome of a request that got no answer.
+	outcomeLost = "Lost"
+	// outcomeUnknown is the outcome of an order that may have run.
+	outcomeUnknown = "Unknown"
+)
 
-// recordLost records why a request got no answer.
+// recordLost records why a request got no answer, or none that tells whether it ran.
 func (h *history) recordLost(sentAt time.Time, err error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -167,10 +172,14 @@
 			for attempt := range maxAttempts {
 				sentAt := time.Now()
 				var a answerBody
-				if err := call(http.MethodPost, s.pickHost(hosts, c+n+attempt)+"/orders", body, &a); err != nil {
+				host := s.pickHost(hosts, c+n+attempt)
+				if err := call(http.MethodPost, host+"/orders", body, &a); err != nil {
 					a.Outcome = outcomeLost
 					s.history.recordLost(sentAt, err)
 				}
+				if a.Outcome == outcomeUnknown {
+					s.history.recordLost(sentAt, fmt.Errorf("order %s at %s has an unknown outcome: %s", t.Ticket, host, a.Remedy))
+				}
 				s.history.add(c, attemptInput{ticket: t.Ticket}, sentAt, attemptOutput{outcome: a.Outcome})
 				if a.Outcome == "Complete" {
 					return
