entry: an order of a process not heard of yet is sent to it

Cause: a host that knew another process of the ticket's host took the ticket's for gone. It may be the later one: a host that has just started is ready and mints tickets before all have heard of it.

The new test failed before in 3 of 7 rows: stopped process known, the same at another address, no process known.

Why it works: only an earlier process than the known one is gone; a later one is asked, and if it is not reached its news is waited for, two heartbeats at most. The process that minted a ticket still is the only one that may run it.

--- a/tier/entry/order.go
+++ b/tier/entry/order.go
@@ -8,6 +8,7 @@
 
 	"loomgap/tier/config"
 	entrygen "loomgap/tier/gen/entry"
+	"loomgap/tier/kernel"
 	"loomgap/tier/policy"
 	"loomgap/tier/query"
 	"loomgap/tier/wire"
@@ -26,6 +27,14 @@
 	shard *config.Shard
 }
 
+// Bounds of the wait for news of the process that minted a ticket.
+const (
+	// minterNewsBeats is the number of heartbeat intervals in which all hosts learn of a new process.
+	minterNewsBeats = 2
+	// minterPollInterval is the interval at which the members are looked at.
+	minterPollInterval = 10 * time.Millisecond
+)
+
 // newOrder parses an order and sets its configuration and deadline. The error is
 // errNoConfig, or wraps errInvalid and tells the caller what to do.
 func (e *engine) newOrder(in *entrygen.OrderPayload) (*order, error) {
@@ -119,10 +128,13 @@
 // earlier attempt may have run.
 func (e *engine) forward(ctx context.Context, o *order) *entrygen.Answer {
 	minter, known := o.view.Members[o.ticket.Host]
-	if o.ticket.Host == e.kernel.Settings.Host || known && minter.Incarnation != o.ticket.Incarnation {
+	if o.ticket.Host == e.kernel.Settings.Host || known && minter.Incarnation > o.ticket.Incarnation {
 		return e.askSuccessors(ctx, o)
 	}
 	answer, err := e.sendOrder(ctx, o.ticket.Host, o)
+	if err != nil && !e.knowsMinter(o.ticket) && e.awaitMinter(ctx, o) {
+		answer, err = e.sendOrder(ctx, o.ticket.Host, o)
+	}
 	if err == nil {
 		return answer
 	}
@@ -133,6 +145,26 @@
 	return e.unknownAnswer(o.payload, "the host that minted the ticket was not reached; ask again with the same ticket")
 }
 
+// knowsMinter reports whether this host has heard of the process that minted a ticket, or of a
+// later one of that host.
+func (e *engine) knowsMinter(t ticket) bool {
+	m, known := e.kernel.View().Members[t.Host]
+	return known && m.Incarnation >= t.Incarnation
+}
+
+// awaitMinter waits until this host has heard of the process that minted the ticket, and reports
+// whether it has.
+func (e *engine) awaitMinter(ctx context.Context, o *order) bool {
+	end := min(o.deadline, e.kernel.Now()+minterNewsBeats*e.kernel.Settings.Beat)
+	for !e.knowsMinter(o.ticket) {
+		if ctx.Err() != nil || e.kernel.Now() >= end {
+			return false
+		}
+		kernel.Sleep(ctx, minterPollInterval)
+	}
+	return true
+}
+
 // sendOrder sends an order to another host and waits for the answer until the deadline.
 func (e *engine) sendOrder(ctx context.Context, host string, o *order) (*entrygen.Answer, error) {
 	left := o.deadline - e.kernel.Now()
