entry: an order whose ticket is being handed over waits for that

What callers saw: nothing yet that is proved to be this.

Until a ticket has come to the successor nobody runs its order: the stopping host asked the successors too early, a successor took a ticket that it lacked for expired, and one whose order the stopping host did not answer any more did not look at what it had got meanwhile.

Evidence: TestOrderDuringHandover holds the second message back; its 4 rows in which the message arrives failed before (Unknown, want Complete), the 2 in which it is lost are Unknown before and after.

Why it works: the stopping host asks its successors once all is handed over; a successor that lacks a ticket of a process that may still run asks that process, then looks at its own tickets again. An order that was forwarded is not forwarded again, so there is no circle. Only the holder of a ticket runs its order, as before.

--- a/tier/entry/order.go
+++ b/tier/entry/order.go
@@ -25,6 +25,8 @@
 	place   *query.Place
 	// shard is the shard of the record's key.
 	shard *config.Shard
+	// forwarded is true if another host sent the order. It is then not forwarded again.
+	forwarded bool
 }
 
 // Bounds of the wait for news of the process that minted a ticket.
@@ -59,6 +61,10 @@
 
 // Order runs an order at most once, on this host or on the host that holds its ticket.
 func (e *engine) Order(ctx context.Context, in *entrygen.OrderPayload) (*entrygen.Answer, error) {
+	return e.order(ctx, in, false)
+}
+
+func (e *engine) order(ctx context.Context, in *entrygen.OrderPayload, forwarded bool) (*entrygen.Answer, error) {
 	o, err := e.newOrder(in)
 	if errors.Is(err, errNoConfig) {
 		return e.unknownAnswer(in, "this host has no configuration yet; ask again with the same ticket"), nil
@@ -66,19 +72,31 @@
 	if err != nil {
 		return nil, err
 	}
+	o.forwarded = forwarded
 	return e.instrument(ctx, "order", in.Ticket, in.Class, func(ctx context.Context) (*entrygen.Answer, error) {
 		return e.answerOrder(ctx, o)
 	})
 }
 
-// answerOrder answers an order according to the state of its ticket: it runs the order,
-// waits for the running attempt, returns the stored answer, or asks the host that holds the
-// ticket.
+// answerOrder answers an order on this host, or asks the host that holds its ticket.
 func (e *engine) answerOrder(ctx context.Context, o *order) (*entrygen.Answer, error) {
 	tickets := e.ticketsOf(o.ticket)
-	if tickets == nil {
-		return e.forward(ctx, o), nil
+	if tickets == nil || !o.forwarded && !tickets.holds(o.ticket.Counter) && e.minterRuns(o) {
+		return e.forward(ctx, o)
 	}
+	return e.answerHere(ctx, tickets, o)
+}
+
+// minterRuns reports whether the process that minted the ticket may still run, so that it may not
+// have handed over all of its tickets yet.
+func (e *engine) minterRuns(o *order) bool {
+	return o.ticket.Host != e.kernel.Settings.Host && o.view.Members[o.ticket.Host].Incarnation == o.ticket.Incarnation
+}
+
+// answerHere answers an order according to the state of its ticket in a store of this host: it runs
+// the order, waits for the running attempt, returns the stored answer, or asks the hosts that got
+// the ticket.
+func (e *engine) answerHere(ctx context.Context, tickets *ticketStore, o *order) (*entrygen.Answer, error) {
 	c := tickets.claim(e.kernel.Now(), o.ticket.Counter, o.payload.Statement)
 	switch c.kind {
 	case claimNotMinted:
@@ -88,7 +106,7 @@
 	case claimExpired:
 		return e.unknownAnswer(o.payload, "the ticket expired; look the record up before placing it again"), nil
 	case claimReleased:
-		return e.askSuccessors(ctx, o), nil
+		return e.askAfterHandover(ctx, o, c.done), nil
 	case claimDone:
 		return c.answer, nil
 	case claimWait:
@@ -126,23 +144,27 @@
 // forward sends an order to the host that minted its ticket, or, if that process is gone, to
 // the hosts that may have adopted the ticket. If that fails the answer is Unknown, since an
 // earlier attempt may have run.
-func (e *engine) forward(ctx context.Context, o *order) *entrygen.Answer {
+func (e *engine) forward(ctx context.Context, o *order) (*entrygen.Answer, error) {
 	minter, known := o.view.Members[o.ticket.Host]
 	if o.ticket.Host == e.kernel.Settings.Host || known && minter.Incarnation > o.ticket.Incarnation {
-		return e.askSuccessors(ctx, o)
+		return e.askSuccessors(ctx, o), nil
 	}
 	answer, err := e.sendOrder(ctx, o.ticket.Host, o)
 	if err != nil && !e.knowsMinter(o.ticket) && e.awaitMinter(ctx, o) {
 		answer, err = e.sendOrder(ctx, o.ticket.Host, o)
 	}
 	if err == nil {
-		return answer
+		return answer, nil
 	}
 	e.kernel.Log.Warn().Err(err).Str("Ticket", o.id).Msg("failed to forward order")
+	if tickets := e.ticketsOf(o.ticket); tickets != nil {
+		// Its host may have handed the ticket over to this one meanwhile.
+		return e.answerHere(ctx, tickets, o)
+	}
 	if o.deadline > e.kernel.Now() {
-		return e.askSuccessors(ctx, o)
+		return e.askSuccessors(ctx, o), nil
 	}
-	return e.unknownAnswer(o.payload, "the host that minted the ticket was not reached; ask again with the same ticket")
+	return e.unknownAnswer(o.payload, "the host that minted the ticket was not reached; ask again with the same ticket"), nil
 }
 
 // knowsMinter reports whether this host has heard of the process that minted a ticket, or of a
@@ -187,9 +209,9 @@
 	if e.ticketsOf(t) == nil {
 		return nil, fmt.Errorf("%w %q: %w", errTicket, in.Ticket, errNotSuccessor)
 	}
-	return e.Order(wire.WithTraceParent(ctx, in.Trace), &entrygen.OrderPayload{
+	return e.order(wire.WithTraceParent(ctx, in.Trace), &entrygen.OrderPayload{
 		Ticket: in.Ticket, Statement: in.Statement, Class: in.Class, DeadlineMillis: &in.DeadlineMillis,
-	})
+	}, true)
 }
 
 // place sends an order to one upstream of its shard. It tries another upstream only after
--- a/tier/entry/successor.go
+++ b/tier/entry/successor.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"slices"
@@ -51,7 +52,8 @@
 }
 
 // release makes all later claims in this process fail, and returns the tickets without a
-// running order. This process can no longer run those orders, so another host may.
+// running order, the oldest first. This process can no longer run those orders, so another host
+// may.
 func (t *ticketStore) release(now time.Duration) []handedTicket {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -62,6 +64,7 @@
 			out = append(out, handedTicket{Counter: n, Left: s.expiresAt - now, Statement: s.statement, Answer: s.answer})
 		}
 	}
+	slices.SortFunc(out, func(a, b handedTicket) int { return cmp.Compare(a.Counter, b.Counter) })
 	return out
 }
 
@@ -148,15 +151,21 @@
 // only once; if a message is lost, orders with the tickets in it have the outcome Unknown.
 func (e *engine) handOver() {
 	for _, t := range append(e.adopted.list(), e.tickets) {
-		process := processID(t.Host, t.Incarnation)
-		ranked := successors(e.kernel.View(), &e.kernel.Settings, process)
-		handed := t.release(e.kernel.Now())
-		if len(handed) == 0 || len(ranked) == 0 {
-			continue
-		}
-		for chunk := range slices.Chunk(handed, ticketsPerMessage) {
-			e.sendTickets(ranked[0], &adoptRequest{Host: t.Host, Incarnation: t.Incarnation, Next: t.next, Tickets: chunk})
-		}
+		e.handOverStore(t)
+	}
+}
+
+// handOverStore hands the tickets of one process to another host.
+func (e *engine) handOverStore(t *ticketStore) {
+	defer close(t.handedOver)
+	process := processID(t.Host, t.Incarnation)
+	ranked := successors(e.kernel.View(), &e.kernel.Settings, process)
+	handed := t.release(e.kernel.Now())
+	if len(handed) == 0 || len(ranked) == 0 {
+		return
+	}
+	for chunk := range slices.Chunk(handed, ticketsPerMessage) {
+		e.sendTickets(ranked[0], &adoptRequest{Host: t.Host, Incarnation: t.Incarnation, Next: t.next, Tickets: chunk})
 	}
 }
 
@@ -169,6 +178,18 @@
 	e.kernel.Log.Info().Err(err).Str("Successor", successor).Int("Tickets", len(r.Tickets)).Msg("ticket handover finished")
 }
 
+// askAfterHandover asks the hosts that may adopt this host's tickets for an order once these have
+// been handed over, since until then none has them all.
+func (e *engine) askAfterHandover(ctx context.Context, o *order, handedOver <-chan struct{}) *entrygen.Answer {
+	wait, cancel := context.WithTimeout(ctx, o.deadline-e.kernel.Now())
+	defer cancel()
+	select {
+	case <-handedOver:
+	case <-wait.Done():
+	}
+	return e.askSuccessors(ctx, o)
+}
+
 // askSuccessors sends an order to the hosts that may have adopted its ticket, one after the
 // other.
 func (e *engine) askSuccessors(ctx context.Context, o *order) *entrygen.Answer {
--- a/tier/entry/successor_test.go
+++ b/tier/entry/successor_test.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"os"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -33,6 +34,8 @@
 	hosts map[string]*engine
 	// before is called before a message is delivered, outside mu; its error is that of the call.
 	before func(host, method string) error
+	// wrap runs the handler of a call to a host.
+	wrap func(host string, call func() error) error
 }
 
 var _ kernel.PeerCaller = (*hostNetwork)(nil)
@@ -40,7 +43,7 @@
 // Call implements kernel.PeerCaller.
 func (n *hostNetwork) Call(ctx context.Context, host, method string, params, result any) error {
 	n.mu.Lock()
-	to, before := n.hosts[host], n.before
+	to, before, wrap := n.hosts[host], n.before, n.wrap
 	n.mu.Unlock()
 	if before != nil {
 		if err := before(host, method); err != nil {
@@ -54,7 +57,16 @@
 	if err != nil {
 		return err
 	}
-	out, err := to.kernel.Handler(method)(ctx, in)
+	var out any
+	serve := func() (err error) {
+		out, err = to.kernel.Handler(method)(ctx, in)
+		return err
+	}
+	if wrap != nil {
+		err = wrap(host, serve)
+	} else {
+		err = serve()
+	}
 	if err != nil {
 		return err
 	}
@@ -190,3 +202,93 @@
 		})
 	}
 }
+
+// TestOrderDuringHandover guards against orders that are answered Unknown because they come while the
+// tickets of a stopping host are on their way to its successor.
+func TestOrderDuringHandover(t *testing.T) {
+	tests := []struct {
+		name string
+		// atSuccessor is whether the successor is asked, and not a third host.
+		atSuccessor bool
+		// cut is whether the stopping host ends as soon as it has handed its tickets over.
+		cut bool
+		// failed is whether the message with the order's ticket is lost.
+		failed bool
+		want   string
+	}{
+		{name: "third host", want: outcomeComplete},
+		{name: "third host, the stopping one ends", cut: true, want: outcomeComplete},
+		{name: "successor", atSuccessor: true, want: outcomeComplete},
+		{name: "successor, the stopping host ends", atSuccessor: true, cut: true, want: outcomeComplete},
+		{name: "message lost", failed: true, want: outcomeUnknown},
+		{name: "message lost, successor", atSuccessor: true, failed: true, want: outcomeUnknown},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			n := &hostNetwork{hosts: map[string]*engine{}}
+			all := []*engine{n.start(t, "H1", "1"), n.start(t, "H2", "1"), n.start(t, "H3", "1")}
+			for _, e := range all {
+				for _, o := range all {
+					if o != e {
+						learn(e, o.kernel.Settings.Host, "1", false)
+					}
+				}
+			}
+			stopping := all[0]
+			for range ticketsPerMessage {
+				completedOrder(t, stopping)
+			}
+			order := completedOrder(t, stopping) // Its ticket comes in the second message.
+			ranked := successors(stopping.kernel.View(), &stopping.kernel.Settings, processID("H1", "1"))
+			asked := n.hosts[ranked[1]]
+			if tt.atSuccessor {
+				asked = n.hosts[ranked[0]]
+			}
+
+			begun, orderCame, cut := make(chan struct{}), make(chan struct{}), make(chan struct{})
+			var messages atomic.Int64
+			var once sync.Once
+			n.before = func(host, method string) error {
+				switch {
+				case method == methodAdopt && messages.Add(1) == 2:
+					close(begun)
+					<-orderCame
+					time.Sleep(testBeat)
+					if tt.failed {
+						return errNotReached
+					}
+				case method == methodOrder && host == "H1":
+					once.Do(func() { close(orderCame) })
+				}
+				return nil
+			}
+			n.wrap = func(host string, call func() error) error {
+				if host != "H1" || !tt.cut {
+					return call()
+				}
+				done := make(chan error, 1)
+				go func() { done <- call() }()
+				select {
+				case <-cut:
+					return errNotReached
+				case err := <-done:
+					return err
+				}
+			}
+			var wg sync.WaitGroup
+			wg.Go(func() {
+				stopping.handOver()
+				n.mu.Lock()
+				delete(n.hosts, "H1")
+				n.mu.Unlock()
+				close(cut)
+			})
+			<-begun
+			// An order that is not sent to the stopping host must not hold the handover up.
+			time.AfterFunc(testBeat, func() { once.Do(func() { close(orderCame) }) })
+			got := ask(t, asked, order)
+			wg.Wait()
+			assert.Equal(t, got.Outcome, tt.want)
+		})
+	}
+}
--- a/tier/entry/ticket.go
+++ b/tier/entry/ticket.go
@@ -60,7 +60,7 @@
 	claimExpired claimKind = "Forgotten"
 	// claimNotMinted means that the ticket was never minted.
 	claimNotMinted claimKind = "Never"
-	// claimReleased means that the tickets were handed over to another host.
+	// claimReleased means that the tickets are being handed over to another host, or were.
 	claimReleased claimKind = "Given"
 	// claimMismatch means that the ticket was used for another statement.
 	claimMismatch claimKind = "Other"
@@ -69,8 +69,8 @@
 // claim is the result of ticketStore.claim.
 type claim struct {
 	kind claimKind
-	// done is closed when the running order has finished; nil unless kind is
-	// claimWait.
+	// done is closed when the running order has finished if kind is claimWait, and when the
+	// tickets have been handed over if kind is claimReleased; otherwise it is nil.
 	done <-chan struct{}
 	// answer is the final answer; nil unless kind is claimDone.
 	answer *entrygen.Answer
@@ -99,8 +99,10 @@
 	oldest uint64
 	// states holds the tickets by counter.
 	states map[uint64]*ticketState
-	// released is true once the tickets were handed over. No claim succeeds then.
+	// released is true once the tickets are being handed over. No claim succeeds then.
 	released bool
+	// handedOver is closed when all tickets have been handed over.
+	handedOver chan struct{}
 }
 
 // ticketsConfig configures a ticketStore.
@@ -111,7 +113,7 @@
 }
 
 func newTicketStore(c ticketsConfig) *ticketStore {
-	return &ticketStore{ticketsConfig: c, next: 1, oldest: 1, states: map[uint64]*ticketState{}}
+	return &ticketStore{ticketsConfig: c, next: 1, oldest: 1, states: map[uint64]*ticketState{}, handedOver: make(chan struct{})}
 }
 
 func (t *ticketStore) mint(now time.Duration) (ticket, error) {
@@ -148,7 +150,7 @@
 	s := t.states[counter]
 	switch {
 	case t.released:
-		return claim{kind: claimReleased}
+		return claim{kind: claimReleased, done: t.handedOver}
 	case counter >= t.next || counter == 0:
 		return claim{kind: claimNotMinted}
 	case s == nil:
@@ -180,6 +182,13 @@
 	s.running = nil
 }
 
+// holds reports whether the store has a ticket.
+func (t *ticketStore) holds(counter uint64) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.states[counter] != nil
+}
+
 // answer returns the final answer of a ticket; nil if it has none.
 func (t *ticketStore) answer(counter uint64) *entrygen.Answer {
 	t.mu.Lock()
