guard: a refusal whose write came late is written again

Cause: a refusal has 50 ms to be written. If the process does not run between the setting of that deadline and the write, the write fails before it began.

That a close with unread bytes throws the answer away, as was suspected, was not seen.

Why it works: the second try has its own 50 ms; a client that takes nothing holds the connection's reader for 100 ms at most.

--- a/tier/guard/guard_test.go
+++ b/tier/guard/guard_test.go
@@ -439,6 +439,42 @@
 	assert.Assert(t, time.Since(started) < 3*maxWorkWait, "%s", time.Since(started))
 }
 
+// lateListener accepts connections whose process is late once: it does not run for longer than a try
+// to write a refusal lasts, after it has set the deadline of that try.
+type lateListener struct{ net.Listener }
+
+func (l lateListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return &lateConn{Conn: c}, err
+}
+
+type lateConn struct {
+	net.Conn
+	late bool
+}
+
+func (c *lateConn) SetWriteDeadline(t time.Time) error {
+	err := c.Conn.SetWriteDeadline(t)
+	if !t.IsZero() && time.Until(t) <= refusalTime && !c.late {
+		c.late = true
+		time.Sleep(2 * refusalTime)
+	}
+	return err
+}
+
+// TestLateProcessRefuses guards against refusals that are not written because the process did not
+// run between the deadline for the write and the write.
+func TestLateProcessRefuses(t *testing.T) {
+	s := newStand(t, Config{}, DoorConfig{}, nil)
+	s.set(func(l *Limits) { l.HeadTime, l.IdleTime = 5*time.Second, 5*time.Second })
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	s.serve(s.door.Wrap(lateListener{l}), func(http.ResponseWriter, *http.Request) {})
+	c := s.dial()
+	c.send(headOf(2 * int(testLimits.HeadBytes)))
+	c.expect(http.StatusRequestHeaderFieldsTooLarge)
+}
+
 // TestOrdinaryClientsAreNotDelayed requires that requests inside ordinary sizes never wait for
 // processor time, however many a connection sends.
 func TestOrdinaryClientsAreNotDelayed(t *testing.T) {
--- a/tier/guard/refuse.go
+++ b/tier/guard/refuse.go
@@ -1,9 +1,11 @@
 package guard
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 )
@@ -15,8 +17,10 @@
 	// once, the client might lose the refusal, and one that only waits for the end would be back at
 	// once.
 	lingerTime = time.Second
-	// refusalTime limits the time for writing a refusal.
+	// refusalTime limits the time for one try to write a refusal.
 	refusalTime = 50 * time.Millisecond
+	// refusalTries limits the tries: the first may come late because the process was, not the client.
+	refusalTries = 2
 	// retryAfterNoRoom is when a client may come back for whom there was no room.
 	retryAfterNoRoom = time.Second
 )
@@ -55,13 +59,25 @@
 	if retryAfter > 0 {
 		head += "Retry-After: " + seconds(retryAfter) + "\r\n"
 	}
-	if err := c.Conn.SetWriteDeadline(time.Now().Add(refusalTime)); err == nil {
-		_, _ = c.Conn.Write([]byte(head + "\r\n" + text + "\n")) // the client may be gone
-	}
+	c.writeRefusal([]byte(head + "\r\n" + text + "\n"))
 	c.refusal = &refusal{why}
 	return c.refusal
 }
 
+// writeRefusal writes a refusal, unless the client does not take it.
+func (c *Conn) writeRefusal(text []byte) {
+	for range refusalTries {
+		if c.Conn.SetWriteDeadline(time.Now().Add(refusalTime)) != nil {
+			return // the client is gone
+		}
+		n, err := c.Conn.Write(text)
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return
+		}
+		text = text[n:]
+	}
+}
+
 // seconds writes a time for the header Retry-After.
 func seconds(d time.Duration) string { return strconv.FormatFloat(d.Seconds(), 'f', 3, 64) }
 
