--- a/tier/guard/guard_test.go
+++ b/tier/guard/guard_test.go
@@ -124,12 +124,13 @@
 // headOf returns a head with short fields of size bytes in all, the empty line included.
 func headOf(size int) string {
 	const host, end = "Host: a\r\n", "\r\n"
-	fields := host
-	for i := 0; len(fields) < size-len("x0000:\r\n")-len("y:\r\n")-len(end); i++ {
-		fields += fmt.Sprintf("x%04d:\r\n", i)
+	var fields strings.Builder
+	fields.WriteString(host)
+	for i := 0; fields.Len() < size-len("x0000:\r\n")-len("y:\r\n")-len(end); i++ {
+		_, _ = fmt.Fprintf(&fields, "x%04d:\r\n", i)
 	}
-	fields += "y:" + strings.Repeat("z", size-len(fields)-len("y:\r\n")-len(end)) + "\r\n"
-	return "GET /x HTTP/1.1\r\n" + fields + end
+	fields.WriteString("y:" + strings.Repeat("z", size-fields.Len()-len("y:\r\n")-len(end)) + "\r\n")
+	return "GET /x HTTP/1.1\r\n" + fields.String() + end
 }
 
 // TestLargestLegalHeadIsServed requires that a head at its limit is served, and one over it refused.
@@ -413,12 +414,13 @@
 // that they cannot have before their heads must be complete, and that ordinary requests are served.
 func TestBusyHostRefusesLargeHeadsAtOnce(t *testing.T) {
 	s := newStand(t, Config{Cores: 0.01}, DoorConfig{}, nil)
-	s.set(func(l *Limits) { l.HeadTime = 5 * time.Second })
+	s.set(func(l *Limits) { l.HeadTime, l.IdleTime = 5*time.Second, 5*time.Second })
 	var all []*client
+	large := headOf(16 << 10)
 	started := time.Now()
 	for range 10 {
 		c := s.dial()
-		c.send(headOf(16 << 10))
+		c.send(large)
 		all = append(all, c)
 	}
 	other := s.dial()
