peers, pass: tests of changes share their loop; what longestTimes keeps is said

The comment of longestTimes said "lately", while a route without requests keeps its last run until the next one.

--- a/tier/pass/longest.go
+++ b/tier/pass/longest.go
@@ -9,8 +9,9 @@
 // count, so that what has become shorter is forgotten.
 const longestInterval = 30 * time.Second
 
-// longestTimes holds the longest time of each route that was recorded lately. It is safe for
-// concurrent use; the zero value is ready to use.
+// longestTimes holds the longest time of each route that was recorded in its current and previous
+// interval; a route of which nothing is recorded keeps what it had. It is safe for concurrent use;
+// the zero value is ready to use.
 type longestTimes struct {
 	mu      sync.Mutex
 	byRoute map[string]*longestTime
--- a/tier/peers/search_test.go
+++ b/tier/peers/search_test.go
@@ -39,6 +39,24 @@
 	return took
 }
 
+// checkListed checks that all hosts list an upstream in time.
+func (f *testFleet) checkListed(t *testing.T, name string) {
+	t.Helper()
+	took := f.timeUntilListed(name, 2*changeBound)
+	assert.Check(t, took <= changeBound, "%s after %s", name, took)
+}
+
+// checkChanges makes changes, one a second, and checks that each arrives in time.
+func (f *testFleet) checkChanges(t *testing.T, count int) {
+	t.Helper()
+	for i := range count {
+		name := fmt.Sprint("U", i+1)
+		f.platform.list(name)
+		f.checkListed(t, name)
+		time.Sleep(time.Second)
+	}
+}
+
 // TestChangesArriveWhileFirstHostsAreRefused guards against an old configuration that stays in
 // force because the hosts that rank first are turned away and keep the others from reading.
 func TestChangesArriveWhileFirstHostsAreRefused(t *testing.T) {
@@ -67,13 +85,7 @@
 					time.Sleep(testStartTime)
 					assert.Assert(t, f.reader() != "", "want exactly one reader")
 					f.refuse(how, f.ranked()[:tt.hosts-tt.served]...)
-					for i := range 4 {
-						name := fmt.Sprint("U", i+1)
-						f.platform.list(name)
-						took := f.timeUntilListed(name, 2*changeBound)
-						assert.Check(t, took <= changeBound, "%s after %s", name, took)
-						time.Sleep(time.Second)
-					}
+					f.checkChanges(t, 4)
 					cancel()
 					time.Sleep(testStartTime)
 				})
@@ -102,13 +114,7 @@
 						}
 					}
 					f.cut.Store(true)
-					for i := range 4 {
-						name := fmt.Sprint("U", i+1)
-						f.platform.list(name)
-						took := f.timeUntilListed(name, 2*changeBound)
-						assert.Check(t, took <= changeBound, "%s after %s", name, took)
-						time.Sleep(time.Second)
-					}
+					f.checkChanges(t, 4)
 					cancel()
 					time.Sleep(testStartTime)
 				})
@@ -141,8 +147,7 @@
 						name, before := fmt.Sprint("U", i+1), fmt.Sprint("U", i)
 						f.platform.list(name)
 						f.platform.remove(before)
-						took := f.timeUntilListed(name, 2*changeBound)
-						assert.Check(t, took <= changeBound, "%s after %s", name, took)
+						f.checkListed(t, name)
 						for range 20 {
 							time.Sleep(time.Duration(random.IntN(300)) * time.Millisecond)
 							assert.Check(t, !f.listedByAny(before), "%s is listed again", before)
@@ -329,13 +334,7 @@
 					f.resetReads()
 					f.refuse(how, f.ranked()...)
 					began := time.Now()
-					for i := range changes {
-						name := fmt.Sprint("U", i+1)
-						f.platform.list(name)
-						took := f.timeUntilListed(name, 2*changeBound)
-						assert.Check(t, took <= changeBound, "%s after %s", name, took)
-						time.Sleep(time.Second)
-					}
+					f.checkChanges(t, changes)
 					seconds := int(time.Since(began).Seconds()) + 1
 					reads := f.readCount()
 					assert.Check(t, reads <= readRate*seconds, "%d reads in %d s", reads, seconds)
