peers, KNOWN-RED: a store that answers the reader with an older state is played

It was open by reading only: one that answers some hosts with an older state, a related path of the hosts that are turned away. The simulated store can do so now (errors and silence as before). The reader is answered and has no reason to doubt that; nobody else asks.

Listed as it is.

--- a/tier/peers/refused_test.go
+++ b/tier/peers/refused_test.go
@@ -30,6 +30,8 @@
 	// refusedWatches and refusedReads turn one kind of call away and serve the other.
 	refusedWatches refusal = "Watches"
 	refusedReads   refusal = "Reads"
+	// olderState answers everything, with the state of the moment in which that began.
+	olderState refusal = "OlderState"
 )
 
 // silentReadTimeout is how long a read waits for a platform that does not answer, in addition to
@@ -41,6 +43,8 @@
 type testFleet struct {
 	platform *fakePlatform
 	kernels  map[string]*kernel.Kernel
+	// olderRevision is the revision of the older state.
+	olderRevision uint64
 	// cut is true if halls cannot reach each other.
 	cut atomic.Bool
 
@@ -76,8 +80,14 @@
 
 // refuse makes the platform turn hosts away.
 func (f *testFleet) refuse(how refusal, hosts ...string) {
+	f.platform.mu.Lock()
+	revision := f.platform.revision
+	f.platform.mu.Unlock()
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if how == olderState {
+		f.olderRevision = revision
+	}
 	for _, h := range hosts {
 		f.refused[h] = how
 	}
@@ -174,7 +184,9 @@
 	if err := s.begin(ctx, 0, refusedReads); err != nil {
 		return nil, err
 	}
-	return s.fleet.platform.Read(ctx, consistent)
+	out, err := s.fleet.platform.Read(ctx, consistent)
+	s.makeOlder(out)
+	return out, err
 }
 
 // Watch implements kernel.Source. A watch in progress fails when the platform refuses the host.
@@ -182,13 +194,38 @@
 	if err := s.begin(ctx, wait, refusedWatches); err != nil {
 		return nil, err
 	}
+	if s.older() {
+		kernel.Sleep(ctx, wait)
+		wait = 0
+	}
 	out, err := s.fleet.platform.Watch(ctx, after, wait)
+	s.makeOlder(out)
 	if refused := s.refusal(ctx, silentReadTimeout, refusedWatches); refused != nil {
 		return nil, refused
 	}
 	return out, err
 }
 
+// older reports whether the platform answers the host with an older state.
+func (s *hostSource) older() bool {
+	s.fleet.mu.Lock()
+	defer s.fleet.mu.Unlock()
+	return s.fleet.refused[s.host] == olderState
+}
+
+// makeOlder takes what is newer than an older state out of an answer, if the host gets that.
+func (s *hostSource) makeOlder(p *kernel.Published) {
+	if p == nil || !s.older() {
+		return
+	}
+	s.fleet.mu.Lock()
+	upTo := s.fleet.olderRevision
+	s.fleet.mu.Unlock()
+	p.Position.Revision, p.Directory.Revision = min(p.Position.Revision, upTo), min(p.Directory.Revision, upTo)
+	p.Directory.Listed = slices.DeleteFunc(p.Directory.Listed, func(l config.Listing) bool { return l.Revision > upTo })
+	p.Directory.Removed = slices.DeleteFunc(p.Directory.Removed, func(r config.Removal) bool { return r.Revision > upTo })
+}
+
 // testFleetConfig describes a testFleet.
 type testFleetConfig struct {
 	// Hosts are divided among Halls; WatchWait is as in kernel.Settings.
--- a/tier/peers/search_test.go
+++ b/tier/peers/search_test.go
@@ -345,6 +345,26 @@
 	}
 }
 
+// TestChangesArriveWhileSomeGetAnOlderState guards against an old configuration that stays in force
+// because the platform answers the reader with an older state, and nobody else asks.
+func TestChangesArriveWhileSomeGetAnOlderState(t *testing.T) {
+	for _, tt := range []struct{ hosts, halls, older int }{{9, 1, 1}, {9, 1, 3}, {24, 1, 8}, {24, 3, 8}, {25, 5, 1}} {
+		t.Run(fmt.Sprintf("%d hosts, %d halls, %d get an older state", tt.hosts, tt.halls, tt.older), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				f := newTestFleet(t, ctx, testFleetConfig{Hosts: tt.hosts, Halls: tt.halls, WatchWait: testWatchWait})
+				defer func() {
+					cancel()
+					time.Sleep(testStartTime)
+				}()
+				time.Sleep(testStartTime)
+				f.refuse(olderState, f.ranked()[:tt.older]...)
+				f.checkChanges(t, 4)
+			})
+		})
+	}
+}
+
 // TestSearchIsLogged checks that a host says what it knows: that it is refused itself, who has lost
 // the platform, and that nobody is answered only once every host has tried.
 func TestSearchIsLogged(t *testing.T) {
