loomfake: a call without an answer says how far it came

stop_rolling and stop_slow are listed because requests outlasted the clients' 2 s on a busy machine. "Client.Timeout exceeded while awaiting headers" is the same for a connection that was not taken, a request that was not sent and an answer that did not come; the error now tells when each step was reached.

--- a/loomfake/harness_test.go
+++ b/loomfake/harness_test.go
@@ -6,10 +6,12 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -143,9 +145,10 @@
 		return err
 	}
 	r.Header.Set("Content-Type", "application/json")
-	reply, err := httpClient.Do(r)
+	var p callProgress
+	reply, err := httpClient.Do(p.watch(r))
 	if err != nil {
-		return err
+		return fmt.Errorf("%w (%s)", err, &p)
 	}
 	defer func() { _ = reply.Body.Close() }()
 	text, err := io.ReadAll(reply.Body)
@@ -161,6 +164,41 @@
 	return json.Unmarshal(text, out)
 }
 
+// callProgress records how far a call came, to tell a host that takes no connections from one that
+// does not answer.
+type callProgress struct {
+	mu    sync.Mutex
+	began time.Time
+	steps []string
+}
+
+// watch returns the request of the call, whose progress is recorded from now on.
+func (p *callProgress) watch(r *http.Request) *http.Request {
+	p.began = time.Now()
+	return r.WithContext(httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{
+		GotConn: func(i httptrace.GotConnInfo) {
+			p.note("connection of %s, in use before: %t", i.Conn.LocalAddr(), i.Reused)
+		},
+		WroteRequest:         func(i httptrace.WroteRequestInfo) { p.note("request sent, error: %v", i.Err) },
+		GotFirstResponseByte: func() { p.note("answer began") },
+	}))
+}
+
+func (p *callProgress) note(format string, args ...any) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.steps = append(p.steps, fmt.Sprintf(format, args...)+" after "+time.Since(p.began).String())
+}
+
+func (p *callProgress) String() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.steps) == 0 {
+		return "no connection"
+	}
+	return strings.Join(p.steps, "; ")
+}
+
 // hostStatus holds the fields of a host's status that scenarios use.
 type hostStatus struct {
 	State    string
