entry: the own interface cuts no order in a planned stop either

Cause: it waited for -StopBound from the moment in which the balancer had been told, though the stop had more time left, and it took what could not end by then.

Why it works: it waits for what the stop has left, and answers NotRun, with a Retry-After of 50 ms and before anything runs, to what may end later by its deadline. Orders with an answer already still get it.

--- a/tier/entry/ask.go
+++ b/tier/entry/ask.go
@@ -132,6 +132,9 @@
 
 // run executes a request. A repeatable request is aborted when its caller's context is done.
 func (e *engine) run(ctx context.Context, c *partCaller, q *request, replicas [][]*policy.Upstream, repeatable bool) (policy.Result, error) {
+	if err := e.refuseAtStop(q); err != nil {
+		return policy.Result{}, err
+	}
 	var callerGone <-chan struct{}
 	if repeatable {
 		callerGone = ctx.Done()
--- a/tier/entry/request.go
+++ b/tier/entry/request.go
@@ -53,6 +53,22 @@
 	return q, nil
 }
 
+const (
+	// stopReserve is the time before the end of the host in which answers are written.
+	stopReserve = 100 * time.Millisecond
+	// retryAfterStop leaves time for a new connection, which goes to another host.
+	retryAfterStop = 50 * time.Millisecond
+)
+
+// refuseAtStop returns a refusal if this host is stopping and may end before the request does.
+func (e *engine) refuseAtStop(q *request) error {
+	left, stopping := e.kernel.StopLeft()
+	if !stopping || q.deadline <= e.kernel.Now()+left-stopReserve {
+		return nil
+	}
+	return &policy.Refusal{Reason: "this host stops before the request may end", RetryAfter: retryAfterStop}
+}
+
 // millisLeft returns the time left until the deadline of a request, in milliseconds. It is
 // at least 1, because 0 would mean that there is no deadline.
 func (e *engine) millisLeft(q *request) int64 {
--- a/tier/entry/serve.go
+++ b/tier/entry/serve.go
@@ -67,7 +67,8 @@
 		return nil, err
 	}
 	return func() {
-		stop(k.Settings.StopBound)
+		left, _ := k.StopLeft()
+		stop(max(left, k.Settings.StopBound))
 		ctx, cancel := context.WithTimeout(context.Background(), k.Settings.StopBound)
 		defer cancel()
 		k.AwaitIdle(ctx)
