--- a/tier/entry/order.go
+++ b/tier/entry/order.go
@@ -31,7 +31,7 @@
 
 // Bounds of the wait for news of the process that minted a ticket.
 const (
-	// minterNewsBeats is the number of heartbeat intervals in which all hosts learn of a new process.
+	// minterNewsBeats is the number of heartbeat intervals to wait for news of a new process.
 	minterNewsBeats = 2
 	// minterPollInterval is the interval at which the members are looked at.
 	minterPollInterval = 10 * time.Millisecond
