wire, pass, entry: an answer counts only if its end is shown

What callers saw: an upstream that stopped while it answered and closed gave them a 200 with the right ID and stamp and an empty or short body, framed anew as whole; orders too. Gathers counted such a part as covered.

Cause: without a length and without chunks HTTP ends a body with its connection, and wire.ReadBody went by that; the answer then got a length of its own. Lines of the head with a space before the colon are kept by the parser under a name that nobody looks up, so "Content-Length : 26" and "Transfer-Encoding : chunked" lead there as well.

Change: wire.CheckFraming, called with the other rules on heads, for all statuses. The end of an error (4xx, 5xx) has to be shown too: a cut one must not look whole either. Counter loomgap_responses_without_end_total.

--- a/tier/entry/client.go
+++ b/tier/entry/client.go
@@ -99,7 +99,9 @@
 	}
 	defer answer.Body.Close()
 	out.status = answer.StatusCode
-	out.body, out.err = wire.ReadBody(answer, limit, out.memory)
+	if out.err = wire.CheckFraming(answer); out.err == nil {
+		out.body, out.err = wire.ReadBody(answer, limit, out.memory)
+	}
 	return out
 }
 
--- a/tier/entry/endless_test.go
+++ b/tier/entry/endless_test.go
@@ -122,3 +122,26 @@
 		})
 	}
 }
+
+// TestReplyWithoutEndIsMalformed guards against a call that waits for the close of an upstream whose reply
+// shows no end, and takes what came until then for the whole.
+func TestReplyWithoutEndIsMalformed(t *testing.T) {
+	id := wire.Identity{RequestID: "1"}
+	text, err := wire.Encode(wire.PartReply{Identity: id})
+	assert.NilError(t, err)
+	for _, head := range []string{
+		"HTTP/1.1 200 OK\r\n", "HTTP/1.0 200 OK\r\n", "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n",
+		fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length : %d\r\n", len(text)),
+	} {
+		c := newClient(&config.Upstream{Address: serveRaw(t, head+"\r\n"+string(text), "")}, 1, nil)
+		started := time.Now()
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		r := c.do(ctx, wire.PathPart, http.Header{}, nil, wire.MaxReplyBytes)
+		cancel()
+		got, _ := classify(&r, id, 0)
+		assert.Equal(t, got, policy.CallMalformed)
+		assert.Assert(t, time.Since(started) < time.Second, "it is known at once")
+		r.release()
+		c.close()
+	}
+}
--- a/tier/pass/call.go
+++ b/tier/pass/call.go
@@ -96,6 +96,9 @@
 		return
 	}
 	metrics.GetOrCreateCounter("loomgap_responses_rejected_total").Inc()
+	if errors.Is(c.rejected, wire.ErrEndNotShown) {
+		metrics.GetOrCreateCounter("loomgap_responses_without_end_total").Inc()
+	}
 	e.kernel.RequestLog.Warn().Err(c.rejected).Str("RequestID", c.id).Str("Upstream", c.upstream).Msg("response rejected, connection closed")
 }
 
--- a/tier/pass/response_head.go
+++ b/tier/pass/response_head.go
@@ -7,6 +7,7 @@
 
 	"loomgap/tier/config"
 	"loomgap/tier/kernel"
+	"loomgap/tier/wire"
 )
 
 // Which heads a response may have (RFC 9112, section 4; RFC 9110, section 15):
@@ -15,6 +16,8 @@
 //   - An interim response, 100 to 199, has no body and does not switch protocols, which is never
 //     asked for. Any number of them may come before the response.
 //   - The request ID and the stamp are each given at most once, since nothing tells which is true.
+//   - The end of the body is shown (wire.CheckFraming), whatever the status: what was cut must not look
+//     whole, and a caller may read an error to its end as well.
 //
 // After any other head nothing tells where the response ends, so the rest of the connection is
 // not read.
@@ -63,6 +66,9 @@
 			return fmt.Errorf("%d headers %s: %w", len(values), name, errInvalidHead)
 		}
 	}
+	if err := wire.CheckFraming(r); err != nil {
+		return fmt.Errorf("%w: %w", err, errInvalidHead)
+	}
 	return nil
 }
 
--- a/tier/peers/codec_test.go
+++ b/tier/peers/codec_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"encoding/json"
 	"io"
+	"math/rand/v2"
 	"net"
 	"os"
 	"strings"
@@ -106,3 +107,21 @@
 		assert.ErrorIs(t, reported, os.ErrDeadlineExceeded)
 	})
 }
+
+// TestCutFrameIsNoMessage guards against a message between hosts that was cut and is taken for a whole one.
+func TestCutFrameIsNoMessage(t *testing.T) {
+	for _, size := range []int{0, 100, 4 * smallFrameBytes} {
+		text := make([]byte, size)
+		for i := range text {
+			text[i] = 'a' + byte(rand.IntN(26))
+		}
+		var frame bytes.Buffer
+		assert.NilError(t, frameCodec{}.WriteObject(&frame, string(text)))
+		step := max(frame.Len()/1000, 1)
+		for cut := 0; cut < frame.Len(); cut += step {
+			var back string
+			err := frameCodec{}.ReadObject(bufio.NewReader(bytes.NewReader(frame.Bytes()[:cut])), &back)
+			assert.Assert(t, err != nil, "cut after %d of %d bytes", cut, frame.Len())
+		}
+	}
+}
