prog, loomd: a process says from what it was built

The start line, `version` and the metric loomgap_build_info name the revision, and whether the source had changes, from the build information, and the start line and `version` when the program's file was written: this workplace builds with -buildvcs=false, where the revision is "unknown". The deploy file's line stays: with -buildvcs=auto a checkout of another owner fails to build.

--- a/loomd/serve.go
+++ b/loomd/serve.go
@@ -92,7 +92,10 @@
 	}
 	defer cleanUp()
 	defer watchSettingsFile(k, src)()
-	log.Info().Str("Version", prog.Release).Str("Incarnation", s.Incarnation).Str("Adapter", s.Adapter).
+	build := prog.ReadBuild()
+	build.Publish()
+	log.Info().Str("Version", build.Release).Str("SourceRevision", build.Revision).Bool("SourceModified", build.Modified).
+		Time("Written", build.Written).Str("Incarnation", s.Incarnation).Str("Adapter", s.Adapter).
 		Int("Seeds", len(s.Seeds)).Msg("daemon started")
 	defer log.Info().Msg("daemon stopping")
 	waitForStop(k, signals)
--- a/tier/prog/prog.go
+++ b/tier/prog/prog.go
@@ -38,9 +38,9 @@
 // Version returns the command that prints the version of a program.
 func Version(program string) Command {
 	return Command{
-		Name: "version", Synopsis: "print the version", Usage: program + " version\n",
+		Name: "version", Synopsis: "print the version and the revision", Usage: program + " version\n",
 		Run: func(context.Context, *flag.FlagSet) subcommands.ExitStatus {
-			fmt.Println(program + " " + Release)
+			fmt.Println(program + " " + ReadBuild().String())
 			return subcommands.ExitSuccess
 		},
 	}
