peers: a change after a missed one leaves the position where it was

What callers would see: an upstream that has registered gets no requests, or one that has left gets them, at hosts that had learned better before.

Cause: a host that missed an announcement applied the next incremental change and took the revision of that change for the one up to which its directory is complete. It fetches what it lacks, but not while it counts as a reader that the platform answers, and a fetch takes time; until then others fetch ITS directory, whose revision is not lower than theirs, and lose what it lacks.

Directly: TestChangeAfterMissedOneKeepsPosition fails without the condition (position 3 in place of 1; the host that fetches keeps 2 of 3 upstreams).

Change: an announcement says up to where the announcement before it told (ChangeEra, ChangeRevision). Who is not that far applies the entries, keeps its position, and fetches. Who turns out to have the same content as the sender adopts its position, as it did for eras. Senders of before give no such position; their changes are applied as they were.

--- a/tier/peers/announcement.go
+++ b/tier/peers/announcement.go
@@ -60,8 +60,11 @@
 	DirectoryRevision uint64
 	// DirectorySettled is the last era that the sender knows to be settled.
 	DirectorySettled uint64 `json:",omitempty"`
-	// Change is what changed since the previous announcement.
-	Change *config.DirectoryChange `json:",omitempty"`
+	// Change is what changed since the previous announcement, which told of the directory up to
+	// ChangeEra and ChangeRevision.
+	Change         *config.DirectoryChange `json:",omitempty"`
+	ChangeEra      uint64                  `json:",omitempty"`
+	ChangeRevision uint64                  `json:",omitempty"`
 }
 
 // announceReply answers an announcement.
@@ -126,8 +129,8 @@
 	// over would send the whole directory to each host of its hall. Without the change, the
 	// receivers fetch what they have not learned from other hosts.
 	if m.Directory != a.directory.Digest() && a.directory != nil && now-a.sentAt <= announcerTimeout {
-		change := s.Directory.Since(a.directory)
-		m.Change = &change
+		change, after := s.Directory.Since(a.directory), a.directory.Position()
+		m.Change, m.ChangeEra, m.ChangeRevision = &change, after.Era, after.Revision
 	}
 	a.directory, a.edition, a.sentAt, a.sentReadAt, a.sentLost = s.Directory, m.edition(), now, s.AnnouncedReadAt, m.Lost
 	hall, otherHalls := a.recipients(s)
@@ -236,12 +239,7 @@
 func (a *announcementServer) apply(s *kernel.State, m *announcement) {
 	now := a.kernel.Now()
 	recordAnnouncer(a.kernel, s, m)
-	// Ignore an incremental change without a directory to apply it to. Otherwise this host
-	// would have only a few upstreams at a high revision, and hosts that fetch its directory
-	// would remove all others.
-	if m.Change != nil && (s.Directory != nil || m.Change.Whole) {
-		s.ApplyDirectoryChange(m.Change)
-	}
+	m.applyChange(s)
 	// The change may have been applied to an incomplete directory, so compare the result with
 	// the sender's directory, which is complete up to its revision.
 	a.compareDirectory(s, m, now)
@@ -253,8 +251,26 @@
 	}
 }
 
+// applyChange applies the change of an announcement.
+func (m *announcement) applyChange(s *kernel.State) {
+	// Ignore an incremental change without a directory to apply it to. Otherwise this host
+	// would have only a few upstreams at a high revision, and hosts that fetch its directory
+	// would remove all others.
+	if m.Change == nil || s.Directory == nil && !m.Change.Whole {
+		return
+	}
+	change, known := *m.Change, s.Directory.Position()
+	after := config.Position{Era: m.ChangeEra, Revision: m.ChangeRevision}
+	if !change.Whole && known.Compare(after) < 0 {
+		// This host lacks what changed before. For the same reason, its directory remains complete
+		// only up to where it was.
+		change.Era, change.Revision = known.Era, known.Revision
+	}
+	s.ApplyDirectoryChange(&change)
+}
+
 // compareDirectory fetches the sender's directory if it differs and is not older. If it is the
-// same, it adopts the sender's era.
+// same, it adopts the sender's position.
 func (a *announcementServer) compareDirectory(s *kernel.State, m *announcement, now time.Duration) {
 	at, known := config.Position{Era: m.DirectoryEra, Revision: m.DirectoryRevision}, s.Directory.Position()
 	switch {
@@ -264,7 +280,7 @@
 		if at.Compare(known) >= 0 {
 			a.fetcher.fetchDirectoryThrottled(now, m.Peer)
 		}
-	case at.Era > known.Era || m.DirectorySettled > s.Directory.Settled:
+	case at.Compare(known) > 0 || m.DirectorySettled > s.Directory.Settled:
 		s.ApplyDirectoryChange(&config.DirectoryChange{Era: at.Era, Revision: at.Revision, Settled: m.DirectorySettled})
 	}
 }
--- a/tier/peers/announcement_test.go
+++ b/tier/peers/announcement_test.go
@@ -274,3 +274,50 @@
 		assert.DeepEqual(t, peer.Directory.EvacuatedHalls(), []string{"B"})
 	})
 }
+
+// TestChangeAfterMissedOneKeepsPosition guards against a host that missed an announcement, takes the next
+// change for all there is up to its revision, and is fetched from: hosts that had the missed one lose it.
+func TestChangeAfterMissedOneKeepsPosition(t *testing.T) {
+	listing := func(name string, revision uint64) config.Listing {
+		return config.Listing{Name: name, Group: "G", Hall: "A", Slots: 1, Revision: revision}
+	}
+	first := config.DirectoryChange{Revision: 1, Listed: []config.Listing{listing("U1", 1)}}
+	second := config.DirectoryChange{Revision: 2, Listed: []config.Listing{listing("U2", 2)}}
+	third := config.DirectoryChange{Revision: 3, Listed: []config.Listing{listing("U3", 3)}}
+	var sender *config.Directory
+	for _, c := range []config.DirectoryChange{first, second, third} {
+		sender, _ = sender.With(&c)
+	}
+	m := announcement{Host: "Sender", Hall: "A", Change: &third, ChangeRevision: 2, Directory: sender.Digest(), DirectoryRevision: 3}
+	for _, tt := range []struct {
+		name    string
+		has     []config.DirectoryChange
+		want    []string
+		upTo    uint64
+		message announcement
+	}{
+		{"missed one", []config.DirectoryChange{first}, []string{"U1", "U3"}, 1, m},
+		{"missed none", []config.DirectoryChange{first, second}, []string{"U1", "U2", "U3"}, 3, m},
+		{"has the change", []config.DirectoryChange{first, second, third}, []string{"U1", "U2", "U3"}, 3, m},
+		{"same content at a lower revision", []config.DirectoryChange{first, {Revision: 1, Listed: second.Listed}}, []string{"U1", "U2", "U3"}, 3, m},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			k := newTestKernel(t, "Self")
+			server := newServerWithoutFetches(k)
+			do(k, func(s *kernel.State) {
+				for _, c := range tt.has {
+					s.ApplyDirectoryChange(&c)
+				}
+				server.apply(s, &tt.message)
+			})
+			k.DoAndWait(func(s *kernel.State) {
+				assert.Equal(t, s.Directory.Position(), config.Position{Revision: tt.upTo})
+			})
+			assert.DeepEqual(t, listedNames(k), tt.want)
+			// A host that has all keeps it when it fetches this one's directory.
+			whole := k.View().Directory.Whole()
+			after, _ := sender.With(&whole)
+			assert.Equal(t, after.Size(), 3)
+		})
+	}
+}
