peers: a host that a search finds tells other halls of its news at once

What callers would see: an older configuration in force, or upstreams that left, in other halls for up to 0.4 s longer, plus a fetch; for as long as that host then takes to be heard if an announcer between them is lost.

Cause: the found host announced what it read before it was the reader, so only to its own hall. When it became the reader in the next moment, nothing had changed since, so other halls waited for the next periodic announcement, which does not contain the change.

TestFoundHostTellsOtherHallsAtOnce fails before in 4 of 4 shapes (not within 3 s where nothing is fetched).

Change: the host takes the role with the read, and announces then.

--- a/tier/peers/feed.go
+++ b/tier/peers/feed.go
@@ -256,6 +256,10 @@
 		f.kernel.RefuseDocument(s, p.DocumentError, p.Edition)
 	}
 	f.applyDirectory(s, p, now)
+	if f.trying {
+		// Only the reader announces to other halls.
+		updateRole(f.kernel, s)
+	}
 	f.announcer.announce(s)
 }
 
--- a/tier/peers/search_test.go
+++ b/tier/peers/search_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -123,6 +124,35 @@
 	}
 }
 
+// TestFoundHostTellsOtherHallsAtOnce guards against a host that a search finds and that tells its own hall
+// of a change at once, but other halls only with its next periodic announcement, and without the change.
+func TestFoundHostTellsOtherHallsAtOnce(t *testing.T) {
+	for _, tt := range []struct{ hosts, halls int }{{2, 2}, {4, 2}, {9, 3}, {24, 3}} {
+		t.Run(fmt.Sprintf("%d hosts, %d halls", tt.hosts, tt.halls), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				f := newTestFleet(t, ctx, testFleetConfig{Hosts: tt.hosts, Halls: tt.halls, WatchWait: testWatchWait})
+				time.Sleep(testStartTime)
+				ranked := f.ranked()
+				served := ranked[slices.IndexFunc(ranked, func(h string) bool { return f.kernels[h].Settings.Hall != f.kernels[ranked[0]].Settings.Hall })]
+				for _, h := range ranked {
+					if h != served {
+						f.refuse(refusedWithError, h)
+					}
+				}
+				f.platform.list("U1")
+				for !f.listedByAny("U1") {
+					time.Sleep(time.Millisecond)
+				}
+				took := f.timeUntilListed("U1", changeBound)
+				assert.Check(t, took < announceInterval/4, "other halls learn of it %s later", took)
+				cancel()
+				time.Sleep(testStartTime)
+			})
+		})
+	}
+}
+
 // TestChangesArriveWhileRefusalsChange draws again and again which hosts the platform turns away, and
 // how; a change comes at the same moment. Nothing reverts: an upstream that was removed stays so.
 func TestChangesArriveWhileRefusalsChange(t *testing.T) {
