peers: an announcer of another hall that does not answer is passed over

What callers would see: an older configuration in force in a hall, and upstreams that left, until the members show that its announcer is gone, if the platform turns away the other hosts of that hall.

Cause: the reader tells one host of each other hall, the highest ranked one. A host without power stays that until failure detection has it, and each announcement to it was lost without a consequence.

Change: who did not take an announcement is passed over for 3 s where its hall has another host; the next announcement goes to that one.

--- a/tier/peers/announcement.go
+++ b/tier/peers/announcement.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -30,6 +31,9 @@
 	freshReadThreshold = 500 * time.Millisecond
 	// announceTimeout limits a call that announces.
 	announceTimeout = time.Second
+	// passOverTime is how long a host of another hall gets no announcements after one has failed,
+	// if another host of its hall can get them. By then the members show whether it is gone.
+	passOverTime = 3 * time.Second
 )
 
 // errStaleRead is logged when the platform is considered lost although no read has failed.
@@ -91,6 +95,8 @@
 	// platform was announced as lost.
 	sentReadAt time.Duration
 	sentLost   bool
+	// failedAt is when an announcement to a host last failed.
+	failedAt map[string]time.Duration
 	// viewDirectory and viewIndex are the directory and the document of the last view.
 	viewDirectory *config.Directory
 	viewIndex     *config.Index
@@ -183,7 +189,8 @@
 }
 
 // recipients returns the receivers of an announcement: the active hosts of this hall and, if
-// this host reads the platform, the highest ranked active host of each other hall.
+// this host reads the platform, the highest ranked active host of each other hall that has not
+// failed to answer lately.
 func (a *announcer) recipients(s *kernel.State) (hall, otherHalls []string) {
 	hall, others := byHall(s.Members, a.kernel.Settings.Hall, (*kernel.Member).Active)
 	if !s.Reading {
@@ -191,17 +198,41 @@
 	}
 	r := newReaderRanking(s, &a.kernel.Settings)
 	for _, hosts := range others {
-		otherHalls = append(otherHalls, slices.MinFunc(hosts, r.compare))
+		otherHalls = append(otherHalls, slices.MinFunc(a.answering(hosts), r.compare))
 	}
 	return hall, otherHalls
 }
 
+// answering returns the hosts to which no announcement has failed lately; all if there is none.
+func (a *announcer) answering(hosts []string) []string {
+	now := a.kernel.Now()
+	out := slices.DeleteFunc(slices.Clone(hosts), func(h string) bool {
+		failedAt, failed := a.failedAt[h]
+		return failed && now-failedAt < passOverTime
+	})
+	if len(out) == 0 {
+		return hosts
+	}
+	return out
+}
+
+// noteFailed records that an announcement to a host failed, and forgets failures of long ago.
+func (a *announcer) noteFailed(host string) {
+	now := a.kernel.Now()
+	maps.DeleteFunc(a.failedAt, func(_ string, at time.Duration) bool { return now-at >= passOverTime })
+	if a.failedAt == nil {
+		a.failedAt = map[string]time.Duration{}
+	}
+	a.failedAt[host] = now
+}
+
 func (a *announcer) send(host string, m announcement) {
 	ctx, cancel := context.WithTimeout(context.Background(), announceTimeout)
 	defer cancel()
 	var reply announceReply
 	if err := a.kernel.Peers.Call(ctx, host, methodAnnounce, m, &reply); err != nil {
 		a.kernel.Log.Debug().Err(err).Str("Peer", host).Msg("failed to send announcement")
+		a.kernel.Do(func(*kernel.State) { a.noteFailed(host) })
 		return
 	}
 	if other := reply.Announcement; other != nil {
--- a/tier/peers/search_test.go
+++ b/tier/peers/search_test.go
@@ -153,6 +153,34 @@
 	}
 }
 
+// TestSilentAnnouncerOfOtherHallIsPassedOver guards against a hall that hears of no change because the one
+// host of it that the reader tells is gone, and nobody knows that yet.
+func TestSilentAnnouncerOfOtherHallIsPassedOver(t *testing.T) {
+	for _, tt := range []struct{ hosts, halls int }{{4, 2}, {9, 3}, {24, 3}} {
+		t.Run(fmt.Sprintf("%d hosts, %d halls", tt.hosts, tt.halls), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				f := newTestFleet(t, ctx, testFleetConfig{Hosts: tt.hosts, Halls: tt.halls, WatchWait: testWatchWait, Fetches: true})
+				time.Sleep(testStartTime)
+				ranked := f.ranked()
+				isFar := func(h string) bool { return f.kernels[h].Settings.Hall != f.kernels[ranked[0]].Settings.Hall }
+				for _, h := range ranked {
+					if isFar(h) {
+						f.refuse(refusedWithError, h)
+					}
+				}
+				gone := ranked[slices.IndexFunc(ranked, isFar)]
+				f.end(gone)
+				f.platform.list("U1")
+				took := f.timeUntilListed("U1", 2*changeBound)
+				assert.Check(t, took <= changeBound, "U1 after %s", took)
+				cancel()
+				time.Sleep(testStartTime)
+			})
+		})
+	}
+}
+
 // TestChangesArriveWhileRefusalsChange draws again and again which hosts the platform turns away, and
 // how; a change comes at the same moment. Nothing reverts: an upstream that was removed stays so.
 func TestChangesArriveWhileRefusalsChange(t *testing.T) {
