peers: a new reader also tells the next host of each other hall

What callers would see: an older configuration in force in the hall of a reader that lost power, if the platform turns away the other hosts of it.

Cause: a host that takes over tells the highest ranked host of each other hall. In the hall of the lost reader that is the lost one itself, until an announcement to it has timed out (1 s) and the next one is due.

Change: the first announcement of a new reader goes to two hosts of each other hall. TestReaderAnnouncesToOneHostOfEachOtherHall checks later ones as before, and the first one too.

--- a/tier/peers/announcement.go
+++ b/tier/peers/announcement.go
@@ -95,6 +95,8 @@
 	// platform was announced as lost.
 	sentReadAt time.Duration
 	sentLost   bool
+	// sentAsReader is whether the last announcement also went to other halls.
+	sentAsReader bool
 	// failedAt is when an announcement to a host last failed.
 	failedAt map[string]time.Duration
 	// viewDirectory and viewIndex are the directory and the document of the last view.
@@ -140,6 +142,7 @@
 	}
 	a.directory, a.edition, a.sentAt, a.sentReadAt, a.sentLost = s.Directory, m.edition(), now, s.AnnouncedReadAt, m.Lost
 	hall, otherHalls := a.recipients(s)
+	a.sentAsReader = s.Reading
 	for _, host := range hall {
 		go a.send(host, m)
 	}
@@ -190,15 +193,21 @@
 
 // recipients returns the receivers of an announcement: the active hosts of this hall and, if
 // this host reads the platform, the highest ranked active host of each other hall that has not
-// failed to answer lately.
+// failed to answer lately. A new reader also tells the next one: the first may be what it takes
+// over from, which is gone.
 func (a *announcer) recipients(s *kernel.State) (hall, otherHalls []string) {
 	hall, others := byHall(s.Members, a.kernel.Settings.Hall, (*kernel.Member).Active)
 	if !s.Reading {
 		return hall, nil
 	}
+	perHall := 1
+	if !a.sentAsReader {
+		perHall = 2
+	}
 	r := newReaderRanking(s, &a.kernel.Settings)
 	for _, hosts := range others {
-		otherHalls = append(otherHalls, slices.MinFunc(a.answering(hosts), r.compare))
+		ranked := slices.SortedFunc(slices.Values(a.answering(hosts)), r.compare)
+		otherHalls = append(otherHalls, ranked[:min(perHall, len(ranked))]...)
 	}
 	return hall, otherHalls
 }
--- a/tier/peers/announcement_test.go
+++ b/tier/peers/announcement_test.go
@@ -40,10 +40,13 @@
 			hall := string(rune('A' + i%3))
 			s.Members[n] = kernel.Member{Host: n, Hall: hall, Live: true, Leaving: i == 1}
 		}
-		a := &announcer{kernel: k}
+		a := &announcer{kernel: k, sentAsReader: true}
 		hall, readers := a.recipients(s)
 		assert.Equal(t, len(hall), 3)
 		assert.Equal(t, len(readers), 2)
+		a.sentAsReader = false
+		_, readers = a.recipients(s)
+		assert.Equal(t, len(readers), 4, "a new reader tells two of each")
 		s.Reading = false
 		hall, readers = a.recipients(s)
 		assert.Equal(t, len(hall), 3)
--- a/tier/peers/search_test.go
+++ b/tier/peers/search_test.go
@@ -181,6 +181,35 @@
 	}
 }
 
+// TestTakeoverReachesHallOfLostReader guards against a host that takes over from a reader that is gone and
+// tells only that one, as the highest ranked host of its hall: the others hear of changes a time-out later.
+func TestTakeoverReachesHallOfLostReader(t *testing.T) {
+	for _, tt := range []struct{ hosts, halls int }{{4, 2}, {9, 3}, {24, 3}} {
+		t.Run(fmt.Sprintf("%d hosts, %d halls", tt.hosts, tt.halls), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				f := newTestFleet(t, ctx, testFleetConfig{Hosts: tt.hosts, Halls: tt.halls, WatchWait: testWatchWait, Fetches: true})
+				time.Sleep(testStartTime)
+				reader := f.ranked()[0]
+				for _, h := range f.ranked()[1:] {
+					if f.kernels[h].Settings.Hall == f.kernels[reader].Settings.Hall {
+						f.refuse(refusedWithError, h)
+					}
+				}
+				f.end(reader)
+				f.platform.list("U1")
+				for !f.listedByAny("U1") {
+					time.Sleep(time.Millisecond)
+				}
+				took := f.timeUntilListed("U1", 2*changeBound)
+				assert.Check(t, took <= announceInterval, "the hall of the lost reader learns of it %s later", took)
+				cancel()
+				time.Sleep(testStartTime)
+			})
+		})
+	}
+}
+
 // TestChangesArriveWhileRefusalsChange draws again and again which hosts the platform turns away, and
 // how; a change comes at the same moment. Nothing reverts: an upstream that was removed stays so.
 func TestChangesArriveWhileRefusalsChange(t *testing.T) {
