peers: a reader without answers takes what it fetches from others

What callers see: an older configuration of upstreams at a host that has just become a reader and to which the platform is silent.

Cause: what a reader fetches from another host was thrown away until its own call had timed out (1.5 s, and 0.7 s for a watch), since its own reads take precedence. A host that has had no answer has no reads that could.

TestReaderWithoutAnswersFetches fails before in 2 of 3 rows.

Change: own reads take precedence only while the last one is not too old (maxReadAge, by which a reader counts as answered anywhere else).

The fetcher calls hosts through a small interface now, so that simulated fleets can fetch.

--- a/tier/peers/announcement_test.go
+++ b/tier/peers/announcement_test.go
@@ -117,6 +117,45 @@
 	assert.DeepEqual(t, listedNames(lacking), []string{"U1", "U2", "U3"})
 }
 
+// TestReaderWithoutAnswersFetches guards against a host that has just become a reader, waits for a platform
+// that is silent to it, and until then throws away what it fetches from hosts that know more.
+func TestReaderWithoutAnswersFetches(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		readAt func(now time.Duration) time.Duration
+		want   int
+	}{
+		{"never read", func(time.Duration) time.Duration { return 0 }, 2},
+		{"read long ago", func(now time.Duration) time.Duration { return now - 2*time.Second }, 2},
+		{"read lately", func(now time.Duration) time.Duration { return now }, 1},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			source, _, at := newTestNode(t)
+			newFetcher(source, nil, nil)
+			listing := func(name string) config.Listing {
+				return config.Listing{Name: name, Group: "G", Hall: "A", Slots: 1, Revision: 1}
+			}
+			source.Do(func(s *kernel.State) {
+				s.ApplyDirectoryChange(&config.DirectoryChange{Revision: 2, Listed: []config.Listing{listing("U1"), listing("U2")}})
+			})
+			lacking, n, _ := newTestNode(t)
+			lacking.Settings.WatchWait = testWatchWait
+			lacking.Started = time.Now().Add(-time.Minute)
+			fetcher := newFetcher(lacking, n, nil)
+			lacking.DoAndWait(func(s *kernel.State) {
+				s.ApplyDirectoryChange(&config.DirectoryChange{Revision: 1, Listed: []config.Listing{listing("U1")}})
+				s.Reading, s.OwnReadAt = true, tt.readAt(lacking.Now())
+				fetcher.fetchDirectory(at)
+			})
+			for fetching := true; fetching; time.Sleep(time.Millisecond) {
+				lacking.DoAndWait(func(*kernel.State) { fetching = fetcher.fetchingDirectory })
+			}
+			do(lacking, func(*kernel.State) {})
+			assert.Equal(t, lacking.View().Directory.Size(), tt.want)
+		})
+	}
+}
+
 // announcementRecorder keeps the last announcement to each host.
 type announcementRecorder struct {
 	announcementCounter
--- a/tier/peers/conn_test.go
+++ b/tier/peers/conn_test.go
@@ -92,7 +92,7 @@
 	k.Handle("Echo", func(context.Context, json.RawMessage) (any, error) { return struct{}{}, nil })
 	proxy := newStallingProxy(t, at)
 	var none struct{}
-	assert.NilError(t, n.fetch(proxy.address(), "Echo", struct{}{}, &none))
+	assert.NilError(t, fetch(n, proxy.address(), "Echo", struct{}{}, &none))
 }
 
 // TestSlowAnswerArrivesOnReplacedConnection checks that a call still gets its answer after its
--- a/tier/peers/fetch.go
+++ b/tier/peers/fetch.go
@@ -64,7 +64,7 @@
 // serves them to others.
 type fetcher struct {
 	kernel *kernel.Kernel
-	node   *node
+	hosts  addressCaller
 	// fetchingDocument and fetchingDirectory are true while a fetch is in progress;
 	// directoryFetchedAt is when the last throttled fetch of the directory began, 0 for
 	// never. They are used on the control thread.
@@ -79,6 +79,11 @@
 	directoryCache packCache[*config.Directory]
 }
 
+// addressCaller calls a method of the host at an address.
+type addressCaller interface {
+	callAddress(ctx context.Context, to netip.AddrPort, method string, params, result any) error
+}
+
 // packCache caches the packed form of the last value. It is safe for concurrent use.
 type packCache[T comparable] struct {
 	mu     sync.Mutex
@@ -101,8 +106,8 @@
 	return packed, nil
 }
 
-func newFetcher(k *kernel.Kernel, n *node, onNewDocument func(*kernel.State)) *fetcher {
-	f := &fetcher{kernel: k, node: n, onNewDocument: onNewDocument}
+func newFetcher(k *kernel.Kernel, hosts addressCaller, onNewDocument func(*kernel.State)) *fetcher {
+	f := &fetcher{kernel: k, hosts: hosts, onNewDocument: onNewDocument}
 	kernel.HandleMessage(k, methodDocument, "request for the document", f.onDocument)
 	k.Handle(methodDirectory, f.onDirectory)
 	return f
@@ -139,7 +144,7 @@
 func (f *fetcher) readDocument(from netip.AddrPort) (accept func(*kernel.State), err error) {
 	var packed wire.PackedDocument
 	request := documentRequest{Adapter: f.kernel.Settings.Adapter}
-	if err := f.node.fetch(from, methodDocument, request, &packed); err != nil {
+	if err := fetch(f.hosts, from, methodDocument, request, &packed); err != nil {
 		return nil, err
 	}
 	return f.unpackDocument(&packed)
@@ -222,7 +227,7 @@
 			f.fetchingDirectory = false
 			// What this host reads from the platform itself takes precedence, unless the
 			// platform may have been restored from a backup older than the peer's directory.
-			if err == nil && (s.PlatformDown || !s.Reading || s.Directory.Unsettled()) {
+			if err == nil && (!f.readsItself(s) || s.Directory.Unsettled()) {
 				s.ApplyDirectoryChange(change)
 				f.kernel.Log.Info().Stringer("Peer", from).Uint64("DirectoryEra", change.Era).Uint64("DirectoryRevision", change.Revision).
 					Int("Upstreams", s.Directory.Size()).Msg("directory fetched from peer")
@@ -231,6 +236,13 @@
 	}()
 }
 
+// readsItself reports whether this host reads the platform itself. A reader that has had no answer for
+// long does not: the platform may be silent to it.
+func (f *fetcher) readsItself(s *kernel.State) bool {
+	lately := s.OwnReadAt > 0 && f.kernel.Now()-s.OwnReadAt <= maxReadAge(&f.kernel.Settings)
+	return s.Reading && !s.PlatformDown && lately
+}
+
 // fetchDirectoryThrottled is fetchDirectory at most once per directoryFetchInterval.
 func (f *fetcher) fetchDirectoryThrottled(now time.Duration, from netip.AddrPort) {
 	if f.fetchingDirectory || f.directoryFetchedAt > 0 && now-f.directoryFetchedAt < directoryFetchInterval {
@@ -242,7 +254,7 @@
 
 func (f *fetcher) readDirectory(from netip.AddrPort) (*config.DirectoryChange, error) {
 	var packed wire.PackedDocument
-	if err := f.node.fetch(from, methodDirectory, struct{}{}, &packed); err != nil {
+	if err := fetch(f.hosts, from, methodDirectory, struct{}{}, &packed); err != nil {
 		return nil, err
 	}
 	text, err := packed.Unpack(maxDirectoryBytes)
@@ -278,16 +290,16 @@
 
 // fetch calls a method. If the first attempt times out, its connection may have stalled: the
 // second attempt uses a new one.
-func (n *node) fetch(from netip.AddrPort, method string, params, result any) error {
-	err := n.callWithin(firstFetchTimeout, from, method, params, result)
+func fetch(hosts addressCaller, from netip.AddrPort, method string, params, result any) error {
+	err := callWithin(hosts, firstFetchTimeout, from, method, params, result)
 	if errors.Is(err, context.DeadlineExceeded) {
-		err = n.callWithin(callTimeout, from, method, params, result)
+		err = callWithin(hosts, callTimeout, from, method, params, result)
 	}
 	return err
 }
 
-func (n *node) callWithin(timeout time.Duration, to netip.AddrPort, method string, params, result any) error {
+func callWithin(hosts addressCaller, timeout time.Duration, to netip.AddrPort, method string, params, result any) error {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	return n.callAddress(ctx, to, method, params, result)
+	return hosts.callAddress(ctx, to, method, params, result)
 }
--- a/tier/peers/heartbeat.go
+++ b/tier/peers/heartbeat.go
@@ -199,10 +199,10 @@
 
 func (g *gossip) send(to netip.AddrPort, sentAt time.Duration, message *heartbeat) {
 	var reply heartbeat
-	err := g.node.callWithin(heartbeatTimeout, to, methodHeartbeat, message, &reply)
+	err := callWithin(g.node, heartbeatTimeout, to, methodHeartbeat, message, &reply)
 	if err != nil {
 		// The connection may have stalled, or have been lost when the peer restarted.
-		err = g.node.callWithin(heartbeatTimeout, to, methodHeartbeat, message, &reply)
+		err = callWithin(g.node, heartbeatTimeout, to, methodHeartbeat, message, &reply)
 	}
 	if err != nil {
 		g.kernel.Log.Debug().Err(err).Msg("failed to exchange heartbeats")
--- a/tier/peers/node_test.go
+++ b/tier/peers/node_test.go
@@ -104,7 +104,7 @@
 	}()
 	_, caller, _ := newTestNode(t)
 	var answer int
-	assert.NilError(t, caller.callWithin(callTimeout, netip.MustParseAddrPort(l.Addr().String()), "Work", struct{}{}, &answer))
+	assert.NilError(t, callWithin(caller, callTimeout, netip.MustParseAddrPort(l.Addr().String()), "Work", struct{}{}, &answer))
 	assert.Equal(t, answer, 1)
 	assert.NilError(t, l.Close())
 	select {
