peers: changes arrive in drawn fleets

A change has to be in force within 3 s of its ack at every host that ran undisturbed for contactMs (4 s) before, while the platform serves one such host throughout.

--- a/tier/peers/refused_test.go
+++ b/tier/peers/refused_test.go
@@ -39,16 +39,21 @@
 const silentReadTimeout = 1500 * time.Millisecond
 
 // testFleet simulates hosts in virtual time that read the same platform and announce to each
-// other; a message takes a millisecond.
+// other.
 type testFleet struct {
+	config   testFleetConfig
 	platform *fakePlatform
-	kernels  map[string]*kernel.Kernel
+	// kernels holds the running process of each host; an ended one remains until the next starts.
+	kernels map[string]*kernel.Kernel
 	// olderRevision is the revision of the older state.
 	olderRevision uint64
 	// cut is true if halls cannot reach each other.
 	cut atomic.Bool
 
 	mu sync.Mutex
+	// down holds the hosts whose processes have ended, stops what ends the work of each.
+	down  map[string]bool
+	stops map[string]context.CancelFunc
 	// refused holds the hosts that the platform turns away.
 	refused map[string]refusal
 	// reads holds the time of each read and watch that began, askers how many each host began.
@@ -57,17 +62,44 @@
 }
 
 // Call implements kernel.PeerCaller.
-func (f *testFleet) Call(ctx context.Context, host, method string, params, _ any) error {
-	time.Sleep(time.Millisecond)
-	if m, ok := params.(announcement); ok && f.cut.Load() && m.Hall != f.kernels[host].Settings.Hall {
+func (f *testFleet) Call(ctx context.Context, host, method string, params, result any) error {
+	time.Sleep(f.config.messageDelay())
+	k := f.process(host)
+	if k == nil {
+		<-ctx.Done() // like a host without power
+		return ctx.Err()
+	}
+	if m, ok := params.(announcement); ok && f.cut.Load() && m.Hall != k.Settings.Hall {
 		return errUnavailable
 	}
 	text, err := json.Marshal(params)
 	if err != nil {
 		return err
 	}
-	_, err = f.kernels[host].Handler(method)(ctx, text)
-	return err
+	out, err := k.Handler(method)(ctx, text)
+	if err != nil || !f.config.Fetches {
+		return err
+	}
+	time.Sleep(f.config.messageDelay())
+	if text, err = json.Marshal(out); err != nil {
+		return err
+	}
+	return json.Unmarshal(text, result)
+}
+
+// callAddress implements addressCaller.
+func (f *testFleet) callAddress(ctx context.Context, to netip.AddrPort, method string, params, result any) error {
+	return f.Call(ctx, fmt.Sprint("H", to.Port()-testFleetPort), method, params, result)
+}
+
+// process returns the running process of a host; nil for none.
+func (f *testFleet) process(host string) *kernel.Kernel {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down[host] {
+		return nil
+	}
+	return f.kernels[host]
 }
 
 // Notify implements kernel.PeerCaller.
@@ -141,6 +173,9 @@
 	return most
 }
 
+// testFleetPort is the port of the first host's address.
+const testFleetPort = 1
+
 // ranked returns the hosts in the order in which they rank for reading the platform.
 func (f *testFleet) ranked() []string {
 	hosts := slices.Collect(maps.Keys(f.kernels))
@@ -160,6 +195,7 @@
 	s.fleet.reads = append(s.fleet.reads, time.Now())
 	s.fleet.askers[s.host]++
 	s.fleet.mu.Unlock()
+	time.Sleep(s.fleet.config.platformDelay())
 	return s.refusal(ctx, wait+silentReadTimeout, refused)
 }
 
@@ -233,12 +269,34 @@
 	WatchWait    time.Duration
 	// Refused is how the platform turns all hosts away from the start on; empty if it serves them.
 	Refused refusal
+	// Log receives the logs of all hosts.
+	Log zerolog.Logger
+	// Fetches is true if hosts fetch what their announcements show that they lack.
+	Fetches bool
+	// MessageDelay returns how long a message between hosts takes; nil for a millisecond.
+	// PlatformDelay returns how long the platform takes to begin an answer; nil for no time.
+	MessageDelay, PlatformDelay func() time.Duration
+}
+
+func (c *testFleetConfig) messageDelay() time.Duration {
+	if c.MessageDelay == nil {
+		return time.Millisecond
+	}
+	return c.MessageDelay()
+}
+
+func (c *testFleetConfig) platformDelay() time.Duration {
+	if c.PlatformDelay == nil {
+		return 0
+	}
+	return c.PlatformDelay()
 }
 
 // newTestFleet starts hosts that know each other.
 func newTestFleet(t *testing.T, ctx context.Context, c testFleetConfig) *testFleet {
 	f := &testFleet{
-		platform: newFakePlatform(), kernels: map[string]*kernel.Kernel{}, refused: map[string]refusal{}, askers: map[string]int{},
+		config: c, platform: newFakePlatform(), kernels: map[string]*kernel.Kernel{}, refused: map[string]refusal{}, askers: map[string]int{},
+		down: map[string]bool{}, stops: map[string]context.CancelFunc{},
 	}
 	f.platform.list("U0")
 	for i := range c.Hosts {
@@ -246,34 +304,64 @@
 			f.refuse(c.Refused, fmt.Sprint("H", i))
 		}
 	}
-	members := map[string]kernel.Member{}
-	at := netip.MustParseAddrPort("127.0.0.1:1")
 	for i := range c.Hosts {
-		s := kernel.Settings{Host: fmt.Sprint("H", i), Hall: string(rune('A' + i%c.Halls)), Peer: at, WatchWait: c.WatchWait, Adapter: "Test"}
-		k, stop := kernel.New(kernel.Config{Settings: s, Log: zerolog.Nop(), Started: time.Now(), Fleet: policy.NewFleet(policy.FleetConfig{})})
-		t.Cleanup(stop)
-		k.Peers = f
-		f.kernels[s.Host] = k
-		members[s.Host] = kernel.Member{Host: s.Host, Hall: s.Hall, Peer: at, Live: true, Capacity: s.Capacity()}
+		f.addProcess(t, i)
 	}
+	members := map[string]kernel.Member{}
 	for host, k := range f.kernels {
-		// Announcements suffice in these tests: nothing is fetched.
-		kernel.HandleMessage(k, methodAnnounce, "announcement", newServerWithoutFetches(k).onAnnouncement)
-		k.Do(func(s *kernel.State) {
-			for n, m := range members {
-				if n != host {
-					s.Members[n] = m
-				}
-			}
-		})
-		r := &feed{kernel: k, source: &hostSource{fleet: f, host: host}, announcer: &announcer{kernel: k}}
-		k.OnView(r.announcer.onView)
-		go r.loop(ctx)
-		go r.announcer.loop(ctx)
+		members[host] = memberFor(k)
+	}
+	for host, k := range f.kernels {
+		f.run(ctx, host, k, members)
 	}
 	return f
 }
 
+// memberFor returns what other hosts know of a running process.
+func memberFor(k *kernel.Kernel) kernel.Member {
+	s := &k.Settings
+	return kernel.Member{Host: s.Host, Hall: s.Hall, Peer: s.Peer, Live: true, Capacity: s.Capacity()}
+}
+
+// addProcess adds the process of a host, which does nothing yet.
+func (f *testFleet) addProcess(t *testing.T, number int) *kernel.Kernel {
+	s := kernel.Settings{
+		Host: fmt.Sprint("H", number), Hall: string(rune('A' + number%f.config.Halls)), WatchWait: f.config.WatchWait, Adapter: "Test",
+		Peer: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(testFleetPort+number)),
+	}
+	k, stop := kernel.New(kernel.Config{Settings: s, Log: f.config.Log.With().Str("Host", s.Host).Logger(), Started: time.Now(), Fleet: policy.NewFleet(policy.FleetConfig{})})
+	t.Cleanup(stop)
+	k.Peers = f
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.kernels[s.Host], f.down[s.Host] = k, false
+	return k
+}
+
+// run starts the work of a process, which knows the given members.
+func (f *testFleet) run(ctx context.Context, host string, k *kernel.Kernel, members map[string]kernel.Member) {
+	ctx, stop := context.WithCancel(ctx)
+	f.mu.Lock()
+	f.stops[host] = stop
+	f.mu.Unlock()
+	server := newServerWithoutFetches(k)
+	if f.config.Fetches {
+		server = &announcementServer{kernel: k, fetcher: newFetcher(k, f, func(*kernel.State) {})}
+	}
+	kernel.HandleMessage(k, methodAnnounce, "announcement", server.onAnnouncement)
+	k.Do(func(s *kernel.State) {
+		for n, m := range members {
+			if n != host {
+				s.Members[n] = m
+			}
+		}
+	})
+	r := &feed{kernel: k, source: &hostSource{fleet: f, host: host}, announcer: &announcer{kernel: k}}
+	k.OnView(r.announcer.onView)
+	go r.loop(ctx)
+	go r.announcer.loop(ctx)
+}
+
 // reader returns the only host that reads the platform; empty for none or several.
 func (f *testFleet) reader() string {
 	found := ""
@@ -288,10 +376,18 @@
 	return found
 }
 
-// listedByAll reports whether all hosts list an upstream.
+// end ends the process of a host, as by a loss of power.
+func (f *testFleet) end(host string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.down[host] = true
+	f.stops[host]()
+}
+
+// listedByAll reports whether all running hosts list an upstream.
 func (f *testFleet) listedByAll(name string) bool {
-	for _, k := range f.kernels {
-		if !slices.Contains(listedNames(k), name) {
+	for n := range f.kernels {
+		if k := f.process(n); k != nil && !slices.Contains(listedNames(k), name) {
 			return false
 		}
 	}
