peers: an announcer of another hall that was passed over is told as well

Cause: the reader told another host in place of one that had not answered, for 3 s. One that was back sooner took up its role of announcer, and its hall heard of changes only from it, which nobody told.

By TestReaderAnnouncesToOneHostOfEachOtherHall the one that failed is told beside the next one.

--- a/tier/peers/announcement.go
+++ b/tier/peers/announcement.go
@@ -31,9 +31,11 @@
 	freshReadThreshold = 500 * time.Millisecond
 	// announceTimeout limits a call that announces.
 	announceTimeout = time.Second
-	// passOverTime is how long a host of another hall gets no announcements after one has failed,
-	// if another host of its hall can get them. By then the members show whether it is gone.
+	// passOverTime is how long an announcement to a host of another hall that has failed makes this
+	// host tell another one as well. By then the members show whether the first is gone.
 	passOverTime = 3 * time.Second
+	// maxToldPerHall is the most hosts of another hall that get the same announcement.
+	maxToldPerHall = 3
 )
 
 // errStaleRead is logged when the platform is considered lost although no read has failed.
@@ -192,37 +194,41 @@
 }
 
 // recipients returns the receivers of an announcement: the active hosts of this hall and, if
-// this host reads the platform, the highest ranked active host of each other hall that has not
-// failed to answer lately. A new reader also tells the next one: the first may be what it takes
-// over from, which is gone.
+// this host reads the platform, the first active ones of each other hall by rank (firstOf).
 func (a *announcer) recipients(s *kernel.State) (hall, otherHalls []string) {
 	hall, others := byHall(s.Members, a.kernel.Settings.Hall, (*kernel.Member).Active)
 	if !s.Reading {
 		return hall, nil
 	}
-	perHall := 1
-	if !a.sentAsReader {
-		perHall = 2
-	}
 	r := newReaderRanking(s, &a.kernel.Settings)
 	for _, hosts := range others {
-		ranked := slices.SortedFunc(slices.Values(a.answering(hosts)), r.compare)
-		otherHalls = append(otherHalls, ranked[:min(perHall, len(ranked))]...)
+		slices.SortFunc(hosts, r.compare)
+		otherHalls = append(otherHalls, a.firstOf(hosts)...)
 	}
 	return hall, otherHalls
 }
 
-// answering returns the hosts to which no announcement has failed lately; all if there is none.
-func (a *announcer) answering(hosts []string) []string {
-	now := a.kernel.Now()
-	out := slices.DeleteFunc(slices.Clone(hosts), func(h string) bool {
-		failedAt, failed := a.failedAt[h]
-		return failed && now-failedAt < passOverTime
-	})
-	if len(out) == 0 {
-		return hosts
+// firstOf returns the hosts of another hall to tell: the highest ranked one, which announces there, and
+// further ones up to one that has not failed to answer lately. The failed ones are told as well, since they
+// take up their role as soon as they are back. A new reader tells at least two: the first may be what
+// it takes over from, which is gone.
+func (a *announcer) firstOf(ranked []string) []string {
+	least := 1
+	if !a.sentAsReader {
+		least = 2
 	}
-	return out
+	for i, h := range ranked[:min(len(ranked), maxToldPerHall)] {
+		if i+1 >= least && !a.failedLately(h) {
+			return ranked[:i+1]
+		}
+	}
+	return ranked[:min(len(ranked), maxToldPerHall)]
+}
+
+// failedLately reports whether an announcement to a host has failed within passOverTime.
+func (a *announcer) failedLately(host string) bool {
+	at, failed := a.failedAt[host]
+	return failed && a.kernel.Now()-at < passOverTime
 }
 
 // noteFailed records that an announcement to a host failed, and forgets failures of long ago.
--- a/tier/peers/announcement_test.go
+++ b/tier/peers/announcement_test.go
@@ -47,6 +47,22 @@
 		a.sentAsReader = false
 		_, readers = a.recipients(s)
 		assert.Equal(t, len(readers), 4, "a new reader tells two of each")
+		ranked := []string{"H1", "H2", "H3", "H4", "H5"}
+		told := func(want ...string) {
+			t.Helper()
+			assert.DeepEqual(t, a.firstOf(ranked), want)
+		}
+		told("H1", "H2")
+		a.sentAsReader = true
+		told("H1")
+		a.noteFailed("H1")
+		told("H1", "H2")
+		a.noteFailed("H2")
+		told("H1", "H2", "H3")
+		a.noteFailed("H3")
+		told("H1", "H2", "H3")
+		time.Sleep(passOverTime)
+		told("H1")
 		s.Reading = false
 		hall, readers = a.recipients(s)
 		assert.Equal(t, len(hall), 3)
