peers, platform: readers that get an older state are overtaken

Cause: an answer counted as a sign of life whatever it showed, and nobody but the reader asked, so nobody could know better.

So the guard is a cheap one:

- Each host that does not read asks for the newest revision alone, about once a second, all together at most 16 times a second: a read of no entries with serializable (a tenth of the price).
If no known reader has been shown it within 1.2 s, the host reads the platform, and overtakes the readers if that shows more.
- A call whose answer shows less than what was known when it began has failed: a reader that gets an older state loses the platform, like any that gets no answer.
What is known counts only while another host is answered, or was within 10 s: a platform that comes back from a copy without an era must not be lost for good.

--- a/tier/kernel/adapter.go
+++ b/tier/kernel/adapter.go
@@ -52,6 +52,9 @@
 	// wraps ErrHistoryGone if only Read can return the content, for example because
 	// the platform was restored from a backup and no longer knows the position.
 	Watch(ctx context.Context, after config.Position, wait time.Duration) (*Published, error)
+	// Newest returns a position that the platform has reached. It is cheap, and may be older
+	// than what other calls show.
+	Newest(ctx context.Context) (config.Position, error)
 }
 
 // Headers names the HTTP headers that callers, hosts and upstreams exchange.
--- a/tier/kernel/state.go
+++ b/tier/kernel/state.go
@@ -140,6 +140,12 @@
 	AnnouncedReadAt time.Duration
 	// OwnReadAt is when this host last read the platform itself; 0 for never.
 	OwnReadAt time.Duration
+	// ShownPosition is the newest position of the platform that answers to this host, or to any
+	// other reader that it knows of, have shown.
+	ShownPosition config.Position
+	// OvertakesUntil is the time up to which this host reads whatever other readers say, since the
+	// platform has shown it more than them; 0 for never.
+	OvertakesUntil time.Duration
 	// RefusedAtStart is true once the platform has not answered this host while it had no directory.
 	RefusedAtStart bool
 	// FoundAt is when a search for a host that the platform serves made this host the reader;
@@ -150,6 +156,13 @@
 	HallAnnouncers, OtherReaders map[string]AnnouncerReport
 }
 
+// NoteShown records a position that an answer of the platform has shown.
+func (s *ReadingState) NoteShown(at config.Position) {
+	if at.Compare(s.ShownPosition) > 0 {
+		s.ShownPosition = at
+	}
+}
+
 // AnnouncerReport describes the last announcement of a host that announces published
 // content. Its times are since the process started.
 type AnnouncerReport struct {
--- a/tier/peers/announcement.go
+++ b/tier/peers/announcement.go
@@ -344,4 +344,5 @@
 		s.AnnouncedReadAt = max(s.AnnouncedReadAt, readAt)
 	}
 	noteRead(s, readAt)
+	s.NoteShown(config.Position{Era: m.DirectoryEra, Revision: m.DirectoryRevision})
 }
--- a/tier/peers/drawn_test.go
+++ b/tier/peers/drawn_test.go
@@ -19,8 +19,8 @@
 )
 
 var (
-	drawnSeed  = flag.Uint64("drawn.seed", 1, "first seed of TestChangesArriveInDrawnFleets")
-	drawnSeeds = flag.Uint64("drawn.seeds", 30, "number of seeds of TestChangesArriveInDrawnFleets")
+	drawnSeed  = flag.Uint64("drawn.seed", 1, "first seed of each test of drawn fleets")
+	drawnSeeds = flag.Uint64("drawn.seeds", 30, "number of seeds of each test of drawn fleets")
 )
 
 // failedSeeds are seeds that have failed. The hosts draw pauses of their own, so a seed does not
@@ -126,7 +126,9 @@
 	}
 	d.refusable = order[:d.hosts*2/3]
 	d.ways = [][]refusal{
-		{refusedWithError}, {refusedWithSilence}, {refusedWithError, refusedWithSilence},
+		{refusedWithError},
+		{refusedWithSilence},
+		{refusedWithError, refusedWithSilence},
 		{refusedWithError, refusedWithSilence, refusedWatches, refusedReads},
 	}[d.intN(4)]
 	d.longestDraw = pick(d, 300*time.Millisecond, time.Second, 5*time.Second, 9*time.Second)
@@ -294,20 +296,33 @@
 // TestChangesArriveInDrawnFleets guards against an old configuration that stays in force at hosts that
 // the platform serves, or that hear one which it serves, whatever the shape of the fleet and its troubles.
 func TestChangesArriveInDrawnFleets(t *testing.T) {
-	seeds := slices.Clone(failedSeeds)
+	runDrawnFleets(t, failedSeeds)
+}
+
+// TestChangesArriveInDrawnFleetsWithOlderStates guards against the same where the platform also answers
+// hosts with an older state, without an error.
+func TestChangesArriveInDrawnFleetsWithOlderStates(t *testing.T) {
+	runDrawnFleets(t, nil, olderState, olderState)
+}
+
+// runDrawnFleets plays some seeds and those of the flags. The platform turns hosts away in more ways than
+// the seed has drawn.
+func runDrawnFleets(t *testing.T, seeds []uint64, moreWays ...refusal) {
+	seeds = slices.Clone(seeds)
 	for i := range *drawnSeeds {
 		seeds = append(seeds, *drawnSeed+i)
 	}
 	for _, seed := range seeds {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { runDrawnFleet(t, seed) })
+			synctest.Test(t, func(t *testing.T) { runDrawnFleet(t, seed, moreWays) })
 		})
 	}
 }
 
-func runDrawnFleet(t *testing.T, seed uint64) {
+func runDrawnFleet(t *testing.T, seed uint64, moreWays []refusal) {
 	ctx, cancel := context.WithCancel(t.Context())
 	d := newDrawnFleet(t, ctx, seed)
+	d.ways = append(d.ways, moreWays...)
 	time.Sleep(testStartTime)
 	end := time.Now().Add(drawnTime)
 	var all sync.WaitGroup
--- a/tier/peers/feed.go
+++ b/tier/peers/feed.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -40,17 +41,21 @@
 		return nil, err
 	}
 	source, closeSource := a.Open(kernel.SourceConfig{Address: k.Settings.Platform, DocumentBytes: k.Settings.DocumentBytes})
-	f := &feed{kernel: k, source: source, announcer: &announcer{kernel: k}}
+	f := newFeed(k, source)
 	k.Do(func(s *kernel.State) { s.PlatformDown = true })
 	// Forward what a reader in another hall announces at once.
 	k.OnView(f.announcer.onView)
-	stop := kernel.RunLoops(ctx, f.loop, f.announcer.loop)
+	stop := kernel.RunLoops(ctx, f.loop, f.announcer.loop, f.lagCheck.loop)
 	return func() {
 		stop()
 		closeSource()
 	}, nil
 }
 
+func newFeed(k *kernel.Kernel, source kernel.Source) *feed {
+	return &feed{kernel: k, source: source, announcer: &announcer{kernel: k}, lagCheck: &lagCheck{kernel: k, source: source}}
+}
+
 // feed reads a source while this host is the reader (reader.go) and applies what it read
 // on the control thread. Its fields are used by the goroutine of loop, and by the control
 // thread while that goroutine waits for it.
@@ -74,8 +79,12 @@
 	removalHold   removalHold
 	eraTracker    eraTracker
 	search        search
-	// reading is true while this host is the reader, trying while it takes its turn in a search.
-	reading, trying bool
+	lagCheck      *lagCheck
+	// reading is true while this host is the reader, trying while it takes its turn in a search,
+	// overtaking while it tries because the readers lag behind.
+	reading, trying, overtaking bool
+	// known is what the answer to the next call has to show.
+	known config.Position
 }
 
 func (f *feed) loop(ctx context.Context) {
@@ -85,10 +94,13 @@
 			continue
 		}
 		metrics.GetOrCreateCounter("loomgap_platform_reads_total").Inc()
-		published, err := f.next(ctx)
+		published, mayBeOld, err := f.next(ctx)
 		if ctx.Err() != nil {
 			return
 		}
+		if err == nil && !mayBeOld && isBehind(published.Position, f.known) {
+			err = fmt.Errorf("revision %d, known before %d: %w", published.Position.Revision, f.known.Revision, errBehind)
+		}
 		if err != nil {
 			f.failed(ctx, err)
 			continue
@@ -115,11 +127,16 @@
 			// Announce at once, so that lower ranked hosts do not take over as well.
 			f.announcer.announce(s)
 		}
-		f.trying = false
+		f.trying, f.overtaking = false, false
 		if !s.Reading {
 			turn := f.search.check(f.kernel, s)
-			f.trying, wait = turn.isDue, turn.next
+			f.overtaking = !turn.isDue && f.lagCheck.isDue(s)
+			f.trying, wait = turn.isDue || f.overtaking, turn.next
+			if f.overtaking {
+				wait = 0
+			}
 		}
+		f.known = knownBefore(s, f.kernel.Now())
 		if begins := s.Reading && !f.reading || f.trying; begins {
 			// Learn without a wait whether the platform answers.
 			f.caughtUp = false
@@ -129,22 +146,25 @@
 	return wait
 }
 
-func (f *feed) next(ctx context.Context) (*kernel.Published, error) {
+// next makes the next call. The answer may be old only if mayBeOld is true.
+func (f *feed) next(ctx context.Context) (p *kernel.Published, mayBeOld bool, err error) {
 	now := f.kernel.Now()
-	if f.position == (config.Position{}) {
-		return f.source.Read(ctx, f.consistentRead)
-	}
-	if f.readsInstead() {
-		return f.source.Read(ctx, true)
-	}
-	if !f.caughtUp {
-		// The last read may have been stale.
-		return f.source.Watch(ctx, f.position, 0)
-	}
-	if f.eraTracker.startSettling(now) {
-		return f.source.Read(ctx, true)
+	switch {
+	case f.position == (config.Position{}):
+		p, err = f.source.Read(ctx, f.consistentRead)
+		return p, !f.consistentRead, err
+	case f.readsInstead():
+		p, err = f.source.Read(ctx, true)
+	case !f.caughtUp, isBehind(f.position, f.known):
+		// The last read may have been stale, or another host knows of changes: there is nothing to
+		// wait for.
+		p, err = f.source.Watch(ctx, f.position, 0)
+	case f.eraTracker.startSettling(now):
+		p, err = f.source.Read(ctx, true)
+	default:
+		p, err = f.source.Watch(ctx, f.position, f.eraTracker.wait(now, f.removalHold.wait(now, f.kernel.Settings.WatchWait)))
 	}
-	return f.source.Watch(ctx, f.position, f.eraTracker.wait(now, f.removalHold.wait(now, f.kernel.Settings.WatchWait)))
+	return p, false, err
 }
 
 // readsInstead reports whether the next call is a whole read because watches fail. A host that
@@ -175,7 +195,7 @@
 		switch {
 		case f.trying:
 			f.search.refused(f.kernel, s, err)
-		case f.outage.isUnavailable(now, maxReadAge(&f.kernel.Settings)):
+		case errors.Is(err, errBehind) || f.outage.isUnavailable(now, maxReadAge(&f.kernel.Settings)):
 			markPlatformDown(f.kernel, s, err)
 		}
 	})
@@ -241,10 +261,14 @@
 		f.removalHold.platformReturned(now)
 	}
 	s.AnnouncedReadAt, s.OwnReadAt = now, now
+	if f.overtaking && p.Position.Compare(s.ShownPosition) > 0 {
+		s.OvertakesUntil = now + overtakeTime
+	}
 	if f.trying {
 		s.FoundAt = now
 		f.announcer.begin(s, now)
 	}
+	s.NoteShown(p.Position)
 	if s.PlatformDown {
 		s.PlatformDown = false
 		f.kernel.Log.Info().Uint64("DirectoryEra", p.Position.Era).Uint64("DirectoryRevision", p.Position.Revision).Msg("platform became available again")
--- a/tier/peers/feed_test.go
+++ b/tier/peers/feed_test.go
@@ -151,6 +151,16 @@
 	return out, err
 }
 
+// Newest implements kernel.Source.
+func (p *fakePlatform) Newest(context.Context) (config.Position, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.unavailable {
+		return config.Position{}, errUnavailable
+	}
+	return config.Position{Era: p.era, Revision: p.revision}, nil
+}
+
 func (p *fakePlatform) since(after config.Position) (*kernel.Published, chan struct{}, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -192,7 +202,7 @@
 		p := newFakePlatform()
 		p.list("U1", "U2")
 		ctx, cancel := context.WithCancel(t.Context())
-		f := &feed{kernel: k, source: p, announcer: &announcer{kernel: k}}
+		f := newFeed(k, p)
 		done := make(chan struct{})
 		go func() {
 			defer close(done)
--- a/tier/peers/reader.go
+++ b/tier/peers/reader.go
@@ -114,8 +114,8 @@
 	// maxCapacity is the largest capacity of all hosts.
 	maxCapacity int
 	// servedUntil is when the last read of this host becomes too old, if a search made it the
-	// reader; 0 if not.
-	servedUntil time.Duration
+	// reader; 0 if not. overtakesUntil is as in kernel.ReadingState.
+	servedUntil, overtakesUntil time.Duration
 }
 
 func newReaderRanking(s *kernel.State, settings *kernel.Settings) *readerRanking {
@@ -124,7 +124,7 @@
 		r.maxCapacity = max(r.maxCapacity, m.Capacity)
 	}
 	if s.FoundAt > 0 {
-		r.servedUntil = s.OwnReadAt + maxReadAge(settings)
+		r.servedUntil, r.overtakesUntil = s.OwnReadAt+maxReadAge(settings), s.OvertakesUntil
 	}
 	return r
 }
@@ -175,9 +175,13 @@
 // isFirst reports whether this host is the highest ranked working announcer: no host that
 // ranks before it has announced within announcerTimeout, and the given number of takeover steps
 // has passed since the last of them failed. If a search has shown that the platform serves this
-// host, only hosts that the platform answers count, and there are no steps.
+// host, only hosts that the platform answers count, and there are no steps; none count while this
+// host overtakes them.
 func (r *readerRanking) isFirst(now time.Duration, announcers map[string]kernel.AnnouncerReport, steps int) bool {
 	served := now < r.servedUntil
+	if served && now < r.overtakesUntil {
+		return true
+	}
 	vacantSince := time.Duration(0)
 	for host, a := range announcers {
 		switch {
--- a/tier/peers/refused_test.go
+++ b/tier/peers/refused_test.go
@@ -38,6 +38,9 @@
 // the wait of a watch.
 const silentReadTimeout = 1500 * time.Millisecond
 
+// silentCheckTimeout is the same for a request for the newest position alone.
+const silentCheckTimeout = 500 * time.Millisecond
+
 // testFleet simulates hosts in virtual time that read the same platform and announce to each
 // other.
 type testFleet struct {
@@ -59,6 +62,8 @@
 	// reads holds the time of each read and watch that began, askers how many each host began.
 	reads  []time.Time
 	askers map[string]int
+	// checks counts the requests for the newest position alone.
+	checks int
 }
 
 // Call implements kernel.PeerCaller.
@@ -242,6 +247,24 @@
 	return out, err
 }
 
+// Newest implements kernel.Source.
+func (s *hostSource) Newest(ctx context.Context) (config.Position, error) {
+	s.fleet.mu.Lock()
+	s.fleet.checks++
+	s.fleet.mu.Unlock()
+	time.Sleep(s.fleet.config.platformDelay())
+	if err := s.refusal(ctx, silentCheckTimeout, refusedReads); err != nil {
+		return config.Position{}, err
+	}
+	at, err := s.fleet.platform.Newest(ctx)
+	if s.older() {
+		s.fleet.mu.Lock()
+		defer s.fleet.mu.Unlock()
+		at.Revision = min(at.Revision, s.fleet.olderRevision)
+	}
+	return at, err
+}
+
 // older reports whether the platform answers the host with an older state.
 func (s *hostSource) older() bool {
 	s.fleet.mu.Lock()
@@ -356,10 +379,11 @@
 			}
 		}
 	})
-	r := &feed{kernel: k, source: &hostSource{fleet: f, host: host}, announcer: &announcer{kernel: k}}
+	r := newFeed(k, &hostSource{fleet: f, host: host})
 	k.OnView(r.announcer.onView)
 	go r.loop(ctx)
 	go r.announcer.loop(ctx)
+	go r.lagCheck.loop(ctx)
 }
 
 // reader returns the only host that reads the platform; empty for none or several.
