peers: a host takes each turn of a search once

Cause: turns count from the last known read, and what a host knows of that moves by a few milliseconds with each message, by the time that the message took. After a turn was taken it seemed to lie just ahead again.

Evidence: a trace of one of 24 real processes whose store refuses all: turn 14853.8 taken at 14854.9, turn 14861.8 (its read moved by 8 ms) taken at 16622.1, and so on, two calls in 2 s. 198 calls in 9 s (98 whole reads, 100 watches), where the docs say 12 a second.

Change: a turn that moves by up to 0.5 s is the same one.

--- a/tier/peers/search.go
+++ b/tier/peers/search.go
@@ -37,6 +37,9 @@
 	// minSearchPeriod is the time between two turns of a host. It leaves time for a change to
 	// reach all hosts within its bound if the platform serves the last host that tries.
 	minSearchPeriod = 2 * time.Second
+	// turnDrift is how far a turn may move after this host has taken it: what hosts know of the last
+	// read moves with each message by the time that the message took.
+	turnDrift = 500 * time.Millisecond
 	// repeatedSearchRate is the most turns per second of all hosts together, on average over a
 	// period; it prolongs the period of a large fleet.
 	repeatedSearchRate = 200
@@ -85,7 +88,7 @@
 	switch {
 	case turn > now:
 		return searchTurn{next: nextCheck(k, s, turn-now)}
-	case f.triedAt >= turn:
+	case f.triedAt > 0 && f.triedAt >= turn-turnDrift:
 		return searchTurn{next: nextCheck(k, s, turn+searchPeriod(hosts)-now)}
 	}
 	f.triedAt = now
--- a/tier/peers/search_test.go
+++ b/tier/peers/search_test.go
@@ -499,6 +499,32 @@
 	})
 }
 
+// TestSearchTurnIsTakenOnce guards against hosts that take each turn twice: what they know of the last read
+// moves with each message by the time that the message took, and their turns with it.
+func TestSearchTurnIsTakenOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const searchTime = 20 * time.Second
+		k, stop := kernel.New(kernel.Config{
+			Settings: kernel.Settings{Host: "H1", Hall: "A", WatchWait: testWatchWait}, Log: zerolog.Nop(), Started: time.Now(),
+			Fleet: policy.NewFleet(policy.FleetConfig{}),
+		})
+		defer stop()
+		time.Sleep(time.Minute)
+		s := &kernel.State{Members: map[string]kernel.Member{"H2": {Host: "H2", Hall: "A", Live: true}}}
+		s.Directory, _ = s.Directory.With(&config.DirectoryChange{Revision: 1})
+		s.PlatformReadAt = k.Now() - maxReadAge(&k.Settings)
+		var f search
+		turns := 0
+		for end := time.Now().Add(searchTime); time.Now().Before(end); time.Sleep(searchCheckInterval) {
+			if f.check(k, s).isDue {
+				turns++
+			}
+			s.PlatformReadAt += time.Millisecond / 4
+		}
+		assert.Equal(t, turns, int(searchTime/minSearchPeriod))
+	})
+}
+
 // TestSearchTurns checks that turns follow the rank, double and then keep to maxSearchRate, and that
 // they repeat after a period that bounds the rate of a large fleet.
 func TestSearchTurns(t *testing.T) {
