peers: no lag checks while hosts search for one that is served

While no known reader is answered, there is nobody who could lag behind, and each host asks in its turns.

--- a/tier/peers/lag.go
+++ b/tier/peers/lag.go
@@ -72,9 +72,12 @@
 	return wait
 }
 
-// isNeeded reports whether this host checks: readers know from their own calls.
+// isNeeded reports whether this host checks. Readers know from their own calls, and while no known
+// reader is answered, the hosts search for one.
 func (l *lagCheck) isNeeded() (needed bool) {
-	l.kernel.DoAndWait(func(s *kernel.State) { needed = !s.Reading && s.Directory != nil })
+	l.kernel.DoAndWait(func(s *kernel.State) {
+		needed = !s.Reading && s.Directory != nil && l.kernel.Now() < unreadSince(s, &l.kernel.Settings)
+	})
 	return needed
 }
 
