--- a/loomfake/soakfault.go
+++ b/loomfake/soakfault.go
@@ -243,5 +243,6 @@
 		u.link.setFaults(linkFaults{})
 		u.setFaults(soakUpstreamFaults{})
 		u.setEndless(nil)
+		u.setCuts(false)
 	}
 }
--- a/loomfake/soakrun.go
+++ b/loomfake/soakrun.go
@@ -131,6 +131,7 @@
 	faults, stopFaults := context.WithTimeout(ctx, s.FaultDuration)
 	wg.Go(func() { s.injectOverload(faults) })
 	wg.Go(func() { s.injectEndless(faults) })
+	wg.Go(func() { s.injectCuts(faults) })
 	wg.Go(func() { s.injectCrowds(faults) })
 	s.injectFaults(faults)
 	stopFaults()
--- a/loomfake/soakupstream.go
+++ b/loomfake/soakupstream.go
@@ -39,6 +39,8 @@
 	faults soakUpstreamFaults
 	// endless is the form of endless responses that the upstream sends; nil for none.
 	endless *endlessForm
+	// cuts is true while the upstream cuts answers off.
+	cuts bool
 	// arrivals are in order of time.
 	arrivals []arrival
 	// leavingAt is when the upstream was listed as leaving, or 0.
@@ -63,7 +65,7 @@
 func (u *soakUpstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h := platform.Headers
 	u.mu.Lock()
-	f, endless := u.faults, u.endless
+	f, endless, cuts := u.faults, u.endless, u.cuts
 	shed := rand.Float64() < f.Shed || r.Header.Get(h.Upstream) != u.Name || !u.slots.reserve()
 	n := len(u.arrivals)
 	u.arrivals = append(u.arrivals, arrival{at: u.now(), id: r.Header.Get(h.RequestID)})
@@ -83,6 +85,10 @@
 			u.serveEndless(w, r, endless)
 			return
 		}
+		if cuts && rand.Float64() < soakCutShare {
+			u.serveCut(w, r)
+			return
+		}
 		u.serve(w, r, f)
 	})
 }
