--- a/tier/peers/search_test.go
+++ b/tier/peers/search_test.go
@@ -30,6 +30,20 @@
 	testStartTime = 5 * time.Second
 )
 
+// runFleet runs a test in virtual time with a fleet that has agreed on a reader.
+func runFleet(t *testing.T, c testFleetConfig, test func(t *testing.T, f *testFleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		f := newTestFleet(t, ctx, c)
+		defer func() {
+			cancel()
+			time.Sleep(testStartTime)
+		}()
+		time.Sleep(testStartTime)
+		test(t, f)
+	})
+}
+
 // timeUntilListed returns how long it takes until all hosts list an upstream, at most limit.
 func (f *testFleet) timeUntilListed(name string, limit time.Duration) time.Duration {
 	const pollInterval = 20 * time.Millisecond
@@ -80,15 +94,10 @@
 				if tt.hosts > maxFleetHosts {
 					t.Skip("too many hosts for the race detector")
 				}
-				synctest.Test(t, func(t *testing.T) {
-					ctx, cancel := context.WithCancel(t.Context())
-					f := newTestFleet(t, ctx, testFleetConfig{Hosts: tt.hosts, Halls: tt.halls, WatchWait: testWatchWait})
-					time.Sleep(testStartTime)
+				runFleet(t, testFleetConfig{Hosts: tt.hosts, Halls: tt.halls, WatchWait: testWatchWait}, func(t *testing.T, f *testFleet) {
 					assert.Assert(t, f.reader() != "", "want exactly one reader")
 					f.refuse(how, f.ranked()[:tt.hosts-tt.served]...)
 					f.checkChanges(t, 4)
-					cancel()
-					time.Sleep(testStartTime)
 				})
 			})
 		}
@@ -101,10 +110,7 @@
 	for _, tt := range []struct{ hosts, halls int }{{9, 3}, {24, 3}, {24, 12}, {60, 5}} {
 		for _, how := range []refusal{refusedWithError, refusedWithSilence} {
 			t.Run(fmt.Sprintf("%d hosts, %d halls, %s", tt.hosts, tt.halls, how), func(t *testing.T) {
-				synctest.Test(t, func(t *testing.T) {
-					ctx, cancel := context.WithCancel(t.Context())
-					f := newTestFleet(t, ctx, testFleetConfig{Hosts: tt.hosts, Halls: tt.halls, WatchWait: testWatchWait})
-					time.Sleep(testStartTime)
+				runFleet(t, testFleetConfig{Hosts: tt.hosts, Halls: tt.halls, WatchWait: testWatchWait}, func(t *testing.T, f *testFleet) {
 					served := map[string]string{}
 					for _, h := range f.ranked() {
 						served[f.kernels[h].Settings.Hall] = h
@@ -116,8 +122,6 @@
 					}
 					f.cut.Store(true)
 					f.checkChanges(t, 4)
-					cancel()
-					time.Sleep(testStartTime)
 				})
 			})
 		}
@@ -129,10 +133,7 @@
 func TestFoundHostTellsOtherHallsAtOnce(t *testing.T) {
 	for _, tt := range []struct{ hosts, halls int }{{2, 2}, {4, 2}, {9, 3}, {24, 3}} {
 		t.Run(fmt.Sprintf("%d hosts, %d halls", tt.hosts, tt.halls), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				ctx, cancel := context.WithCancel(t.Context())
-				f := newTestFleet(t, ctx, testFleetConfig{Hosts: tt.hosts, Halls: tt.halls, WatchWait: testWatchWait})
-				time.Sleep(testStartTime)
+			runFleet(t, testFleetConfig{Hosts: tt.hosts, Halls: tt.halls, WatchWait: testWatchWait}, func(t *testing.T, f *testFleet) {
 				ranked := f.ranked()
 				served := ranked[slices.IndexFunc(ranked, func(h string) bool { return f.kernels[h].Settings.Hall != f.kernels[ranked[0]].Settings.Hall })]
 				for _, h := range ranked {
@@ -146,8 +147,6 @@
 				}
 				took := f.timeUntilListed("U1", changeBound)
 				assert.Check(t, took < announceInterval/4, "other halls learn of it %s later", took)
-				cancel()
-				time.Sleep(testStartTime)
 			})
 		})
 	}
@@ -158,10 +157,7 @@
 func TestSilentAnnouncerOfOtherHallIsPassedOver(t *testing.T) {
 	for _, tt := range []struct{ hosts, halls int }{{4, 2}, {9, 3}, {24, 3}} {
 		t.Run(fmt.Sprintf("%d hosts, %d halls", tt.hosts, tt.halls), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				ctx, cancel := context.WithCancel(t.Context())
-				f := newTestFleet(t, ctx, testFleetConfig{Hosts: tt.hosts, Halls: tt.halls, WatchWait: testWatchWait, Fetches: true})
-				time.Sleep(testStartTime)
+			runFleet(t, testFleetConfig{Hosts: tt.hosts, Halls: tt.halls, WatchWait: testWatchWait, Fetches: true}, func(t *testing.T, f *testFleet) {
 				ranked := f.ranked()
 				isFar := func(h string) bool { return f.kernels[h].Settings.Hall != f.kernels[ranked[0]].Settings.Hall }
 				for _, h := range ranked {
@@ -174,8 +170,6 @@
 				f.platform.list("U1")
 				took := f.timeUntilListed("U1", 2*changeBound)
 				assert.Check(t, took <= changeBound, "U1 after %s", took)
-				cancel()
-				time.Sleep(testStartTime)
 			})
 		})
 	}
@@ -186,10 +180,7 @@
 func TestTakeoverReachesHallOfLostReader(t *testing.T) {
 	for _, tt := range []struct{ hosts, halls int }{{4, 2}, {9, 3}, {24, 3}} {
 		t.Run(fmt.Sprintf("%d hosts, %d halls", tt.hosts, tt.halls), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				ctx, cancel := context.WithCancel(t.Context())
-				f := newTestFleet(t, ctx, testFleetConfig{Hosts: tt.hosts, Halls: tt.halls, WatchWait: testWatchWait, Fetches: true})
-				time.Sleep(testStartTime)
+			runFleet(t, testFleetConfig{Hosts: tt.hosts, Halls: tt.halls, WatchWait: testWatchWait, Fetches: true}, func(t *testing.T, f *testFleet) {
 				reader := f.ranked()[0]
 				for _, h := range f.ranked()[1:] {
 					if f.kernels[h].Settings.Hall == f.kernels[reader].Settings.Hall {
@@ -203,8 +194,6 @@
 				}
 				took := f.timeUntilListed("U1", 2*changeBound)
 				assert.Check(t, took <= announceInterval, "the hall of the lost reader learns of it %s later", took)
-				cancel()
-				time.Sleep(testStartTime)
 			})
 		})
 	}
@@ -264,10 +253,7 @@
 				if tt.hosts > maxFleetHosts {
 					t.Skip("too many hosts for the race detector")
 				}
-				synctest.Test(t, func(t *testing.T) {
-					ctx, cancel := context.WithCancel(t.Context())
-					f := newTestFleet(t, ctx, testFleetConfig{Hosts: tt.hosts, Halls: tt.halls, WatchWait: testWatchWait})
-					time.Sleep(testStartTime)
+				runFleet(t, testFleetConfig{Hosts: tt.hosts, Halls: tt.halls, WatchWait: testWatchWait}, func(t *testing.T, f *testFleet) {
 					f.resetReads()
 					f.refuse(how, f.ranked()...)
 					time.Sleep(outageTime)
@@ -293,8 +279,6 @@
 					most = min(tt.hosts/2, maxSearchRate/4) + 2*steadyReaders*steadyRate
 					assert.Check(t, f.readsWithin(time.Second) <= most, "%d reads in a second when it is back", f.readsWithin(time.Second))
 					t.Logf("back: in force after %s, %d reads in the busiest second", took, f.readsWithin(time.Second))
-					cancel()
-					time.Sleep(testStartTime)
 				})
 			})
 		}
@@ -410,14 +394,7 @@
 	for _, tt := range []struct{ hosts, halls int }{{1, 1}, {6, 1}, {9, 3}, {24, 1}} {
 		for _, how := range []refusal{refusedWatches, refusedReads} {
 			t.Run(fmt.Sprintf("%d hosts, %d halls, %s refused", tt.hosts, tt.halls, how), func(t *testing.T) {
-				synctest.Test(t, func(t *testing.T) {
-					ctx, cancel := context.WithCancel(t.Context())
-					f := newTestFleet(t, ctx, testFleetConfig{Hosts: tt.hosts, Halls: tt.halls, WatchWait: testWatchWait})
-					defer func() {
-						cancel()
-						time.Sleep(testStartTime)
-					}()
-					time.Sleep(testStartTime)
+				runFleet(t, testFleetConfig{Hosts: tt.hosts, Halls: tt.halls, WatchWait: testWatchWait}, func(t *testing.T, f *testFleet) {
 					f.resetReads()
 					f.refuse(how, f.ranked()...)
 					began := time.Now()
@@ -437,14 +414,7 @@
 func TestChangesArriveWhileSomeGetAnOlderState(t *testing.T) {
 	for _, tt := range []struct{ hosts, halls, older int }{{9, 1, 1}, {9, 1, 3}, {24, 1, 8}, {24, 3, 8}, {25, 5, 1}} {
 		t.Run(fmt.Sprintf("%d hosts, %d halls, %d get an older state", tt.hosts, tt.halls, tt.older), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				ctx, cancel := context.WithCancel(t.Context())
-				f := newTestFleet(t, ctx, testFleetConfig{Hosts: tt.hosts, Halls: tt.halls, WatchWait: testWatchWait})
-				defer func() {
-					cancel()
-					time.Sleep(testStartTime)
-				}()
-				time.Sleep(testStartTime)
+			runFleet(t, testFleetConfig{Hosts: tt.hosts, Halls: tt.halls, WatchWait: testWatchWait}, func(t *testing.T, f *testFleet) {
 				f.refuse(olderState, f.ranked()[:tt.older]...)
 				f.checkChanges(t, 4)
 			})
