peers: six hosts check whether the readers lag behind

Six hosts check about once a second now, chosen by rendezvous hashing in an order of its own, so that the hosts that read first are not chosen first. If all six are among those that get an older state, it is not noticed until one is not; with a third of 24 hosts that is so once in 4,800 cases.

--- a/tier/peers/lag.go
+++ b/tier/peers/lag.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -16,18 +17,19 @@
 // and nobody but the reader asks it. So an answer is a sign of life only if it is as new as what is
 // known:
 //
-//   - Hosts that do not read ask the platform now and then for its newest position alone
-//     (lagCheck), all together at most maxLagChecks times a second. If no known reader has been shown
-//     that position within lagGrace, the host reads the platform itself, as in its turn of a search
-//     (search.go). If that shows more than the readers know, it overtakes them for overtakeTime.
+//   - A few hosts that do not read ask the platform now and then for its newest position alone
+//     (lagCheck). If no known reader has been shown that position within lagGrace, the host reads the
+//     platform itself, as in its turn of a search (search.go). If that shows more than the readers
+//     know, it overtakes them for overtakeTime.
 //   - A reader whose call shows less than what this host knew when the call began takes that for a
 //     failed call (isBehind). It then loses the platform, as any reader that is not answered.
 
 const (
-	// minLagCheckInterval is the time between two checks of a host, and maxLagChecks the most checks
-	// per second of all hosts together, which prolongs it in a large fleet.
-	minLagCheckInterval = time.Second
-	maxLagChecks        = 16
+	// lagCheckInterval is the mean time between two checks of a host.
+	lagCheckInterval = time.Second
+	// lagCheckers is how many hosts check. That all of them are among a third of the hosts of a large
+	// fleet, which get an older state too, is unlikely.
+	lagCheckers = 6
 	// lagGrace is how long news may take from a reader to any host that knows it: the pause after a
 	// change and an announcement interval on each of the two ways, and the messages.
 	lagGrace = changeDebounce + 2*announceInterval + 100*time.Millisecond
@@ -39,6 +41,10 @@
 	upheldTime = 10 * time.Second
 )
 
+// lagCheckKey is the rendezvous hashing key by which hosts are chosen for the checks. The order differs
+// from that in which they read.
+const lagCheckKey = "lag check"
+
 // errBehind is the error of a call whose answer is older than what was known before it.
 var errBehind = errors.New("platform answered with an older state")
 
@@ -56,34 +62,33 @@
 // loop checks until the context is done, at times that are spread over the hosts.
 func (l *lagCheck) loop(ctx context.Context) {
 	for ctx.Err() == nil {
-		wait := l.interval()
-		kernel.Sleep(ctx, wait*3/4+rand.N(wait/2))
+		kernel.Sleep(ctx, lagCheckInterval*3/4+rand.N(lagCheckInterval/2))
 		if ctx.Err() == nil && l.isNeeded() {
 			l.check(ctx)
 		}
 	}
 }
 
-func (l *lagCheck) interval() (wait time.Duration) {
-	l.kernel.DoAndWait(func(s *kernel.State) {
-		_, hosts := newReaderRanking(s, &l.kernel.Settings).position()
-		wait = lagCheckInterval(hosts)
-	})
-	return wait
-}
-
 // isNeeded reports whether this host checks. Readers know from their own calls, and while no known
 // reader is answered, the hosts search for one.
 func (l *lagCheck) isNeeded() (needed bool) {
 	l.kernel.DoAndWait(func(s *kernel.State) {
-		needed = !s.Reading && s.Directory != nil && l.kernel.Now() < unreadSince(s, &l.kernel.Settings)
+		answered := l.kernel.Now() < unreadSince(s, &l.kernel.Settings)
+		needed = !s.Reading && s.Directory != nil && answered && isLagChecker(s, l.kernel.Settings.Host)
 	})
 	return needed
 }
 
-// lagCheckInterval returns the mean time between two checks of each of a number of hosts.
-func lagCheckInterval(hosts int) time.Duration {
-	return max(minLagCheckInterval, time.Duration(hosts)*time.Second/maxLagChecks)
+// isLagChecker reports whether a host is one of the lagCheckers among the active hosts of all halls.
+func isLagChecker(s *kernel.State, host string) bool {
+	hosts := []string{host}
+	for n, m := range s.Members {
+		if m.Active() {
+			hosts = append(hosts, n)
+		}
+	}
+	ranked := Rank(lagCheckKey, hosts)
+	return slices.Contains(ranked[:min(len(ranked), lagCheckers)], host)
 }
 
 func (l *lagCheck) check(ctx context.Context) {
--- a/tier/peers/lag_test.go
+++ b/tier/peers/lag_test.go
@@ -36,7 +36,7 @@
 					f.platform.list(fmt.Sprint("U", random.IntN(20)))
 					time.Sleep(time.Duration(random.IntN(1500)) * time.Millisecond)
 				}
-				most := min(tt.hosts, maxLagChecks) * int(calmTime/time.Second) * 4 / 3
+				most := min(tt.hosts, lagCheckers) * int(calmTime/time.Second) * 4 / 3
 				f.mu.Lock()
 				assert.Check(t, f.checks <= most, "%d checks in %s", f.checks, calmTime)
 				f.mu.Unlock()
