--- a/tier/peers/lag.go
+++ b/tier/peers/lag.go
@@ -27,8 +27,8 @@
 const (
 	// lagCheckInterval is the mean time between two checks of a host.
 	lagCheckInterval = time.Second
-	// lagCheckers is how many hosts check. That all of them are among a third of the hosts of a large
-	// fleet, which get an older state too, is unlikely.
+	// lagCheckers is how many hosts check: several, since the platform may answer some of them with an
+	// older state too.
 	lagCheckers = 6
 	// lagGrace is how long news may take from a reader to any host that knows it: the pause after a
 	// change and an announcement interval on each of the two ways, and the messages.
