pass: gathers of bad answers share their halls, and show their relay

TestCutPartIsNotCovered and TestUnacceptableResponseIsNoPartOfGather set up the same two halls; newTwoHalls does that now. Both also check that the far hall's parts were asked through a relay, which nothing showed before.

--- a/tier/pass/cut_response_test.go
+++ b/tier/pass/cut_response_test.go
@@ -244,11 +244,7 @@
 		for _, hall := range []string{"A", "B"} {
 			t.Run(strings.ReplaceAll(strings.TrimSpace(head), "\r\n", ", ")+", hall "+hall, func(t *testing.T) {
 				for cut := 0; cut < 164; cut += 20 {
-					w := newNetwork()
-					h := newHost(t, hostConfig{name: "H1", hall: "A", peers: w})
-					far := newHost(t, hostConfig{name: "Far", hall: "B", peers: w})
-					w.addHost(far)
-					newShardUpstreams(t, h, [2]string{hall, hall}, func(s, _ int) replyFunc {
+					h, w := newTwoHalls(t, hall, 0.5, func(s, _ int) replyFunc {
 						if s != 0 {
 							return good(shardRecords(s))
 						}
@@ -257,17 +253,13 @@
 							return false
 						}
 					})
-					d := gatherDoc(0.5, 15)
-					d.Routes[0].Objective = 1000 * millisecond
-					h.applyDocument(d)
-					far.share(h, d)
-					h.addMember(far)
 					r := h.send(http.MethodGet, "/find/x", "one", 3000, "")
 					assert.NilError(t, r.err)
 					assert.Equal(t, r.status, http.StatusOK, r.body)
 					assert.Equal(t, r.header.Get(names.Missing), "1", "cut after %d of 164 bytes", cut)
 					assert.Assert(t, !strings.Contains(r.header.Get(names.Parts), "cut"), r.header.Get(names.Parts))
 					assert.Equal(t, r.body, topRecords(15, 1, 2, 3, 4, 5))
+					assert.Equal(t, w.callCount(methodBatch) > 0, hall == "B", "asked through a relay")
 				}
 			})
 		}
--- a/tier/pass/gather_test.go
+++ b/tier/pass/gather_test.go
@@ -78,6 +78,22 @@
 	return out
 }
 
+// newTwoHalls returns a host of hall A that knows one of hall B, with the upstreams of all shards in one of
+// the two halls and a route that gathers them.
+func newTwoHalls(t testing.TB, upstreamHall string, coverage float64, reply func(shard, replica int) replyFunc) (*host, *network) {
+	w := newNetwork()
+	h := newHost(t, hostConfig{name: "H1", hall: "A", peers: w})
+	far := newHost(t, hostConfig{name: "Far", hall: "B", peers: w})
+	w.addHost(far)
+	newShardUpstreams(t, h, [2]string{upstreamHall, upstreamHall}, reply)
+	d := gatherDoc(coverage, 15)
+	d.Routes[0].Objective = 1000 * millisecond
+	h.applyDocument(d)
+	far.share(h, d)
+	h.addMember(far)
+	return h, w
+}
+
 func sortedStamps(r result) []string {
 	out := strings.Split(r.header.Get(names.Parts), ", ")
 	slices.Sort(out)
--- a/tier/pass/response_head_test.go
+++ b/tier/pass/response_head_test.go
@@ -118,25 +118,17 @@
 	for _, tt := range unacceptableResponses {
 		for _, hall := range []string{"A", "B"} {
 			t.Run(tt.name+", hall "+hall, func(t *testing.T) {
-				w := newNetwork()
-				h := newHost(t, hostConfig{name: "H1", hall: "A", peers: w})
-				far := newHost(t, hostConfig{name: "Far", hall: "B", peers: w})
-				w.hosts["Far"] = far
-				newShardUpstreams(t, h, [2]string{hall, hall}, func(s, replica int) replyFunc {
+				h, w := newTwoHalls(t, hall, 1, func(s, replica int) replyFunc {
 					if replica == 0 {
 						return raw(tt.text)
 					}
 					return good(shardRecords(s))
 				})
-				d := gatherDoc(1, 15)
-				d.Routes[0].Objective = 1000 * millisecond
-				h.applyDocument(d)
-				far.share(h, d)
-				h.addMember(far)
 				r := h.send(http.MethodGet, "/find/x", "one", 3000, "")
 				assert.NilError(t, r.err)
 				assert.Equal(t, r.status, http.StatusOK, r.body)
 				assert.Equal(t, r.body, topRecords(15, 0, 1, 2, 3, 4, 5))
+				assert.Equal(t, w.callCount(methodBatch) > 0, hall == "B", "asked through a relay")
 			})
 		}
 	}
